--- /dev/null
+++ b/crates/celerylead-cli/src/commands.rs
@@ -0,0 +1,442 @@
+//! The commands.
+
+use std::{process::ExitCode, time::Duration};
+
+use anyhow::Context as _;
+use celerylead::{
+    HostClock,
+    customer::CallerKey,
+    membership::{HostLease, LeasePhase},
+    operator::{ChangeResult, SettingsDesk},
+    platform::TableClient,
+    settings::{self, KeyGrant, SettingsChange, SettingsTree},
+};
+use serde_json::json;
+
+use crate::{
+    flags::{KeyCommand, OperatorCommand, OperatorFlags},
+    print::Printer,
+};
+
+/// Failed, or the outcome isn't known.
+pub(crate) const EXIT_FAILED: u8 = 1;
+/// Rejected; nothing was changed.
+const EXIT_REJECTED: u8 = 3;
+/// The settings have moved on; nothing was changed.
+const EXIT_CONFLICT: u8 = 4;
+/// Accepted, but not in force on every live host in time.
+const EXIT_BEHIND: u8 = 5;
+/// Time between two looks at the hosts' revisions.
+const LOOK_PERIOD: Duration = Duration::from_millis(200);
+
+/// Runs the command of the flags.
+pub(crate) async fn run(flags: &OperatorFlags) -> anyhow::Result<ExitCode> {
+    let printer = Printer { form: flags.output };
+    match &flags.operator_command {
+        OperatorCommand::Check { file } => check(printer, file),
+        OperatorCommand::Diff { file } => diff(flags, printer, file).await,
+        OperatorCommand::Apply { base, change_id, file } => {
+            let text = read(file)?;
+            let change = SettingsChange::Apply { file: text };
+            let id = change_id.clone().unwrap_or_else(new_id);
+            change_settings(flags, printer, &change, &id, *base).await
+        }
+        OperatorCommand::Show { branch } => {
+            show(flags, printer, branch.as_deref()).await
+        }
+        OperatorCommand::Key { command } => key(flags, printer, command).await,
+        OperatorCommand::Status => status(flags, printer).await,
+        OperatorCommand::Audit => audit(flags, printer).await,
+        OperatorCommand::Drain { name } => {
+            let change = SettingsChange::Drain { name: name.clone() };
+            change_settings(flags, printer, &change, &new_id(), None).await
+        }
+        OperatorCommand::Resume { name } => {
+            let change = SettingsChange::Resume { name: name.clone() };
+            change_settings(flags, printer, &change, &new_id(), None).await
+        }
+    }
+}
+
+fn check(printer: Printer, file: &str) -> anyhow::Result<ExitCode> {
+    let text = read(file)?;
+    let faults = match settings::parse(&text) {
+        Ok(tree) => {
+            let counts = json!({
+                "accepted": true,
+                "zones": tree.zones.len(),
+                "runners": tree.runners.len(),
+                "models": tree.models.len(),
+                "adapters": tree.adapters.len(),
+                "customers": tree.customers.len(),
+                "keys": tree.keys.len(),
+                "services": tree.services.len(),
+            });
+            printer.record(&counts);
+            return Ok(ExitCode::SUCCESS);
+        }
+        Err(faults) => faults,
+    };
+    let lines: Vec<String> =
+        faults.iter().map(|fault| format!("{file}: {fault}")).collect();
+    printer.faults(&lines);
+    Ok(ExitCode::from(EXIT_REJECTED))
+}
+
+async fn diff(
+    flags: &OperatorFlags,
+    printer: Printer,
+    file: &str,
+) -> anyhow::Result<ExitCode> {
+    let text = read(file)?;
+    let wanted = match settings::parse(&text) {
+        Ok(tree) => tree,
+        Err(faults) => {
+            let faults: Vec<String> =
+                faults.iter().map(|f| format!("{file}: {f}")).collect();
+            printer.faults(&faults);
+            return Ok(ExitCode::from(EXIT_REJECTED));
+        }
+    };
+    let state = desk(flags)?.state().await?;
+    let held = parsed(&state.file)?;
+    let wanted = branch_lines(&wanted);
+    let held = branch_lines(&held);
+    let gone = held.iter().filter(|line| !wanted.contains(line));
+    let new = wanted.iter().filter(|line| !held.contains(line));
+    let lines: Vec<String> = gone
+        .map(|line| format!("- {line}"))
+        .chain(new.map(|line| format!("+ {line}")))
+        .collect();
+    printer.lines("changes", &lines);
+    Ok(ExitCode::SUCCESS)
+}
+
+/// One line for each value that a branch doesn't have by default, and one
+/// for each branch.
+fn branch_lines(tree: &SettingsTree) -> Vec<String> {
+    let mut lines: Vec<String> = tree
+        .origins
+        .iter()
+        .filter(|value| value.origin != "built-in")
+        .map(|value| {
+            format!("{} {} = {}", value.branch, value.name, value.value)
+        })
+        .collect();
+    lines.extend(tree.runners.iter().map(|runner| {
+        format!("runner/{} at {}", runner.name, runner.address)
+    }));
+    lines.extend(
+        tree.models.iter().map(|model| {
+            format!("model/{} of {} MB", model.name, model.size_mb)
+        }),
+    );
+    lines.extend(
+        tree.keys.iter().map(|key| {
+            format!("key/{} of customer {}", key.name, key.customer)
+        }),
+    );
+    lines.sort();
+    lines
+}
+
+/// Makes a change and says where it is in force.
+async fn change_settings(
+    flags: &OperatorFlags,
+    printer: Printer,
+    change: &SettingsChange,
+    change_id: &str,
+    base: Option<u64>,
+) -> anyhow::Result<ExitCode> {
+    let desk = desk(flags)?;
+    let result = desk.change(change, change_id, base).await;
+    let result = result.with_context(|| {
+        format!("the change {change_id} is in doubt; ask again with its id")
+    })?;
+    let (revision, word) = match result {
+        ChangeResult::Accepted { revision } => (revision, "accepted"),
+        ChangeResult::AlreadyAccepted { revision } => {
+            (revision, "already-accepted")
+        }
+        ChangeResult::Conflict { revision } => {
+            printer.record(&json!({
+                "result": "conflict",
+                "revision": revision,
+            }));
+            return Ok(ExitCode::from(EXIT_CONFLICT));
+        }
+        ChangeResult::Rejected { faults } => {
+            printer.faults(&faults);
+            return Ok(ExitCode::from(EXIT_REJECTED));
+        }
+    };
+    let limit = Duration::from_millis(flags.wait_ms);
+    let zones = wait_in_force(&desk, revision, limit).await?;
+    let everywhere = zones.iter().all(|zone| zone.in_force == zone.live);
+    printer.record(&json!({
+        "result": word,
+        "revision": revision,
+        "change_id": change_id,
+        "in_force_everywhere": everywhere,
+    }));
+    let lines: Vec<String> = zones.iter().map(ZoneForce::line).collect();
+    printer.lines("zones", &lines);
+    if everywhere {
+        return Ok(ExitCode::SUCCESS);
+    }
+    Ok(ExitCode::from(EXIT_BEHIND))
+}
+
+/// Hosts of a zone that have a revision in force.
+struct ZoneForce {
+    zone: String,
+    live: usize,
+    in_force: usize,
+    /// Hosts without a live lease, of which nothing is known.
+    silent: usize,
+}
+
+impl ZoneForce {
+    fn line(&self) -> String {
+        format!(
+            "zone {}: in force on {} of {} live hosts, {} hosts silent",
+            self.zone, self.in_force, self.live, self.silent,
+        )
+    }
+}
+
+async fn wait_in_force(
+    desk: &SettingsDesk,
+    revision: u64,
+    limit: Duration,
+) -> anyhow::Result<Vec<ZoneForce>> {
+    let clock = HostClock::default();
+    let deadline = clock.now().after(limit);
+    loop {
+        let leases = desk.hosts().await?;
+        let zones = zone_forces(&leases, revision, &clock);
+        let everywhere = zones.iter().all(|zone| zone.in_force == zone.live);
+        if everywhere || deadline <= clock.now() {
+            return Ok(zones);
+        }
+        tokio::time::sleep(LOOK_PERIOD).await;
+    }
+}
+
+fn zone_forces(
+    leases: &[HostLease],
+    revision: u64,
+    clock: &HostClock,
+) -> Vec<ZoneForce> {
+    let now = clock.now();
+    let mut zones: Vec<ZoneForce> = Vec::new();
+    for lease in leases {
+        if lease.phase == LeasePhase::Released {
+            continue;
+        }
+        if zones.last().is_none_or(|zone| zone.zone != lease.zone) {
+            zones.push(ZoneForce {
+                zone: lease.zone.clone(),
+                live: 0,
+                in_force: 0,
+                silent: 0,
+            });
+        }
+        let Some(zone) = zones.last_mut() else { continue };
+        if lease.deadline <= now {
+            zone.silent += 1;
+            continue;
+        }
+        zone.live += 1;
+        zone.in_force += usize::from(revision <= lease.revision);
+    }
+    zones
+}
+
+async fn show(
+    flags: &OperatorFlags,
+    printer: Printer,
+    branch: Option<&str>,
+) -> anyhow::Result<ExitCode> {
+    let state = desk(flags)?.state().await?;
+    let Some(branch) = branch else {
+        printer.record(&json!({
+            "revision": state.revision,
+            "change_id": state.change_id,
+            "keys_given": state.given.len(),
+            "keys_withdrawn": state.withdrawn.len(),
+            "draining": state.draining,
+        }));
+        let lines: Vec<String> =
+            state.file.lines().map(str::to_owned).collect();
+        printer.lines("file", &lines);
+        return Ok(ExitCode::SUCCESS);
+    };
+    let tree = parsed(&state.file)?;
+    let values = tree.origins.iter().filter(|held| held.branch == branch);
+    let lines: Vec<String> = values
+        .map(|held| {
+            format!("{} = {} from {}", held.name, held.value, held.origin)
+        })
+        .collect();
+    if lines.is_empty() {
+        anyhow::bail!("there is no branch {branch:?}");
+    }
+    printer.lines(branch, &lines);
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn key(
+    flags: &OperatorFlags,
+    printer: Printer,
+    command: &KeyCommand,
+) -> anyhow::Result<ExitCode> {
+    match command {
+        KeyCommand::Give { name, customer } => {
+            let key = CallerKey::random();
+            let change = SettingsChange::GiveKey {
+                key: KeyGrant {
+                    hash: key.hash(),
+                    name: name.clone(),
+                    customer: customer.clone(),
+                },
+            };
+            // Printed first: were the answer lost, the key could be in force.
+            printer.record(&json!({ "key": key.reveal() }));
+            let id = new_id();
+            change_settings(flags, printer, &change, &id, None).await
+        }
+        KeyCommand::Withdraw { key } => {
+            let state = desk(flags)?.state().await?;
+            let tree = state.tree().map_err(|_| broken_state())?;
+            let named = tree.keys.iter().find(|held| held.name == *key);
+            let hash = match named {
+                Some(held) => held.hash,
+                None => key.parse().with_context(|| {
+                    format!("there is no key of name {key:?}")
+                })?,
+            };
+            let change = SettingsChange::WithdrawKey { hash };
+            let id = new_id();
+            change_settings(flags, printer, &change, &id, None).await
+        }
+        KeyCommand::List => {
+            let state = desk(flags)?.state().await?;
+            let tree = state.tree().map_err(|_| broken_state())?;
+            let lines: Vec<String> = tree
+                .keys
+                .iter()
+                .map(|key| {
+                    format!(
+                        "{} of customer {}, hash {}",
+                        key.name,
+                        key.customer,
+                        key.hash.short(),
+                    )
+                })
+                .collect();
+            printer.lines("keys", &lines);
+            Ok(ExitCode::SUCCESS)
+        }
+    }
+}
+
+async fn status(
+    flags: &OperatorFlags,
+    printer: Printer,
+) -> anyhow::Result<ExitCode> {
+    let desk = desk(flags)?;
+    let state = desk.state().await?;
+    let leases = desk.hosts().await?;
+    let now = HostClock::default().now();
+    let lines: Vec<String> = leases
+        .iter()
+        .map(|lease| {
+            let word = match lease.phase {
+                LeasePhase::Released => "left",
+                LeasePhase::Serving if lease.deadline <= now => "silent",
+                LeasePhase::Serving if lease.revision < state.revision => {
+                    "behind"
+                }
+                LeasePhase::Serving => "current",
+            };
+            format!(
+                "{} in zone {}: {word}, revision {}",
+                lease.tag.host, lease.zone, lease.revision,
+            )
+        })
+        .collect();
+    printer.record(&json!({ "revision": state.revision }));
+    printer.lines("hosts", &lines);
+    let shares = desk.shares().await?;
+    let lines: Vec<String> = shares
+        .iter()
+        .flat_map(|row| row.parts.iter().map(|part| (&row.customer, part)))
+        .map(|(customer, part)| {
+            let holder = part.holder.as_ref();
+            let holder = holder.map_or("nobody", |held| &held.tag.host);
+            format!(
+                "{customer}, zone {}, {}: {} ppm held by {holder}",
+                part.zone,
+                part.kind.name(),
+                part.ppm,
+            )
+        })
+        .collect();
+    printer.lines("shares", &lines);
+    Ok(ExitCode::SUCCESS)
+}
+
+async fn audit(
+    flags: &OperatorFlags,
+    printer: Printer,
+) -> anyhow::Result<ExitCode> {
+    let trail = desk(flags)?.audit().await?;
+    let lines: Vec<String> = trail
+        .iter()
+        .map(|entry| {
+            format!(
+                "revision {} at {} by {}: {} (change {})",
+                entry.revision,
+                entry.at,
+                entry.operator,
+                entry.summary,
+                entry.change_id,
+            )
+        })
+        .collect();
+    printer.lines("audit", &lines);
+    Ok(ExitCode::SUCCESS)
+}
+
+fn desk(flags: &OperatorFlags) -> anyhow::Result<SettingsDesk> {
+    let table = flags.table.as_deref().context(
+        "--table or CELERYLEAD_TABLE has to name the table service",
+    )?;
+    if table.parse::<std::net::SocketAddr>().is_err() {
+        anyhow::bail!("--table is {table:?}, accepted: IP:PORT");
+    }
+    let operator = match &flags.operator {
+        Some(operator) => operator.clone(),
+        None => std::env::var("USER").unwrap_or_else(|_| "unnamed".to_owned()),
+    };
+    Ok(SettingsDesk::new(&TableClient::new(table), &operator))
+}
+
+fn parsed(text: &str) -> anyhow::Result<SettingsTree> {
+    settings::parse(text).map_err(|_| broken_state())
+}
+
+fn broken_state() -> anyhow::Error {
+    anyhow::anyhow!("the settings in force are of another version")
+}
+
+fn read(file: &str) -> anyhow::Result<String> {
+    std::fs::read_to_string(file)
+        .with_context(|| format!("{file} can't be read"))
+}
+
+fn new_id() -> String {
+    let key = CallerKey::random();
+    format!("change-{}", key.hash().short())
+}
--- /dev/null
+++ b/crates/celerylead-cli/src/flags.rs
@@ -0,0 +1,140 @@
+//! Flags and commands.
+
+use std::str::FromStr;
+
+use bpaf::Bpaf;
+
+/// Form of what is printed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum OutputForm {
+    /// For people.
+    Text,
+    /// For scripts.
+    Json,
+}
+
+impl FromStr for OutputForm {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<OutputForm, String> {
+        match text {
+            "text" => Ok(OutputForm::Text),
+            "json" => Ok(OutputForm::Json),
+            _ => Err("accepted are text and json".to_owned()),
+        }
+    }
+}
+
+/// Operators' command line of celerylead
+///
+/// Exit codes: 0 done; 1 failed or in doubt; 3 rejected, nothing was
+/// changed; 4 the settings have moved on, nothing was changed; 5 accepted,
+/// but not in force on every live host in time.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+pub(crate) struct OperatorFlags {
+    /// Address of the platform's table service
+    #[bpaf(env("CELERYLEAD_TABLE"), argument("IP:PORT"), optional)]
+    pub(crate) table: Option<String>,
+    /// Who makes the change, for the audit trail
+    #[bpaf(env("CELERYLEAD_OPERATOR"), argument("NAME"), optional)]
+    pub(crate) operator: Option<String>,
+    /// Form of the output: text or json
+    #[bpaf(argument("FORM"), fallback(OutputForm::Text))]
+    pub(crate) output: OutputForm,
+    /// Milliseconds to wait until a change is in force on every live host
+    #[bpaf(argument("MS"), fallback(10_000), display_fallback)]
+    pub(crate) wait_ms: u64,
+    #[bpaf(external)]
+    pub(crate) operator_command: OperatorCommand,
+}
+
+/// What to do.
+#[derive(Clone, Debug, Bpaf)]
+pub(crate) enum OperatorCommand {
+    /// Check a settings file without any service
+    #[bpaf(command)]
+    Check {
+        /// Settings file
+        #[bpaf(positional("FILE"))]
+        file: String,
+    },
+    /// Show how a settings file differs from what is in force
+    #[bpaf(command)]
+    Diff {
+        /// Settings file
+        #[bpaf(positional("FILE"))]
+        file: String,
+    },
+    /// Put a settings file in force
+    #[bpaf(command)]
+    Apply {
+        /// Make the change only to this revision
+        #[bpaf(argument("REVISION"), optional)]
+        base: Option<u64>,
+        /// Identity of the change; repeat it to ask again after a lost answer
+        #[bpaf(argument("ID"), optional)]
+        change_id: Option<String>,
+        /// Settings file
+        #[bpaf(positional("FILE"))]
+        file: String,
+    },
+    /// Show the settings in force, or one branch with the origin of each value
+    #[bpaf(command)]
+    Show {
+        /// Branch, such as model/outline
+        #[bpaf(positional("BRANCH"), optional)]
+        branch: Option<String>,
+    },
+    /// Give, withdraw and list keys
+    #[bpaf(command)]
+    Key {
+        #[bpaf(external(key_command))]
+        command: KeyCommand,
+    },
+    /// Show hosts, the revisions they have in force and the parts of rates
+    #[bpaf(command)]
+    Status,
+    /// Show who changed what and when
+    #[bpaf(command)]
+    Audit,
+    /// Take new work away from a host or runner
+    #[bpaf(command)]
+    Drain {
+        /// Host or runner
+        #[bpaf(positional("NAME"))]
+        name: String,
+    },
+    /// End the drain of a host or runner
+    #[bpaf(command)]
+    Resume {
+        /// Host or runner
+        #[bpaf(positional("NAME"))]
+        name: String,
+    },
+}
+
+/// What to do with keys.
+#[derive(Clone, Debug, Bpaf)]
+pub(crate) enum KeyCommand {
+    /// Make a new key and print it once
+    #[bpaf(command)]
+    Give {
+        /// Name of the key
+        #[bpaf(argument("NAME"))]
+        name: String,
+        /// Customer whose key it is
+        #[bpaf(positional("CUSTOMER"))]
+        customer: String,
+    },
+    /// Stop a key for good
+    #[bpaf(command)]
+    Withdraw {
+        /// Name or hash of the key
+        #[bpaf(positional("KEY"))]
+        key: String,
+    },
+    /// List the keys in force
+    #[bpaf(command)]
+    List,
+}
--- /dev/null
+++ b/crates/celerylead-cli/src/print.rs
@@ -0,0 +1,50 @@
+//! Output, for people or for scripts.
+
+use serde_json::{Value, json};
+
+use crate::flags::OutputForm;
+
+/// Prints in one form.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Printer {
+    pub(crate) form: OutputForm,
+}
+
+impl Printer {
+    /// Prints the fields of an object.
+    pub(crate) fn record(self, value: &Value) {
+        if self.form == OutputForm::Json {
+            println!("{value}");
+            return;
+        }
+        let Some(fields) = value.as_object() else { return };
+        for (name, value) in fields {
+            match value.as_str() {
+                Some(text) => println!("{name}: {text}"),
+                None => println!("{name}: {value}"),
+            }
+        }
+    }
+
+    /// Prints a list under a name.
+    pub(crate) fn lines(self, name: &str, lines: &[String]) {
+        if self.form == OutputForm::Json {
+            println!("{}", json!({ name: lines }));
+            return;
+        }
+        for line in lines {
+            println!("{line}");
+        }
+    }
+
+    /// Prints why something was rejected.
+    pub(crate) fn faults(self, faults: &[String]) {
+        if self.form == OutputForm::Json {
+            println!("{}", json!({"result": "rejected", "faults": faults}));
+            return;
+        }
+        for fault in faults {
+            eprintln!("{fault}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/celerylead/src/customer/mod.rs
@@ -0,0 +1,19 @@
+//! Customers: their keys and their rates.
+//!
+//! This aggregate knows who a caller is ([`KeyHash`]), and how many tokens a
+//! customer may still spend at one holder of its rate ([`RateBucket`]). How
+//! a rate is divided among holders is [`share`].
+
+mod book;
+mod bucket;
+mod key;
+pub mod share;
+
+#[cfg(test)]
+mod tests;
+
+pub use self::{
+    book::{HolderAddress, ShareBook, TakenTokens, TokenSource},
+    bucket::{GRANT_HOLD, RateBucket, TokenGrant},
+    key::{CallerKey, KeyHash},
+};
--- /dev/null
+++ b/crates/celerylead/src/lib.rs
@@ -0,0 +1,60 @@
+//! Serving system for many models and many customers.
+//!
+//! Celerylead stands between callers and backend servers: it knows callers
+//! by their keys, keeps each customer to its rate over all hosts together,
+//! chooses the backend server for each request and passes the answer on.
+//! Operators change a tree of settings while traffic runs.
+//!
+//! | part | what it holds |
+//! |---|---|
+//! | [`settings`] | the tree: inheritance, checks, revisions |
+//! | [`customer`] | keys, rates and how they are divided |
+//! | [`model`] | models and adapters |
+//! | [`runner`] | backend servers and their life cycle |
+//! | [`request`] | life cycle, refusals, routing, the fair queue |
+//! | [`membership`] | hosts and their leases |
+//! | [`usage`] | what is billed |
+//! | [`platform`] | the table service and the keys of our rows |
+//! | [`host`] | a whole host: sockets, tasks, shutdown |
+//!
+//! The first seven are aggregates: types and rules without input or output,
+//! which take the time as a parameter. Tasks and encodings are apart.
+//!
+//! # Examples
+//!
+//! ```
+//! let tree = celerylead::settings::parse(
+//!     r#"
+//!     [[customer]]
+//!     name = "parish"
+//!     set = { rate = 100, burst = 400 }
+//!     "#,
+//! )
+//! .unwrap();
+//! assert_eq!(tree.customer("parish").unwrap().values.burst, 400);
+//! ```
+
+mod clock;
+pub mod customer;
+pub mod log;
+pub mod membership;
+mod metrics;
+pub mod model;
+pub mod operator;
+pub mod platform;
+pub mod request;
+pub mod runner;
+pub mod settings;
+mod sorted;
+mod step;
+mod tasks;
+pub mod usage;
+mod wire;
+
+pub use self::{
+    clock::{ClockBound, EpochMillis, HostClock, MAX_CLOCK_SKEW},
+    sorted::SortedTable,
+    step::{StepContext, StepName},
+    tasks::host,
+    wire::peer::{PEER_NAME, PeerIdentity},
+};
--- /dev/null
+++ b/crates/celerylead/src/membership/rendezvous.rs
@@ -0,0 +1,43 @@
+//! Rendezvous hashing: which host of several is home to a name.
+
+use sha2::{Digest as _, Sha256};
+
+/// Returns the weight of `host` for `name`; the highest weight is home.
+///
+/// # Examples
+///
+/// ```
+/// use celerylead::membership::rank;
+///
+/// assert_eq!(rank("kgn-1", "parish"), rank("kgn-1", "parish"));
+/// assert_ne!(rank("kgn-1", "parish"), rank("kgn-2", "parish"));
+/// ```
+pub fn rank(host: &str, name: &str) -> u64 {
+    let mut hasher = Sha256::new();
+    hasher.update(host.as_bytes());
+    hasher.update([0]);
+    hasher.update(name.as_bytes());
+    let digest = hasher.finalize();
+    let mut weight = [0; 8];
+    weight.copy_from_slice(&digest[..8]);
+    u64::from_be_bytes(weight)
+}
+
+/// Returns the host that is home to `name`.
+///
+/// When a host comes or goes, only the names that it gains or loses move.
+///
+/// # Examples
+///
+/// ```
+/// use celerylead::membership::best_host;
+///
+/// let home = best_host(["kgn-1", "kgn-2"], "parish").unwrap();
+/// assert_eq!(best_host([home], "parish"), Some(home));
+/// ```
+pub fn best_host<'a>(
+    hosts: impl IntoIterator<Item = &'a str>,
+    name: &str,
+) -> Option<&'a str> {
+    hosts.into_iter().max_by_key(|host| (rank(host, name), *host))
+}
--- /dev/null
+++ b/crates/celerylead/src/metrics.rs
@@ -0,0 +1,149 @@
+//! Metrics of a host, in the Prometheus text format.
+//!
+//! No label holds a key or a request's content; labels are names from the
+//! settings and codes, so the number of series is bounded.
+
+use std::sync::Arc;
+
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text},
+    metrics::{
+        counter::Counter,
+        family::Family,
+        gauge::Gauge,
+        histogram::{Histogram, exponential_buckets},
+    },
+    registry::Registry,
+};
+
+/// Labels of a counter of answers.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct AnswerLabels {
+    pub(crate) customer: String,
+    pub(crate) code: String,
+}
+
+/// Labels of a counter of tokens.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct TokenLabels {
+    pub(crate) customer: String,
+    pub(crate) kind: &'static str,
+}
+
+/// The metrics of one host; clones count into the same series.
+#[derive(Clone)]
+pub(crate) struct HostMetrics {
+    registry: Arc<Registry>,
+    pub(crate) answers: Family<AnswerLabels, Counter>,
+    pub(crate) tokens: Family<TokenLabels, Counter>,
+    pub(crate) waiting: Gauge,
+    pub(crate) in_flight: Gauge,
+    pub(crate) revision: Gauge,
+    pub(crate) lease_live: Gauge,
+    pub(crate) platform_errors: Counter,
+    pub(crate) usage_waiting: Gauge,
+    pub(crate) first_byte: Histogram,
+}
+
+impl Default for HostMetrics {
+    fn default() -> Self {
+        let mut registry = Registry::with_prefix("celerylead");
+        let answers = Family::default();
+        let tokens = Family::default();
+        let waiting = Gauge::default();
+        let in_flight = Gauge::default();
+        let revision = Gauge::default();
+        let lease_live = Gauge::default();
+        let platform_errors = Counter::default();
+        let usage_waiting = Gauge::default();
+        let buckets = exponential_buckets(0.001, 2.0, 16);
+        let first_byte = Histogram::new(buckets);
+        registry.register(
+            "answers",
+            "Answers by customer and code; ok is a whole answer",
+            answers.clone(),
+        );
+        registry.register(
+            "tokens",
+            "Tokens by customer: reserved, used and refused",
+            tokens.clone(),
+        );
+        registry.register(
+            "waiting_requests",
+            "Requests that wait for a runner",
+            waiting.clone(),
+        );
+        registry.register(
+            "in_flight_requests",
+            "Requests that are being answered",
+            in_flight.clone(),
+        );
+        registry.register(
+            "settings_revision",
+            "Revision of the settings in force",
+            revision.clone(),
+        );
+        registry.register(
+            "lease_live",
+            "1 while the host holds its lease",
+            lease_live.clone(),
+        );
+        registry.register(
+            "platform_errors",
+            "Failed calls of the platform's services",
+            platform_errors.clone(),
+        );
+        registry.register(
+            "usage_waiting_records",
+            "Usage records that are not confirmed yet",
+            usage_waiting.clone(),
+        );
+        registry.register(
+            "first_byte_seconds",
+            "Time from a request to the head of its answer",
+            first_byte.clone(),
+        );
+        HostMetrics {
+            registry: Arc::new(registry),
+            answers,
+            tokens,
+            waiting,
+            in_flight,
+            revision,
+            lease_live,
+            platform_errors,
+            usage_waiting,
+            first_byte,
+        }
+    }
+}
+
+impl HostMetrics {
+    /// Counts an answer.
+    pub(crate) fn count_answer(&self, customer: &str, code: &str) {
+        let labels = AnswerLabels {
+            customer: customer.to_owned(),
+            code: code.to_owned(),
+        };
+        self.answers.get_or_create(&labels).inc();
+    }
+
+    /// Counts tokens.
+    pub(crate) fn count_tokens(
+        &self,
+        customer: &str,
+        kind: &'static str,
+        tokens: u64,
+    ) {
+        let labels = TokenLabels { customer: customer.to_owned(), kind };
+        self.tokens.get_or_create(&labels).inc_by(tokens);
+    }
+
+    /// Writes all metrics as text.
+    pub(crate) fn text(&self) -> String {
+        let mut page = String::new();
+        // Writing into a string can't fail.
+        let _ = text::encode(&mut page, &self.registry);
+        page
+    }
+}
--- /dev/null
+++ b/crates/celerylead/src/platform.rs
@@ -0,0 +1,76 @@
+//! The platform's table service: client, and the keys of our rows.
+//!
+//! All that hosts and operators agree on, or that must last, is a row here
+//! or an object in the object store.
+
+use serde::{Deserialize, Serialize};
+
+pub use crate::wire::table::{
+    CommitAnswer, CommitAsk, ReadAnswer, ReadAsk, RowCheck, RowWrite,
+    TableClient, TableRow,
+};
+
+/// Key of the small row that names the newest revision.
+pub const SETTINGS_HEAD: &str = "settings/head";
+/// Key of the row with the whole settings state.
+pub const SETTINGS_STATE: &str = "settings/state";
+/// Prefix of the rows with the parts of rates.
+pub const SHARES_PREFIX: &str = "shares/";
+/// Prefix of the audit trail's rows.
+pub const AUDIT_PREFIX: &str = "audit/";
+
+/// Row that names the newest revision of the settings.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct SettingsHead {
+    /// The newest revision.
+    pub revision: u64,
+    /// Identity of the change that made it.
+    pub change_id: String,
+}
+
+/// Returns the prefix of the lease rows of a zone's hosts.
+///
+/// # Examples
+///
+/// ```
+/// assert_eq!(celerylead::platform::hosts_prefix("kgn"), "hosts/kgn/");
+/// ```
+pub fn hosts_prefix(zone: &str) -> String {
+    format!("hosts/{zone}/")
+}
+
+/// Returns the key of a host's lease row.
+///
+/// # Examples
+///
+/// ```
+/// let key = celerylead::platform::host_key("kgn", "kgn-1");
+/// assert_eq!(key, "hosts/kgn/kgn-1");
+/// ```
+pub fn host_key(zone: &str, host: &str) -> String {
+    format!("hosts/{zone}/{host}")
+}
+
+/// Returns the key of a customer's parts.
+///
+/// # Examples
+///
+/// ```
+/// assert_eq!(celerylead::platform::share_key("parish"), "shares/parish");
+/// ```
+pub fn share_key(customer: &str) -> String {
+    format!("{SHARES_PREFIX}{customer}")
+}
+
+/// Returns the key of the audit entry of a revision.
+///
+/// # Examples
+///
+/// ```
+/// let key = celerylead::platform::audit_key(7);
+/// assert_eq!(key, "audit/000000000007");
+/// ```
+pub fn audit_key(revision: u64) -> String {
+    format!("{AUDIT_PREFIX}{revision:012}")
+}
--- /dev/null
+++ b/crates/celerylead/src/runner/life.rs
@@ -0,0 +1,151 @@
+//! Life cycle of a runner, as types.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{clock::EpochMillis, settings::RunnerPlan};
+
+/// What a runner says of itself, published with a lag.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", default)]
+pub struct RunnerReport {
+    /// Resident models and adapters, as `model` and `model:adapter`.
+    pub models: Vec<String>,
+    /// Requests it works on.
+    pub active: u32,
+    /// Accelerator memory in use, in MB.
+    pub used_mb: u64,
+    /// Accelerator memory in all, in MB.
+    pub memory_mb: u64,
+}
+
+/// Speed of a runner as learned from its answers.
+///
+/// An exponentially weighted mean of tokens a second for one request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct RunnerSpeed {
+    tokens_per_second: f64,
+    samples: u32,
+}
+
+/// Weight of a new sample in the mean.
+const SPEED_WEIGHT: f64 = 0.2;
+
+impl RunnerSpeed {
+    /// Takes an answer of `tokens` within `span` into account.
+    pub fn learn(&mut self, tokens: u64, span: Duration) {
+        let seconds = span.as_secs_f64();
+        if tokens == 0 || seconds <= 0.0 {
+            return;
+        }
+        let sample = tokens as f64 / seconds;
+        if self.samples == 0 {
+            self.tokens_per_second = sample;
+        } else {
+            let error = sample - self.tokens_per_second;
+            self.tokens_per_second += SPEED_WEIGHT * error;
+        }
+        self.samples = self.samples.saturating_add(1);
+    }
+
+    /// Returns tokens a second, or `None` before the first answer.
+    pub fn tokens_per_second(&self) -> Option<f64> {
+        (0 < self.samples).then_some(self.tokens_per_second)
+    }
+}
+
+/// State: known from the settings, or ejected after failures; no report
+/// since.
+#[derive(Clone, Debug, Default)]
+pub struct Joining {
+    /// Point before which a report doesn't bring the runner back.
+    pub(crate) not_before: EpochMillis,
+}
+
+/// State: takes new work.
+#[derive(Clone, Debug)]
+pub struct Serving {
+    /// What it last reported.
+    pub(crate) report: RunnerReport,
+    /// Failures since the last answer.
+    pub(crate) failures: u32,
+}
+
+/// State: takes no new work, ends what it has.
+#[derive(Clone, Debug)]
+pub struct Leaving(());
+
+/// A runner in state `S`.
+#[derive(Clone, Debug)]
+pub struct Runner<S> {
+    pub(crate) plan: RunnerPlan,
+    pub(crate) speed: RunnerSpeed,
+    /// Requests of this host that the runner works on.
+    pub(crate) active: u32,
+    /// Tokens reserved for those requests.
+    pub(crate) active_tokens: u64,
+    pub(crate) state: S,
+}
+
+impl<S> Runner<S> {
+    fn into_state<T>(self, state: T) -> Runner<T> {
+        Runner {
+            plan: self.plan,
+            speed: self.speed,
+            active: self.active,
+            active_tokens: self.active_tokens,
+            state,
+        }
+    }
+
+    /// Books the end of a request of `tokens`.
+    pub(crate) fn release(&mut self, tokens: u64) {
+        self.active = self.active.saturating_sub(1);
+        self.active_tokens = self.active_tokens.saturating_sub(tokens);
+    }
+
+    /// Ends new work for the runner.
+    pub fn leave(self) -> Runner<Leaving> {
+        self.into_state(Leaving(()))
+    }
+}
+
+impl Runner<Joining> {
+    /// Makes a runner that has not reported yet.
+    pub fn planned(plan: &RunnerPlan) -> Runner<Joining> {
+        Runner {
+            plan: plan.clone(),
+            speed: RunnerSpeed::default(),
+            active: 0,
+            active_tokens: 0,
+            state: Joining::default(),
+        }
+    }
+
+    /// Takes the runner into service with its first report.
+    pub fn serve(self, report: &RunnerReport) -> Runner<Serving> {
+        self.into_state(Serving { report: report.clone(), failures: 0 })
+    }
+}
+
+impl Runner<Serving> {
+    /// Takes the runner out of service until it reports again after
+    /// `not_before`.
+    pub fn eject(self, not_before: EpochMillis) -> Runner<Joining> {
+        self.into_state(Joining { not_before })
+    }
+
+    /// Tells whether `name` is resident.
+    pub fn holds(&self, name: &str) -> bool {
+        self.state.report.models.iter().any(|held| held == name)
+    }
+}
+
+impl Runner<Leaving> {
+    /// Brings a runner back whose drain was ended.
+    pub fn rejoin(self) -> Runner<Joining> {
+        self.into_state(Joining::default())
+    }
+}
--- /dev/null
+++ b/crates/celerylead/src/sorted.rs
@@ -0,0 +1,145 @@
+//! A table kept as a sorted vector and searched by halves.
+//!
+//! Domain state holds tens to thousands of entries that are read far more
+//! often than they change. A sorted vector is compact, iterates in a stable
+//! order (so that decisions and golden files are reproducible) and makes a
+//! look-up a binary search over one allocation.
+
+use std::borrow::Borrow;
+
+use serde::{Deserialize, Serialize};
+
+/// Key and value pairs in the order of their keys, each key once.
+///
+/// # Examples
+///
+/// ```
+/// use celerylead::SortedTable;
+///
+/// let mut table = SortedTable::default();
+/// table.insert("pitea".to_owned(), 2);
+/// table.insert("boden".to_owned(), 1);
+/// assert_eq!(table.get("pitea"), Some(&2));
+/// assert_eq!(table.keys().collect::<Vec<_>>(), ["boden", "pitea"]);
+/// ```
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct SortedTable<K, V> {
+    rows: Vec<(K, V)>,
+}
+
+impl<K, V> Default for SortedTable<K, V> {
+    fn default() -> Self {
+        SortedTable { rows: Vec::new() }
+    }
+}
+
+impl<K: Ord, V> SortedTable<K, V> {
+    /// Returns the value stored under `key`.
+    pub fn get<Q>(&self, key: &Q) -> Option<&V>
+    where
+        K: Borrow<Q>,
+        Q: Ord + ?Sized,
+    {
+        let place = self.place(key).ok()?;
+        Some(&self.rows[place].1)
+    }
+
+    /// Returns the value stored under `key`, to change it in place.
+    pub fn get_mut<Q>(&mut self, key: &Q) -> Option<&mut V>
+    where
+        K: Borrow<Q>,
+        Q: Ord + ?Sized,
+    {
+        let place = self.place(key).ok()?;
+        Some(&mut self.rows[place].1)
+    }
+
+    /// Stores `value` under `key` and returns the value it replaces.
+    pub fn insert(&mut self, key: K, value: V) -> Option<V> {
+        match self.place(&key) {
+            Ok(place) => {
+                Some(std::mem::replace(&mut self.rows[place].1, value))
+            }
+            Err(place) => {
+                self.rows.insert(place, (key, value));
+                None
+            }
+        }
+    }
+
+    /// Returns the value under `key`, stored by `make` where there is none.
+    pub fn entry(&mut self, key: K, make: impl FnOnce() -> V) -> &mut V {
+        let place = match self.place(&key) {
+            Ok(place) => place,
+            Err(place) => {
+                self.rows.insert(place, (key, make()));
+                place
+            }
+        };
+        &mut self.rows[place].1
+    }
+
+    /// Removes `key` and returns what it held.
+    pub fn remove<Q>(&mut self, key: &Q) -> Option<V>
+    where
+        K: Borrow<Q>,
+        Q: Ord + ?Sized,
+    {
+        let place = self.place(key).ok()?;
+        Some(self.rows.remove(place).1)
+    }
+
+    /// Keeps the rows for which `keep` answers true.
+    pub fn retain(&mut self, mut keep: impl FnMut(&K, &mut V) -> bool) {
+        self.rows.retain_mut(|(key, value)| keep(key, value));
+    }
+
+    /// Iterates over the rows in the order of their keys.
+    pub fn iter(&self) -> impl Iterator<Item = (&K, &V)> {
+        self.rows.iter().map(|(key, value)| (key, value))
+    }
+
+    /// Iterates over the rows, each value open to change.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = (&K, &mut V)> {
+        self.rows.iter_mut().map(|(key, value)| (&*key, value))
+    }
+
+    /// Iterates over the keys in order.
+    pub fn keys(&self) -> impl Iterator<Item = &K> {
+        self.rows.iter().map(|(key, _)| key)
+    }
+
+    /// Iterates over the values in the order of their keys.
+    pub fn values(&self) -> impl Iterator<Item = &V> {
+        self.rows.iter().map(|(_, value)| value)
+    }
+
+    /// Returns the number of rows.
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Tells whether there is no row.
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
+    fn place<Q>(&self, key: &Q) -> Result<usize, usize>
+    where
+        K: Borrow<Q>,
+        Q: Ord + ?Sized,
+    {
+        self.rows.binary_search_by(|(held, _)| held.borrow().cmp(key))
+    }
+}
+
+impl<K: Ord, V> FromIterator<(K, V)> for SortedTable<K, V> {
+    fn from_iter<I: IntoIterator<Item = (K, V)>>(rows: I) -> Self {
+        let mut table = SortedTable::default();
+        for (key, value) in rows {
+            table.insert(key, value);
+        }
+        table
+    }
+}
--- /dev/null
+++ b/crates/celerylead/src/tasks/admin.rs
@@ -0,0 +1,99 @@
+//! The task that owns the socket for health, status and metrics.
+
+use std::convert::Infallible;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{
+    Request, Response, StatusCode, body::Incoming, server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use serde_json::json;
+use tokio::{net::TcpListener, sync::watch, task::JoinSet};
+
+use super::{context::HostContext, dispatch::DispatchEvent, host::HostPhase};
+use crate::wire::reply;
+
+/// Serves until the host's process ends.
+pub(crate) async fn run(
+    listener: TcpListener,
+    context: HostContext,
+    phase: watch::Receiver<HostPhase>,
+) {
+    let mut callers = JoinSet::new();
+    loop {
+        tokio::select! {
+            Ok((stream, _)) = listener.accept() => {
+                let context = context.clone();
+                let phase = phase.clone();
+                callers.spawn(async move {
+                    let service = service_fn(|request| {
+                        let context = context.clone();
+                        let phase = phase.clone();
+                        async move {
+                            Ok::<_, Infallible>(
+                                handle(&context, &phase, request).await,
+                            )
+                        }
+                    });
+                    let served = http1::Builder::new()
+                        .timer(TokioTimer::new())
+                        .serve_connection(TokioIo::new(stream), service);
+                    let _ = served.await;
+                });
+            }
+            Some(_) = callers.join_next() => {}
+        }
+    }
+}
+
+async fn handle(
+    context: &HostContext,
+    phase: &watch::Receiver<HostPhase>,
+    request: Request<Incoming>,
+) -> Response<Full<Bytes>> {
+    match request.uri().path() {
+        "/metrics" => {
+            let body = Full::new(Bytes::from(context.metrics.text()));
+            Response::new(body)
+        }
+        "/readyz" => ready(context, *phase.borrow()),
+        "/status" => status(context).await,
+        "/healthz" => {
+            let body = json!({"status": "alive"}).to_string();
+            reply::json_reply(StatusCode::OK, body)
+        }
+        _ => reply::json_reply(StatusCode::NOT_FOUND, "{}".to_owned()),
+    }
+}
+
+/// Tells the platform's balancer whether to send callers here.
+fn ready(context: &HostContext, phase: HostPhase) -> Response<Full<Bytes>> {
+    let view = context.settings.borrow().clone();
+    let draining = view.state.is_draining(&context.identity.host);
+    let (status, word) = if phase != HostPhase::Serving || draining {
+        (StatusCode::SERVICE_UNAVAILABLE, "leaving")
+    } else if view.state.revision == 0 {
+        (StatusCode::SERVICE_UNAVAILABLE, "no-settings")
+    } else {
+        (StatusCode::OK, "ready")
+    };
+    let body = json!({
+        "status": word,
+        "revision": view.state.revision,
+    });
+    reply::json_reply(status, body.to_string())
+}
+
+async fn status(context: &HostContext) -> Response<Full<Bytes>> {
+    let runners =
+        super::ask(&context.dispatch.sender, DispatchEvent::Status).await;
+    let body = json!({
+        "host": context.identity.host,
+        "zone": context.identity.zone,
+        "revision": context.settings.borrow().state.revision,
+        "runners": runners,
+    });
+    reply::json_reply(StatusCode::OK, body.to_string())
+}
--- /dev/null
+++ b/crates/celerylead/src/tasks/call.rs
@@ -0,0 +1,296 @@
+//! Completions: from a caller's request to its answer.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
+use hyper::{
+    HeaderMap, Method, Response, StatusCode,
+    body::Incoming,
+    header::{self, HeaderValue},
+    http::request::Parts,
+};
+use tokio::time::Instant;
+
+use super::{
+    context::{CallerIdentity, HostContext},
+    exchange::{self, Errand, Exchange},
+    runner::RunnerEvent,
+    stream::{AnswerBody, AnswerStream, AnswerTally},
+};
+use crate::{
+    request::{
+        Refusal, RefusalCode, Request, RequestId, RouteAsk, RunOutcome,
+        RunResult,
+    },
+    settings::{ModelPlan, ResolvedValues, SettingsView},
+    wire::{
+        answer::EventScanner,
+        completion::CompletionAsk,
+        engine::{EngineAsk, stated_usage},
+        headers,
+        link::HttpLink,
+    },
+};
+
+/// Longest wait for a request's body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+/// Largest answer that isn't a stream.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+
+/// Answers a completion request.
+pub(crate) async fn complete(
+    context: &HostContext,
+    id: &RequestId,
+    parts: &Parts,
+    body: Incoming,
+) -> Result<Response<AnswerBody>, Refusal> {
+    let view = context.view()?;
+    let caller = context.authenticate(&view, &parts.headers, &parts.uri)?;
+    let limit = view.tree.defaults.max_body_kb;
+    let body = read_body(body, limit).await?;
+    let ask = CompletionAsk::parse(&body).map_err(|error| {
+        Refusal::not_run(RefusalCode::BadRequest, &format!("{error:#}"))
+    })?;
+    if ask.holds_key(&caller.key) {
+        return Err(Refusal::not_run(
+            RefusalCode::KeyInRequest,
+            "the key stands in the body",
+        ));
+    }
+    let (model, values) = find_model(&view, &caller, &ask)?;
+    let max_tokens = max_tokens(&ask, values)?;
+    let tokens = ask.worst_case(values.prompt_bytes_per_token, max_tokens);
+    let customer = caller.customer.name.as_str();
+    let charge = context.shares.charge(customer, tokens).await;
+    let charge = charge.inspect_err(|_| {
+        context.metrics.count_tokens(customer, "refused", tokens);
+    })?;
+    context.metrics.count_tokens(customer, "reserved", tokens);
+    let usage = context.usage.reserve().await;
+    let request = Request::received(id.clone(), values.idempotent).admitted();
+    let errand = Errand {
+        context,
+        ask: engine_ask(parts, &caller, &ask, max_tokens),
+        route: RouteAsk {
+            group: model.group.clone(),
+            model: Some(ask.model.clone()),
+            tokens,
+            tried: Vec::new(),
+        },
+        customer,
+        weight: caller.customer.values.rate,
+        values,
+        key: Some(&caller.watch),
+    };
+    let exchange = match exchange::run(errand, request).await {
+        Ok(exchange) => exchange,
+        Err(refusal) => {
+            // Nothing ran, or it is in doubt and all stays charged.
+            if refusal.outcome == RunOutcome::NotRun {
+                charge.settle(0);
+            }
+            return Err(refusal);
+        }
+    };
+    let Exchange { request, response, link, slot, sent_at } = exchange;
+    let tally = AnswerTally {
+        context: context.clone(),
+        request,
+        customer: customer.to_owned(),
+        target: ask.model.to_string(),
+        charge: Some(charge),
+        reserved_output: max_tokens,
+        usage,
+        slot: Some(slot),
+        sent_at,
+    };
+    let seconds = tally.sent_at.elapsed().as_secs_f64();
+    context.metrics.first_byte.observe(seconds);
+    let idle = Duration::from_millis(values.idle_timeout_ms);
+    if is_event_stream(&response) {
+        let (head, upstream) = response.into_parts();
+        let scanner = EventScanner::new(ask.wants_usage);
+        let stream = AnswerStream::new(
+            upstream,
+            link,
+            Some(scanner),
+            tally,
+            Some(&caller.watch),
+            idle,
+        );
+        return Ok(answer(
+            head.status,
+            &head.headers,
+            AnswerBody::Stream(Box::new(stream)),
+        ));
+    }
+    whole_answer(tally, response, link, idle).await
+}
+
+/// Reads a whole answer before any of it is passed on, so that a broken one
+/// is reported as such.
+async fn whole_answer(
+    mut tally: AnswerTally,
+    response: Response<Incoming>,
+    link: HttpLink,
+    idle: Duration,
+) -> Result<Response<AnswerBody>, Refusal> {
+    let (head, upstream) = response.into_parts();
+    let body = Limited::new(upstream, MAX_ANSWER_BYTES).collect();
+    let read = tokio::time::timeout(idle, body).await;
+    let fault = match read {
+        Ok(Ok(body)) => {
+            let bytes = body.to_bytes();
+            settle(&mut tally, head.status, &bytes, link);
+            let body = AnswerBody::Full(Full::new(bytes));
+            return Ok(answer(head.status, &head.headers, body));
+        }
+        Ok(Err(error)) => {
+            (RefusalCode::AnswerCut, format!("the answer broke off: {error}"))
+        }
+        Err(_) => (
+            RefusalCode::RunnerTimeout,
+            "the answer paused for too long".to_owned(),
+        ),
+    };
+    let (code, message) = fault;
+    tally.broken(None, RunResult::Failed, code.text());
+    Err(tally.request.cut(code, &message))
+}
+
+fn settle(
+    tally: &mut AnswerTally,
+    status: StatusCode,
+    bytes: &Bytes,
+    link: HttpLink,
+) {
+    if let Some(slot) = &tally.slot {
+        let _ = slot.port.sender.try_send(RunnerEvent::Return(link));
+    }
+    if status.is_success() {
+        tally.whole(stated_usage(bytes));
+    } else if status.is_client_error() {
+        tally.refused_by_runner();
+    } else {
+        tally.broken(None, RunResult::Failed, "runner_error");
+    }
+}
+
+/// Reads a caller's body within its bounds.
+pub(crate) async fn read_body(
+    body: Incoming,
+    limit_kb: u64,
+) -> Result<Bytes, Refusal> {
+    let limit = usize::try_from(limit_kb.saturating_mul(1_024));
+    let body = Limited::new(body, limit.unwrap_or(usize::MAX)).collect();
+    let deadline = Instant::now() + BODY_TIMEOUT;
+    match tokio::time::timeout_at(deadline, body).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            let message = format!("the body is larger than {limit_kb} KB");
+            Err(Refusal::not_run(RefusalCode::BodyTooLarge, &message))
+        }
+        Ok(Err(error)) => {
+            let message = format!("the body broke off: {error}");
+            Err(Refusal::not_run(RefusalCode::BadRequest, &message))
+        }
+        Err(_) => Err(Refusal::not_run(
+            RefusalCode::BodyTimeout,
+            "the body didn't come in time",
+        )),
+    }
+}
+
+/// Makes the answer that goes to the caller.
+pub(crate) fn answer(
+    status: StatusCode,
+    headers: &HeaderMap,
+    body: AnswerBody,
+) -> Response<AnswerBody> {
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    let mut returned = headers::returned(headers);
+    returned.remove(header::CONTENT_LENGTH);
+    if status.is_server_error() {
+        let value = HeaderValue::from_static("outcome-unknown");
+        returned.insert(headers::RUN_OUTCOME, value);
+    }
+    *response.headers_mut() = returned;
+    response
+}
+
+fn find_model<'a>(
+    view: &'a SettingsView,
+    caller: &CallerIdentity,
+    ask: &CompletionAsk,
+) -> Result<(&'a ModelPlan, &'a ResolvedValues), Refusal> {
+    let name = &ask.model;
+    let missing = || {
+        let message = format!("there is no model {name}");
+        Refusal::not_run(RefusalCode::NotFound, &message)
+    };
+    let model = view.tree.model(&name.model).ok_or_else(missing)?;
+    let values = match &name.adapter {
+        None => &model.values,
+        Some(adapter) => {
+            let plan = view.tree.adapter(&name.model, adapter);
+            &plan.ok_or_else(missing)?.values
+        }
+    };
+    if !may_use(&caller.customer.models, &name.model) {
+        let message = format!("the customer may not use model {name}");
+        return Err(Refusal::not_run(RefusalCode::ModelForbidden, &message));
+    }
+    Ok((model, values))
+}
+
+/// Tells whether a list of models, where empty means all, has `model`.
+pub(crate) fn may_use(models: &[String], model: &str) -> bool {
+    models.is_empty() || models.iter().any(|held| held == model)
+}
+
+fn max_tokens(
+    ask: &CompletionAsk,
+    values: &ResolvedValues,
+) -> Result<u64, Refusal> {
+    let limit = values.max_output_tokens;
+    match ask.max_tokens {
+        None => Ok(limit),
+        Some(asked) if (1..=limit).contains(&asked) => Ok(asked),
+        Some(asked) => {
+            let message =
+                format!("max_tokens is {asked}, accepted are 1 to {limit}");
+            Err(Refusal::not_run(RefusalCode::BadRequest, &message))
+        }
+    }
+}
+
+fn engine_ask(
+    parts: &Parts,
+    caller: &CallerIdentity,
+    ask: &CompletionAsk,
+    max_tokens: u64,
+) -> EngineAsk {
+    let mut headers = headers::forwarded(&parts.headers, Some(&caller.key));
+    // The body is written anew, in plain JSON.
+    headers.remove(header::CONTENT_ENCODING);
+    headers.insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("application/json"),
+    );
+    EngineAsk {
+        method: Method::POST,
+        target: parts.uri.path().to_owned(),
+        headers,
+        body: Bytes::from(ask.engine_body(max_tokens)),
+    }
+}
+
+fn is_event_stream(response: &Response<Incoming>) -> bool {
+    let kind = response.headers().get(header::CONTENT_TYPE);
+    response.status().is_success()
+        && kind
+            .and_then(|value| value.to_str().ok())
+            .is_some_and(|kind| kind.starts_with("text/event-stream"))
+}
--- /dev/null
+++ b/crates/celerylead/src/tasks/context.rs
@@ -0,0 +1,147 @@
+//! What the tasks of callers work with.
+
+use std::sync::{
+    Arc,
+    atomic::{AtomicU64, Ordering},
+};
+
+use hyper::{HeaderMap, Uri, header::HeaderValue};
+use tokio::sync::watch;
+
+use super::{
+    dispatch::DispatchPort, member::HostIdentity, shares::SharePort,
+    usage::UsagePort,
+};
+use crate::{
+    clock::HostClock,
+    customer::{CallerKey, KeyHash},
+    metrics::HostMetrics,
+    request::{Refusal, RefusalCode, RequestId},
+    settings::{CustomerPlan, KeyCheck, SettingsView},
+    wire::headers::{self, ShownKey},
+};
+
+/// Ports of the host's tasks, for the task of each caller.
+#[derive(Clone)]
+pub(crate) struct HostContext {
+    pub(crate) identity: HostIdentity,
+    pub(crate) clock: HostClock,
+    pub(crate) settings: watch::Receiver<SettingsView>,
+    pub(crate) dispatch: DispatchPort,
+    pub(crate) shares: SharePort,
+    pub(crate) usage: UsagePort,
+    pub(crate) metrics: HostMetrics,
+    /// The host's own credential towards backend servers.
+    pub(crate) credential: HeaderValue,
+    pub(crate) sequence: Arc<AtomicU64>,
+}
+
+/// Who calls.
+pub(crate) struct CallerIdentity {
+    pub(crate) key: CallerKey,
+    pub(crate) customer: CustomerPlan,
+    pub(crate) watch: KeyWatch,
+}
+
+/// Watches whether a key stays in force.
+#[derive(Clone)]
+pub(crate) struct KeyWatch {
+    hash: KeyHash,
+    settings: watch::Receiver<SettingsView>,
+    clock: HostClock,
+}
+
+impl KeyWatch {
+    /// Tells whether the key is in force now.
+    pub(crate) fn in_force(&self) -> bool {
+        let view = self.settings.borrow();
+        let check = view.key(&self.hash, self.clock.now());
+        matches!(check, KeyCheck::Known(_))
+    }
+
+    /// Tells whether the key was withdrawn since the last look; cheap where
+    /// the settings haven't changed.
+    pub(crate) fn newly_withdrawn(&mut self) -> bool {
+        if !self.settings.has_changed().unwrap_or(false) {
+            return false;
+        }
+        self.settings.mark_unchanged();
+        !self.in_force()
+    }
+}
+
+impl HostContext {
+    /// Makes the id of the next request.
+    pub(crate) fn next_id(&self) -> RequestId {
+        let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
+        RequestId::new(&self.identity.host, self.identity.nonce, sequence)
+    }
+
+    /// Returns the settings in force.
+    pub(crate) fn view(&self) -> Result<SettingsView, Refusal> {
+        let view = self.settings.borrow().clone();
+        if view.state.revision == 0 {
+            return Err(Refusal::not_run(
+                RefusalCode::NotReady,
+                "the host has no settings yet",
+            ));
+        }
+        Ok(view)
+    }
+
+    /// Finds out who calls.
+    pub(crate) fn authenticate(
+        &self,
+        view: &SettingsView,
+        headers: &HeaderMap,
+        uri: &Uri,
+    ) -> Result<CallerIdentity, Refusal> {
+        let unknown = |message: &str| {
+            Err(Refusal::not_run(RefusalCode::InvalidKey, message))
+        };
+        let key = match headers::shown_key(headers) {
+            ShownKey::One(key) => key,
+            ShownKey::None => return unknown("no key was shown"),
+            ShownKey::Unclear => {
+                return unknown(
+                    "accepted is one header authorization: Bearer KEY",
+                );
+            }
+        };
+        let hash = key.hash();
+        let plan = match view.key(&hash, self.clock.now()) {
+            KeyCheck::Known(plan) => plan,
+            KeyCheck::Unknown => {
+                return unknown("the key is not known or was withdrawn");
+            }
+            KeyCheck::Stale => {
+                return Err(Refusal::not_run(
+                    RefusalCode::NotReady,
+                    "the host hasn't heard of key changes for too long",
+                ));
+            }
+        };
+        let Some(customer) = view.tree.customer(&plan.customer) else {
+            return unknown("the key's customer is not known");
+        };
+        refuse_key_in_target(uri, &key)?;
+        let watch = KeyWatch {
+            hash,
+            settings: self.settings.clone(),
+            clock: self.clock.clone(),
+        };
+        Ok(CallerIdentity { key, customer: customer.clone(), watch })
+    }
+}
+
+/// Refuses a request whose path or query holds the key: it would reach a
+/// backend server, and logs on the way.
+fn refuse_key_in_target(uri: &Uri, key: &CallerKey) -> Result<(), Refusal> {
+    if headers::holds_key(uri.to_string().as_bytes(), key) {
+        return Err(Refusal::not_run(
+            RefusalCode::KeyInRequest,
+            "the key stands in the path or query",
+        ));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/celerylead/src/tasks/host.rs
@@ -0,0 +1,256 @@
+//! A whole host: its sockets, its tasks and its shutdown.
+
+use std::{
+    sync::{Arc, atomic::AtomicU64},
+    time::Duration,
+};
+
+use anyhow::Context as _;
+use serde::{Deserialize, Serialize};
+use tokio::{
+    net::TcpListener,
+    sync::{mpsc, watch},
+    task::JoinHandle,
+};
+use tracing::Instrument as _;
+
+use super::{
+    admin,
+    context::HostContext,
+    dispatch, entry,
+    member::{self, HostIdentity, MemberEvent, MemberSetup},
+    peer::{self, PeerSources},
+    shares, usage,
+};
+use crate::{
+    clock::HostClock,
+    metrics::HostMetrics,
+    platform::TableClient,
+    settings::SettingsView,
+    wire::{
+        headers,
+        peer::{PeerIdentity, certificates, private_key, provider},
+    },
+};
+
+/// What a host's process is told at its start.
+#[derive(Clone)]
+pub struct HostOptions {
+    /// Name of the host, unique in the fleet.
+    pub host: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Address for callers, as `IP:PORT`.
+    pub listen: String,
+    /// Address for other hosts, as `IP:PORT`.
+    pub peer_listen: String,
+    /// Address at which other hosts reach it, where that differs.
+    pub peer_address: Option<String>,
+    /// Address for health, status and metrics, as `IP:PORT`.
+    pub admin_listen: String,
+    /// Address of the table service.
+    pub table: String,
+    /// Address of the object store, for usage records.
+    pub objects: Option<String>,
+    /// Other hosts to ask for settings at a start without the table.
+    pub seeds: Vec<String>,
+    /// Credential that the host shows to backend servers.
+    pub credential: String,
+    /// Certificates between hosts.
+    pub identity: PeerIdentity,
+    /// Certificate chain and private key towards callers, in PEM.
+    pub caller_tls: Option<(String, String)>,
+    /// Time for which a lease holds without renewal.
+    pub lease_ttl: Duration,
+    /// Time for which a leaving host still takes new callers.
+    pub drain_grace: Duration,
+    /// Longest time for which a leaving host waits for its answers.
+    pub drain_limit: Duration,
+}
+
+/// What a host is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum HostPhase {
+    /// Takes callers.
+    Serving,
+    /// Says that it is leaving and still takes callers.
+    Leaving,
+    /// Takes no callers, ends the answers in hand.
+    Ending,
+}
+
+/// A host whose sockets are open and whose tasks run.
+pub struct RunningHost {
+    /// Address for callers.
+    pub listen: String,
+    /// Address for other hosts.
+    pub peer_listen: String,
+    /// Address for health, status and metrics.
+    pub admin_listen: String,
+    options: HostOptions,
+    phase: watch::Sender<HostPhase>,
+    member: mpsc::Sender<MemberEvent>,
+    entry: JoinHandle<()>,
+    admin: JoinHandle<()>,
+    usage: JoinHandle<()>,
+    span: tracing::Span,
+}
+
+/// Opens the sockets of a host and starts its tasks.
+///
+/// # Errors
+///
+/// Returns an error where an address can't be bound or a certificate can't
+/// be read.
+///
+/// # Examples
+///
+/// ```no_run
+/// # async fn run(options: celerylead::host::HostOptions)
+/// # -> anyhow::Result<()> {
+/// let host = celerylead::host::start(&options).await?;
+/// println!("listening at {}", host.listen);
+/// host.shut_down().await;
+/// # Ok(())
+/// # }
+/// ```
+pub async fn start(options: &HostOptions) -> anyhow::Result<RunningHost> {
+    let span = tracing::info_span!(
+        "host",
+        host = options.host.as_str(),
+        zone = options.zone.as_str(),
+    );
+    start_tasks(options, span.clone()).instrument(span).await
+}
+
+async fn start_tasks(
+    options: &HostOptions,
+    span: tracing::Span,
+) -> anyhow::Result<RunningHost> {
+    let tls = caller_tls(options)?;
+    let listener = bind(&options.listen).await?;
+    let admin_listener = bind(&options.admin_listen).await?;
+    let endpoint = options.identity.endpoint(&options.peer_listen)?;
+    let peer_listen = endpoint.local_addr()?.to_string();
+    let identity = HostIdentity {
+        host: options.host.clone(),
+        zone: options.zone.clone(),
+        peer_address: options
+            .peer_address
+            .clone()
+            .unwrap_or_else(|| peer_listen.clone()),
+        nonce: rand::random(),
+    };
+    let clock = HostClock::default();
+    let metrics = HostMetrics::default();
+    let (settings, seen) = watch::channel(SettingsView::default());
+    let (peers, peer_inbox) = peer::mailbox();
+    let (share_sender, share_inbox) = shares::mailbox();
+    let sources =
+        PeerSources { shares: share_sender.clone(), settings: seen.clone() };
+    peer::start(&endpoint, &sources, peer_inbox);
+    let shares = shares::start(
+        &options.zone,
+        &clock,
+        &peers,
+        share_inbox,
+        share_sender.clone(),
+    );
+    let member = member::start(MemberSetup {
+        identity: identity.clone(),
+        table: TableClient::new(&options.table),
+        clock: clock.clone(),
+        lease_ttl: options.lease_ttl,
+        seeds: options.seeds.clone(),
+        shares: share_sender,
+        peers,
+        settings,
+        metrics: metrics.clone(),
+    });
+    let (usage, usage_task) = usage::start(
+        options.objects.as_deref(),
+        &options.host,
+        identity.nonce,
+        &metrics,
+    );
+    let context = HostContext {
+        dispatch: dispatch::start(
+            &options.zone,
+            &clock,
+            seen.clone(),
+            &metrics,
+        ),
+        identity,
+        clock,
+        settings: seen,
+        shares,
+        usage,
+        metrics,
+        credential: headers::bearer(&options.credential)?,
+        sequence: Arc::new(AtomicU64::new(1)),
+    };
+    let (phase, phases) = watch::channel(HostPhase::Serving);
+    let listen = listener.local_addr()?.to_string();
+    let admin_listen = admin_listener.local_addr()?.to_string();
+    let admin = admin::run(admin_listener, context.clone(), phases.clone());
+    let entry = entry::run(listener, tls, context, phases);
+    tracing::info!(event = "host_started", listen, peer_listen, admin_listen,);
+    Ok(RunningHost {
+        listen,
+        peer_listen,
+        admin_listen,
+        options: options.clone(),
+        phase,
+        member,
+        entry: super::spawn(entry),
+        admin: super::spawn(admin),
+        usage: usage_task,
+        span,
+    })
+}
+
+impl RunningHost {
+    /// Leaves the fleet and ends once every request in hand has its answer.
+    ///
+    /// The host gives up what it holds, goes on taking callers for the
+    /// grace in which the platform's balancer notices, then takes none.
+    pub async fn shut_down(self) {
+        let span = self.span.clone();
+        self.leave().instrument(span).await;
+    }
+
+    async fn leave(self) {
+        tracing::info!(event = "host_leaving");
+        self.phase.send_replace(HostPhase::Leaving);
+        super::ask(&self.member, MemberEvent::Release).await;
+        tokio::time::sleep(self.options.drain_grace).await;
+        self.phase.send_replace(HostPhase::Ending);
+        let limit = self.options.drain_limit;
+        if tokio::time::timeout(limit, self.entry).await.is_err() {
+            tracing::error!(event = "drain_limit_reached");
+        }
+        // The last port of the usage task goes with the admin task.
+        self.admin.abort();
+        let _ = self.admin.await;
+        let _ = tokio::time::timeout(limit, self.usage).await;
+        tracing::info!(event = "host_stopped");
+    }
+}
+
+async fn bind(address: &str) -> anyhow::Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .with_context(|| format!("step=listen peer={address}"))
+}
+
+fn caller_tls(
+    options: &HostOptions,
+) -> anyhow::Result<Option<Arc<rustls::ServerConfig>>> {
+    let Some((chain, key)) = &options.caller_tls else { return Ok(None) };
+    let config = rustls::ServerConfig::builder_with_provider(provider())
+        .with_safe_default_protocol_versions()?
+        .with_no_client_auth()
+        .with_single_cert(certificates(chain)?, private_key(key)?)?;
+    Ok(Some(Arc::new(config)))
+}
--- /dev/null
+++ b/crates/celerylead/src/tasks/member.rs
@@ -0,0 +1,438 @@
+//! The task that speaks with the platform's table service.
+//!
+//! It renews the host's lease, reads settings, leases and parts in one
+//! transaction a second, and writes the claims that follow from them. While
+//! the table doesn't answer it asks other hosts for newer settings.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tokio::{
+    sync::{mpsc, oneshot, watch},
+    time::Instant,
+};
+
+use super::{
+    peer::PeerPort,
+    shares::{ShareEvent, ShareView},
+};
+use crate::{
+    clock::{EpochMillis, HostClock},
+    customer::share::{
+        ShareClaim, ShareClaimant, ShareRow, ShareTarget, ZoneLeases,
+    },
+    membership::{HostLease, HostTag, LeasePhase},
+    metrics::HostMetrics,
+    platform::{
+        CommitAsk, ReadAnswer, ReadAsk, SETTINGS_HEAD, SETTINGS_STATE,
+        SHARES_PREFIX, SettingsHead, TableClient, TableRow, host_key,
+        hosts_prefix, share_key,
+    },
+    settings::{SettingsState, SettingsView},
+    wire::peer::{PeerAnswer, PeerAsk},
+};
+
+/// Time between two readings of the table.
+const POLL_PERIOD: Duration = Duration::from_millis(1_000);
+/// Time between two readings after a write of this host.
+const POLL_AFTER_WRITE: Duration = Duration::from_millis(100);
+/// Time between two renewals of the lease.
+const RENEW_PERIOD: Duration = Duration::from_millis(2_000);
+/// Claims that are written after one reading.
+const MAX_CLAIMS: usize = 32;
+
+/// Who a host is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) struct HostIdentity {
+    pub(crate) host: String,
+    pub(crate) zone: String,
+    pub(crate) peer_address: String,
+    /// Random number of the process.
+    pub(crate) nonce: u64,
+}
+
+/// Message to the task.
+pub(crate) enum MemberEvent {
+    /// Give up the lease and all that hangs on it.
+    Release(oneshot::Sender<()>),
+}
+
+/// What the task is started with.
+pub(crate) struct MemberSetup {
+    pub(crate) identity: HostIdentity,
+    pub(crate) table: TableClient,
+    pub(crate) clock: HostClock,
+    pub(crate) lease_ttl: Duration,
+    /// Hosts to ask for settings besides those of the zone.
+    pub(crate) seeds: Vec<String>,
+    pub(crate) shares: mpsc::Sender<ShareEvent>,
+    pub(crate) peers: PeerPort,
+    pub(crate) settings: watch::Sender<SettingsView>,
+    pub(crate) metrics: HostMetrics,
+}
+
+/// State of the task.
+struct MemberTask {
+    setup: MemberSetup,
+    /// Own row as last read, where it is this process's.
+    own: Option<HostLease>,
+    renewed: Instant,
+    /// Another process registered under this host's name.
+    superseded: bool,
+    leases: ZoneLeases,
+    turn: usize,
+}
+
+/// Starts the task; it ends when its senders are dropped.
+pub(crate) fn start(setup: MemberSetup) -> mpsc::Sender<MemberEvent> {
+    let (sender, inbox) = mpsc::channel(1);
+    let task = MemberTask {
+        setup,
+        own: None,
+        renewed: Instant::now(),
+        superseded: false,
+        leases: ZoneLeases::default(),
+        turn: 0,
+    };
+    super::spawn(task.run(inbox));
+    sender
+}
+
+impl MemberTask {
+    async fn run(mut self, mut inbox: mpsc::Receiver<MemberEvent>) {
+        let mut wake = Instant::now();
+        loop {
+            tokio::select! {
+                event = inbox.recv() => {
+                    if let Some(MemberEvent::Release(reply)) = event {
+                        self.release().await;
+                        let _ = reply.send(());
+                    }
+                    return;
+                }
+                () = tokio::time::sleep_until(wake) => {
+                    let wrote = self.turn().await;
+                    let wait = if wrote { POLL_AFTER_WRITE } else { POLL_PERIOD };
+                    // The jitter keeps hosts that started together apart.
+                    let jitter = rand::random_range(0.8..1.2);
+                    wake = Instant::now() + wait.mul_f64(jitter);
+                }
+            }
+        }
+    }
+
+    /// Reads the table once and acts on it; tells whether it wrote.
+    async fn turn(&mut self) -> bool {
+        let read_from = self.setup.clock.now();
+        match self.setup.table.read(&self.ask()).await {
+            Ok(answer) => {
+                let wrote = self.act(&answer, read_from).await;
+                self.show_lease();
+                wrote.unwrap_or_else(|error| {
+                    self.note_failure(&error);
+                    true
+                })
+            }
+            Err(error) => {
+                self.note_failure(&error);
+                self.ask_peers().await;
+                self.show_lease();
+                false
+            }
+        }
+    }
+
+    fn ask(&self) -> ReadAsk {
+        let zone = &self.setup.identity.zone;
+        ReadAsk {
+            keys: vec![SETTINGS_HEAD.to_owned()],
+            prefixes: vec![hosts_prefix(zone), SHARES_PREFIX.to_owned()],
+        }
+    }
+
+    async fn act(
+        &mut self,
+        answer: &ReadAnswer,
+        read_from: EpochMillis,
+    ) -> anyhow::Result<bool> {
+        self.adopt_settings(answer, read_from).await?;
+        self.adopt_leases(answer)?;
+        let rows = share_rows(answer)?;
+        let view = ShareView {
+            lease: self.own.clone(),
+            read_from,
+            rows: rows.clone(),
+        };
+        let _ = self.setup.shares.send(ShareEvent::Confirm(view)).await;
+        if self.superseded {
+            return Ok(false);
+        }
+        if self.own.is_none() || self.renewal_is_due() {
+            return self.renew(answer).await;
+        }
+        self.claim(answer, &rows).await
+    }
+
+    /// Adopts newer settings and confirms that those in force are current.
+    async fn adopt_settings(
+        &mut self,
+        answer: &ReadAnswer,
+        read_from: EpochMillis,
+    ) -> anyhow::Result<()> {
+        let held = self.setup.settings.borrow().state.revision;
+        let head: SettingsHead = match answer.row(SETTINGS_HEAD) {
+            Some(row) => row.decode()?,
+            None => SettingsHead::default(),
+        };
+        if held < head.revision {
+            let ask = ReadAsk {
+                keys: vec![SETTINGS_STATE.to_owned()],
+                prefixes: Vec::new(),
+            };
+            let answer = self.setup.table.read(&ask).await?;
+            if let Some(row) = answer.row(SETTINGS_STATE) {
+                let state: SettingsState = row.decode()?;
+                self.adopt(&state, read_from).await;
+            }
+        } else if held == head.revision {
+            // A head older than what is in force is a stale reading.
+            self.confirm(read_from);
+        }
+        Ok(())
+    }
+
+    async fn adopt(&mut self, state: &SettingsState, confirmed: EpochMillis) {
+        let view = self.setup.settings.borrow().adopt(state, confirmed);
+        let Some(view) = view else { return };
+        // The shares shrink before any other task sees the revision, and
+        // before a claim that frees what they shrank by.
+        super::ask(&self.setup.shares, |reply| ShareEvent::Adopt {
+            view: view.clone(),
+            reply,
+        })
+        .await;
+        tracing::info!(
+            event = "settings_adopted",
+            revision = view.state.revision,
+            change_id = view.state.change_id,
+        );
+        self.setup.metrics.revision.set(view.state.revision as i64);
+        self.setup.settings.send_replace(view);
+        self.renewed = Instant::now() - RENEW_PERIOD;
+    }
+
+    fn confirm(&self, confirmed: EpochMillis) {
+        self.setup.settings.send_if_modified(|view| {
+            view.confirmed = view.confirmed.max(confirmed);
+            // Nobody waits for a mere confirmation.
+            false
+        });
+    }
+
+    fn adopt_leases(&mut self, answer: &ReadAnswer) -> anyhow::Result<()> {
+        let identity = &self.setup.identity;
+        let mut leases = ZoneLeases::default();
+        let prefix = hosts_prefix(&identity.zone);
+        for row in answer.under(&prefix) {
+            let lease: HostLease = row.decode()?;
+            leases.insert(lease.tag.host.clone(), lease);
+        }
+        let row = leases.get(&identity.host);
+        let mine = row.filter(|lease| lease.nonce == identity.nonce).cloned();
+        if self.own.is_some() && mine.is_none() && !self.superseded {
+            self.superseded = true;
+            tracing::error!(event = "host_superseded");
+        }
+        self.own = mine;
+        self.leases = leases;
+        Ok(())
+    }
+
+    fn renewal_is_due(&self) -> bool {
+        RENEW_PERIOD <= self.renewed.elapsed()
+    }
+
+    /// Writes the host's row. Whether it holds is seen at the next reading.
+    async fn renew(&mut self, answer: &ReadAnswer) -> anyhow::Result<bool> {
+        let identity = &self.setup.identity;
+        let now = self.setup.clock.bound();
+        let incarnation = match (&self.own, self.leases.get(&identity.host)) {
+            (Some(own), _) => own.tag.incarnation,
+            (None, None) => 1,
+            (None, Some(former)) if former.has_lapsed(now) => {
+                former.tag.incarnation + 1
+            }
+            // A process of this name may still run: wait for its lease.
+            (None, Some(_)) => return Ok(false),
+        };
+        let view = self.setup.settings.borrow().clone();
+        let hold = Duration::from_secs(view.tree.defaults.standing_hold_s);
+        let deadline = now.earliest.after(self.setup.lease_ttl);
+        let lease = HostLease {
+            tag: HostTag { host: identity.host.clone(), incarnation },
+            nonce: identity.nonce,
+            zone: identity.zone.clone(),
+            peer_address: identity.peer_address.clone(),
+            deadline,
+            standing_deadline: deadline.after(hold),
+            revision: view.state.revision,
+            phase: LeasePhase::Serving,
+        };
+        let key = host_key(&identity.zone, &identity.host);
+        let version = answer.version(&key);
+        let ask =
+            CommitAsk::default().check(&key, version).write(&key, &lease);
+        let first = self.own.is_none();
+        let answer = self.setup.table.commit(&ask).await?;
+        if answer.committed {
+            self.renewed = Instant::now();
+            if first {
+                tracing::info!(event = "host_registered", incarnation);
+            }
+        }
+        Ok(true)
+    }
+
+    /// Writes the changes of parts that fall to this host.
+    async fn claim(
+        &mut self,
+        answer: &ReadAnswer,
+        rows: &[ShareRow],
+    ) -> anyhow::Result<bool> {
+        let Some(own) = self.own.clone() else { return Ok(false) };
+        let tree = self.setup.settings.borrow().tree.clone();
+        let target = ShareTarget {
+            zones: tree.zones.clone(),
+            standing_percent: tree.defaults.standing_percent,
+        };
+        let claimant = ShareClaimant {
+            tag: &own.tag,
+            zone: &self.setup.identity.zone,
+            address: &self.setup.identity.peer_address,
+        };
+        let mut written = 0;
+        for plan in &tree.customers {
+            let held =
+                rows.binary_search_by(|row| row.customer.cmp(&plan.name));
+            let (former, row) = match held {
+                Ok(place) => (true, rows[place].clone()),
+                Err(_) => (false, ShareRow::first(&plan.name, &target)),
+            };
+            let now = self.setup.clock.bound();
+            if !own.is_live(now) || MAX_CLAIMS <= written {
+                break;
+            }
+            let claim = row.claim(&claimant, &target, &self.leases, now);
+            let Some(claim) = claim.or_else(|| first_row(former, row)) else {
+                continue;
+            };
+            self.write_claim(&claim, answer).await?;
+            written += 1;
+        }
+        Ok(0 < written)
+    }
+
+    async fn write_claim(
+        &self,
+        claim: &ShareClaim,
+        answer: &ReadAnswer,
+    ) -> anyhow::Result<()> {
+        let identity = &self.setup.identity;
+        let key = share_key(&claim.row.customer);
+        let own = host_key(&identity.zone, &identity.host);
+        let mut ask = CommitAsk::default()
+            .check(&key, answer.version(&key))
+            .check(&own, answer.version(&own))
+            .write(&key, &claim.row);
+        for host in &claim.depends_on {
+            let lease = host_key(&identity.zone, host);
+            ask = ask.check(&lease, answer.version(&lease));
+        }
+        let written = self.setup.table.commit(&ask).await?;
+        tracing::info!(
+            event = "share_claimed",
+            customer = claim.row.customer,
+            committed = written.committed,
+        );
+        Ok(())
+    }
+
+    /// Asks another host for newer settings while the table is silent.
+    async fn ask_peers(&mut self) {
+        let own = self.setup.identity.peer_address.as_str();
+        let mut addresses: Vec<String> = self
+            .leases
+            .values()
+            .map(|lease| lease.peer_address.clone())
+            .chain(self.setup.seeds.iter().cloned())
+            .filter(|address| address != own)
+            .collect();
+        addresses.sort();
+        addresses.dedup();
+        if addresses.is_empty() {
+            return;
+        }
+        self.turn += 1;
+        let address = &addresses[self.turn % addresses.len()];
+        let above = self.setup.settings.borrow().state.revision;
+        let ask = PeerAsk::Settings { above };
+        let answer = self.setup.peers.ask(address, &ask).await;
+        let Some(PeerAnswer::Settings(settings)) = answer else { return };
+        if let Some(state) = settings.state {
+            self.adopt(&state, settings.confirmed).await;
+        } else if settings.revision == above {
+            self.confirm(settings.confirmed);
+        }
+    }
+
+    /// Gives up all that is held, so that others can take it at once.
+    async fn release(&mut self) {
+        super::ask(&self.setup.shares, ShareEvent::GiveUp).await;
+        let Some(own) = self.own.take() else { return };
+        let released = self.write_release(&own).await;
+        if let Err(error) = released {
+            self.note_failure(&error);
+        }
+    }
+
+    async fn write_release(&self, own: &HostLease) -> anyhow::Result<()> {
+        let identity = &self.setup.identity;
+        let key = host_key(&identity.zone, &identity.host);
+        let ask = ReadAsk { keys: vec![key.clone()], prefixes: Vec::new() };
+        let answer = self.setup.table.read(&ask).await?;
+        let lease = HostLease { phase: LeasePhase::Released, ..own.clone() };
+        let ask = CommitAsk::default()
+            .check(&key, answer.version(&key))
+            .write(&key, &lease);
+        let answer = self.setup.table.commit(&ask).await?;
+        let committed = answer.committed;
+        tracing::info!(event = "host_released", committed);
+        Ok(())
+    }
+
+    fn show_lease(&self) {
+        let now = self.setup.clock.bound();
+        let live = self.own.as_ref().is_some_and(|own| own.is_live(now));
+        self.setup.metrics.lease_live.set(i64::from(live));
+    }
+
+    fn note_failure(&self, error: &anyhow::Error) {
+        self.setup.metrics.platform_errors.inc();
+        tracing::warn!(
+            event = "platform_failed",
+            error = format!("{error:#}"),
+        );
+    }
+}
+
+/// Returns the claim that writes the first row of a customer, which is due
+/// even where the writer is home to none of its parts.
+fn first_row(former: bool, row: ShareRow) -> Option<ShareClaim> {
+    (!former).then(|| ShareClaim { row, depends_on: Vec::new() })
+}
+
+fn share_rows(answer: &ReadAnswer) -> anyhow::Result<Vec<ShareRow>> {
+    let rows = answer.under(SHARES_PREFIX);
+    rows.map(TableRow::decode).collect()
+}
--- /dev/null
+++ b/crates/celerylead/src/tasks/peer.rs
@@ -0,0 +1,372 @@
+//! The task that owns the socket for other hosts, and one task for each
+//! connection.
+
+use std::time::Duration;
+
+use anyhow::Context as _;
+use quinn::{Connection, Endpoint, Incoming, RecvStream, SendStream};
+use tokio::{
+    sync::{mpsc, oneshot, watch},
+    task::JoinSet,
+    time::Instant,
+};
+
+use super::{MAILBOX, shares::ShareEvent};
+use crate::{
+    customer::{HolderAddress, TakenTokens, TokenSource},
+    settings::SettingsView,
+    sorted::SortedTable,
+    step::{StepContext as _, StepName},
+    wire::peer::{
+        MAX_PEER_BYTES, PEER_NAME, PeerAnswer, PeerAsk, PeerSettings,
+    },
+};
+
+/// Longest wait for an answer of another host.
+const PEER_TIMEOUT: Duration = Duration::from_millis(150);
+/// Time for which a host that didn't answer is not asked again.
+const SUSPECT_TIME: Duration = Duration::from_millis(1_000);
+/// Questions under way to one host.
+const MAX_ASKS: usize = 1_024;
+
+/// A question on its way.
+struct PeerEvent {
+    address: String,
+    ask: PeerAsk,
+    reply: Option<oneshot::Sender<PeerAnswer>>,
+}
+
+/// The way to the task.
+#[derive(Clone)]
+pub(crate) struct PeerPort {
+    sender: mpsc::Sender<PeerEvent>,
+}
+
+impl PeerPort {
+    /// Asks another host; `None` where no answer came in time.
+    pub(crate) async fn ask(
+        &self,
+        address: &str,
+        ask: &PeerAsk,
+    ) -> Option<PeerAnswer> {
+        let (reply, answer) = oneshot::channel();
+        let event = PeerEvent {
+            address: address.to_owned(),
+            ask: ask.clone(),
+            reply: Some(reply),
+        };
+        self.sender.send(event).await.ok()?;
+        tokio::time::timeout(PEER_TIMEOUT, answer).await.ok()?.ok()
+    }
+
+    /// Gives tokens back to their holder. Lost ones stay spent.
+    pub(crate) fn give_back(
+        &self,
+        address: &str,
+        customer: &str,
+        tokens: u64,
+    ) {
+        let ask = PeerAsk::GiveBack { customer: customer.to_owned(), tokens };
+        let event =
+            PeerEvent { address: address.to_owned(), ask, reply: None };
+        let _ = self.sender.try_send(event);
+    }
+}
+
+/// Asks other holders for tokens, those of the own zone first.
+pub(crate) async fn gather(
+    peers: &PeerPort,
+    customer: &str,
+    tokens: u64,
+    holders: &[HolderAddress],
+) -> TakenTokens {
+    let mut taken = TakenTokens::default();
+    let (near, far): (Vec<_>, Vec<_>) =
+        holders.iter().partition(|holder| holder.same_zone);
+    for holder in near {
+        let missing = tokens - taken.total();
+        if missing == 0 {
+            return taken;
+        }
+        let granted = grant(peers, customer, missing, &holder.address).await;
+        taken.insert(TokenSource::Host(holder.address.clone()), granted);
+    }
+    for holder in far {
+        let missing = tokens - taken.total();
+        if missing == 0 {
+            return taken;
+        }
+        let granted = grant(peers, customer, missing, &holder.address).await;
+        taken.insert(TokenSource::Host(holder.address.clone()), granted);
+    }
+    taken
+}
+
+async fn grant(
+    peers: &PeerPort,
+    customer: &str,
+    tokens: u64,
+    address: &str,
+) -> u64 {
+    let ask = PeerAsk::Grant { customer: customer.to_owned(), tokens };
+    match peers.ask(address, &ask).await {
+        Some(PeerAnswer::Granted(granted)) => granted.min(tokens),
+        _ => 0,
+    }
+}
+
+/// What the task answers other hosts from.
+#[derive(Clone)]
+pub(crate) struct PeerSources {
+    pub(crate) shares: mpsc::Sender<ShareEvent>,
+    pub(crate) settings: watch::Receiver<SettingsView>,
+}
+
+/// State of the task.
+struct PeerTask {
+    endpoint: Endpoint,
+    sources: PeerSources,
+    links: SortedTable<String, mpsc::Sender<PeerEvent>>,
+    served: JoinSet<()>,
+}
+
+/// Makes the port, and the receiver with which the task is started.
+pub(crate) fn mailbox() -> (PeerPort, PeerInbox) {
+    let (sender, inbox) = mpsc::channel(MAILBOX);
+    (PeerPort { sender }, PeerInbox { inbox })
+}
+
+/// The task's end of its mailbox.
+pub(crate) struct PeerInbox {
+    inbox: mpsc::Receiver<PeerEvent>,
+}
+
+/// Starts the task; it ends when its ports are dropped.
+pub(crate) fn start(
+    endpoint: &Endpoint,
+    sources: &PeerSources,
+    inbox: PeerInbox,
+) {
+    let task = PeerTask {
+        endpoint: endpoint.clone(),
+        sources: sources.clone(),
+        links: SortedTable::default(),
+        served: JoinSet::new(),
+    };
+    super::spawn(task.run(inbox.inbox));
+}
+
+impl PeerTask {
+    async fn run(mut self, mut inbox: mpsc::Receiver<PeerEvent>) {
+        loop {
+            tokio::select! {
+                event = inbox.recv() => match event {
+                    Some(event) => self.pass_on(event),
+                    None => break,
+                },
+                Some(incoming) = self.endpoint.accept() => {
+                    let sources = self.sources.clone();
+                    self.served.spawn(serve(incoming, sources));
+                }
+                Some(_) = self.served.join_next() => {}
+            }
+        }
+        self.endpoint.close(0_u32.into(), b"shutdown");
+        self.endpoint.wait_idle().await;
+    }
+
+    /// Hands a question to the task of its connection.
+    fn pass_on(&mut self, event: PeerEvent) {
+        let endpoint = &self.endpoint;
+        let address = event.address.clone();
+        let link = self
+            .links
+            .entry(address.clone(), || start_link(endpoint, &address));
+        if link.is_closed() {
+            *link = start_link(endpoint, &address);
+        }
+        // A full mailbox means a host that doesn't answer; so does a drop.
+        let _ = link.try_send(event);
+    }
+}
+
+/// State of the task of one outgoing connection.
+struct LinkTask {
+    endpoint: Endpoint,
+    address: String,
+    connection: Option<Connection>,
+    suspect_until: Instant,
+}
+
+fn start_link(endpoint: &Endpoint, address: &str) -> mpsc::Sender<PeerEvent> {
+    let (sender, inbox) = mpsc::channel(MAX_ASKS);
+    let task = LinkTask {
+        endpoint: endpoint.clone(),
+        address: address.to_owned(),
+        connection: None,
+        suspect_until: Instant::now(),
+    };
+    super::spawn(task.run(inbox));
+    sender
+}
+
+impl LinkTask {
+    async fn run(mut self, mut inbox: mpsc::Receiver<PeerEvent>) {
+        let mut asks = JoinSet::new();
+        loop {
+            tokio::select! {
+                event = inbox.recv() => match event {
+                    Some(event) => self.start_ask(event, &mut asks).await,
+                    None => return,
+                },
+                Some(ended) = asks.join_next() => self.ended(ended),
+            }
+        }
+    }
+
+    async fn start_ask(
+        &mut self,
+        event: PeerEvent,
+        asks: &mut JoinSet<anyhow::Result<()>>,
+    ) {
+        if Instant::now() < self.suspect_until {
+            return;
+        }
+        let connection = match self.connect().await {
+            Ok(connection) => connection,
+            Err(error) => {
+                self.suspect(&error);
+                return;
+            }
+        };
+        asks.spawn(async move {
+            let answer = tokio::time::timeout(
+                PEER_TIMEOUT,
+                exchange(&connection, &event.ask, &event.address),
+            )
+            .await
+            .at(StepName::AwaitHead, &event.address)??;
+            if let Some(reply) = event.reply {
+                let _ = reply.send(answer);
+            }
+            Ok(())
+        });
+    }
+
+    fn ended(
+        &mut self,
+        ended: Result<anyhow::Result<()>, tokio::task::JoinError>,
+    ) {
+        if let Ok(Err(error)) = ended {
+            self.suspect(&error);
+        }
+    }
+
+    /// Asks the host nothing for a while and connects anew after it.
+    fn suspect(&mut self, error: &anyhow::Error) {
+        let now = Instant::now();
+        if self.suspect_until <= now {
+            tracing::warn!(
+                event = "peer_suspect",
+                peer = self.address,
+                error = format!("{error:#}"),
+            );
+        }
+        self.suspect_until = now + SUSPECT_TIME;
+        self.connection = None;
+    }
+
+    async fn connect(&mut self) -> anyhow::Result<Connection> {
+        if let Some(connection) = &self.connection
+            && connection.close_reason().is_none()
+        {
+            return Ok(connection.clone());
+        }
+        let address = self.address.parse().context("not IP:PORT")?;
+        let connecting = self.endpoint.connect(address, PEER_NAME)?;
+        let connection = tokio::time::timeout(PEER_TIMEOUT, connecting)
+            .await
+            .at(StepName::Connect, &self.address)?
+            .at(StepName::Connect, &self.address)?;
+        self.connection = Some(connection.clone());
+        Ok(connection)
+    }
+}
+
+async fn exchange(
+    connection: &Connection,
+    ask: &PeerAsk,
+    peer: &str,
+) -> anyhow::Result<PeerAnswer> {
+    let (mut send, mut receive) =
+        connection.open_bi().await.at(StepName::Send, peer)?;
+    write(&mut send, &postcard::to_stdvec(ask)?)
+        .await
+        .at(StepName::Send, peer)?;
+    let bytes = receive
+        .read_to_end(MAX_PEER_BYTES)
+        .await
+        .at(StepName::ReadBody, peer)?;
+    postcard::from_bytes(&bytes).at(StepName::Decode, peer)
+}
+
+async fn write(send: &mut SendStream, bytes: &[u8]) -> anyhow::Result<()> {
+    send.write_all(bytes).await?;
+    send.finish()?;
+    Ok(())
+}
+
+/// Serves the questions of one incoming connection.
+async fn serve(incoming: Incoming, sources: PeerSources) {
+    let peer = incoming.remote_address().to_string();
+    let connection = match incoming.await {
+        Ok(connection) => connection,
+        Err(error) => {
+            tracing::warn!(event = "peer_refused", peer, %error);
+            return;
+        }
+    };
+    let mut asks = JoinSet::new();
+    loop {
+        tokio::select! {
+            streams = connection.accept_bi() => {
+                let Ok((send, receive)) = streams else { return };
+                asks.spawn(answer(send, receive, sources.clone()));
+            }
+            Some(_) = asks.join_next() => {}
+        }
+    }
+}
+
+async fn answer(
+    mut send: SendStream,
+    mut receive: RecvStream,
+    sources: PeerSources,
+) {
+    let Ok(bytes) = receive.read_to_end(MAX_PEER_BYTES).await else { return };
+    let Ok(ask) = postcard::from_bytes::<PeerAsk>(&bytes) else { return };
+    let answer = match ask {
+        PeerAsk::Grant { customer, tokens } => {
+            let granted = super::ask(&sources.shares, |reply| {
+                ShareEvent::Grant { customer, tokens, reply }
+            });
+            PeerAnswer::Granted(granted.await.unwrap_or(0))
+        }
+        PeerAsk::GiveBack { customer, tokens } => {
+            let event = ShareEvent::GiveBack { customer, tokens };
+            let _ = sources.shares.send(event).await;
+            PeerAnswer::Done
+        }
+        PeerAsk::Settings { above } => {
+            let view = sources.settings.borrow().clone();
+            let newer = above < view.state.revision;
+            PeerAnswer::Settings(PeerSettings {
+                revision: view.state.revision,
+                state: newer.then(|| (*view.state).clone()),
+                confirmed: view.confirmed,
+            })
+        }
+    };
+    let Ok(bytes) = postcard::to_stdvec(&answer) else { return };
+    let _ = write(&mut send, &bytes).await;
+}
--- /dev/null
+++ b/crates/celerylead/src/tasks/runner.rs
@@ -0,0 +1,175 @@
+//! The task of one runner: its idle connections and its reports.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt as _, Full, Limited};
+use hyper::{Request, header};
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::{Instant, MissedTickBehavior},
+};
+
+use super::{MAILBOX, dispatch::DispatchEvent};
+use crate::{
+    runner::RunnerReport,
+    settings::{GroupKind, RunnerPlan},
+    step::{StepContext as _, StepName},
+    wire::link::{HttpLink, SendFault},
+};
+
+/// Time between two reports of a runner.
+const REPORT_PERIOD: Duration = Duration::from_millis(500);
+/// Longest wait for a report.
+const REPORT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Reports missed in a row after which a runner is out of service.
+const MISSES_TO_SILENT: u32 = 3;
+/// Time for which an idle connection is used again; servers close idle
+/// connections later than this, so a request rarely meets a closing one.
+const IDLE_LIMIT: Duration = Duration::from_secs(2);
+/// Idle connections kept to one runner.
+const MAX_IDLE: usize = 256;
+/// Largest report.
+const MAX_REPORT_BYTES: usize = 4 << 20;
+
+/// Message to a runner's task.
+pub(crate) enum RunnerEvent {
+    /// Hand out an idle connection, if there is one.
+    Checkout(oneshot::Sender<Option<HttpLink>>),
+    /// Keep a connection that ended its answer.
+    Return(HttpLink),
+}
+
+/// The way to a runner's task.
+#[derive(Clone)]
+pub(crate) struct RunnerPort {
+    pub(crate) sender: mpsc::Sender<RunnerEvent>,
+}
+
+/// State of the task.
+struct RunnerTask {
+    plan: RunnerPlan,
+    idle: Vec<(Instant, HttpLink)>,
+    missed: u32,
+    dispatch: mpsc::Sender<DispatchEvent>,
+}
+
+/// Starts the task of a runner; it ends when its port is dropped.
+pub(crate) fn start(
+    plan: &RunnerPlan,
+    dispatch: &mpsc::Sender<DispatchEvent>,
+) -> RunnerPort {
+    let (sender, inbox) = mpsc::channel(MAILBOX);
+    let task = RunnerTask {
+        plan: plan.clone(),
+        idle: Vec::new(),
+        missed: 0,
+        dispatch: dispatch.clone(),
+    };
+    super::spawn(task.run(inbox));
+    RunnerPort { sender }
+}
+
+impl RunnerTask {
+    async fn run(mut self, mut inbox: mpsc::Receiver<RunnerEvent>) {
+        let mut period = tokio::time::interval(REPORT_PERIOD);
+        period.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let (fetched, mut reports) = mpsc::channel(1);
+        let mut fetching = false;
+        loop {
+            tokio::select! {
+                event = inbox.recv() => match event {
+                    Some(event) => self.handle(event),
+                    None => return,
+                },
+                _ = period.tick(), if !fetching => {
+                    fetching = true;
+                    let plan = self.plan.clone();
+                    let fetched = fetched.clone();
+                    super::spawn(async move {
+                        let report = fetch_report(&plan).await;
+                        let _ = fetched.send(report).await;
+                    });
+                }
+                Some(report) = reports.recv() => {
+                    fetching = false;
+                    self.reported(report).await;
+                }
+            }
+        }
+    }
+
+    fn handle(&mut self, event: RunnerEvent) {
+        let limit = Instant::now();
+        self.idle.retain(|(until, link)| limit < *until && link.is_ready());
+        match event {
+            RunnerEvent::Checkout(reply) => {
+                let link = self.idle.pop().map(|(_, link)| link);
+                let _ = reply.send(link);
+            }
+            RunnerEvent::Return(link) => {
+                if self.idle.len() < MAX_IDLE {
+                    self.idle.push((limit + IDLE_LIMIT, link));
+                }
+            }
+        }
+    }
+
+    async fn reported(&mut self, report: anyhow::Result<RunnerReport>) {
+        let name = self.plan.name.clone();
+        let event = match report {
+            Ok(report) => {
+                self.missed = 0;
+                DispatchEvent::Report { name, report }
+            }
+            Err(error) => {
+                self.missed += 1;
+                if self.missed != MISSES_TO_SILENT {
+                    return;
+                }
+                tracing::warn!(
+                    event = "runner_silent",
+                    runner = name,
+                    error = format!("{error:#}"),
+                );
+                DispatchEvent::Silent { name }
+            }
+        };
+        let _ = self.dispatch.send(event).await;
+    }
+}
+
+async fn fetch_report(plan: &RunnerPlan) -> anyhow::Result<RunnerReport> {
+    let path = match plan.kind {
+        GroupKind::Model => "/v1/report",
+        GroupKind::Service => "/health",
+    };
+    let peer = plan.address.as_str();
+    let deadline = Instant::now() + REPORT_TIMEOUT;
+    let request = Request::get(path)
+        .header(header::HOST, peer)
+        .body(Full::new(Bytes::new()))?;
+    let mut link = HttpLink::open(peer, deadline).await?;
+    let response = match link.send(request, deadline).await {
+        Ok(response) => response,
+        Err(SendFault::Unsent(_, error) | SendFault::InDoubt(error)) => {
+            return Err(error);
+        }
+        Err(SendFault::TimedOut) => {
+            anyhow::bail!("no report of {peer} in time")
+        }
+    };
+    if !response.status().is_success() {
+        anyhow::bail!("report of {peer} has status {}", response.status());
+    }
+    if plan.kind == GroupKind::Service {
+        return Ok(RunnerReport::default());
+    }
+    let body = Limited::new(response.into_body(), MAX_REPORT_BYTES);
+    let bytes = tokio::time::timeout_at(deadline, body.collect())
+        .await
+        .at(StepName::ReadBody, peer)?
+        .map_err(|error| anyhow::anyhow!("{error}"))?
+        .to_bytes();
+    serde_json::from_slice(&bytes).at(StepName::Decode, peer)
+}
--- /dev/null
+++ b/crates/celerylead/src/tasks/service.rs
@@ -0,0 +1,112 @@
+//! Plain services: any method and body, below `/services/NAME`.
+
+use std::time::Duration;
+
+use hyper::{Response, body::Incoming, http::request::Parts};
+
+use super::{
+    call::{answer, read_body},
+    context::HostContext,
+    exchange::{self, Errand},
+    stream::{AnswerBody, AnswerStream, AnswerTally},
+};
+use crate::{
+    request::{Refusal, RefusalCode, Request, RequestId, RouteAsk},
+    wire::{engine::EngineAsk, headers},
+};
+
+/// Path below which the plain services are.
+pub(crate) const SERVICES_PATH: &str = "/services/";
+
+/// Answers a call of a plain service.
+pub(crate) async fn call(
+    context: &HostContext,
+    id: &RequestId,
+    parts: &Parts,
+    body: Incoming,
+) -> Result<Response<AnswerBody>, Refusal> {
+    let view = context.view()?;
+    let (name, path) = split(parts.uri.path());
+    // Whether a route is open is known only for services that exist; for
+    // any other name the caller has to show who it is first.
+    let service = view.tree.service(name);
+    let values = service.map(|service| {
+        view.tree.route_values(service, parts.method.as_str(), path)
+    });
+    let open = values.as_ref().is_some_and(|values| values.open);
+    let caller = if open {
+        None
+    } else {
+        Some(context.authenticate(&view, &parts.headers, &parts.uri)?)
+    };
+    let (Some(service), Some(values)) = (service, values) else {
+        let message = format!("there is no service {name:?}");
+        return Err(Refusal::not_run(RefusalCode::NotFound, &message));
+    };
+    let key = caller.as_ref().map(|caller| &caller.key);
+    let body = read_body(body, values.max_body_kb).await?;
+    if key.is_some_and(|key| headers::holds_key(&body, key)) {
+        return Err(Refusal::not_run(
+            RefusalCode::KeyInRequest,
+            "the key stands in the body",
+        ));
+    }
+    let query = parts.uri.query();
+    let target = match query {
+        Some(query) => format!("{path}?{query}"),
+        None => path.to_owned(),
+    };
+    let customer = caller.as_ref().map_or("", |c| c.customer.name.as_str());
+    let request = Request::received(id.clone(), values.idempotent).admitted();
+    let errand = Errand {
+        context,
+        ask: EngineAsk {
+            method: parts.method.clone(),
+            target,
+            headers: headers::forwarded(&parts.headers, key),
+            body,
+        },
+        route: RouteAsk {
+            group: service.group.clone(),
+            model: None,
+            tokens: 1,
+            tried: Vec::new(),
+        },
+        customer,
+        weight: caller.as_ref().map_or(1, |c| c.customer.values.rate),
+        values: &values,
+        key: caller.as_ref().map(|caller| &caller.watch),
+    };
+    let exchange = exchange::run(errand, request).await?;
+    let tally = AnswerTally {
+        context: context.clone(),
+        request: exchange.request,
+        customer: customer.to_owned(),
+        target: format!("services/{name}"),
+        charge: None,
+        reserved_output: 0,
+        usage: None,
+        slot: Some(exchange.slot),
+        sent_at: exchange.sent_at,
+    };
+    let (head, upstream) = exchange.response.into_parts();
+    let stream = AnswerStream::new(
+        upstream,
+        exchange.link,
+        None,
+        tally,
+        None,
+        Duration::from_millis(values.idle_timeout_ms),
+    );
+    let body = AnswerBody::Stream(Box::new(stream));
+    Ok(answer(head.status, &head.headers, body))
+}
+
+/// Splits a path into the service's name and the path below it.
+fn split(path: &str) -> (&str, &str) {
+    let rest = path.strip_prefix(SERVICES_PATH).unwrap_or("");
+    match rest.find('/') {
+        Some(place) => (&rest[..place], &rest[place..]),
+        None => (rest, "/"),
+    }
+}
--- /dev/null
+++ b/crates/celerylead/src/tasks/shares.rs
@@ -0,0 +1,274 @@
+//! The task that holds this host's parts of the customers' rates.
+//!
+//! A charge is served from the parts held here and, for what is missing,
+//! from the other holders. What a request didn't use is given back to where
+//! it came from.
+
+use std::time::Duration;
+
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::MissedTickBehavior,
+};
+
+use super::{
+    MAILBOX, MAX_IN_FLIGHT,
+    peer::{PeerPort, gather},
+};
+use crate::{
+    clock::{EpochMillis, HostClock},
+    customer::{
+        HolderAddress, ShareBook, TakenTokens, TokenSource, share::ShareRow,
+    },
+    membership::HostLease,
+    request::{Refusal, RefusalCode},
+    settings::SettingsView,
+};
+
+/// Time between two notes that the process runs.
+const TICK_PERIOD: Duration = Duration::from_millis(500);
+
+/// Message to the task.
+pub(crate) enum ShareEvent {
+    /// Take tokens for a request of this host.
+    Charge {
+        customer: String,
+        tokens: u64,
+        reply: oneshot::Sender<ChargeReply>,
+    },
+    /// Take up to this many tokens for another host.
+    Grant { customer: String, tokens: u64, reply: oneshot::Sender<u64> },
+    /// Take back what another host didn't use of a grant.
+    GiveBack { customer: String, tokens: u64 },
+    /// Note that the holders had too little for a request.
+    Dry { customer: String, missing: u64 },
+    /// Use these settings from the answer on.
+    Adopt { view: SettingsView, reply: oneshot::Sender<()> },
+    /// What the platform's table says of leases and parts.
+    Confirm(ShareView),
+    /// Use nothing any more, from the answer on.
+    GiveUp(oneshot::Sender<()>),
+}
+
+/// Leases and parts as read from the table at one point.
+pub(crate) struct ShareView {
+    /// This host's own lease, if the row is its own.
+    pub(crate) lease: Option<HostLease>,
+    /// Point at which the reading began.
+    pub(crate) read_from: EpochMillis,
+    pub(crate) rows: Vec<ShareRow>,
+}
+
+/// What a charge found here.
+pub(crate) struct ChargeReply {
+    /// Tokens taken from parts held here.
+    pub(crate) taken: TakenTokens,
+    /// Where to ask for the rest, nearest first.
+    pub(crate) holders: Vec<HolderAddress>,
+    /// A refusal that needs no asking.
+    pub(crate) refusal: Option<Refusal>,
+}
+
+/// End of a charge: what to give back and what was used beyond it.
+struct ChargeEnd {
+    customer: String,
+    taken: TakenTokens,
+    used: u64,
+}
+
+/// The way to the task.
+#[derive(Clone)]
+pub(crate) struct SharePort {
+    pub(crate) sender: mpsc::Sender<ShareEvent>,
+    ends: mpsc::Sender<ChargeEnd>,
+    peers: PeerPort,
+    clock: HostClock,
+}
+
+/// Tokens taken for a request; dropped without an end, all count as used.
+pub(crate) struct TokenCharge {
+    end: Option<(mpsc::OwnedPermit<ChargeEnd>, ChargeEnd)>,
+}
+
+impl TokenCharge {
+    /// Returns the tokens taken.
+    pub(crate) fn reserved(&self) -> u64 {
+        self.end.as_ref().map_or(0, |(_, end)| end.taken.total())
+    }
+
+    /// Settles the charge: `used` tokens stay spent.
+    pub(crate) fn settle(mut self, used: u64) {
+        let Some((permit, mut end)) = self.end.take() else { return };
+        end.used = used;
+        permit.send(end);
+    }
+}
+
+impl SharePort {
+    /// Takes `tokens` of a customer's rate, here or from other holders.
+    pub(crate) async fn charge(
+        &self,
+        customer: &str,
+        tokens: u64,
+    ) -> Result<TokenCharge, Refusal> {
+        let permit = self.ends.clone().reserve_owned().await;
+        let permit = permit.map_err(|_| stopped())?;
+        let asked = self.clock.now();
+        let reply = super::ask(&self.sender, |reply| ShareEvent::Charge {
+            customer: customer.to_owned(),
+            tokens,
+            reply,
+        });
+        let reply = reply.await.ok_or_else(stopped)?;
+        if let Some(refusal) = reply.refusal {
+            return Err(refusal);
+        }
+        let mut taken = reply.taken;
+        let missing = tokens.saturating_sub(taken.total());
+        if 0 < missing {
+            let granted =
+                gather(&self.peers, customer, missing, &reply.holders).await;
+            taken.add(&granted);
+        }
+        let end = ChargeEnd { customer: customer.to_owned(), taken, used: 0 };
+        let missing = tokens.saturating_sub(end.taken.total());
+        // A grant may be spent only while its holder keeps room for it.
+        let late = self.clock.now() > asked.after(GATHER_LIMIT);
+        if missing == 0 && !late {
+            return Ok(TokenCharge { end: Some((permit, end)) });
+        }
+        permit.send(end);
+        let dry = ShareEvent::Dry { customer: customer.to_owned(), missing };
+        let _ = self.sender.send(dry).await;
+        Err(Refusal::not_run(
+            RefusalCode::RateLimited,
+            "the customer is over its rate",
+        )
+        .retry_at(Some(asked.after(RETRY_WAIT))))
+    }
+}
+
+/// Longest time from the start of a charge to its use; well below
+/// [`crate::customer::GRANT_HOLD`].
+const GATHER_LIMIT: Duration = Duration::from_millis(500);
+/// Wait proposed to a caller that is over its rate.
+const RETRY_WAIT: Duration = Duration::from_millis(1_000);
+
+/// State of the task.
+struct ShareTask {
+    clock: HostClock,
+    book: ShareBook,
+    peers: PeerPort,
+}
+
+/// Starts the task.
+pub(crate) fn start(
+    zone: &str,
+    clock: &HostClock,
+    peers: &PeerPort,
+    inbox: mpsc::Receiver<ShareEvent>,
+    sender: mpsc::Sender<ShareEvent>,
+) -> SharePort {
+    let (ends, settled) = mpsc::channel(MAX_IN_FLIGHT);
+    let task = ShareTask {
+        clock: clock.clone(),
+        book: ShareBook::new(zone),
+        peers: peers.clone(),
+    };
+    super::spawn(task.run(inbox, settled));
+    SharePort { sender, ends, peers: peers.clone(), clock: clock.clone() }
+}
+
+/// Makes the task's mailbox, which the peers' task needs before the task.
+pub(crate) fn mailbox()
+-> (mpsc::Sender<ShareEvent>, mpsc::Receiver<ShareEvent>) {
+    mpsc::channel(MAILBOX)
+}
+
+impl ShareTask {
+    async fn run(
+        mut self,
+        mut inbox: mpsc::Receiver<ShareEvent>,
+        mut settled: mpsc::Receiver<ChargeEnd>,
+    ) {
+        let mut period = tokio::time::interval(TICK_PERIOD);
+        period.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                event = inbox.recv() => match event {
+                    Some(event) => self.handle(event),
+                    None => return,
+                },
+                Some(end) = settled.recv() => self.settle(&end),
+                _ = period.tick() => self.book.tick(self.clock.now()),
+            }
+        }
+    }
+
+    fn handle(&mut self, event: ShareEvent) {
+        let now = self.clock.bound();
+        match event {
+            ShareEvent::Charge { customer, tokens, reply } => {
+                let found = self.charge(&customer, tokens);
+                if let Err(unheard) = reply.send(found) {
+                    let taken = &unheard.taken;
+                    self.book.give_back(&customer, taken, 0, now);
+                }
+            }
+            ShareEvent::Grant { customer, tokens, reply } => {
+                let granted = self.book.grant(&customer, tokens, now);
+                // An unheard grant keeps its room until it has run out.
+                let _ = reply.send(granted);
+            }
+            ShareEvent::GiveBack { customer, tokens } => {
+                let taken = TakenTokens::from_other_host(tokens);
+                self.book.give_back(&customer, &taken, 0, now);
+            }
+            ShareEvent::Dry { customer, missing } => {
+                self.book.dry(&customer, missing, now);
+            }
+            ShareEvent::Adopt { view, reply } => {
+                self.book.adopt(&view.tree, now);
+                let _ = reply.send(());
+            }
+            ShareEvent::Confirm(view) => {
+                let lease = view.lease.as_ref();
+                self.book.confirm(lease, view.read_from, &view.rows, now);
+            }
+            ShareEvent::GiveUp(reply) => {
+                self.book.give_up();
+                let _ = reply.send(());
+            }
+        }
+    }
+
+    fn charge(&mut self, customer: &str, tokens: u64) -> ChargeReply {
+        let now = self.clock.bound();
+        match self.book.take(customer, tokens, now) {
+            Ok(taken) => ChargeReply {
+                taken,
+                holders: self.book.holders(customer),
+                refusal: None,
+            },
+            Err(refusal) => ChargeReply {
+                taken: TakenTokens::default(),
+                holders: Vec::new(),
+                refusal: Some(refusal),
+            },
+        }
+    }
+
+    fn settle(&mut self, end: &ChargeEnd) {
+        let now = self.clock.bound();
+        let back =
+            self.book.give_back(&end.customer, &end.taken, end.used, now);
+        for (source, tokens) in back {
+            let TokenSource::Host(address) = source else { continue };
+            self.peers.give_back(&address, &end.customer, tokens);
+        }
+    }
+}
+
+fn stopped() -> Refusal {
+    Refusal::not_run(RefusalCode::NotReady, "the host is shutting down")
+}
--- /dev/null
+++ b/crates/celerylead/src/tasks/stream.rs
@@ -0,0 +1,331 @@
+//! Bodies of answers on their way to the caller.
+//!
+//! A stream of events passes from the runner's connection to the caller's
+//! without a buffer between them, so a slow caller slows its runner and
+//! holds no memory. The tally of an answer is settled when the answer ends,
+//! however it ends.
+
+use std::{
+    pin::Pin,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use tokio::time::{Instant, Sleep};
+
+use super::{
+    context::{HostContext, KeyWatch},
+    dispatch::RouteSlot,
+    runner::RunnerEvent,
+    shares::TokenCharge,
+    usage::UsageSlot,
+};
+use crate::{
+    request::{Answered, Refusal, RefusalCode, Request, RunResult},
+    usage::UsageRecord,
+    wire::{answer::EventScanner, engine::UsageCount, link::HttpLink, reply},
+};
+
+/// Tokens that a runner may still generate after its answer was given up.
+const CANCEL_SLACK: u64 = 16;
+
+/// What remains to be settled of an answer.
+pub(crate) struct AnswerTally {
+    pub(crate) context: HostContext,
+    pub(crate) request: Request<Answered>,
+    pub(crate) customer: String,
+    /// Model and adapter, or service.
+    pub(crate) target: String,
+    pub(crate) charge: Option<TokenCharge>,
+    /// Tokens reserved for output, of those charged.
+    pub(crate) reserved_output: u64,
+    pub(crate) usage: Option<UsageSlot>,
+    pub(crate) slot: Option<RouteSlot>,
+    pub(crate) sent_at: Instant,
+}
+
+impl AnswerTally {
+    /// Settles a whole answer.
+    pub(crate) fn whole(&mut self, usage: Option<UsageCount>) {
+        let millis = self.sent_at.elapsed().as_millis();
+        let millis = u64::try_from(millis).unwrap_or(u64::MAX);
+        if let Some(slot) = self.slot.take() {
+            slot.finish(match usage {
+                Some(usage) => RunResult::Whole {
+                    tokens: usage.completion_tokens,
+                    millis,
+                },
+                None => RunResult::Neutral,
+            });
+        }
+        if let Some(charge) = self.charge.take() {
+            let used = usage.map_or(charge.reserved(), |usage| usage.total());
+            let metrics = &self.context.metrics;
+            metrics.count_tokens(&self.customer, "used", used);
+            charge.settle(used);
+        }
+        if let (Some(slot), Some(usage)) = (self.usage.take(), usage) {
+            slot.record(UsageRecord {
+                request_id: self.request.id().to_string(),
+                customer: self.customer.clone(),
+                target: self.target.clone(),
+                prompt_tokens: usage.prompt_tokens,
+                completion_tokens: usage.completion_tokens,
+                at: self.context.clock.now(),
+            });
+        }
+        self.log("ok");
+    }
+
+    /// Settles an answer of a runner that refused before it ran.
+    pub(crate) fn refused_by_runner(&mut self) {
+        if let Some(slot) = self.slot.take() {
+            slot.finish(RunResult::Neutral);
+        }
+        if let Some(charge) = self.charge.take() {
+            charge.settle(0);
+        }
+        self.usage = None;
+        self.log("refused_by_runner");
+    }
+
+    /// Settles an answer that broke off after `seen` tokens, where that is
+    /// known.
+    pub(crate) fn broken(
+        &mut self,
+        seen: Option<u64>,
+        result: RunResult,
+        code: &str,
+    ) {
+        if let Some(slot) = self.slot.take() {
+            slot.finish(result);
+        }
+        if let Some(charge) = self.charge.take() {
+            let reserved = charge.reserved();
+            let prompt = reserved.saturating_sub(self.reserved_output);
+            let used = seen.map_or(reserved, |seen| {
+                reserved.min(prompt + seen + CANCEL_SLACK)
+            });
+            charge.settle(used);
+        }
+        self.usage = None;
+        self.log(code);
+    }
+
+    fn log(&self, code: &str) {
+        self.context.metrics.count_answer(&self.customer, code);
+        tracing::info!(
+            event = "request_ended",
+            request_id = self.request.id().as_str(),
+            customer = self.customer,
+            target_name = self.target,
+            runner = self.request.runner(),
+            code,
+            millis = self.sent_at.elapsed().as_millis() as u64,
+        );
+    }
+
+    fn is_open(&self) -> bool {
+        self.slot.is_some() || self.charge.is_some()
+    }
+}
+
+/// Body of an answer to a caller.
+pub(crate) enum AnswerBody {
+    /// All there at once.
+    Full(Full<Bytes>),
+    /// Passed on as it comes.
+    Stream(Box<AnswerStream>),
+}
+
+/// A runner's answer that is passed on as it comes.
+pub(crate) struct AnswerStream {
+    upstream: Incoming,
+    link: Option<HttpLink>,
+    /// For streams of events; a plain service's answer has none.
+    scanner: Option<EventScanner>,
+    tally: AnswerTally,
+    key: Option<KeyWatch>,
+    idle_timeout: Duration,
+    idle: Pin<Box<Sleep>>,
+    ended: bool,
+}
+
+impl AnswerStream {
+    pub(crate) fn new(
+        upstream: Incoming,
+        link: HttpLink,
+        scanner: Option<EventScanner>,
+        tally: AnswerTally,
+        key: Option<&KeyWatch>,
+        idle_timeout: Duration,
+    ) -> AnswerStream {
+        AnswerStream {
+            upstream,
+            link: Some(link),
+            scanner,
+            tally,
+            key: key.cloned(),
+            idle_timeout,
+            idle: Box::pin(tokio::time::sleep(idle_timeout)),
+            ended: false,
+        }
+    }
+
+    fn poll_next(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, anyhow::Error>>> {
+        loop {
+            if self.ended {
+                return Poll::Ready(None);
+            }
+            if self.key.as_mut().is_some_and(KeyWatch::newly_withdrawn) {
+                let result = RunResult::Neutral;
+                return self.cut(
+                    RefusalCode::KeyWithdrawn,
+                    "the key was withdrawn",
+                    result,
+                );
+            }
+            let frame = Pin::new(&mut self.upstream).poll_frame(context);
+            let frame = match frame {
+                Poll::Pending => {
+                    if self.idle.as_mut().poll(context).is_pending() {
+                        return Poll::Pending;
+                    }
+                    return self.cut(
+                        RefusalCode::RunnerTimeout,
+                        "the answer paused for too long",
+                        RunResult::Failed,
+                    );
+                }
+                Poll::Ready(frame) => frame,
+            };
+            let bytes = match frame {
+                Some(Ok(frame)) => match frame.into_data() {
+                    Ok(bytes) => bytes,
+                    // Trailers don't go on.
+                    Err(_) => continue,
+                },
+                Some(Err(error)) => {
+                    let message = format!("the answer broke off: {error}");
+                    return self.cut(
+                        RefusalCode::AnswerCut,
+                        &message,
+                        RunResult::Failed,
+                    );
+                }
+                None => return self.end(),
+            };
+            let deadline = Instant::now() + self.idle_timeout;
+            self.idle.as_mut().reset(deadline);
+            let Some(scanner) = &mut self.scanner else {
+                return Poll::Ready(Some(Ok(Frame::data(bytes))));
+            };
+            match scanner.push(&bytes) {
+                Ok(passed) if passed.is_empty() => {}
+                Ok(passed) => {
+                    return Poll::Ready(Some(Ok(Frame::data(passed))));
+                }
+                Err(error) => {
+                    let message = error.to_string();
+                    return self.cut(
+                        RefusalCode::AnswerCut,
+                        &message,
+                        RunResult::Failed,
+                    );
+                }
+            }
+        }
+    }
+
+    /// The runner's answer ended by its own framing.
+    fn end(&mut self) -> Poll<Option<Result<Frame<Bytes>, anyhow::Error>>> {
+        let whole = self.scanner.as_ref().is_none_or(|scan| scan.whole);
+        if !whole {
+            return self.cut(
+                RefusalCode::AnswerCut,
+                "the answer ended without its end marker",
+                RunResult::Failed,
+            );
+        }
+        self.ended = true;
+        let usage = self.scanner.as_ref().and_then(|scan| scan.usage);
+        if let (Some(link), Some(slot)) = (self.link.take(), &self.tally.slot)
+        {
+            let _ = slot.port.sender.try_send(RunnerEvent::Return(link));
+        }
+        self.tally.whole(usage);
+        Poll::Ready(None)
+    }
+
+    /// Ends an answer that isn't whole: a stream of events by an event that
+    /// says so, any other by cutting the caller's connection.
+    fn cut(
+        &mut self,
+        code: RefusalCode,
+        message: &str,
+        result: RunResult,
+    ) -> Poll<Option<Result<Frame<Bytes>, anyhow::Error>>> {
+        self.ended = true;
+        self.link = None;
+        let seen = self.scanner.as_ref().map(|scan| scan.tokens);
+        self.tally.broken(seen, result, code.text());
+        let refusal = self.tally.request.cut(code, message);
+        if self.scanner.is_none() {
+            let error = anyhow::anyhow!("{}", refusal.message);
+            return Poll::Ready(Some(Err(error)));
+        }
+        let event = self.error_event(&refusal);
+        Poll::Ready(Some(Ok(Frame::data(event))))
+    }
+
+    fn error_event(&self, refusal: &Refusal) -> Bytes {
+        let body = reply::refusal_body(refusal, self.tally.request.id());
+        Bytes::from(format!("data: {body}\n\n"))
+    }
+}
+
+impl Drop for AnswerStream {
+    fn drop(&mut self) {
+        if !self.ended && self.tally.is_open() {
+            let seen = self.scanner.as_ref().map(|scan| scan.tokens);
+            self.tally.broken(seen, RunResult::Neutral, "caller_gone");
+        }
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = anyhow::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, anyhow::Error>>> {
+        match self.get_mut() {
+            AnswerBody::Full(body) => Pin::new(body)
+                .poll_frame(context)
+                .map_err(|never| match never {}),
+            AnswerBody::Stream(stream) => stream.poll_next(context),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            AnswerBody::Full(body) => body.is_end_stream(),
+            AnswerBody::Stream(stream) => stream.ended,
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            AnswerBody::Full(body) => body.size_hint(),
+            AnswerBody::Stream(_) => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/celerylead/src/wire/completion.rs
@@ -0,0 +1,164 @@
+//! Completion requests of callers, in the OpenAI form.
+
+use anyhow::Context as _;
+use serde_json::{Map, Value, json};
+
+use super::headers;
+use crate::{customer::CallerKey, model::ModelName};
+
+/// Tokens added for each message or prompt beyond its text, for the marks
+/// that engines put around it.
+const TOKENS_PER_MESSAGE: u64 = 8;
+/// Fields that would carry a caller's credential; they don't go on.
+const CREDENTIAL_FIELDS: &[&str] =
+    &["api_key", "apikey", "authorization", "key", "user_token"];
+
+/// A completion request as a caller sent it.
+#[derive(Debug)]
+pub(crate) struct CompletionAsk {
+    pub(crate) model: ModelName,
+    pub(crate) stream: bool,
+    /// Output tokens that the caller allows.
+    pub(crate) max_tokens: Option<u64>,
+    /// Whether the caller asked for the usage chunk of a stream.
+    pub(crate) wants_usage: bool,
+    /// Bytes of text in the prompt.
+    prompt_bytes: u64,
+    /// Messages or prompts.
+    parts: u64,
+    /// Answers asked for.
+    choices: u64,
+    fields: Map<String, Value>,
+}
+
+impl CompletionAsk {
+    /// Reads a request body.
+    pub(crate) fn parse(body: &[u8]) -> anyhow::Result<CompletionAsk> {
+        let value: Value =
+            serde_json::from_slice(body).context("body is not JSON")?;
+        let Value::Object(mut fields) = value else {
+            anyhow::bail!("body is not a JSON object");
+        };
+        for field in CREDENTIAL_FIELDS {
+            fields.remove(*field);
+        }
+        let model = fields
+            .get("model")
+            .and_then(Value::as_str)
+            .context("field model is missing or not a string")?
+            .parse()?;
+        let stream = match fields.get("stream") {
+            None | Some(Value::Null) => false,
+            Some(Value::Bool(stream)) => *stream,
+            Some(_) => anyhow::bail!("field stream is not true or false"),
+        };
+        let max_tokens = match fields.get("max_completion_tokens") {
+            Some(Value::Null) | None => count(&fields, "max_tokens")?,
+            Some(_) => count(&fields, "max_completion_tokens")?,
+        };
+        let choices = count(&fields, "n")?.unwrap_or(1).max(1);
+        let best_of = count(&fields, "best_of")?.unwrap_or(1).max(1);
+        let prompt = fields.get("messages").or(fields.get("prompt"));
+        let prompt = prompt.context("field messages or prompt is missing")?;
+        let parts = match prompt {
+            Value::Array(parts) => parts.len() as u64,
+            _ => 1,
+        };
+        let prompt_bytes = text_bytes(&fields);
+        let wants_usage = fields
+            .get("stream_options")
+            .and_then(|options| options.get("include_usage"))
+            .is_some_and(|wanted| wanted == &Value::Bool(true));
+        Ok(CompletionAsk {
+            model,
+            stream,
+            max_tokens,
+            wants_usage,
+            prompt_bytes,
+            parts,
+            choices: choices.max(best_of),
+            fields,
+        })
+    }
+
+    /// Returns the most tokens that the request can use.
+    pub(crate) fn worst_case(
+        &self,
+        bytes_per_token: u64,
+        max_tokens: u64,
+    ) -> u64 {
+        let prompt = self.prompt_bytes.div_ceil(bytes_per_token.max(1));
+        let marks = self.parts.saturating_mul(TOKENS_PER_MESSAGE);
+        let output = max_tokens.saturating_mul(self.choices);
+        prompt.saturating_add(marks).saturating_add(output)
+    }
+
+    /// Tells whether the caller's key stands anywhere in the body.
+    pub(crate) fn holds_key(&self, key: &CallerKey) -> bool {
+        any_string(&self.fields, &mut |text| {
+            headers::holds_key(text.as_bytes(), key)
+        })
+    }
+
+    /// Writes the body that goes on to the engine: the most output tokens
+    /// stated, and the usage always asked for.
+    pub(crate) fn engine_body(&self, max_tokens: u64) -> Vec<u8> {
+        let mut fields = self.fields.clone();
+        fields.remove("max_completion_tokens");
+        fields.insert("max_tokens".to_owned(), json!(max_tokens));
+        if self.stream {
+            let options = json!({"include_usage": true});
+            fields.insert("stream_options".to_owned(), options);
+        }
+        Value::Object(fields).to_string().into_bytes()
+    }
+}
+
+fn count(
+    fields: &Map<String, Value>,
+    name: &str,
+) -> anyhow::Result<Option<u64>> {
+    match fields.get(name) {
+        None | Some(Value::Null) => Ok(None),
+        Some(value) => {
+            let number = value.as_u64().with_context(|| {
+                format!("field {name} is {value}, accepted are whole numbers")
+            })?;
+            Ok(Some(number))
+        }
+    }
+}
+
+/// Bytes of all strings: whatever part of them becomes prompt, it has no
+/// more tokens than bytes. Token ids in arrays count a byte each.
+fn text_bytes(fields: &Map<String, Value>) -> u64 {
+    fields
+        .iter()
+        .map(|(name, value)| name.len() as u64 + bytes_of(value))
+        .sum()
+}
+
+fn bytes_of(value: &Value) -> u64 {
+    match value {
+        Value::String(text) => text.len() as u64,
+        Value::Array(items) => items.iter().map(bytes_of).sum(),
+        Value::Object(fields) => text_bytes(fields),
+        Value::Null | Value::Bool(_) | Value::Number(_) => 1,
+    }
+}
+
+fn any_string(
+    fields: &Map<String, Value>,
+    test: &mut impl FnMut(&str) -> bool,
+) -> bool {
+    fields.iter().any(|(name, value)| test(name) || any_in(value, test))
+}
+
+fn any_in(value: &Value, test: &mut impl FnMut(&str) -> bool) -> bool {
+    match value {
+        Value::String(text) => test(text),
+        Value::Array(items) => items.iter().any(|item| any_in(item, test)),
+        Value::Object(fields) => any_string(fields, test),
+        Value::Null | Value::Bool(_) | Value::Number(_) => false,
+    }
+}
--- /dev/null
+++ b/crates/celerylead/src/wire/engine.rs
@@ -0,0 +1,67 @@
+//! Requests towards backend servers and what their answers say of usage.
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{
+    HeaderMap, Method, Request,
+    header::{self, HeaderValue},
+};
+use serde::Deserialize;
+
+use super::headers::REQUEST_ID;
+use crate::request::RequestId;
+
+/// Tokens that an answer says it used.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+pub(crate) struct UsageCount {
+    #[serde(default)]
+    pub(crate) prompt_tokens: u64,
+    #[serde(default)]
+    pub(crate) completion_tokens: u64,
+}
+
+impl UsageCount {
+    pub(crate) fn total(&self) -> u64 {
+        self.prompt_tokens.saturating_add(self.completion_tokens)
+    }
+}
+
+#[derive(Deserialize)]
+struct UsageHolder {
+    usage: Option<UsageCount>,
+}
+
+/// Returns the usage stated in a JSON answer or stream event.
+pub(crate) fn stated_usage(json: &[u8]) -> Option<UsageCount> {
+    serde_json::from_slice::<UsageHolder>(json).ok()?.usage
+}
+
+/// What the host sends on: never more of the caller than this.
+pub(crate) struct EngineAsk {
+    pub(crate) method: Method,
+    /// Path and query.
+    pub(crate) target: String,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+impl EngineAsk {
+    /// Makes the request for one try at one runner.
+    pub(crate) fn request(
+        &self,
+        id: &RequestId,
+        peer: &str,
+        credential: &HeaderValue,
+    ) -> anyhow::Result<Request<Full<Bytes>>> {
+        let mut request = Request::builder()
+            .method(self.method.clone())
+            .uri(self.target.as_str())
+            .body(Full::new(self.body.clone()))?;
+        let headers = request.headers_mut();
+        *headers = self.headers.clone();
+        headers.insert(header::HOST, HeaderValue::from_str(peer)?);
+        headers.insert(header::AUTHORIZATION, credential.clone());
+        headers.insert(REQUEST_ID, HeaderValue::from_str(id.as_str())?);
+        Ok(request)
+    }
+}
--- /dev/null
+++ b/crates/celerylead/src/wire/peer.rs
@@ -0,0 +1,169 @@
+//! Messages between hosts: postcard over QUIC, one stream for each.
+//!
+//! Both ends show a certificate of the fleet's own authority; a peer without
+//! one is refused in the handshake.
+
+use std::{sync::Arc, time::Duration};
+
+use anyhow::Context as _;
+use quinn::{
+    ClientConfig, Endpoint, IdleTimeout, ServerConfig, TransportConfig,
+    crypto::rustls::{QuicClientConfig, QuicServerConfig},
+};
+use rustls::{
+    RootCertStore,
+    pki_types::{CertificateDer, PrivateKeyDer, pem::PemObject as _},
+    server::WebPkiClientVerifier,
+};
+use serde::{Deserialize, Serialize};
+
+use crate::{clock::EpochMillis, settings::SettingsState};
+
+/// Name that the certificate of every host carries.
+pub const PEER_NAME: &str = "celerylead-host";
+/// Protocol name in the handshake; a change of messages changes it.
+const PEER_PROTOCOL: &[u8] = b"celerylead-peer/1";
+/// Time without a packet after which a connection is given up.
+const PEER_IDLE: Duration = Duration::from_secs(5);
+/// Time between two signs of life on an idle connection.
+const PEER_KEEP_ALIVE: Duration = Duration::from_millis(1_500);
+/// Largest message.
+pub(crate) const MAX_PEER_BYTES: usize = 16 << 20;
+
+/// Question of one host to another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum PeerAsk {
+    /// Up to this many tokens of a customer's rate.
+    Grant { customer: String, tokens: u64 },
+    /// Take back what was granted and not used.
+    GiveBack { customer: String, tokens: u64 },
+    /// The settings, if newer than this revision.
+    Settings { above: u64 },
+}
+
+/// Answer to a question.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum PeerAnswer {
+    /// Tokens granted.
+    Granted(u64),
+    /// Nothing to say.
+    Done,
+    /// What the host has in force.
+    Settings(PeerSettings),
+}
+
+/// Settings as another host has them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) struct PeerSettings {
+    /// Its revision.
+    pub(crate) revision: u64,
+    /// The state, where it is newer than what was asked for.
+    pub(crate) state: Option<SettingsState>,
+    /// Point at which the platform last said that it is the newest.
+    pub(crate) confirmed: EpochMillis,
+}
+
+/// Certificate, key and authority of a host, in PEM.
+#[derive(Clone)]
+pub struct PeerIdentity {
+    /// The authority whose certificates are accepted.
+    pub authority: String,
+    /// This host's certificate.
+    pub certificate: String,
+    /// This host's private key.
+    pub key: String,
+}
+
+impl PeerIdentity {
+    /// Opens the socket for other hosts, for both directions.
+    pub(crate) fn endpoint(&self, listen: &str) -> anyhow::Result<Endpoint> {
+        let address = listen.parse().context("peer address is not IP:PORT")?;
+        let mut endpoint = Endpoint::server(self.server()?, address)
+            .with_context(|| format!("step=listen peer={listen}"))?;
+        endpoint.set_default_client_config(self.client()?);
+        Ok(endpoint)
+    }
+
+    fn server(&self) -> anyhow::Result<ServerConfig> {
+        let roots = Arc::new(self.roots()?);
+        let verifier =
+            WebPkiClientVerifier::builder_with_provider(roots, provider())
+                .build()?;
+        let mut config =
+            rustls::ServerConfig::builder_with_provider(provider())
+                .with_protocol_versions(&[&rustls::version::TLS13])?
+                .with_client_cert_verifier(verifier)
+                .with_single_cert(self.chain()?, self.private_key()?)?;
+        config.alpn_protocols = vec![PEER_PROTOCOL.to_vec()];
+        let crypto = QuicServerConfig::try_from(config)?;
+        let mut server = ServerConfig::with_crypto(Arc::new(crypto));
+        server.transport_config(transport());
+        Ok(server)
+    }
+
+    fn client(&self) -> anyhow::Result<ClientConfig> {
+        let mut config =
+            rustls::ClientConfig::builder_with_provider(provider())
+                .with_protocol_versions(&[&rustls::version::TLS13])?
+                .with_root_certificates(self.roots()?)
+                .with_client_auth_cert(self.chain()?, self.private_key()?)?;
+        config.alpn_protocols = vec![PEER_PROTOCOL.to_vec()];
+        let crypto = QuicClientConfig::try_from(config)?;
+        let mut client = ClientConfig::new(Arc::new(crypto));
+        client.transport_config(transport());
+        Ok(client)
+    }
+
+    fn roots(&self) -> anyhow::Result<RootCertStore> {
+        let mut roots = RootCertStore::empty();
+        for certificate in certificates(&self.authority)? {
+            roots.add(certificate)?;
+        }
+        Ok(roots)
+    }
+
+    fn chain(&self) -> anyhow::Result<Vec<CertificateDer<'static>>> {
+        certificates(&self.certificate)
+    }
+
+    fn private_key(&self) -> anyhow::Result<PrivateKeyDer<'static>> {
+        private_key(&self.key)
+    }
+}
+
+/// Reads the certificates of a PEM text.
+pub(crate) fn certificates(
+    pem: &str,
+) -> anyhow::Result<Vec<CertificateDer<'static>>> {
+    let read = CertificateDer::pem_slice_iter(pem.as_bytes())
+        .collect::<Result<Vec<_>, _>>()
+        .context("certificate is not PEM")?;
+    if read.is_empty() {
+        anyhow::bail!("there is no certificate in the PEM text");
+    }
+    Ok(read)
+}
+
+/// Reads the private key of a PEM text.
+pub(crate) fn private_key(
+    pem: &str,
+) -> anyhow::Result<PrivateKeyDer<'static>> {
+    PrivateKeyDer::from_pem_slice(pem.as_bytes())
+        .context("private key is not PEM")
+}
+
+/// The cryptography that all TLS of the host uses.
+pub(crate) fn provider() -> Arc<rustls::crypto::CryptoProvider> {
+    Arc::new(rustls::crypto::ring::default_provider())
+}
+
+fn transport() -> Arc<TransportConfig> {
+    let mut transport = TransportConfig::default();
+    let idle = IdleTimeout::try_from(PEER_IDLE);
+    transport.max_idle_timeout(idle.ok());
+    transport.keep_alive_interval(Some(PEER_KEEP_ALIVE));
+    Arc::new(transport)
+}
--- /dev/null
+++ b/crates/celerylead/src/wire/table.rs
@@ -0,0 +1,246 @@
+//! Client of the platform's transactional table service.
+//!
+//! The service holds rows of a key, a version and a JSON value. A read
+//! returns the rows of some keys and prefixes as of one point; a commit
+//! checks versions (0 for a row that must not exist) and writes all its
+//! rows or none.
+//!
+//! An answer can be lost after the write took effect, so a commit whose
+//! answer didn't come is *in doubt*: the caller reads again before it
+//! believes anything.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt as _, Full, Limited};
+use hyper::{Method, Request, header};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use tokio::time::Instant;
+
+use super::link::{HttpLink, SendFault};
+use crate::step::{StepContext as _, StepName};
+
+/// Longest wait for an answer of the table service.
+const TABLE_TIMEOUT: Duration = Duration::from_millis(2_000);
+/// Largest answer of the table service.
+const MAX_ANSWER_BYTES: usize = 64 << 20;
+
+/// A row as it was read.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct TableRow {
+    /// Key.
+    pub key: String,
+    /// Grows with each write of the row; never 0.
+    pub version: u64,
+    /// Value.
+    pub value: serde_json::Value,
+}
+
+impl TableRow {
+    /// Decodes the value.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names the key where the value is of another
+    /// shape.
+    pub fn decode<T: DeserializeOwned>(&self) -> anyhow::Result<T> {
+        T::deserialize(&self.value).at(StepName::Decode, &self.key)
+    }
+}
+
+/// Rows to read.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", default)]
+pub struct ReadAsk {
+    /// Single keys.
+    pub keys: Vec<String>,
+    /// Prefixes of keys.
+    pub prefixes: Vec<String>,
+}
+
+/// Rows that were read, sorted by key.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct ReadAnswer {
+    /// The rows that exist.
+    pub rows: Vec<TableRow>,
+}
+
+impl ReadAnswer {
+    /// Returns the row of `key`.
+    pub fn row(&self, key: &str) -> Option<&TableRow> {
+        let rows = &self.rows;
+        let place = rows.binary_search_by(|row| row.key.as_str().cmp(key));
+        Some(&rows[place.ok()?])
+    }
+
+    /// Returns the version of `key`, 0 where there is no row.
+    pub fn version(&self, key: &str) -> u64 {
+        self.row(key).map_or(0, |row| row.version)
+    }
+
+    /// Iterates over the rows whose keys start with `prefix`.
+    pub fn under<'a>(
+        &'a self,
+        prefix: &'a str,
+    ) -> impl Iterator<Item = &'a TableRow> {
+        self.rows.iter().filter(move |row| row.key.starts_with(prefix))
+    }
+}
+
+/// A condition of a commit: the row still has this version.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct RowCheck {
+    /// Key.
+    pub key: String,
+    /// Version, 0 for no row.
+    pub version: u64,
+}
+
+/// A row to write.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct RowWrite {
+    /// Key.
+    pub key: String,
+    /// Value.
+    pub value: serde_json::Value,
+}
+
+/// A transaction.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct CommitAsk {
+    /// Conditions, all of which must hold.
+    pub checks: Vec<RowCheck>,
+    /// Rows to write.
+    pub writes: Vec<RowWrite>,
+}
+
+impl CommitAsk {
+    /// Adds the condition that `key` still has `version`.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celerylead::platform::CommitAsk;
+    ///
+    /// let ask = CommitAsk::default().check("a", 0).write("a", &1);
+    /// assert_eq!((ask.checks.len(), ask.writes.len()), (1, 1));
+    /// ```
+    pub fn check(mut self, key: &str, version: u64) -> CommitAsk {
+        self.checks.push(RowCheck { key: key.to_owned(), version });
+        self
+    }
+
+    /// Adds a row to write.
+    pub fn write(mut self, key: &str, value: &impl Serialize) -> CommitAsk {
+        let value = serde_json::to_value(value)
+            .expect("rows are plain data, which JSON can hold");
+        self.writes.push(RowWrite { key: key.to_owned(), value });
+        self
+    }
+}
+
+/// Answer to a transaction.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct CommitAnswer {
+    /// Whether the conditions held and the rows were written.
+    pub committed: bool,
+    /// The versions written, in the order of the writes.
+    pub versions: Vec<u64>,
+}
+
+/// Client of the table service at one address.
+#[derive(Clone, Debug)]
+pub struct TableClient {
+    address: String,
+}
+
+impl TableClient {
+    /// Makes a client of the service at `address` (`IP:PORT`).
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// let client = celerylead::platform::TableClient::new("127.0.0.1:7000");
+    /// assert_eq!(client.address(), "127.0.0.1:7000");
+    /// ```
+    pub fn new(address: &str) -> TableClient {
+        TableClient { address: address.to_owned() }
+    }
+
+    /// Returns the address of the service.
+    pub fn address(&self) -> &str {
+        &self.address
+    }
+
+    /// Reads rows as of one point.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the service can't be reached or is slow.
+    pub async fn read(&self, ask: &ReadAsk) -> anyhow::Result<ReadAnswer> {
+        let step = StepName::ReadRows;
+        self.call("/v1/read", ask).await.at(step, &self.address)
+    }
+
+    /// Writes rows in one transaction.
+    ///
+    /// # Errors
+    ///
+    /// After an error the outcome is in doubt: the rows may be written.
+    pub async fn commit(
+        &self,
+        ask: &CommitAsk,
+    ) -> anyhow::Result<CommitAnswer> {
+        let step = StepName::WriteRows;
+        self.call("/v1/commit", ask).await.at(step, &self.address)
+    }
+
+    async fn call<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        ask: &impl Serialize,
+    ) -> anyhow::Result<T> {
+        let body = serde_json::to_vec(ask)?;
+        let bytes = exchange(&self.address, Method::POST, path, body).await?;
+        serde_json::from_slice(&bytes).at(StepName::Decode, &self.address)
+    }
+}
+
+/// Sends one request on a connection of its own and reads the whole answer.
+pub(crate) async fn exchange(
+    peer: &str,
+    method: Method,
+    path: &str,
+    body: Vec<u8>,
+) -> anyhow::Result<Bytes> {
+    let deadline = Instant::now() + TABLE_TIMEOUT;
+    let request = Request::builder()
+        .method(method)
+        .uri(path)
+        .header(header::HOST, peer)
+        .header(header::CONTENT_TYPE, "application/json")
+        .body(Full::new(Bytes::from(body)))?;
+    let mut link = HttpLink::open(peer, deadline).await?;
+    let response =
+        link.send(request, deadline).await.map_err(|fault| match fault {
+            SendFault::Unsent(_, error) | SendFault::InDoubt(error) => error,
+            SendFault::TimedOut => anyhow::anyhow!("no answer in time"),
+        })?;
+    let status = response.status();
+    let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
+    let bytes = tokio::time::timeout_at(deadline, body.collect())
+        .await
+        .at(StepName::ReadBody, peer)?
+        .map_err(|error| anyhow::anyhow!("{error}"))?
+        .to_bytes();
+    if !status.is_success() {
+        anyhow::bail!("answer has status {status}");
+    }
+    Ok(bytes)
+}
--- /dev/null
+++ b/crates/stand-ins/src/objects.rs
@@ -0,0 +1,111 @@
+//! Stand-in of the object store.
+
+use http_body_util::BodyExt as _;
+use hyper::{Method, Request, StatusCode, body::Incoming};
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+
+use crate::serve::{Reply, StatePort, json_reply, serve};
+
+#[derive(Debug, Default)]
+struct StoreState {
+    objects: Vec<(String, Value)>,
+    /// Writes of objects that were there already.
+    repeated: u64,
+    down: bool,
+    lose_answers: bool,
+}
+
+/// Handle of a running object store.
+#[derive(Clone)]
+pub struct ObjectStandIn {
+    /// Address it listens at.
+    pub address: String,
+    state: StatePort<StoreState>,
+}
+
+impl ObjectStandIn {
+    /// Starts the store.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the address can't be bound.
+    pub async fn start(listen: &str) -> anyhow::Result<ObjectStandIn> {
+        let listener = TcpListener::bind(listen).await?;
+        let address = listener.local_addr()?.to_string();
+        let state = StatePort::start(StoreState::default());
+        let port = state.clone();
+        tokio::spawn(serve(listener, move |request| {
+            handle(port.clone(), request)
+        }));
+        Ok(ObjectStandIn { address, state })
+    }
+
+    /// Takes the store down or up.
+    pub async fn set_down(&self, down: bool) {
+        self.state.with(move |state| state.down = down).await;
+    }
+
+    /// Has answers get lost after the write, or not.
+    pub async fn set_lose_answers(&self, lose: bool) {
+        self.state.with(move |state| state.lose_answers = lose).await;
+    }
+
+    /// Returns the objects by name.
+    pub async fn objects(&self) -> Vec<(String, Value)> {
+        self.state.with(|state| state.objects.clone()).await
+    }
+
+    /// Returns the number of writes of objects that were there already.
+    pub async fn repeated(&self) -> u64 {
+        self.state.with(|state| state.repeated).await
+    }
+}
+
+async fn handle(
+    port: StatePort<StoreState>,
+    request: Request<Incoming>,
+) -> Reply {
+    let put = request.method() == Method::PUT;
+    let path = request.uri().path().to_owned();
+    let body = request.into_body().collect().await.ok()?.to_bytes();
+    if port.with(|state| state.down).await {
+        return None;
+    }
+    let name = path.strip_prefix("/objects/")?.to_owned();
+    if !put {
+        let found = port.with(move |state| state.get(&name)).await;
+        return Some(match found {
+            Some(value) => json_reply(StatusCode::OK, &value),
+            None => json_reply(StatusCode::NOT_FOUND, &json!({})),
+        });
+    }
+    let value = serde_json::from_slice(&body).ok()?;
+    let lost = port
+        .with(move |state| {
+            state.put_if_absent(&name, value);
+            state.lose_answers
+        })
+        .await;
+    (!lost).then(|| json_reply(StatusCode::OK, &json!({})))
+}
+
+impl StoreState {
+    fn get(&self, name: &str) -> Option<Value> {
+        let place = self.place(name).ok()?;
+        Some(self.objects[place].1.clone())
+    }
+
+    fn put_if_absent(&mut self, name: &str, value: Value) {
+        match self.place(name) {
+            Ok(_) => self.repeated += 1,
+            Err(place) => {
+                self.objects.insert(place, (name.to_owned(), value));
+            }
+        }
+    }
+
+    fn place(&self, name: &str) -> Result<usize, usize> {
+        self.objects.binary_search_by(|(held, _)| held.as_str().cmp(name))
+    }
+}
--- /dev/null
+++ b/crates/stand-ins/src/serve.rs
@@ -0,0 +1,112 @@
+//! What the stand-ins share: HTTP on a socket, and state behind messages.
+
+use std::{convert::Infallible, future::Future};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt as _, Full, combinators::BoxBody};
+use hyper::{
+    Request, Response, StatusCode, body::Incoming, header,
+    server::conn::http1, service::service_fn,
+};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{
+    net::TcpListener,
+    sync::{mpsc, oneshot},
+};
+
+/// Body of an answer.
+pub(crate) type ReplyBody = BoxBody<Bytes, anyhow::Error>;
+/// An answer, or `None` to close the connection without one.
+pub(crate) type Reply = Option<Response<ReplyBody>>;
+
+/// Messages that wait for a stand-in's task.
+const MAILBOX: usize = 4_096;
+
+/// Serves HTTP on a listener with `handle`.
+pub(crate) async fn serve<F, R>(listener: TcpListener, handle: F)
+where
+    F: Fn(Request<Incoming>) -> R + Clone + Send + 'static,
+    R: Future<Output = Reply> + Send + 'static,
+{
+    while let Ok((stream, _)) = listener.accept().await {
+        let _ = stream.set_nodelay(true);
+        let handle = handle.clone();
+        tokio::spawn(async move {
+            let service = service_fn(move |request| {
+                let handle = handle.clone();
+                async move {
+                    // An error makes the server close the connection.
+                    handle(request)
+                        .await
+                        .ok_or_else(|| anyhow::anyhow!("no answer"))
+                }
+            });
+            let _ = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+        });
+    }
+}
+
+/// Makes a JSON answer.
+pub(crate) fn json_reply(
+    status: StatusCode,
+    value: &serde_json::Value,
+) -> Response<ReplyBody> {
+    let body = full(Bytes::from(value.to_string()));
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    response.headers_mut().insert(
+        header::CONTENT_TYPE,
+        header::HeaderValue::from_static("application/json"),
+    );
+    response
+}
+
+/// Makes a body that is all there.
+pub(crate) fn full(bytes: Bytes) -> ReplyBody {
+    Full::new(bytes).map_err(|never: Infallible| match never {}).boxed()
+}
+
+/// Something that a task does with its state.
+type StateJob<S> = Box<dyn FnOnce(&mut S) + Send>;
+
+/// The way to a task that owns a state `S`.
+pub(crate) struct StatePort<S> {
+    sender: mpsc::Sender<StateJob<S>>,
+}
+
+impl<S> Clone for StatePort<S> {
+    fn clone(&self) -> Self {
+        StatePort { sender: self.sender.clone() }
+    }
+}
+
+impl<S: Send + 'static> StatePort<S> {
+    /// Starts a task that owns `state`.
+    pub(crate) fn start(mut state: S) -> StatePort<S> {
+        let (sender, mut inbox) = mpsc::channel::<StateJob<S>>(MAILBOX);
+        tokio::spawn(async move {
+            while let Some(job) = inbox.recv().await {
+                job(&mut state);
+            }
+        });
+        StatePort { sender }
+    }
+
+    /// Has the task do something with its state and tell the result.
+    pub(crate) async fn with<T: Send + 'static>(
+        &self,
+        job: impl FnOnce(&mut S) -> T + Send + 'static,
+    ) -> T {
+        let (reply, answer) = oneshot::channel();
+        let job = Box::new(move |state: &mut S| {
+            let _ = reply.send(job(state));
+        });
+        if self.sender.send(job).await.is_err() {
+            unreachable!("the state's task ends after its last port");
+        }
+        answer.await.expect("the state's task answers every message")
+    }
+}
--- /dev/null
+++ b/crates/stand-ins/src/service.rs
@@ -0,0 +1,107 @@
+//! Stand-in of a plain service, some of whose calls may not be repeated.
+
+use std::time::Duration;
+
+use http_body_util::BodyExt as _;
+use hyper::{Request, StatusCode, body::Incoming};
+use tokio::net::TcpListener;
+
+use crate::{
+    engine::{lines, text_reply},
+    serve::{Reply, StatePort, serve},
+};
+
+/// How the service behaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ServiceFault {
+    /// As it should.
+    #[default]
+    None,
+    /// Does what it is asked, then closes the connection.
+    CloseAfterRun,
+    /// Answers after this delay.
+    Slow(Duration),
+}
+
+#[derive(Debug, Default)]
+struct ServiceState {
+    fault: ServiceFault,
+    /// Request id and how often it ran.
+    runs: Vec<(String, u32)>,
+    seen: Vec<String>,
+}
+
+/// Handle of a running plain service.
+#[derive(Clone)]
+pub struct ServiceStandIn {
+    /// Address it listens at.
+    pub address: String,
+    state: StatePort<ServiceState>,
+}
+
+impl ServiceStandIn {
+    /// Starts a service that answers every call with what it was asked.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the address can't be bound.
+    pub async fn start(listen: &str) -> anyhow::Result<ServiceStandIn> {
+        let listener = TcpListener::bind(listen).await?;
+        let address = listener.local_addr()?.to_string();
+        let state = StatePort::start(ServiceState::default());
+        let port = state.clone();
+        tokio::spawn(serve(listener, move |request| {
+            handle(port.clone(), request)
+        }));
+        Ok(ServiceStandIn { address, state })
+    }
+
+    /// Sets how the service behaves from now on.
+    pub async fn set_fault(&self, fault: ServiceFault) {
+        self.state.with(move |state| state.fault = fault).await;
+    }
+
+    /// Returns each request id with how often it ran.
+    pub async fn runs(&self) -> Vec<(String, u32)> {
+        self.state.with(|state| state.runs.clone()).await
+    }
+
+    /// Returns what the service saw: heads and bodies, as text.
+    pub async fn seen(&self) -> Vec<String> {
+        self.state.with(|state| state.seen.clone()).await
+    }
+}
+
+async fn handle(
+    port: StatePort<ServiceState>,
+    request: Request<Incoming>,
+) -> Reply {
+    let (parts, body) = request.into_parts();
+    if parts.uri.path() == "/health" {
+        return Some(text_reply(StatusCode::OK, "ok".to_owned()));
+    }
+    let body = body.collect().await.ok()?.to_bytes();
+    let text = String::from_utf8_lossy(&body).into_owned();
+    let call = format!("{} {}", parts.method, parts.uri);
+    let seen = format!("{call}\n{}{text}", lines(&parts.headers));
+    let id = parts.headers.get("x-request-id");
+    let id = id.and_then(|id| id.to_str().ok()).unwrap_or("").to_owned();
+    let fault = port.with(move |state| state.note(seen, &id)).await;
+    match fault {
+        ServiceFault::None => {}
+        ServiceFault::CloseAfterRun => return None,
+        ServiceFault::Slow(delay) => tokio::time::sleep(delay).await,
+    }
+    Some(text_reply(StatusCode::OK, format!("{call}\n{text}\n")))
+}
+
+impl ServiceState {
+    fn note(&mut self, seen: String, id: &str) -> ServiceFault {
+        self.seen.push(seen);
+        match self.runs.binary_search_by(|(held, _)| held.as_str().cmp(id)) {
+            Ok(place) => self.runs[place].1 += 1,
+            Err(place) => self.runs.insert(place, (id.to_owned(), 1)),
+        }
+        self.fault
+    }
+}
--- /dev/null
+++ b/crates/stand-ins/src/table.rs
@@ -0,0 +1,202 @@
+//! Stand-in of the transactional table service.
+
+use std::time::Duration;
+
+use http_body_util::BodyExt as _;
+use hyper::{Request, StatusCode, body::Incoming};
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+
+use crate::serve::{Reply, StatePort, json_reply, serve};
+
+/// How the table service behaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum TableFault {
+    /// As it should.
+    #[default]
+    None,
+    /// Closes every connection without an answer.
+    Down,
+    /// Answers after this delay.
+    Slow(Duration),
+    /// Writes, then closes the connection without an answer.
+    LostAnswers,
+    /// Reads see the rows as they were when this was set.
+    StaleReads,
+}
+
+#[derive(Clone, Debug, Serialize)]
+struct Row {
+    key: String,
+    version: u64,
+    value: Value,
+}
+
+#[derive(Debug, Default)]
+struct TableState {
+    rows: Vec<Row>,
+    stale: Vec<Row>,
+    fault: TableFault,
+    sequence: u64,
+    reads: u64,
+    commits: u64,
+}
+
+#[derive(Deserialize)]
+struct ReadAsk {
+    keys: Vec<String>,
+    prefixes: Vec<String>,
+}
+
+#[derive(Deserialize)]
+struct RowCheck {
+    key: String,
+    version: u64,
+}
+
+#[derive(Deserialize)]
+struct RowWrite {
+    key: String,
+    value: Value,
+}
+
+#[derive(Deserialize)]
+struct CommitAsk {
+    checks: Vec<RowCheck>,
+    writes: Vec<RowWrite>,
+}
+
+/// Handle of a running table service.
+#[derive(Clone)]
+pub struct TableStandIn {
+    /// Address it listens at.
+    pub address: String,
+    state: StatePort<TableState>,
+}
+
+impl TableStandIn {
+    /// Starts the service.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the address can't be bound.
+    pub async fn start(listen: &str) -> anyhow::Result<TableStandIn> {
+        let listener = TcpListener::bind(listen).await?;
+        let address = listener.local_addr()?.to_string();
+        let state = StatePort::start(TableState::default());
+        let port = state.clone();
+        tokio::spawn(serve(listener, move |request| {
+            handle(port.clone(), request)
+        }));
+        Ok(TableStandIn { address, state })
+    }
+
+    /// Sets how the service behaves from now on.
+    pub async fn set_fault(&self, fault: TableFault) {
+        self.state
+            .with(move |state| {
+                state.stale = state.rows.clone();
+                state.fault = fault;
+            })
+            .await;
+    }
+
+    /// Returns the rows under a prefix: key and value.
+    pub async fn rows(&self, prefix: &str) -> Vec<(String, Value)> {
+        let prefix = prefix.to_owned();
+        self.state
+            .with(move |state| {
+                let rows = state.rows.iter();
+                rows.filter(|row| row.key.starts_with(&prefix))
+                    .map(|row| (row.key.clone(), row.value.clone()))
+                    .collect()
+            })
+            .await
+    }
+
+    /// Returns the numbers of reads and commits so far.
+    pub async fn calls(&self) -> (u64, u64) {
+        self.state.with(|state| (state.reads, state.commits)).await
+    }
+}
+
+async fn handle(
+    port: StatePort<TableState>,
+    request: Request<Incoming>,
+) -> Reply {
+    let path = request.uri().path().to_owned();
+    let body = request.into_body().collect().await.ok()?.to_bytes();
+    let fault = port.with(|state| state.fault).await;
+    if fault == TableFault::Down {
+        return None;
+    }
+    if let TableFault::Slow(delay) = fault {
+        tokio::time::sleep(delay).await;
+    }
+    let answer = match path.as_str() {
+        "/v1/read" => {
+            let ask: ReadAsk = serde_json::from_slice(&body).ok()?;
+            port.with(move |state| state.read(&ask)).await
+        }
+        "/v1/commit" => {
+            let ask: CommitAsk = serde_json::from_slice(&body).ok()?;
+            let answer = port.with(move |state| state.commit(&ask)).await;
+            if fault == TableFault::LostAnswers {
+                return None;
+            }
+            answer
+        }
+        _ => return Some(json_reply(StatusCode::NOT_FOUND, &json!({}))),
+    };
+    Some(json_reply(StatusCode::OK, &answer))
+}
+
+impl TableState {
+    fn read(&mut self, ask: &ReadAsk) -> Value {
+        self.reads += 1;
+        let rows = match self.fault {
+            TableFault::StaleReads => &self.stale,
+            _ => &self.rows,
+        };
+        let found: Vec<&Row> = rows
+            .iter()
+            .filter(|row| {
+                ask.keys.contains(&row.key)
+                    || ask.prefixes.iter().any(|p| row.key.starts_with(p))
+            })
+            .collect();
+        json!({ "rows": found })
+    }
+
+    fn commit(&mut self, ask: &CommitAsk) -> Value {
+        self.commits += 1;
+        let holds = |check: &RowCheck| {
+            let place = self.place(&check.key);
+            let version = place.map_or(0, |place| self.rows[place].version);
+            version == check.version
+        };
+        if !ask.checks.iter().all(holds) {
+            return json!({ "committed": false, "versions": [] });
+        }
+        self.sequence += 1;
+        let version = self.sequence;
+        for write in &ask.writes {
+            let row = Row {
+                key: write.key.clone(),
+                version,
+                value: write.value.clone(),
+            };
+            match self.place(&write.key) {
+                Ok(place) => self.rows[place] = row,
+                Err(place) => self.rows.insert(place, row),
+            }
+        }
+        let versions = vec![version; ask.writes.len()];
+        json!({ "committed": true, "versions": versions })
+    }
+
+    fn place(&self, key: &str) -> Result<usize, usize> {
+        self.rows.binary_search_by(|row| row.key.as_str().cmp(key))
+    }
+}
--- /dev/null
+++ b/crates/system-tests/src/lib.rs
@@ -0,0 +1,1 @@
+//! Tests only: see the `tests` folder.
--- /dev/null
+++ b/crates/system-tests/tests/system/client.rs
@@ -0,0 +1,141 @@
+//! A caller.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt as _, Full};
+use hyper::{Request, body::Incoming, client::conn::http1, header::HeaderMap};
+use hyper_util::rt::TokioIo;
+use serde_json::{Value, json};
+use tokio::net::TcpStream;
+
+/// Longest wait of a caller in a test.
+const CALLER_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// What a caller got.
+#[derive(Clone, Debug)]
+pub(crate) struct Answer {
+    pub(crate) status: u16,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: String,
+    /// Whether the body ended as its framing promised.
+    pub(crate) whole: bool,
+}
+
+impl Answer {
+    pub(crate) fn header(&self, name: &str) -> &str {
+        let value = self.headers.get(name);
+        value.and_then(|value| value.to_str().ok()).unwrap_or("")
+    }
+
+    pub(crate) fn json(&self) -> Value {
+        serde_json::from_str(&self.body).unwrap_or(Value::Null)
+    }
+
+    pub(crate) fn code(&self) -> String {
+        let value = self.json();
+        value["error"]["code"].as_str().unwrap_or("").to_owned()
+    }
+
+    pub(crate) fn outcome(&self) -> String {
+        let value = self.json();
+        value["error"]["outcome"].as_str().unwrap_or("").to_owned()
+    }
+
+    /// Whether a stream of events came to its end marker.
+    pub(crate) fn is_done(&self) -> bool {
+        self.whole && self.body.ends_with("data: [DONE]\n\n")
+    }
+}
+
+/// A connection of a caller to a host.
+pub(crate) struct Caller {
+    sender: http1::SendRequest<Full<Bytes>>,
+}
+
+impl Caller {
+    pub(crate) async fn connect(address: &str) -> anyhow::Result<Caller> {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        let (sender, connection) =
+            http1::handshake(TokioIo::new(stream)).await?;
+        tokio::spawn(connection);
+        Ok(Caller { sender })
+    }
+
+    pub(crate) async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> anyhow::Result<Answer> {
+        tokio::time::timeout(CALLER_TIMEOUT, self.exchange(request)).await?
+    }
+
+    async fn exchange(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> anyhow::Result<Answer> {
+        self.sender.ready().await?;
+        let response = self.sender.send_request(request).await?;
+        let (head, body) = response.into_parts();
+        let (body, whole) = read(body).await;
+        Ok(Answer {
+            status: head.status.as_u16(),
+            headers: head.headers,
+            body,
+            whole,
+        })
+    }
+}
+
+async fn read(mut body: Incoming) -> (String, bool) {
+    let mut text = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else {
+            return (String::from_utf8_lossy(&text).into_owned(), false);
+        };
+        if let Some(bytes) = frame.data_ref() {
+            text.extend_from_slice(bytes);
+        }
+    }
+    (String::from_utf8_lossy(&text).into_owned(), true)
+}
+
+/// Sends one request on a connection of its own.
+pub(crate) async fn call(
+    address: &str,
+    request: Request<Full<Bytes>>,
+) -> anyhow::Result<Answer> {
+    Caller::connect(address).await?.send(request).await
+}
+
+/// Makes a request.
+pub(crate) fn request(
+    method: &str,
+    target: &str,
+    key: Option<&str>,
+    body: &str,
+) -> Request<Full<Bytes>> {
+    let mut request =
+        Request::builder().method(method).uri(target).header("host", "test");
+    if let Some(key) = key {
+        request = request.header("authorization", format!("Bearer {key}"));
+    }
+    let body = Full::new(Bytes::from(body.to_owned()));
+    request.body(body).expect("the request is well formed")
+}
+
+/// Makes a completion request.
+pub(crate) fn chat(
+    key: &str,
+    model: &str,
+    max_tokens: u64,
+    stream: bool,
+) -> Request<Full<Bytes>> {
+    let body = json!({
+        "model": model,
+        "messages": [{"role": "user", "content": "expand this outline"}],
+        "max_tokens": max_tokens,
+        "stream": stream,
+    });
+    request("POST", "/v1/chat/completions", Some(key), &body.to_string())
+}
--- /dev/null
+++ b/crates/system-tests/tests/system/main.rs
@@ -0,0 +1,6 @@
+//! Whole sessions: hosts and operators as processes of their own, the
+//! outside systems as stand-ins, faults by proxies and signals.
+
+mod client;
+mod fleet;
+mod session;
