--- a/crates/celerylead/src/customer/book.rs
+++ b/crates/celerylead/src/customer/book.rs
@@ -26,11 +26,56 @@
 #[serde(rename_all = "snake_case")]
 pub enum TokenSource {
     /// A part held by this host.
-    Part(PartKind),
-    /// Any part held by this host, for tokens that came back from another.
-    AnyPart,
-    /// The host at this address.
-    Host(String),
+    Own(PartKind),
+    /// A part held by another host.
+    Other(HolderPart),
+}
+
+/// A part at the host that holds it.
+#[derive(
+    Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
+pub struct HolderPart {
+    /// Address of the host for other hosts.
+    pub address: String,
+    /// Kind of the part.
+    pub kind: PartKind,
+}
+
+/// Tokens by the kind of part that they are from.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
+pub struct PartTokens {
+    /// From the elastic part.
+    pub elastic: u64,
+    /// From the standing part.
+    pub standing: u64,
+}
+
+impl PartTokens {
+    /// Returns the tokens in all.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celerylead::customer::PartTokens;
+    ///
+    /// assert_eq!(PartTokens { elastic: 2, standing: 3 }.total(), 5);
+    /// ```
+    pub fn total(&self) -> u64 {
+        self.elastic.saturating_add(self.standing)
+    }
+
+    /// Returns the tokens of each kind.
+    pub fn by_kind(&self) -> [(PartKind, u64); 2] {
+        [
+            (PartKind::Elastic, self.elastic),
+            (PartKind::Standing, self.standing),
+        ]
+    }
 }
 
 /// Tokens taken for one request.
@@ -41,13 +86,6 @@
 }
 
 impl TakenTokens {
-    /// Makes the tokens that another host gives back.
-    pub fn from_other_host(tokens: u64) -> TakenTokens {
-        let mut taken = TakenTokens::default();
-        taken.insert(TokenSource::AnyPart, tokens);
-        taken
-    }
-
     /// Adds tokens from a source.
     pub fn insert(&mut self, source: TokenSource, tokens: u64) {
         if 0 < tokens {
@@ -55,6 +93,14 @@
         }
     }
 
+    /// Adds tokens that were granted by the host at `address`.
+    pub fn insert_granted(&mut self, address: &str, granted: PartTokens) {
+        for (kind, tokens) in granted.by_kind() {
+            let part = HolderPart { address: address.to_owned(), kind };
+            self.insert(TokenSource::Other(part), tokens);
+        }
+    }
+
     /// Adds tokens that were taken elsewhere.
     pub fn add(&mut self, other: &TakenTokens) {
         for (source, tokens) in other.pieces.iter() {
@@ -66,6 +112,14 @@
     pub fn total(&self) -> u64 {
         self.pieces.values().sum()
     }
+
+    /// Iterates over the tokens that other hosts granted.
+    pub fn granted(&self) -> impl Iterator<Item = (&HolderPart, u64)> {
+        self.pieces.iter().filter_map(|(source, tokens)| match source {
+            TokenSource::Own(_) => None,
+            TokenSource::Other(part) => Some((part, *tokens)),
+        })
+    }
 }
 
 /// A host that holds a part.
@@ -260,7 +314,7 @@
             }
             let ready = part.bucket.level(now.latest).min(missing);
             if part.bucket.take(ready, now.latest) {
-                taken.insert(TokenSource::Part(kind), ready);
+                taken.insert(TokenSource::Own(kind), ready);
             }
         }
         if taken.total() < tokens && dry.is_some() {
@@ -281,27 +335,52 @@
         customer: &str,
         tokens: u64,
         now: ClockBound,
-    ) -> u64 {
-        let Some(entry) = self.customers.get_mut(customer) else { return 0 };
-        let mut granted = 0;
+    ) -> PartTokens {
+        let mut granted = PartTokens::default();
+        let Some(entry) = self.customers.get_mut(customer) else {
+            return granted;
+        };
         for kind in PartKind::ALL {
+            let missing = tokens - granted.total();
             let Some(part) = entry.buckets.get_mut(&kind) else { continue };
-            if usable(&self.held, kind, now) {
-                granted += part.bucket.grant(tokens - granted, now.latest);
+            if !usable(&self.held, kind, now) {
+                continue;
+            }
+            let from_part = part.bucket.grant(missing, now.latest);
+            match kind {
+                PartKind::Elastic => granted.elastic = from_part,
+                PartKind::Standing => granted.standing = from_part,
             }
         }
         granted
     }
 
+    /// Hears from another host of what a part of this host granted it:
+    /// `ended` tokens are spent or won't be, and `spare` weren't needed.
+    pub fn grant_ended(
+        &mut self,
+        customer: &str,
+        kind: PartKind,
+        ended: u64,
+        spare: u64,
+        now: ClockBound,
+    ) {
+        let entry = self.customers.get_mut(customer);
+        let part = entry.and_then(|entry| entry.buckets.get_mut(&kind));
+        let Some(part) = part else { return };
+        part.bucket.end_grant(ended, now.latest);
+        part.bucket.give_back(spare, now.latest);
+    }
+
     /// Gives back what was taken beyond `used`; what was used beyond what
-    /// was taken is owed. Returns the tokens to give back elsewhere.
+    /// was taken is owed. Returns the tokens to give back to other hosts.
     pub fn give_back(
         &mut self,
         customer: &str,
         taken: &TakenTokens,
         used: u64,
         now: ClockBound,
-    ) -> Vec<(TokenSource, u64)> {
+    ) -> Vec<(HolderPart, u64)> {
         let total = taken.total();
         let mut spare = total.saturating_sub(used);
         let mut elsewhere = Vec::new();
@@ -312,20 +391,15 @@
             let back = spare.min(*tokens);
             spare -= back;
             match source {
-                TokenSource::Part(kind) => {
+                TokenSource::Own(kind) => {
                     if let Some(part) = entry.buckets.get_mut(kind) {
                         part.bucket.give_back(back, now.latest);
                     }
                 }
-                TokenSource::AnyPart => {
-                    if let Some((_, part)) = entry.buckets.iter_mut().next() {
-                        part.bucket.give_back(back, now.latest);
-                    }
-                }
-                TokenSource::Host(_) if 0 < back => {
-                    elsewhere.push((source.clone(), back));
+                TokenSource::Other(part) if 0 < back => {
+                    elsewhere.push((part.clone(), back));
                 }
-                TokenSource::Host(_) => {}
+                TokenSource::Other(_) => {}
             }
         }
         let owed = used.saturating_sub(total);
--- a/crates/celerylead/src/customer/bucket.rs
+++ b/crates/celerylead/src/customer/bucket.rs
@@ -118,6 +118,22 @@
         granted
     }
 
+    /// Notes that granted tokens were spent or won't be: their room is free
+    /// before the grant has run out.
+    ///
+    /// The grants with the earliest deadlines go first. Those that remain
+    /// keep their room at least as long as what is still out may be spent.
+    pub fn end_grant(&mut self, tokens: u64, now: EpochMillis) {
+        self.refill(now);
+        let mut amount = clamp(tokens).saturating_mul(MICRO);
+        for grant in &mut self.grants {
+            let ended = grant.amount.min(amount);
+            grant.amount -= ended;
+            amount -= ended;
+        }
+        self.grants.retain(|grant| 0 < grant.amount);
+    }
+
     /// Gives back tokens that were taken and then not used. What exceeds
     /// the burst is lost.
     pub fn give_back(&mut self, tokens: u64, now: EpochMillis) {
--- a/crates/celerylead/src/customer/mod.rs
+++ b/crates/celerylead/src/customer/mod.rs
@@ -13,7 +13,10 @@
 mod tests;
 
 pub use self::{
-    book::{HolderAddress, ShareBook, TakenTokens, TokenSource},
+    book::{
+        HolderAddress, HolderPart, PartTokens, ShareBook, TakenTokens,
+        TokenSource,
+    },
     bucket::{GRANT_HOLD, RateBucket, TokenGrant},
     key::{CallerKey, KeyHash},
 };
--- a/crates/celerylead/src/customer/tests/division.rs
+++ b/crates/celerylead/src/customer/tests/division.rs
@@ -44,6 +44,8 @@
     Empty(usize),
     /// The first host asks the second, and spends after some milliseconds.
     Ask(usize, usize, u64, u64),
+    /// A holder hears of the grants that were spent by now.
+    Hear(usize),
     Freeze(usize),
     Wake(usize),
     /// The host's process dies and a new one starts in its place.
@@ -81,11 +83,22 @@
     trees: Vec<SettingsTree>,
     /// Tokens admitted, with their time.
     admitted: Vec<(u64, u64)>,
+    /// Grants of which the holder hasn't heard that they are spent.
+    spent: Vec<SpentGrant>,
     versions: u64,
     /// Breaks a rule on purpose, to see the check fail.
     reckless: Recklessness,
 }
 
+/// A grant on its way to be spent.
+#[derive(Clone, Copy)]
+struct SpentGrant {
+    holder: usize,
+    kind: PartKind,
+    tokens: u64,
+    at: u64,
+}
+
 /// A rule that a world doesn't keep.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Recklessness {
@@ -126,6 +139,7 @@
             hosts,
             trees,
             admitted: Vec::new(),
+            spent: Vec::new(),
             versions: 0,
             reckless,
         }
@@ -151,6 +165,7 @@
             {
                 self.ask(holder, tokens, delay);
             }
+            FleetStep::Hear(place) if self.runs(place) => self.hear(place),
             FleetStep::Release(place) if self.runs(place) => {
                 self.release(place);
             }
@@ -312,7 +327,25 @@
         let bound = self.bound(holder);
         let book = &mut self.hosts[holder].book;
         let granted = book.grant("parish", tokens, bound);
-        self.admitted.push((self.now + delay, granted));
+        let at = self.now + delay;
+        self.admitted.push((at, granted.total()));
+        for (kind, tokens) in granted.by_kind() {
+            self.spent.push(SpentGrant { holder, kind, tokens, at });
+        }
+    }
+
+    fn hear(&mut self, place: usize) {
+        let bound = self.bound(place);
+        let now = self.now;
+        let book = &mut self.hosts[place].book;
+        self.spent.retain(|grant| {
+            if grant.holder != place || now < grant.at {
+                return true;
+            }
+            let SpentGrant { kind, tokens, .. } = *grant;
+            book.grant_ended("parish", kind, tokens, 0, bound);
+            false
+        });
     }
 
     fn release(&mut self, place: usize) {
@@ -406,6 +439,7 @@
                 FleetStep::Ask(asker, holder, tokens, delay)
             }
         ),
+        2 => host.clone().prop_map(FleetStep::Hear),
         1 => host.clone().prop_map(FleetStep::Freeze),
         2 => host.clone().prop_map(FleetStep::Wake),
         1 => host.clone().prop_map(FleetStep::Restart),
--- a/crates/celerylead/src/tasks/member.rs
+++ b/crates/celerylead/src/tasks/member.rs
@@ -78,8 +78,9 @@
     /// Own row as last read, where it is this process's.
     own: Option<HostLease>,
     renewed: Instant,
-    /// Another process registered under this host's name.
-    superseded: bool,
+    /// Holds nothing any more: it is leaving, or another process registered
+    /// under this host's name.
+    retired: bool,
     leases: ZoneLeases,
     turn: usize,
 }
@@ -91,7 +92,7 @@
         setup,
         own: None,
         renewed: Instant::now(),
-        superseded: false,
+        retired: false,
         leases: ZoneLeases::default(),
         turn: 0,
     };
@@ -105,11 +106,13 @@
         loop {
             tokio::select! {
                 event = inbox.recv() => {
-                    if let Some(MemberEvent::Release(reply)) = event {
-                        self.release().await;
-                        let _ = reply.send(());
-                    }
-                    return;
+                    let Some(MemberEvent::Release(reply)) = event else {
+                        return;
+                    };
+                    // Settings and holders are still read: the host answers
+                    // callers until the balancer has noticed.
+                    self.release().await;
+                    let _ = reply.send(());
                 }
                 () = tokio::time::sleep_until(wake) => {
                     let wrote = self.turn().await;
@@ -165,7 +168,7 @@
             rows: rows.clone(),
         };
         let _ = self.setup.shares.send(ShareEvent::Confirm(view)).await;
-        if self.superseded {
+        if self.retired {
             return Ok(false);
         }
         if self.own.is_none() || self.renewal_is_due() {
@@ -240,11 +243,11 @@
         }
         let row = leases.get(&identity.host);
         let mine = row.filter(|lease| lease.nonce == identity.nonce).cloned();
-        if self.own.is_some() && mine.is_none() && !self.superseded {
-            self.superseded = true;
+        if self.own.is_some() && mine.is_none() {
+            self.retired = true;
             tracing::error!(event = "host_superseded");
         }
-        self.own = mine;
+        self.own = mine.filter(|_| !self.retired);
         self.leases = leases;
         Ok(())
     }
@@ -388,6 +391,7 @@
 
     /// Gives up all that is held, so that others can take it at once.
     async fn release(&mut self) {
+        self.retired = true;
         super::ask(&self.setup.shares, ShareEvent::GiveUp).await;
         let Some(own) = self.own.take() else { return };
         let released = self.write_release(&own).await;
--- a/crates/celerylead/src/tasks/peer.rs
+++ b/crates/celerylead/src/tasks/peer.rs
@@ -13,7 +13,7 @@
 
 use super::{MAILBOX, shares::ShareEvent};
 use crate::{
-    customer::{HolderAddress, TakenTokens, TokenSource},
+    customer::{HolderAddress, HolderPart, PartTokens, TakenTokens},
     settings::SettingsView,
     sorted::SortedTable,
     step::{StepContext as _, StepName},
@@ -59,16 +59,24 @@
         tokio::time::timeout(PEER_TIMEOUT, answer).await.ok()?.ok()
     }
 
-    /// Gives tokens back to their holder. Lost ones stay spent.
-    pub(crate) fn give_back(
+    /// Tells the holder of a part what came of its grant. Where the message
+    /// is lost the tokens stay spent, and their room held until the grant
+    /// has run out.
+    pub(crate) fn grant_ended(
         &self,
-        address: &str,
+        part: &HolderPart,
         customer: &str,
-        tokens: u64,
+        ended: u64,
+        spare: u64,
     ) {
-        let ask = PeerAsk::GiveBack { customer: customer.to_owned(), tokens };
+        let ask = PeerAsk::GrantEnded {
+            customer: customer.to_owned(),
+            kind: part.kind,
+            ended,
+            spare,
+        };
         let event =
-            PeerEvent { address: address.to_owned(), ask, reply: None };
+            PeerEvent { address: part.address.clone(), ask, reply: None };
         let _ = self.sender.try_send(event);
     }
 }
@@ -84,20 +92,20 @@
     let (near, far): (Vec<_>, Vec<_>) =
         holders.iter().partition(|holder| holder.same_zone);
     for holder in near {
-        let missing = tokens - taken.total();
+        let missing = tokens.saturating_sub(taken.total());
         if missing == 0 {
             return taken;
         }
         let granted = grant(peers, customer, missing, &holder.address).await;
-        taken.insert(TokenSource::Host(holder.address.clone()), granted);
+        taken.insert_granted(&holder.address, granted);
     }
     for holder in far {
-        let missing = tokens - taken.total();
+        let missing = tokens.saturating_sub(taken.total());
         if missing == 0 {
             return taken;
         }
         let granted = grant(peers, customer, missing, &holder.address).await;
-        taken.insert(TokenSource::Host(holder.address.clone()), granted);
+        taken.insert_granted(&holder.address, granted);
     }
     taken
 }
@@ -107,11 +115,11 @@
     customer: &str,
     tokens: u64,
     address: &str,
-) -> u64 {
+) -> PartTokens {
     let ask = PeerAsk::Grant { customer: customer.to_owned(), tokens };
     match peers.ask(address, &ask).await {
-        Some(PeerAnswer::Granted(granted)) => granted.min(tokens),
-        _ => 0,
+        Some(PeerAnswer::Granted(granted)) => granted,
+        _ => PartTokens::default(),
     }
 }
 
@@ -350,10 +358,11 @@
             let granted = super::ask(&sources.shares, |reply| {
                 ShareEvent::Grant { customer, tokens, reply }
             });
-            PeerAnswer::Granted(granted.await.unwrap_or(0))
+            PeerAnswer::Granted(granted.await.unwrap_or_default())
         }
-        PeerAsk::GiveBack { customer, tokens } => {
-            let event = ShareEvent::GiveBack { customer, tokens };
+        PeerAsk::GrantEnded { customer, kind, ended, spare } => {
+            let event =
+                ShareEvent::GrantEnded { customer, kind, ended, spare };
             let _ = sources.shares.send(event).await;
             PeerAnswer::Done
         }
--- a/crates/celerylead/src/tasks/service.rs
+++ b/crates/celerylead/src/tasks/service.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use hyper::{Response, body::Incoming, http::request::Parts};
+use percent_encoding::percent_decode_str;
 
 use super::{
     call::{answer, read_body},
@@ -26,6 +27,7 @@
     body: Incoming,
 ) -> Result<Response<AnswerBody>, Refusal> {
     let view = context.view()?;
+    refuse_dot_segments(parts.uri.path())?;
     let (name, path) = split(parts.uri.path());
     // Whether a route is open is known only for services that exist; for
     // any other name the caller has to show who it is first.
@@ -102,6 +104,20 @@
     Ok(answer(head.status, &head.headers, body))
 }
 
+/// Refuses a path with a segment `.` or `..`, also an encoded one: a backend
+/// server could take it for a path that is not open, or of another service.
+fn refuse_dot_segments(path: &str) -> Result<(), Refusal> {
+    let decoded: Vec<u8> = percent_decode_str(path).collect();
+    let mut segments = decoded.split(|byte| b"/\\".contains(byte));
+    if segments.any(|segment| segment == b"." || segment == b"..") {
+        return Err(Refusal::not_run(
+            RefusalCode::BadRequest,
+            "the path has a segment . or ..",
+        ));
+    }
+    Ok(())
+}
+
 /// Splits a path into the service's name and the path below it.
 fn split(path: &str) -> (&str, &str) {
     let rest = path.strip_prefix(SERVICES_PATH).unwrap_or("");
--- a/crates/celerylead/src/tasks/shares.rs
+++ b/crates/celerylead/src/tasks/shares.rs
@@ -18,7 +18,8 @@
 use crate::{
     clock::{EpochMillis, HostClock},
     customer::{
-        HolderAddress, ShareBook, TakenTokens, TokenSource, share::ShareRow,
+        HolderAddress, PartTokens, ShareBook, TakenTokens,
+        share::{PartKind, ShareRow},
     },
     membership::HostLease,
     request::{Refusal, RefusalCode},
@@ -37,9 +38,9 @@
         reply: oneshot::Sender<ChargeReply>,
     },
     /// Take up to this many tokens for another host.
-    Grant { customer: String, tokens: u64, reply: oneshot::Sender<u64> },
-    /// Take back what another host didn't use of a grant.
-    GiveBack { customer: String, tokens: u64 },
+    Grant { customer: String, tokens: u64, reply: oneshot::Sender<PartTokens> },
+    /// Hear what came of a grant to another host.
+    GrantEnded { customer: String, kind: PartKind, ended: u64, spare: u64 },
     /// Note that the holders had too little for a request.
     Dry { customer: String, missing: u64 },
     /// Use these settings from the answer on.
@@ -74,6 +75,8 @@
     customer: String,
     taken: TakenTokens,
     used: u64,
+    /// Whether the request was refused, so that its grants end only now.
+    unspent: bool,
 }
 
 /// The way to the task.
@@ -130,13 +133,22 @@
                 gather(&self.peers, customer, missing, &reply.holders).await;
             taken.add(&granted);
         }
-        let end = ChargeEnd { customer: customer.to_owned(), taken, used: 0 };
+        let mut end = ChargeEnd {
+            customer: customer.to_owned(),
+            taken,
+            used: 0,
+            unspent: false,
+        };
         let missing = tokens.saturating_sub(end.taken.total());
         // A grant may be spent only while its holder keeps room for it.
         let late = self.clock.now() > asked.after(GATHER_LIMIT);
         if missing == 0 && !late {
+            for (part, tokens) in end.taken.granted() {
+                self.peers.grant_ended(part, customer, tokens, 0);
+            }
             return Ok(TokenCharge { end: Some((permit, end)) });
         }
+        end.unspent = true;
         permit.send(end);
         let dry = ShareEvent::Dry { customer: customer.to_owned(), missing };
         let _ = self.sender.send(dry).await;
@@ -220,9 +232,8 @@
                 // An unheard grant keeps its room until it has run out.
                 let _ = reply.send(granted);
             }
-            ShareEvent::GiveBack { customer, tokens } => {
-                let taken = TakenTokens::from_other_host(tokens);
-                self.book.give_back(&customer, &taken, 0, now);
+            ShareEvent::GrantEnded { customer, kind, ended, spare } => {
+                self.book.grant_ended(&customer, kind, ended, spare, now);
             }
             ShareEvent::Dry { customer, missing } => {
                 self.book.dry(&customer, missing, now);
@@ -262,9 +273,9 @@
         let now = self.clock.bound();
         let back =
             self.book.give_back(&end.customer, &end.taken, end.used, now);
-        for (source, tokens) in back {
-            let TokenSource::Host(address) = source else { continue };
-            self.peers.give_back(&address, &end.customer, tokens);
+        for (part, spare) in back {
+            let ended = if end.unspent { spare } else { 0 };
+            self.peers.grant_ended(&part, &end.customer, ended, spare);
         }
     }
 }
--- a/crates/celerylead/src/wire/peer.rs
+++ b/crates/celerylead/src/wire/peer.rs
@@ -17,7 +17,11 @@
 };
 use serde::{Deserialize, Serialize};
 
-use crate::{clock::EpochMillis, settings::SettingsState};
+use crate::{
+    clock::EpochMillis,
+    customer::{PartTokens, share::PartKind},
+    settings::SettingsState,
+};
 
 /// Name that the certificate of every host carries.
 pub const PEER_NAME: &str = "celerylead-host";
@@ -36,8 +40,9 @@
 pub(crate) enum PeerAsk {
     /// Up to this many tokens of a customer's rate.
     Grant { customer: String, tokens: u64 },
-    /// Take back what was granted and not used.
-    GiveBack { customer: String, tokens: u64 },
+    /// Of what a part granted, `ended` tokens are spent or won't be, and
+    /// `spare` weren't needed.
+    GrantEnded { customer: String, kind: PartKind, ended: u64, spare: u64 },
     /// The settings, if newer than this revision.
     Settings { above: u64 },
 }
@@ -47,7 +52,7 @@
 #[serde(rename_all = "snake_case")]
 pub(crate) enum PeerAnswer {
     /// Tokens granted.
-    Granted(u64),
+    Granted(PartTokens),
     /// Nothing to say.
     Done,
     /// What the host has in force.
--- a/crates/stand-ins/src/proxy.rs
+++ b/crates/stand-ins/src/proxy.rs
@@ -56,12 +56,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?.to_string();
         let (fault, seen) = watch::channel(ProxyFault::None);
-        let target = target.to_owned();
-        tokio::spawn(async move {
-            while let Ok((client, _)) = listener.accept().await {
-                tokio::spawn(join(client, target.clone(), seen.clone()));
-            }
-        });
+        tokio::spawn(run(listener, target.to_owned(), seen));
         Ok(FaultProxy { address, fault })
     }
 
@@ -71,14 +66,33 @@
     }
 }
 
+/// Accepts connections; while the proxy cuts, its address is closed.
+async fn run(
+    mut listener: TcpListener,
+    target: String,
+    mut fault: watch::Receiver<ProxyFault>,
+) -> anyhow::Result<()> {
+    let address = listener.local_addr()?;
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => {
+                let (client, _) = accepted?;
+                tokio::spawn(join(client, target.clone(), fault.clone()));
+            }
+            () = cut(fault.clone()) => {
+                drop(listener);
+                fault.wait_for(|fault| *fault != ProxyFault::Cut).await?;
+                listener = TcpListener::bind(address).await?;
+            }
+        }
+    }
+}
+
 async fn join(
     client: TcpStream,
     target: String,
     fault: watch::Receiver<ProxyFault>,
 ) {
-    if *fault.borrow() == ProxyFault::Cut {
-        return;
-    }
     let Ok(server) = TcpStream::connect(&target).await else { return };
     let _ = client.set_nodelay(true);
     let _ = server.set_nodelay(true);
--- a/crates/stand-ins/src/table.rs
+++ b/crates/stand-ins/src/table.rs
@@ -37,6 +37,8 @@
 struct TableState {
     rows: Vec<Row>,
     stale: Vec<Row>,
+    /// The rows before the last commit that changed the settings.
+    before: Vec<Row>,
     fault: TableFault,
     sequence: u64,
     reads: u64,
@@ -102,6 +104,17 @@
             .await;
     }
 
+    /// Has reads see the rows as they were before the last change of the
+    /// settings.
+    pub async fn set_stale_reads(&self) {
+        self.state
+            .with(|state| {
+                state.stale = state.before.clone();
+                state.fault = TableFault::StaleReads;
+            })
+            .await;
+    }
+
     /// Returns the rows under a prefix: key and value.
     pub async fn rows(&self, prefix: &str) -> Vec<(String, Value)> {
         let prefix = prefix.to_owned();
@@ -179,6 +192,9 @@
         if !ask.checks.iter().all(holds) {
             return json!({ "committed": false, "versions": [] });
         }
+        if ask.writes.iter().any(|write| write.key == "settings/head") {
+            self.before = self.rows.clone();
+        }
         self.sequence += 1;
         let version = self.sequence;
         for write in &ask.writes {
--- /dev/null
+++ b/crates/system-tests/tests/system/configuration.rs
@@ -0,0 +1,153 @@
+//! Settings: in force everywhere within 5 s, and never back.
+
+use std::time::{Duration, Instant};
+
+use celerylead::{operator::ChangeResult, settings::SettingsChange};
+use celerylead_stand_ins::table::TableFault;
+use rustix::process::Signal;
+
+use crate::{
+    client::{call, request},
+    fleet::{Fleet, HostExtras, TestCustomer, settings_file, wait_for},
+};
+
+const KEY: &str = "cl-configuration-key";
+/// A change is in force everywhere within this time (the brief's "seconds").
+const FORCE_LIMIT: Duration = Duration::from_secs(5);
+
+fn file(rate: u64) -> String {
+    let customers =
+        [TestCustomer { name: "parish", key: KEY, rate, burst: 900 }];
+    let file = settings_file(&["kgn"], &[], &customers, "");
+    let models = file.find("[[model]]").expect("models");
+    let customers = file.find("[[customer]]").expect("customers");
+    format!("{}{}", &file[..models], &file[customers..])
+}
+
+async fn revision(admin: &str) -> u64 {
+    let ask = request("GET", "/readyz", None, "");
+    let answer = call(admin, ask).await.expect("an answer");
+    answer.json()["revision"].as_u64().unwrap_or(0)
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_change_is_in_force_everywhere_and_is_reported_truly() {
+    let mut fleet = Fleet::start(&[]).await;
+    fleet.apply(&file(100)).await;
+    for name in ["kgn-1", "kgn-2", "kgn-3", "kgn-4"] {
+        fleet.host(name, "kgn").await;
+    }
+    fleet.wait_shares().await;
+    let path = fleet.folder.join("settings.toml");
+    std::fs::write(&path, file(200)).expect("a file");
+    let path = path.to_string_lossy().into_owned();
+    let start = Instant::now();
+    let output = fleet.operator(&["apply", &path]);
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    println!("in force after {:?}", start.elapsed());
+    assert_eq!(output.status.code(), Some(0), "{text}");
+    assert!(text.contains("in force on 4 of 4 live hosts"), "{text}");
+    assert!(start.elapsed() < FORCE_LIMIT);
+    // Half the hosts are frozen: the report says so.
+    fleet.hosts[0].signal(Signal::STOP);
+    fleet.hosts[1].signal(Signal::STOP);
+    std::fs::write(&path, file(300)).expect("a file");
+    let output = fleet.operator(&["--wait-ms=2000", "apply", &path]);
+    let text = String::from_utf8_lossy(&output.stdout).into_owned();
+    assert_eq!(output.status.code(), Some(5), "{text}");
+    assert!(text.contains("in force on 2 of 4 live hosts"), "{text}");
+    fleet.hosts[0].signal(Signal::CONT);
+    fleet.hosts[1].signal(Signal::CONT);
+    let woken = Instant::now();
+    for host in &fleet.hosts {
+        wait_for("the woken hosts", async || revision(&host.admin).await == 3)
+            .await;
+    }
+    assert!(woken.elapsed() < FORCE_LIMIT, "{:?}", woken.elapsed());
+    let output = fleet.operator(&["audit"]);
+    let trail = String::from_utf8_lossy(&output.stdout).into_owned();
+    assert_eq!(trail.lines().count(), 3, "{trail}");
+    assert!(trail.contains("by ada: apply file"), "{trail}");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn settings_never_go_back() {
+    let mut fleet = Fleet::start(&[]).await;
+    fleet.apply(&file(100)).await;
+    fleet.host("kgn-1", "kgn").await;
+    fleet.wait_shares().await;
+    fleet.apply(&file(200)).await;
+    let admin = fleet.hosts[0].admin.clone();
+    wait_for("revision 2", async || revision(&admin).await == 2).await;
+    fleet.apply(&file(300)).await;
+    wait_for("revision 3", async || revision(&admin).await == 3).await;
+    // The stale rows are those before revision 3 was written.
+    fleet.table.set_stale_reads().await;
+    let deadline = Instant::now() + Duration::from_secs(4);
+    while Instant::now() < deadline {
+        assert_eq!(revision(&admin).await, 3, "a stale reading took hold");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    // A host that starts in an outage takes the settings of a peer.
+    fleet.table.set_fault(TableFault::Down).await;
+    let extras = HostExtras {
+        flags: vec![format!("--seed={}", fleet.hosts[0].peer)],
+        ..HostExtras::default()
+    };
+    let second = fleet.start_host("kgn-2", "kgn", &extras);
+    let admin = fleet.hosts[second].admin.clone();
+    let start = Instant::now();
+    wait_for("a peer's settings", async || revision(&admin).await == 3).await;
+    println!("settings of a peer after {:?}", start.elapsed());
+    assert!(start.elapsed() < FORCE_LIMIT);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn operators_race_and_answers_get_lost() {
+    let fleet = Fleet::start(&[]).await;
+    fleet.apply(&file(100)).await;
+    // A change whose answer is lost, asked for again with its id.
+    fleet.table.set_fault(TableFault::LostAnswers).await;
+    let desk = fleet.desk();
+    let change = SettingsChange::Drain { name: "kgn-9".to_owned() };
+    let lost = desk.change(&change, "change-lost", None).await;
+    assert!(lost.is_err(), "it is in doubt, neither made nor not");
+    fleet.table.set_fault(TableFault::None).await;
+    let again = desk.change(&change, "change-lost", None).await;
+    let made = ChangeResult::AlreadyAccepted { revision: 2 };
+    assert_eq!(again.expect("the table answers"), made);
+    // Two operators change the same revision: one of them is told.
+    let one = SettingsChange::Apply { file: file(300) };
+    let other = SettingsChange::Apply { file: file(400) };
+    let (one, other) = tokio::join!(
+        desk.change(&one, "change-one", Some(2)),
+        desk.change(&other, "change-other", Some(2)),
+    );
+    let results = [one.expect("answers"), other.expect("answers")];
+    let accepted = ChangeResult::Accepted { revision: 3 };
+    let conflict = ChangeResult::Conflict { revision: 3 };
+    assert!(results.contains(&accepted), "{results:?}");
+    assert!(results.contains(&conflict), "{results:?}");
+    // Without a base both are made, one after the other.
+    let drains = (0..8).map(|number| {
+        let desk = desk.clone();
+        async move {
+            let name = format!("runner-{number}");
+            let change = SettingsChange::Drain { name };
+            desk.change(&change, &format!("drain-{number}"), None).await
+        }
+    });
+    let mut made = tokio::task::JoinSet::new();
+    drains.for_each(|drain| {
+        made.spawn(drain);
+    });
+    let made = made.join_all().await;
+    let accepted = made
+        .iter()
+        .filter(|result| matches!(result, Ok(ChangeResult::Accepted { .. })))
+        .count();
+    let state = desk.state().await.expect("the table answers");
+    assert_eq!(state.draining.len(), 1 + accepted);
+    let trail = desk.audit().await.expect("the table answers");
+    assert_eq!(trail.len() as u64, state.revision, "one line a revision");
+}
--- a/crates/system-tests/tests/system/fleet.rs
+++ b/crates/system-tests/tests/system/fleet.rs
@@ -31,7 +31,6 @@
 /// A host's process.
 pub(crate) struct HostProcess {
     pub(crate) name: String,
-    pub(crate) zone: String,
     pub(crate) listen: String,
     pub(crate) peer: String,
     pub(crate) admin: String,
@@ -161,7 +160,6 @@
         };
         self.hosts.push(HostProcess {
             name: name.to_owned(),
-            zone: zone.to_owned(),
             listen: address("listening"),
             peer: address("peer"),
             admin: address("admin"),
--- /dev/null
+++ b/crates/system-tests/tests/system/load.rs
@@ -0,0 +1,105 @@
+//! Callers that send at a rate, and what they got.
+
+use std::time::{Duration, Instant};
+
+use tokio::task::JoinSet;
+
+use crate::client::{Answer, chat, request};
+
+/// What one customer sends.
+#[derive(Clone, Debug)]
+pub(crate) struct LoadPlan {
+    pub(crate) key: &'static str,
+    /// Hosts, taken in turn.
+    pub(crate) hosts: Vec<String>,
+    pub(crate) requests_per_second: f64,
+    pub(crate) length: Duration,
+    pub(crate) max_tokens: u64,
+}
+
+/// One request and what came of it; times in milliseconds since the start.
+#[derive(Clone, Debug)]
+pub(crate) struct LoadRecord {
+    pub(crate) sent: u64,
+    pub(crate) ended: u64,
+    /// `None` where the connection failed.
+    pub(crate) answer: Option<Answer>,
+}
+
+impl LoadRecord {
+    pub(crate) fn is_ok(&self) -> bool {
+        self.answer.as_ref().is_some_and(|answer| answer.status == 200)
+    }
+
+    pub(crate) fn code(&self) -> String {
+        self.answer.as_ref().map(Answer::code).unwrap_or_default()
+    }
+
+    /// Tokens used.
+    pub(crate) fn tokens(&self) -> u64 {
+        let Some(answer) = &self.answer else { return 0 };
+        answer.json()["usage"]["total_tokens"].as_u64().unwrap_or(0)
+    }
+}
+
+/// Sends as planned and returns every request.
+pub(crate) async fn run(plan: &LoadPlan) -> Vec<LoadRecord> {
+    let start = Instant::now();
+    let pause = Duration::from_secs_f64(1.0 / plan.requests_per_second);
+    let mut period = tokio::time::interval(pause);
+    let mut calls = JoinSet::new();
+    let mut turn = 0;
+    while start.elapsed() < plan.length {
+        period.tick().await;
+        let host = plan.hosts[turn % plan.hosts.len()].clone();
+        turn += 1;
+        let ask = chat(plan.key, "outline", plan.max_tokens, false);
+        calls.spawn(async move {
+            let sent = millis(start);
+            let answer = crate::client::call(&host, ask).await.ok();
+            LoadRecord { sent, ended: millis(start), answer }
+        });
+    }
+    let mut records = calls.join_all().await;
+    records.sort_by_key(|record| record.sent);
+    records
+}
+
+/// Returns a window with more tokens than rate and burst allow. A request
+/// counts in a window where it was sent and ended in it, so that it was
+/// surely admitted in it.
+pub(crate) fn excess(
+    records: &[LoadRecord],
+    rate: u64,
+    burst: u64,
+) -> Option<String> {
+    let mut by_end: Vec<&LoadRecord> =
+        records.iter().filter(|record| record.is_ok()).collect();
+    by_end.sort_by_key(|record| record.ended);
+    for first in &by_end {
+        let mut sum = 0;
+        let inside = by_end.iter().filter(|record| first.sent <= record.sent);
+        for record in inside {
+            sum += record.tokens();
+            let window = record.ended - first.sent;
+            if burst * 1_000 + rate * window < sum * 1_000 {
+                return Some(format!("{sum} tokens in {window} ms"));
+            }
+        }
+    }
+    None
+}
+
+/// Reads a metric of a host.
+pub(crate) async fn metric(admin: &str, name: &str) -> f64 {
+    let ask = request("GET", "/metrics", None, "");
+    let page = crate::client::call(admin, ask).await.expect("metrics").body;
+    let mut lines = page.lines();
+    let line = lines.find(|line| line.starts_with(name));
+    let value = line.and_then(|line| line.rsplit(' ').next());
+    value.and_then(|value| value.parse().ok()).unwrap_or(f64::NAN)
+}
+
+fn millis(start: Instant) -> u64 {
+    u64::try_from(start.elapsed().as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/system-tests/tests/system/main.rs
+++ b/crates/system-tests/tests/system/main.rs
@@ -2,5 +2,11 @@
 //! outside systems as stand-ins, faults by proxies and signals.
 
 mod client;
+mod configuration;
 mod fleet;
+mod keys;
+mod load;
+mod once;
+mod rates;
 mod session;
+mod shutdown;
--- /dev/null
+++ b/crates/system-tests/tests/system/once.rs
@@ -0,0 +1,312 @@
+//! At most once, true refusals, and the whole answer to the own request.
+
+use std::time::Duration;
+
+use celerylead_stand_ins::{
+    engine::EngineFault,
+    proxy::{FaultProxy, ProxyFault},
+    service::{ServiceFault, ServiceStandIn},
+};
+
+use crate::{
+    client::{call, chat, request},
+    fleet::{Fleet, TestCustomer, settings_file, wait_for},
+    keys::service_settings,
+};
+
+const KEY: &str = "cl-once-key";
+
+/// Where a fault strikes.
+#[derive(Clone, Copy, Debug)]
+enum OnceFault {
+    Engine(EngineFault),
+    Proxy(ProxyFault),
+}
+
+struct OnceCase {
+    name: &'static str,
+    fault: OnceFault,
+    stream: bool,
+    /// Status, code and outcome that the caller is told; no code for a
+    /// stream that ends with an error event.
+    status: u16,
+    code: &'static str,
+    outcome: &'static str,
+    /// Most runs that the engine may have counted.
+    most_runs: u32,
+}
+
+const CASES: &[OnceCase] = &[
+    OnceCase {
+        name: "cut before the connection",
+        fault: OnceFault::Proxy(ProxyFault::Cut),
+        stream: false,
+        status: 503,
+        code: "no_runner",
+        outcome: "not-run",
+        most_runs: 0,
+    },
+    OnceCase {
+        name: "cut before the first byte is passed on",
+        fault: OnceFault::Proxy(ProxyFault::CutAfterSent(0)),
+        stream: false,
+        status: 502,
+        code: "runner_failed",
+        outcome: "outcome-unknown",
+        most_runs: 0,
+    },
+    OnceCase {
+        name: "cut within the request",
+        fault: OnceFault::Proxy(ProxyFault::CutAfterSent(40)),
+        stream: false,
+        status: 502,
+        code: "runner_failed",
+        outcome: "outcome-unknown",
+        most_runs: 0,
+    },
+    OnceCase {
+        name: "cut before the status",
+        fault: OnceFault::Proxy(ProxyFault::CutAfterReceived(0)),
+        stream: false,
+        status: 502,
+        code: "runner_failed",
+        outcome: "outcome-unknown",
+        most_runs: 1,
+    },
+    OnceCase {
+        name: "cut within the head of the answer",
+        fault: OnceFault::Proxy(ProxyFault::CutAfterReceived(30)),
+        stream: false,
+        status: 502,
+        code: "runner_failed",
+        outcome: "outcome-unknown",
+        most_runs: 1,
+    },
+    OnceCase {
+        name: "cut within the body",
+        fault: OnceFault::Proxy(ProxyFault::CutAfterReceived(180)),
+        stream: false,
+        status: 502,
+        code: "answer_cut",
+        outcome: "outcome-unknown",
+        most_runs: 1,
+    },
+    OnceCase {
+        name: "half open: the request arrives, no answer comes back",
+        fault: OnceFault::Proxy(ProxyFault::HalfOpen),
+        stream: false,
+        status: 504,
+        code: "runner_timeout",
+        outcome: "outcome-unknown",
+        most_runs: 1,
+    },
+    OnceCase {
+        name: "closed after the run, before the head",
+        fault: OnceFault::Engine(EngineFault::CloseBeforeHead),
+        stream: false,
+        status: 502,
+        code: "runner_failed",
+        outcome: "outcome-unknown",
+        most_runs: 1,
+    },
+    OnceCase {
+        name: "an answer to another request",
+        fault: OnceFault::Engine(EngineFault::Crossed),
+        stream: false,
+        status: 502,
+        code: "runner_failed",
+        outcome: "outcome-unknown",
+        most_runs: 1,
+    },
+    OnceCase {
+        name: "no answer at all",
+        fault: OnceFault::Engine(EngineFault::Hang),
+        stream: false,
+        status: 504,
+        code: "runner_timeout",
+        outcome: "outcome-unknown",
+        most_runs: 1,
+    },
+    OnceCase {
+        name: "a whole answer cut short",
+        fault: OnceFault::Engine(EngineFault::CutAfter(1)),
+        stream: false,
+        status: 502,
+        code: "answer_cut",
+        outcome: "outcome-unknown",
+        most_runs: 1,
+    },
+    OnceCase {
+        name: "a stream cut short",
+        fault: OnceFault::Engine(EngineFault::CutAfter(2)),
+        stream: true,
+        status: 200,
+        code: "answer_cut",
+        outcome: "outcome-unknown",
+        most_runs: 1,
+    },
+    OnceCase {
+        name: "a stream that ends without its marker",
+        fault: OnceFault::Engine(EngineFault::NoEndMarker),
+        stream: true,
+        status: 200,
+        code: "answer_cut",
+        outcome: "outcome-unknown",
+        most_runs: 1,
+    },
+    OnceCase {
+        name: "a stream cut within the last chunk",
+        fault: OnceFault::Proxy(ProxyFault::CutAfterReceived(560)),
+        stream: true,
+        status: 200,
+        code: "answer_cut",
+        outcome: "outcome-unknown",
+        most_runs: 1,
+    },
+];
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn completions_run_at_most_once_and_refusals_are_true() {
+    let mut fleet = Fleet::start(&[500.0]).await;
+    let proxy = FaultProxy::start(&fleet.engines[0].address).await;
+    let proxy = proxy.expect("proxy");
+    let customers = [TestCustomer {
+        name: "parish",
+        key: KEY,
+        rate: 90_000,
+        burst: 90_000,
+    }];
+    let engines = [("kgn", proxy.address.as_str())];
+    fleet
+        .apply(&settings_file(
+            &["kgn"],
+            &engines,
+            &customers,
+            "queue_ms = 1500\nhead_timeout_ms = 1000",
+        ))
+        .await;
+    let host = fleet.host("kgn-1", "kgn").await;
+    fleet.wait_shares().await;
+    let listen = fleet.hosts[host].listen.clone();
+    for case in CASES {
+        // A peaceful request first: the runner is in service again.
+        proxy.set_fault(ProxyFault::None);
+        fleet.engines[0].set_fault(EngineFault::None).await;
+        wait_for("the runner to be in service", async || {
+            let answer = call(&listen, chat(KEY, "outline", 1, false)).await;
+            answer.is_ok_and(|answer| answer.status == 200)
+        })
+        .await;
+        // Idle connections are past their time, so the fault meets a new one.
+        tokio::time::sleep(Duration::from_millis(2_100)).await;
+        match case.fault {
+            OnceFault::Engine(fault) => {
+                fleet.engines[0].set_fault(fault).await;
+            }
+            OnceFault::Proxy(fault) => proxy.set_fault(fault),
+        }
+        let ask = chat(KEY, "outline", 3, case.stream);
+        let answer = call(&listen, ask).await.expect("an answer");
+        let id = answer.header("x-request-id").to_owned();
+        let name = case.name;
+        assert_eq!(answer.status, case.status, "{name}: {answer:?}");
+        if case.stream {
+            assert!(!answer.is_done(), "{name}: passed off as whole");
+            assert!(answer.body.contains(case.code), "{name}: {answer:?}");
+            assert!(answer.body.contains(case.outcome), "{name}");
+        } else {
+            assert_eq!(answer.code(), case.code, "{name}: {answer:?}");
+            assert_eq!(answer.outcome(), case.outcome, "{name}");
+        }
+        let runs = fleet.engines[0].runs().await;
+        let ran = runs.iter().find(|(held, _)| *held == id);
+        let ran = ran.map_or(0, |(_, count)| *count);
+        assert!(ran <= case.most_runs, "{name}: ran {ran} times");
+        if case.outcome == "not-run" {
+            assert_eq!(ran, 0, "{name}: a refusal said not-run");
+        }
+    }
+    let runs = fleet.engines[0].runs().await;
+    assert!(runs.iter().all(|(_, count)| *count == 1), "{runs:?}");
+}
+
+/// A call of a plain service whose connection closes after the run.
+struct ServiceCase {
+    method: &'static str,
+    target: &'static str,
+    fault: ServiceFault,
+    status: u16,
+    outcome: &'static str,
+    runs: u32,
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn plain_services_run_again_only_where_that_is_allowed() {
+    let mut fleet = Fleet::start(&[500.0]).await;
+    let first = ServiceStandIn::start("127.0.0.1:0").await.expect("service");
+    let second = ServiceStandIn::start("127.0.0.1:0").await.expect("service");
+    let address = fleet.engines[0].address.clone();
+    let customers =
+        [TestCustomer { name: "parish", key: KEY, rate: 900, burst: 900 }];
+    let engines = [("kgn", address.as_str())];
+    let mut file = settings_file(&["kgn"], &engines, &customers, "");
+    file += &service_settings(&first.address);
+    file += &format!(
+        "[[runner]]\nname = \"clerk-desk-2\"\ngroup = \"clerk-desk\"\n\
+         zone = \"kgn\"\naddress = \"{}\"\n",
+        second.address,
+    );
+    fleet.apply(&file).await;
+    let host = fleet.host("kgn-1", "kgn").await;
+    let listen = fleet.hosts[host].listen.clone();
+    wait_for("the services to report", async || {
+        let ask = request("GET", "/services/records/lookup", Some(KEY), "");
+        call(&listen, ask).await.is_ok_and(|answer| answer.status == 200)
+    })
+    .await;
+    tokio::time::sleep(Duration::from_millis(600)).await;
+    let cases = [
+        ServiceCase {
+            method: "POST",
+            target: "/services/records/invoices",
+            fault: ServiceFault::None,
+            status: 200,
+            outcome: "",
+            runs: 1,
+        },
+        ServiceCase {
+            method: "POST",
+            target: "/services/records/invoices",
+            fault: ServiceFault::CloseAfterRun,
+            status: 502,
+            outcome: "outcome-unknown",
+            runs: 1,
+        },
+        ServiceCase {
+            method: "GET",
+            target: "/services/records/lookup/7",
+            fault: ServiceFault::CloseAfterRun,
+            status: 503,
+            outcome: "outcome-unknown",
+            runs: 2,
+        },
+    ];
+    for case in cases {
+        first.set_fault(case.fault).await;
+        second.set_fault(case.fault).await;
+        let ask = request(case.method, case.target, Some(KEY), "one sheet");
+        let answer = call(&listen, ask).await.expect("an answer");
+        let id = answer.header("x-request-id").to_owned();
+        let name = format!("{} {}", case.method, case.target);
+        assert_eq!(answer.status, case.status, "{name}: {answer:?}");
+        assert_eq!(answer.outcome(), case.outcome, "{name}");
+        let mut runs = first.runs().await;
+        runs.extend(second.runs().await);
+        let ran: u32 = runs
+            .iter()
+            .filter(|(held, _)| *held == id)
+            .map(|(_, count)| *count)
+            .sum();
+        assert_eq!(ran, case.runs, "{name}");
+    }
+}
--- /dev/null
+++ b/crates/system-tests/tests/system/rates.rs
@@ -0,0 +1,220 @@
+//! A customer's rate and burst hold over all hosts together.
+
+use std::time::Duration;
+
+use celerylead_stand_ins::table::TableFault;
+use rustix::process::Signal;
+
+use crate::{
+    fleet::{Fleet, TestCustomer, settings_file},
+    load::{LoadPlan, excess, run},
+};
+
+const KEY: &str = "cl-rates-key";
+const RATE: u64 = 300;
+const BURST: u64 = 900;
+
+/// Faults at seconds of a run against the rate.
+#[derive(Clone, Copy, Debug)]
+enum FleetFault {
+    Freeze(usize),
+    Wake(usize),
+    Kill(usize),
+    Table(TableFault),
+}
+
+struct RateCase {
+    name: &'static str,
+    faults: &'static [(u64, FleetFault)],
+    /// Least part of the allowed tokens that the run must still serve.
+    least_served: f64,
+}
+
+async fn over_the_rate(case: &RateCase) {
+    let mut fleet = Fleet::start(&[2_000.0, 2_000.0]).await;
+    let customers =
+        [TestCustomer { name: "parish", key: KEY, rate: RATE, burst: BURST }];
+    let addresses: Vec<String> =
+        fleet.engines.iter().map(|engine| engine.address.clone()).collect();
+    let engines =
+        [("kgn", addresses[0].as_str()), ("spt", addresses[1].as_str())];
+    fleet
+        .apply(&settings_file(
+            &["kgn", "spt"],
+            &engines,
+            &customers,
+            "slots = 64\nstanding_hold_s = 600",
+        ))
+        .await;
+    for (name, zone) in [
+        ("kgn-1", "kgn"),
+        ("kgn-2", "kgn"),
+        ("spt-1", "spt"),
+        ("spt-2", "spt"),
+    ] {
+        fleet.host(name, zone).await;
+    }
+    fleet.wait_shares().await;
+    let length = Duration::from_secs(14);
+    let plan = LoadPlan {
+        key: KEY,
+        hosts: fleet.hosts.iter().map(|host| host.listen.clone()).collect(),
+        requests_per_second: 60.0,
+        length,
+        max_tokens: 12,
+    };
+    let load = tokio::spawn(async move { run(&plan).await });
+    let start = tokio::time::Instant::now();
+    for (second, fault) in case.faults {
+        tokio::time::sleep_until(start + Duration::from_secs(*second)).await;
+        match fault {
+            FleetFault::Freeze(host) => {
+                fleet.hosts[*host].signal(Signal::STOP)
+            }
+            FleetFault::Wake(host) => fleet.hosts[*host].signal(Signal::CONT),
+            FleetFault::Kill(host) => fleet.hosts[*host].kill(),
+            FleetFault::Table(fault) => fleet.table.set_fault(*fault).await,
+        }
+    }
+    let records = load.await.expect("the load runs to its end");
+    assert_eq!(excess(&records, RATE, BURST), None, "{}", case.name);
+    let served: u64 = records.iter().map(|record| record.tokens()).sum();
+    let allowed = RATE * length.as_secs() + BURST;
+    let part = served as f64 / allowed as f64;
+    println!("{}: served {part:.3} of the allowed tokens", case.name);
+    assert!(case.least_served <= part, "{}: served {part}", case.name);
+    let offered = records.len() as u64 * 16;
+    assert!(allowed < offered, "the load must exceed the rate");
+}
+
+macro_rules! rate_tests {
+    ($($test:ident: $case:expr;)+) => {$(
+        #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+        async fn $test() {
+            over_the_rate(&$case).await;
+        }
+    )+};
+}
+
+rate_tests! {
+    rate_holds_in_peace: RateCase {
+        name: "peace",
+        faults: &[],
+        least_served: 0.9,
+    };
+    rate_holds_when_holders_freeze_and_die: RateCase {
+        name: "freeze longer than the lease, and a kill",
+        faults: &[
+            (2, FleetFault::Freeze(0)),
+            (3, FleetFault::Kill(2)),
+            (9, FleetFault::Wake(0)),
+        ],
+        least_served: 0.3,
+    };
+    rate_holds_in_an_outage_with_a_kill: RateCase {
+        name: "table down, a kill in it, lost answers after it",
+        faults: &[
+            (1, FleetFault::Table(TableFault::Down)),
+            (2, FleetFault::Kill(1)),
+            (8, FleetFault::Table(TableFault::LostAnswers)),
+            (11, FleetFault::Table(TableFault::None)),
+        ],
+        least_served: 0.3,
+    };
+}
+
+/// One customer sends four times its rate, four keep within theirs, each at
+/// a host of its own.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn customers_inside_their_rate_are_not_refused() {
+    const KEYS: [&str; 5] =
+        ["cl-rate-0", "cl-rate-1", "cl-rate-2", "cl-rate-3", "cl-rate-4"];
+    const NAMES: [&str; 5] = ["c0", "c1", "c2", "c3", "c4"];
+    let mut fleet = Fleet::start(&[2_000.0, 2_000.0]).await;
+    let customers: Vec<TestCustomer> = NAMES
+        .into_iter()
+        .zip(KEYS)
+        .map(|(name, key)| TestCustomer {
+            name,
+            key,
+            rate: RATE,
+            burst: BURST,
+        })
+        .collect();
+    let addresses: Vec<String> =
+        fleet.engines.iter().map(|engine| engine.address.clone()).collect();
+    let engines =
+        [("z0", addresses[0].as_str()), ("z2", addresses[1].as_str())];
+    let zones = ["z0", "z1", "z2", "z3"];
+    let file = settings_file(&zones, &engines, &customers, "slots = 64");
+    fleet.apply(&file).await;
+    for place in 0..8 {
+        let zone = zones[place / 2];
+        fleet.host(&format!("{zone}-{place}"), zone).await;
+    }
+    fleet.wait_shares().await;
+    let mut loads = Vec::new();
+    for (place, key) in KEYS.into_iter().enumerate() {
+        // A request uses 16 tokens at most: 15 a second are 0.8 of the rate.
+        let plan = LoadPlan {
+            key,
+            hosts: vec![fleet.hosts[place].listen.clone()],
+            requests_per_second: if place == 0 { 75.0 } else { 15.0 },
+            length: Duration::from_secs(20),
+            max_tokens: 12,
+        };
+        loads.push(tokio::spawn(async move { run(&plan).await }));
+    }
+    let mut sent = 0;
+    let mut refused = 0;
+    for (place, load) in loads.into_iter().enumerate() {
+        let records = load.await.expect("the load runs to its end");
+        assert_eq!(excess(&records, RATE, BURST), None, "{}", NAMES[place]);
+        let ok = records.iter().filter(|record| record.is_ok()).count();
+        println!("{}: {ok} of {} answered", NAMES[place], records.len());
+        if place == 0 {
+            assert!(ok < records.len(), "the flood is refused in part");
+            continue;
+        }
+        sent += records.len();
+        let limited =
+            records.iter().filter(|record| record.code() == "rate_limited");
+        refused += limited.count();
+        assert_eq!(ok, records.len(), "{}", NAMES[place]);
+    }
+    println!("refused inside the rate: {refused} of {sent}");
+    assert_eq!(refused, 0);
+}
+
+/// The rate is doubled and halved under load; each figure holds in turn.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_changed_rate_holds_within_seconds() {
+    let mut fleet = Fleet::start(&[2_000.0]).await;
+    let address = fleet.engines[0].address.clone();
+    let file = |rate: u64| {
+        let customers =
+            [TestCustomer { name: "parish", key: KEY, rate, burst: BURST }];
+        let engines = [("kgn", address.as_str())];
+        settings_file(&["kgn"], &engines, &customers, "slots = 64")
+    };
+    fleet.apply(&file(RATE)).await;
+    fleet.host("kgn-1", "kgn").await;
+    fleet.host("kgn-2", "kgn").await;
+    fleet.wait_shares().await;
+    let plan = LoadPlan {
+        key: KEY,
+        hosts: fleet.hosts.iter().map(|host| host.listen.clone()).collect(),
+        requests_per_second: 60.0,
+        length: Duration::from_secs(16),
+        max_tokens: 12,
+    };
+    let load = tokio::spawn(async move { run(&plan).await });
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    fleet.apply(&file(RATE / 3)).await;
+    let records = load.await.expect("the load runs to its end");
+    // Within 5 s of the change the smaller rate is in force everywhere.
+    let late: Vec<_> =
+        records.into_iter().filter(|record| 10_000 <= record.sent).collect();
+    assert!(late.iter().any(|record| record.is_ok()));
+    assert_eq!(excess(&late, RATE / 3, BURST), None);
+}
--- /dev/null
+++ b/crates/system-tests/tests/system/shutdown.rs
@@ -0,0 +1,144 @@
+//! Leaving and shutdown: no request is cut off, no new work for a leaver.
+
+use std::time::{Duration, Instant};
+
+use celerylead::settings::SettingsChange;
+use rustix::process::Signal;
+
+use crate::{
+    client::{call, chat},
+    fleet::{Fleet, TestCustomer, settings_file, wait_for},
+    load::{LoadPlan, run},
+};
+
+const KEY: &str = "cl-shutdown-key";
+/// A leaving runner gets no new work after this time.
+const LEAVE_LIMIT: Duration = Duration::from_secs(3);
+
+async fn two_hosts(speeds: &[f64]) -> Fleet {
+    let mut fleet = Fleet::start(speeds).await;
+    let customers = [TestCustomer {
+        name: "parish",
+        key: KEY,
+        rate: 90_000,
+        burst: 90_000,
+    }];
+    let addresses: Vec<String> =
+        fleet.engines.iter().map(|engine| engine.address.clone()).collect();
+    let engines: Vec<(&str, &str)> =
+        addresses.iter().map(|address| ("kgn", address.as_str())).collect();
+    fleet
+        .apply(&settings_file(
+            &["kgn"],
+            &engines,
+            &customers,
+            "slots = 64\nmax_output_tokens = 1000",
+        ))
+        .await;
+    fleet.host("kgn-1", "kgn").await;
+    fleet.host("kgn-2", "kgn").await;
+    fleet.wait_shares().await;
+    fleet
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_shutdown_cuts_off_no_stream() {
+    let mut fleet = two_hosts(&[20.0]).await;
+    let listen = fleet.hosts[0].listen.clone();
+    let streams: Vec<_> = (0..4)
+        .map(|_| {
+            let listen = listen.clone();
+            let ask = chat(KEY, "outline", 160, true);
+            tokio::spawn(async move { call(&listen, ask).await })
+        })
+        .collect();
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let start = Instant::now();
+    fleet.hosts[0].signal(Signal::TERM);
+    // The balancer hasn't noticed yet and still sends.
+    let answer = call(&listen, chat(KEY, "outline", 1, false)).await;
+    assert_eq!(answer.expect("an answer").status, 200);
+    for stream in streams {
+        let answer = stream.await.expect("a stream").expect("an answer");
+        assert!(answer.is_done(), "a stream was cut off");
+        let words = answer.body.matches("word").count();
+        assert_eq!(words, 160);
+    }
+    let streamed = start.elapsed();
+    println!("streams ended {streamed:?} after the signal");
+    assert!(Duration::from_secs(5) < streamed, "they outlived the signal");
+    assert!(fleet.hosts[0].wait_end().await, "the host ends cleanly");
+    let recorded = fleet.objects.objects().await;
+    let records: usize = recorded
+        .iter()
+        .map(|(_, batch)| batch["records"].as_array().map_or(0, Vec::len))
+        .sum();
+    assert_eq!(records, 5, "each whole answer is recorded once");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_rolling_replacement_loses_no_request() {
+    let mut fleet = two_hosts(&[200.0]).await;
+    let mut answered = 0;
+    for place in 0..2 {
+        // The balancer sends to a host until its readiness says no, and not
+        // after its grace.
+        let leaving = fleet.hosts[place].listen.clone();
+        let staying = fleet.hosts[1 + place].listen.clone();
+        let plan = |hosts: Vec<String>, millis| LoadPlan {
+            key: KEY,
+            hosts,
+            requests_per_second: 40.0,
+            length: Duration::from_millis(millis),
+            max_tokens: 40,
+        };
+        let to_leaving = plan(vec![leaving], 1_200);
+        let to_staying = plan(vec![staying], 4_000);
+        let loads = [to_leaving, to_staying]
+            .map(|plan| tokio::spawn(async move { run(&plan).await }));
+        tokio::time::sleep(Duration::from_millis(900)).await;
+        fleet.hosts[place].signal(Signal::TERM);
+        let name = format!("kgn-{}", 3 + place);
+        fleet.host(&name, "kgn").await;
+        for load in loads {
+            for record in load.await.expect("the load runs to its end") {
+                assert!(record.is_ok(), "{record:?}");
+                answered += 1;
+            }
+        }
+        assert!(fleet.hosts[place].wait_end().await, "it ends cleanly");
+    }
+    println!("{answered} requests answered during two replacements");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_leaving_runner_gets_no_new_work() {
+    let fleet = two_hosts(&[100.0, 100.0]).await;
+    let plan = LoadPlan {
+        key: KEY,
+        hosts: fleet.hosts.iter().map(|host| host.listen.clone()).collect(),
+        requests_per_second: 40.0,
+        length: Duration::from_secs(8),
+        max_tokens: 20,
+    };
+    let load = tokio::spawn(async move { run(&plan).await });
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert!(0 < fleet.engines[0].runs().await.len(), "it works at first");
+    let change = SettingsChange::Drain { name: "expander-0".to_owned() };
+    fleet.change(&change).await;
+    tokio::time::sleep(LEAVE_LIMIT).await;
+    let before = fleet.engines[0].runs().await.len();
+    for record in load.await.expect("the load runs to its end") {
+        assert!(record.is_ok(), "{record:?}");
+    }
+    let after = fleet.engines[0].runs().await.len();
+    assert_eq!(before, after, "new work for a leaving runner");
+    let change = SettingsChange::Resume { name: "expander-0".to_owned() };
+    fleet.change(&change).await;
+    let listen = fleet.hosts[0].listen.clone();
+    wait_for("the runner to be back", async || {
+        let _ = call(&listen, chat(KEY, "outline", 1, false)).await;
+        after < fleet.engines[0].runs().await.len()
+    })
+    .await;
+}
