--- a/crates/playground/src/main.rs
+++ b/crates/playground/src/main.rs
@@ -1,1 +1,204 @@
-fn main() {}
+//! Two hosts, the outside systems as stand-ins and a small tree of settings,
+//! all as tasks of one process, to try celerylead without anything else.
+
+use std::time::Duration;
+
+use anyhow::Context as _;
+use celerylead::{
+    PeerIdentity,
+    customer::CallerKey,
+    host::{HostOptions, RunningHost},
+    operator::{ChangeResult, SettingsDesk},
+    platform::TableClient,
+    settings::SettingsChange,
+};
+use celerylead_stand_ins::{
+    certificates::TestAuthority,
+    engine::{EngineOptions, EngineStandIn},
+    objects::ObjectStandIn,
+    service::ServiceStandIn,
+    table::TableStandIn,
+};
+
+/// Key of the playground's customer.
+const KEY: &str = "cl-playground";
+const ANY_PORT: &str = "127.0.0.1:0";
+const ZONES: [&str; 2] = ["kgn", "spt"];
+
+/// The systems around the hosts.
+struct Surroundings {
+    table: TableStandIn,
+    objects: ObjectStandIn,
+    engines: Vec<EngineStandIn>,
+    service: ServiceStandIn,
+}
+
+#[tokio::main]
+async fn main() -> anyhow::Result<()> {
+    celerylead::log::start("warn")?;
+    let around = start_surroundings().await?;
+    let table = around.table.address.as_str();
+    apply(table, &settings_file(&around)).await?;
+    let hosts = start_hosts(&around).await?;
+    let listen = &hosts[0].listen;
+    println!("table service: {table}");
+    for host in &hosts {
+        println!("host: callers {} admin {}", host.listen, host.admin_listen);
+    }
+    println!();
+    println!("A first request:");
+    println!();
+    println!(
+        "curl -N http://{listen}/v1/chat/completions \
+         -H 'authorization: Bearer {KEY}' \
+         -d '{{\"model\": \"outline\", \"stream\": true, \"messages\": \
+         [{{\"role\": \"user\", \"content\": \"hello\"}}]}}'"
+    );
+    println!();
+    println!("The operators' command line:");
+    println!();
+    println!("cargo run --bin celerylead -- --table {table} status");
+    println!();
+    println!("Ends with control-C.");
+    tokio::signal::ctrl_c().await?;
+    for host in hosts {
+        host.shut_down().await;
+    }
+    Ok(())
+}
+
+async fn start_surroundings() -> anyhow::Result<Surroundings> {
+    let mut engines = Vec::new();
+    for tokens_per_second in [80.0, 30.0] {
+        let options = EngineOptions {
+            tokens_per_second,
+            models: vec!["outline".to_owned(), "ledger".to_owned()],
+            memory_mb: 1_000,
+        };
+        engines.push(EngineStandIn::start(ANY_PORT, &options).await?);
+    }
+    Ok(Surroundings {
+        table: TableStandIn::start(ANY_PORT).await?,
+        objects: ObjectStandIn::start(ANY_PORT).await?,
+        engines,
+        service: ServiceStandIn::start(ANY_PORT).await?,
+    })
+}
+
+async fn start_hosts(
+    around: &Surroundings,
+) -> anyhow::Result<Vec<RunningHost>> {
+    let authority = TestAuthority::generate()?;
+    let mut hosts = Vec::new();
+    for zone in ZONES {
+        let issued = authority.issue(&[celerylead::PEER_NAME])?;
+        let options = HostOptions {
+            host: format!("{zone}-1"),
+            zone: zone.to_owned(),
+            listen: ANY_PORT.to_owned(),
+            peer_listen: ANY_PORT.to_owned(),
+            peer_address: None,
+            admin_listen: ANY_PORT.to_owned(),
+            table: around.table.address.clone(),
+            objects: Some(around.objects.address.clone()),
+            seeds: Vec::new(),
+            credential: "playground".to_owned(),
+            identity: PeerIdentity {
+                authority: issued.authority,
+                certificate: issued.certificate,
+                key: issued.key,
+            },
+            caller_tls: None,
+            lease_ttl: Duration::from_secs(10),
+            drain_grace: Duration::from_millis(500),
+            drain_limit: Duration::from_secs(10),
+        };
+        hosts.push(celerylead::host::start(&options).await?);
+    }
+    Ok(hosts)
+}
+
+async fn apply(table: &str, file: &str) -> anyhow::Result<()> {
+    let desk = SettingsDesk::new(&TableClient::new(table), "playground");
+    let change = SettingsChange::Apply { file: file.to_owned() };
+    let result = desk.change(&change, "playground", None).await?;
+    match result {
+        ChangeResult::Accepted { .. } => Ok(()),
+        other => Err(anyhow::anyhow!("{other:?}"))
+            .context("the playground's settings were not accepted"),
+    }
+}
+
+/// Settings of the playground; the README's tour changes them.
+fn settings_file(around: &Surroundings) -> String {
+    let hash = CallerKey::shown(KEY).hash();
+    let [fast, slow] = &around.engines[..] else { return String::new() };
+    let (fast, slow) = (&fast.address, &slow.address);
+    let service = &around.service.address;
+    format!(
+        r#"[defaults]
+max_output_tokens = 64
+
+[[region]]
+name = "jm-south"
+
+[[zone]]
+name = "kgn"
+region = "jm-south"
+
+[[zone]]
+name = "spt"
+region = "jm-south"
+
+[[group]]
+name = "expander"
+kind = "model"
+set = {{ memory_mb = 1000 }}
+
+[[group]]
+name = "clerk-desk"
+kind = "service"
+
+[[runner]]
+name = "expander-1"
+group = "expander"
+zone = "kgn"
+address = "{fast}"
+
+[[runner]]
+name = "expander-2"
+group = "expander"
+zone = "spt"
+address = "{slow}"
+
+[[runner]]
+name = "clerk-desk-1"
+group = "clerk-desk"
+zone = "kgn"
+address = "{service}"
+
+[[model]]
+name = "outline"
+group = "expander"
+size_mb = 400
+
+[[model]]
+name = "ledger"
+group = "expander"
+size_mb = 300
+
+[[service]]
+name = "records"
+group = "clerk-desk"
+
+[[customer]]
+name = "parish"
+set = {{ rate = 500, burst = 2000 }}
+
+[[key]]
+name = "parish-desk"
+customer = "parish"
+sha256 = "{hash}"
+"#
+    )
+}
