--- a/crates/celerylead/src/customer/tests/division.rs
+++ b/crates/celerylead/src/customer/tests/division.rs
@@ -239,6 +239,7 @@
             standing_deadline: deadline.after(HOLD),
             revision: 1,
             phase: LeasePhase::Serving,
+            demand: Default::default(),
         };
         self.versions += 1;
         self.leases[place] = Some((lease, self.versions));
--- a/crates/celerylead/src/lib.rs
+++ b/crates/celerylead/src/lib.rs
@@ -10,14 +10,15 @@
 //! | [`settings`] | the tree: inheritance, checks, revisions |
 //! | [`customer`] | keys, rates and how they are divided |
 //! | [`model`] | models and adapters |
-//! | [`runner`] | backend servers and their life cycle |
+//! | [`runner`] | backend servers: life cycle, memory ledger |
+//! | [`placement`] | which model is resident where |
 //! | [`request`] | life cycle, refusals, routing, the fair queue |
 //! | [`membership`] | hosts and their leases |
 //! | [`usage`] | what is billed |
 //! | [`platform`] | the table service and the keys of our rows |
 //! | [`host`] | a whole host: sockets, tasks, shutdown |
 //!
-//! The first seven are aggregates: types and rules without input or output,
+//! The first eight are aggregates: types and rules without input or output,
 //! which take the time as a parameter. Tasks and encodings are apart.
 //!
 //! # Examples
@@ -41,6 +42,7 @@
 mod metrics;
 pub mod model;
 pub mod operator;
+pub mod placement;
 pub mod platform;
 pub mod request;
 pub mod runner;
--- a/crates/celerylead/src/membership/lease.rs
+++ b/crates/celerylead/src/membership/lease.rs
@@ -4,7 +4,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::clock::{ClockBound, EpochMillis};
+use crate::{
+    clock::{ClockBound, EpochMillis},
+    placement::ModelDemand,
+};
 
 /// A host in one of its lives: an incarnation ends with its process.
 #[derive(
@@ -48,6 +51,8 @@
     pub revision: u64,
     /// What it does.
     pub phase: LeasePhase,
+    /// Tokens a second that it was asked for, by model.
+    pub demand: ModelDemand,
 }
 
 impl HostLease {
@@ -75,6 +80,7 @@
     ///     standing_deadline: EpochMillis(70_000),
     ///     revision: 1,
     ///     phase: LeasePhase::Serving,
+    ///     demand: Default::default(),
     /// };
     /// // Around the deadline neither the holder nor a successor may act.
     /// let now = ClockBound::around(EpochMillis(10_000));
--- a/crates/celerylead/src/membership/tests.rs
+++ b/crates/celerylead/src/membership/tests.rs
@@ -11,6 +11,7 @@
         standing_deadline: EpochMillis(60_000),
         revision: 1,
         phase: LeasePhase::Serving,
+        demand: Default::default(),
     }
 }
 
--- /dev/null
+++ b/crates/celerylead/src/placement/demand.rs
@@ -0,0 +1,70 @@
+//! Demand for each model, as a host sees it.
+
+use std::time::Duration;
+
+use crate::{clock::EpochMillis, sorted::SortedTable};
+
+/// Time in which a past demand counts for half.
+const HALF_LIFE: Duration = Duration::from_secs(10);
+/// Demand below which a model isn't reported, in tokens a second.
+const LEAST_DEMAND: u64 = 1;
+
+/// Tokens a second by model.
+pub type ModelDemand = SortedTable<String, u64>;
+
+/// Measures the demand for each model.
+///
+/// # Examples
+///
+/// ```
+/// use celerylead::{EpochMillis, placement::DemandMeter};
+///
+/// let mut meter = DemandMeter::default();
+/// meter.note("outline", 1_000, EpochMillis(0));
+/// assert!(60 < *meter.rates(EpochMillis(0)).get("outline").unwrap());
+/// assert!(meter.rates(EpochMillis(300_000)).is_empty());
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct DemandMeter {
+    models: SortedTable<String, DecayedSum>,
+}
+
+/// Tokens, each counted for less as it gets older.
+#[derive(Clone, Copy, Debug, Default)]
+struct DecayedSum {
+    tokens: f64,
+    noted: EpochMillis,
+}
+
+impl DecayedSum {
+    fn at(&self, now: EpochMillis) -> f64 {
+        let age = self.noted.until(now).as_secs_f64();
+        self.tokens * 0.5_f64.powf(age / HALF_LIFE.as_secs_f64())
+    }
+}
+
+impl DemandMeter {
+    /// Notes a request of `tokens` for a model.
+    pub fn note(&mut self, model: &str, tokens: u64, now: EpochMillis) {
+        if let Some(sum) = self.models.get_mut(model) {
+            *sum =
+                DecayedSum { tokens: sum.at(now) + tokens as f64, noted: now };
+            return;
+        }
+        let sum = DecayedSum { tokens: tokens as f64, noted: now };
+        self.models.insert(model.to_owned(), sum);
+    }
+
+    /// Returns the demand for each model, in tokens a second.
+    pub fn rates(&self, now: EpochMillis) -> ModelDemand {
+        // A steady demand d sums up to d times the mean life.
+        let mean_life = HALF_LIFE.as_secs_f64() / std::f64::consts::LN_2;
+        self.models
+            .iter()
+            .map(|(model, sum)| {
+                (model.clone(), (sum.at(now) / mean_life) as u64)
+            })
+            .filter(|(_, rate)| LEAST_DEMAND <= *rate)
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/celerylead/src/placement/order.rs
@@ -0,0 +1,78 @@
+//! The next order that brings a runner closer to the plan.
+
+use crate::{
+    runner::{OrderKind, RunnerLedger, RunnerReport},
+    settings::SettingsTree,
+};
+
+/// A runner as its owner sees it.
+#[derive(Clone, Copy, Debug)]
+pub struct OwnedRunner<'a> {
+    /// Its ledger.
+    pub ledger: &'a RunnerLedger,
+    /// What it last reported.
+    pub report: &'a RunnerReport,
+    /// Its memory, in MB.
+    pub memory_mb: u64,
+    /// Models that the plan wants on it.
+    pub target: &'a [String],
+}
+
+/// An order to give.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OrderDraft {
+    /// What to do.
+    pub kind: OrderKind,
+    /// The model.
+    pub model: String,
+    /// Its memory with adapters, in MB.
+    pub size_mb: u64,
+    /// The runner whose copy stays, for an unload of a model in use: its
+    /// ledger must be unchanged when the order is reserved.
+    pub survivor: Option<String>,
+}
+
+impl OwnedRunner<'_> {
+    /// Returns the next order, if one is due and none is out.
+    ///
+    /// `survivor` names another runner on which a model is resident and
+    /// stays so. Without one a model that is in the settings isn't unloaded.
+    pub fn next_order(
+        &self,
+        tree: &SettingsTree,
+        survivor: impl Fn(&str) -> Option<String>,
+    ) -> Option<OrderDraft> {
+        if !self.ledger.orders.is_empty() {
+            return None;
+        }
+        let resident = &self.report.models;
+        let missing = self.target.iter().find(|m| !resident.contains(m))?;
+        let size_of = |model: &str| tree.resident_mb(model);
+        let size_mb = size_of(missing);
+        let committed = self.ledger.committed_mb(self.report, size_of);
+        if committed + size_mb <= self.memory_mb {
+            return Some(OrderDraft {
+                kind: OrderKind::Load,
+                model: missing.clone(),
+                size_mb,
+                survivor: None,
+            });
+        }
+        let unwanted =
+            resident.iter().filter(|model| !self.target.contains(model));
+        for model in unwanted {
+            let known = tree.model(model).is_some();
+            let survivor = survivor(model);
+            if known && survivor.is_none() {
+                continue;
+            }
+            return Some(OrderDraft {
+                kind: OrderKind::Unload,
+                model: model.clone(),
+                size_mb: size_of(model),
+                survivor,
+            });
+        }
+        None
+    }
+}
--- /dev/null
+++ b/crates/celerylead/src/placement/tests.rs
@@ -0,0 +1,106 @@
+use super::{ModelNeed, PlacementPlan, RunnerRoom, next_plan};
+
+struct PlanCase {
+    name: &'static str,
+    /// Memory of each runner, in MB, and what is resident.
+    rooms: &'static [(u64, &'static [&'static str])],
+    /// Name, memory, demand, whether another zone has it.
+    needs: &'static [(&'static str, u64, u64, bool)],
+    /// Models of each runner after so many turns.
+    turns: usize,
+    planned: &'static [&'static [&'static str]],
+}
+
+#[test]
+fn plans_reach_every_model_and_follow_demand() {
+    let cases = [
+        PlanCase {
+            name: "every model once, the largest first",
+            rooms: &[(100, &[]), (100, &[])],
+            needs: &[
+                ("a", 60, 0, false),
+                ("b", 60, 0, false),
+                ("c", 40, 0, false),
+            ],
+            turns: 1,
+            planned: &[&["a", "c"], &["b"]],
+        },
+        PlanCase {
+            name: "room that is left goes to demand",
+            rooms: &[(100, &["a"]), (100, &["b"])],
+            needs: &[("a", 50, 900, false), ("b", 50, 10, false)],
+            turns: 2,
+            planned: &[&["a", "b"], &["a", "b"]],
+        },
+        PlanCase {
+            name: "a new model takes the place of a further copy",
+            rooms: &[(100, &["a", "b"]), (100, &["a", "b"])],
+            needs: &[
+                ("a", 50, 90, false),
+                ("b", 50, 10, false),
+                ("c", 50, 0, false),
+            ],
+            turns: 1,
+            planned: &[&["a", "c"], &["a", "b"]],
+        },
+        PlanCase {
+            name: "a last copy is never given up",
+            rooms: &[(50, &["a"]), (50, &["b"])],
+            needs: &[("a", 50, 0, false), ("b", 50, 9_000, false)],
+            turns: 3,
+            planned: &[&["a"], &["b"]],
+        },
+        PlanCase {
+            name: "a small difference in demand moves nothing",
+            rooms: &[(50, &["a"]), (50, &["a"]), (50, &["b"])],
+            needs: &[("a", 50, 100, false), ("b", 50, 150, false)],
+            turns: 3,
+            planned: &[&["a"], &["a"], &["b"]],
+        },
+        PlanCase {
+            name: "a large one moves a copy",
+            rooms: &[(50, &["a"]), (50, &["a"]), (50, &["b"])],
+            needs: &[("a", 50, 100, false), ("b", 50, 900, false)],
+            turns: 3,
+            planned: &[&["b"], &["a"], &["b"]],
+        },
+        PlanCase {
+            name: "where not all fit, what no other zone has goes first",
+            rooms: &[(50, &[])],
+            needs: &[("a", 50, 900, true), ("b", 50, 0, false)],
+            turns: 2,
+            planned: &[&["b"]],
+        },
+    ];
+    for case in cases {
+        let rooms: Vec<RunnerRoom> = case
+            .rooms
+            .iter()
+            .enumerate()
+            .map(|(place, (memory_mb, resident))| RunnerRoom {
+                name: format!("r{place}"),
+                group: "g".to_owned(),
+                memory_mb: *memory_mb,
+                resident: resident.iter().map(|m| (*m).to_owned()).collect(),
+            })
+            .collect();
+        let needs: Vec<ModelNeed> = case
+            .needs
+            .iter()
+            .map(|(name, size_mb, demand, elsewhere)| ModelNeed {
+                name: (*name).to_owned(),
+                group: "g".to_owned(),
+                size_mb: *size_mb,
+                demand: *demand,
+                elsewhere: *elsewhere,
+            })
+            .collect();
+        let mut plan = PlacementPlan::default();
+        for _ in 0..case.turns {
+            plan = next_plan(&plan, &rooms, &needs, 1);
+        }
+        let planned: Vec<Vec<String>> =
+            plan.targets.values().cloned().collect();
+        assert_eq!(planned, case.planned, "{}", case.name);
+    }
+}
--- a/crates/celerylead/src/platform.rs
+++ b/crates/celerylead/src/platform.rs
@@ -16,6 +16,8 @@
 pub const SETTINGS_STATE: &str = "settings/state";
 /// Prefix of the rows with the parts of rates.
 pub const SHARES_PREFIX: &str = "shares/";
+/// Prefix of the zones' placements.
+pub const PLACEMENT_PREFIX: &str = "placement/";
 /// Prefix of the audit trail's rows.
 pub const AUDIT_PREFIX: &str = "audit/";
 
@@ -63,6 +65,40 @@
     format!("{SHARES_PREFIX}{customer}")
 }
 
+/// Returns the prefix of the ledgers of a zone's runners.
+///
+/// # Examples
+///
+/// ```
+/// assert_eq!(celerylead::platform::ledgers_prefix("kgn"), "runners/kgn/");
+/// ```
+pub fn ledgers_prefix(zone: &str) -> String {
+    format!("runners/{zone}/")
+}
+
+/// Returns the key of a runner's ledger.
+///
+/// # Examples
+///
+/// ```
+/// let key = celerylead::platform::ledger_key("kgn", "expander-1");
+/// assert_eq!(key, "runners/kgn/expander-1");
+/// ```
+pub fn ledger_key(zone: &str, runner: &str) -> String {
+    format!("runners/{zone}/{runner}")
+}
+
+/// Returns the key of a zone's placement.
+///
+/// # Examples
+///
+/// ```
+/// assert_eq!(celerylead::platform::placement_key("kgn"), "placement/kgn");
+/// ```
+pub fn placement_key(zone: &str) -> String {
+    format!("{PLACEMENT_PREFIX}{zone}")
+}
+
 /// Returns the key of the audit entry of a revision.
 ///
 /// # Examples
--- a/crates/celerylead/src/request/life.rs
+++ b/crates/celerylead/src/request/life.rs
@@ -38,6 +38,11 @@
 #[derive(Debug)]
 pub struct UnsentProof(pub(crate) ());
 
+/// Proof that a runner refused a request before it ran it; only the code
+/// that read the refusal makes one.
+#[derive(Debug)]
+pub struct TurnedAwayProof(pub(crate) ());
+
 /// State: read from the caller, nothing charged.
 #[derive(Debug)]
 pub struct Received(());
@@ -136,6 +141,12 @@
         self.into_state(Admitted { maybe_run_by })
     }
 
+    /// Takes the request back, as the runner said that it didn't run it.
+    pub fn turned_away(self, _proof: TurnedAwayProof) -> Request<Admitted> {
+        let maybe_run_by = self.state.maybe_run_by.clone();
+        self.into_state(Admitted { maybe_run_by })
+    }
+
     /// Lets an idempotent request run again.
     ///
     /// # Errors
--- a/crates/celerylead/src/request/mod.rs
+++ b/crates/celerylead/src/request/mod.rs
@@ -16,7 +16,8 @@
 
 pub use self::{
     life::{
-        Admitted, Answered, Received, Request, RequestId, Sent, UnsentProof,
+        Admitted, Answered, Received, Request, RequestId, Sent,
+        TurnedAwayProof, UnsentProof,
     },
     queue::FairQueue,
     refusal::{Refusal, RefusalCode, RunOutcome},
--- a/crates/celerylead/src/runner/life.rs
+++ b/crates/celerylead/src/runner/life.rs
@@ -18,6 +18,10 @@
     pub used_mb: u64,
     /// Accelerator memory in all, in MB.
     pub memory_mb: u64,
+    /// Highest fencing number seen, of an engine that checks it.
+    pub fence: u64,
+    /// Whether a load is under way.
+    pub loading: bool,
 }
 
 /// Speed of a runner as learned from its answers.
--- a/crates/celerylead/src/runner/mod.rs
+++ b/crates/celerylead/src/runner/mod.rs
@@ -4,11 +4,15 @@
 //! work, and `Leaving` once it is drained or gone from the settings. Routing
 //! sees only `Serving` runners, by type.
 
+mod ledger;
 mod life;
 
 #[cfg(test)]
 mod tests;
 
-pub use self::life::{
-    Joining, Leaving, Runner, RunnerReport, RunnerSpeed, Serving,
+pub use self::{
+    ledger::{
+        ORDER_QUARANTINE, OrderKind, ReadReport, RunnerLedger, RunnerOrder,
+    },
+    life::{Joining, Leaving, Runner, RunnerReport, RunnerSpeed, Serving},
 };
--- /dev/null
+++ b/crates/celerylead/src/runner/tests/ledger.rs
@@ -0,0 +1,220 @@
+//! The ledger, under random interleavings of owners, orders and engines:
+//! orders that arrive late or never, reports from before, new owners.
+
+use proptest::prelude::{Strategy, prop, prop_assert, prop_oneof, proptest};
+
+use crate::{
+    clock::EpochMillis,
+    membership::HostTag,
+    runner::{
+        ORDER_QUARANTINE, OrderKind, ReadReport, RunnerLedger, RunnerOrder,
+        RunnerReport,
+    },
+};
+
+const MEMORY_MB: u64 = 100;
+const SIZES: [u64; 4] = [50, 40, 30, 30];
+
+#[derive(Clone, Copy, Debug)]
+enum LedgerStep {
+    Wait(u64),
+    /// The owner reserves and sends an order for a model.
+    Order(OrderKind, usize),
+    /// The engine gets the oldest order that is on its way.
+    Arrive,
+    /// The oldest order on its way is lost.
+    Lose,
+    /// The engine ends its oldest load.
+    Loaded,
+    /// The owner reads a report, at once.
+    Read,
+    /// Another owner takes the runner over.
+    TakeOver,
+}
+
+struct LedgerWorld {
+    now: u64,
+    fencing: bool,
+    ledger: RunnerLedger,
+    report: Option<(RunnerReport, EpochMillis)>,
+    on_the_way: Vec<(RunnerOrder, u64, u64)>,
+    fence: u64,
+    loading: Vec<usize>,
+    resident: Vec<usize>,
+    sequence: u64,
+}
+
+fn model(place: usize) -> String {
+    format!("m{place}")
+}
+
+fn size_of(name: &str) -> u64 {
+    let mut models = (0..SIZES.len()).filter(|place| model(*place) == name);
+    models.next().map_or(0, |place| SIZES[place])
+}
+
+impl LedgerWorld {
+    fn new(fencing: bool) -> LedgerWorld {
+        let owner = HostTag { host: "kgn-1".to_owned(), incarnation: 1 };
+        LedgerWorld {
+            now: 0,
+            fencing,
+            ledger: RunnerLedger::taken(None, "r", &owner, EpochMillis(0)),
+            report: None,
+            on_the_way: Vec::new(),
+            fence: 0,
+            loading: Vec::new(),
+            resident: Vec::new(),
+            sequence: 0,
+        }
+    }
+
+    fn step(&mut self, step: LedgerStep) {
+        match step {
+            LedgerStep::Wait(millis) => {
+                self.now += millis;
+                // No packet lives as long as the quarantine.
+                let limit = self.now;
+                let life = u64::try_from(ORDER_QUARANTINE.as_millis() - 1);
+                let life = life.unwrap();
+                self.on_the_way.retain(|(_, _, sent)| limit < sent + life);
+            }
+            LedgerStep::Order(kind, place) => self.order(kind, place),
+            LedgerStep::Arrive => self.arrive(),
+            LedgerStep::Lose => {
+                if !self.on_the_way.is_empty() {
+                    self.on_the_way.remove(0);
+                }
+            }
+            LedgerStep::Loaded => {
+                if !self.loading.is_empty() {
+                    let place = self.loading.remove(0);
+                    self.resident.push(place);
+                }
+            }
+            LedgerStep::Read => self.read(),
+            LedgerStep::TakeOver => {
+                let owner = self.ledger.owner.clone();
+                let now = EpochMillis(self.now);
+                let former = Some(&self.ledger);
+                self.ledger = RunnerLedger::taken(former, "r", &owner, now);
+                self.report = None;
+            }
+        }
+    }
+
+    fn order(&mut self, kind: OrderKind, place: usize) {
+        let Some((report, _)) = &self.report else { return };
+        self.sequence += 1;
+        let now = EpochMillis(self.now);
+        let order = RunnerOrder {
+            id: format!("o{}", self.sequence),
+            kind,
+            model: model(place),
+            size_mb: SIZES[place],
+            fence: self.ledger.fence,
+            placed: now,
+            held_until: now.after(ORDER_QUARANTINE),
+        };
+        let reserved = self.ledger.reserve(&order, MEMORY_MB, report, size_of);
+        if let Some(ledger) = reserved {
+            self.ledger = ledger;
+            self.on_the_way.push((order, self.ledger.fence, self.now));
+            // What was read before the order says nothing after it.
+            self.report = None;
+        }
+    }
+
+    fn arrive(&mut self) {
+        if self.on_the_way.is_empty() {
+            return;
+        }
+        let (order, fence, _) = self.on_the_way.remove(0);
+        if self.fencing && fence < self.fence {
+            return;
+        }
+        self.fence = self.fence.max(fence);
+        let place = (0..SIZES.len()).find(|p| model(*p) == order.model);
+        let place = place.unwrap();
+        let held =
+            self.loading.contains(&place) || self.resident.contains(&place);
+        match order.kind {
+            OrderKind::Load if !held => self.loading.push(place),
+            OrderKind::Unload => {
+                self.resident.retain(|held| *held != place);
+                self.loading.retain(|held| *held != place);
+            }
+            _ => {}
+        }
+    }
+
+    fn read(&mut self) {
+        let report = RunnerReport {
+            models: self.resident.iter().map(|place| model(*place)).collect(),
+            used_mb: self.used(),
+            memory_mb: MEMORY_MB,
+            fence: self.fence,
+            loading: !self.loading.is_empty(),
+            active: 0,
+        };
+        let read_from = EpochMillis(self.now);
+        let read = ReadReport { report: &report, read_from };
+        self.ledger = self.ledger.settled(&read, EpochMillis(self.now));
+        if self.fencing {
+            self.ledger = self.ledger.fenced(&read);
+        }
+        self.report = Some((report, read_from));
+        // Time goes on between any two things that an owner does.
+        self.now += 1;
+    }
+
+    fn used(&self) -> u64 {
+        let held = self.loading.iter().chain(&self.resident);
+        held.map(|place| SIZES[*place]).sum()
+    }
+}
+
+fn steps() -> impl Strategy<Value = Vec<LedgerStep>> {
+    let model = 0..SIZES.len();
+    prop::collection::vec(
+        prop_oneof![
+            2 => (1_u64..2_000).prop_map(LedgerStep::Wait),
+            1 => (100_000_u64..130_000).prop_map(LedgerStep::Wait),
+            6 => model.clone().prop_map(|m| {
+                LedgerStep::Order(OrderKind::Load, m)
+            }),
+            4 => model.prop_map(|m| LedgerStep::Order(OrderKind::Unload, m)),
+            6 => proptest::strategy::Just(LedgerStep::Arrive),
+            1 => proptest::strategy::Just(LedgerStep::Lose),
+            4 => proptest::strategy::Just(LedgerStep::Loaded),
+            8 => proptest::strategy::Just(LedgerStep::Read),
+            1 => proptest::strategy::Just(LedgerStep::TakeOver),
+        ],
+        1..200,
+    )
+}
+
+proptest! {
+    #![proptest_config(proptest::test_runner::Config {
+        cases: 500,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(20_261_204),
+        ..Default::default()
+    })]
+
+    #[test]
+    fn memory_is_never_overcommitted(
+        fencing in proptest::bool::ANY,
+        steps in steps(),
+    ) {
+        let mut world = LedgerWorld::new(fencing);
+        for step in steps {
+            world.step(step);
+            prop_assert!(
+                world.used() <= MEMORY_MB,
+                "{} MB after {step:?}",
+                world.used(),
+            );
+        }
+    }
+}
--- a/crates/celerylead/src/settings/check.rs
+++ b/crates/celerylead/src/settings/check.rs
@@ -374,7 +374,7 @@
                 .iter()
                 .filter(|model| model.group.get_ref() == name)
                 .map(|model| {
-                    (self.model_size(model.name.get_ref()), &model.name)
+                    (self.tree.resident_mb(model.name.get_ref()), &model.name)
                 })
                 .collect();
             models.sort_by_key(|(size, _)| std::cmp::Reverse(*size));
@@ -396,14 +396,6 @@
         }
     }
 
-    /// Memory of a model with all its adapters, in MB.
-    fn model_size(&self, name: &str) -> u64 {
-        let own = self.tree.model(name).map_or(0, |model| model.size_mb);
-        let adapters =
-            self.tree.adapters.iter().filter(|held| held.model == name);
-        own + adapters.map(|adapter| adapter.size_mb).sum::<u64>()
-    }
-
     fn group_chain<'f>(
         &mut self,
         file: &'f SettingsFile,
--- a/crates/celerylead/src/settings/tree.rs
+++ b/crates/celerylead/src/settings/tree.rs
@@ -157,6 +157,14 @@
         Some(&self.adapters[place])
     }
 
+    /// Returns the memory that a model takes with its adapters, in MB.
+    pub fn resident_mb(&self, model: &str) -> u64 {
+        let own = self.model(model).map_or(0, |plan| plan.size_mb);
+        let adapters = self.adapters.iter();
+        let adapters = adapters.filter(|plan| plan.model == model);
+        own + adapters.map(|plan| plan.size_mb).sum::<u64>()
+    }
+
     /// Returns the customer of this name.
     pub fn customer(&self, name: &str) -> Option<&CustomerPlan> {
         find(&self.customers, name, |plan| &plan.name)
--- a/crates/celerylead/src/settings/values.rs
+++ b/crates/celerylead/src/settings/values.rs
@@ -117,6 +117,8 @@
     slots: u64 = 8, 1..=10_000 "requests";
     /// Accelerator memory of a runner.
     memory_mb: u64 = 0, 0..=100_000_000 "MB";
+    /// Models that a zone loads at once, by what the weight store allows.
+    loads_at_once: u64 = 2, 1..=1_000 "loads";
     /// Longest wait for a runner before the request is refused as not run.
     queue_ms: u64 = 5_000, 0..=600_000 "ms";
     /// Longest wait for the head of a runner's answer.
--- a/crates/celerylead/src/tasks/dispatch.rs
+++ b/crates/celerylead/src/tasks/dispatch.rs
@@ -14,6 +14,7 @@
 use crate::{
     clock::{EpochMillis, HostClock},
     metrics::HostMetrics,
+    placement::{DemandMeter, ModelDemand},
     request::{
         FairQueue, Refusal, RefusalCode, RouteAsk, RouteChoice, RouteTable,
         RunResult,
@@ -34,6 +35,8 @@
     Report { name: String, report: RunnerReport },
     /// A runner doesn't report any more.
     Silent { name: String },
+    /// Say what each model is asked for.
+    Demand(oneshot::Sender<ModelDemand>),
     /// Say what each runner in service looks like.
     Status(oneshot::Sender<Vec<RunnerStatus>>),
 }
@@ -140,6 +143,7 @@
     clock: HostClock,
     table: RouteTable,
     queue: FairQueue<RouteWait>,
+    demand: DemandMeter,
     ports: SortedTable<String, (String, RunnerPort)>,
     sender: mpsc::Sender<DispatchEvent>,
     metrics: HostMetrics,
@@ -158,6 +162,7 @@
         clock: clock.clone(),
         table: RouteTable::new(zone),
         queue: FairQueue::default(),
+        demand: DemandMeter::default(),
         ports: SortedTable::default(),
         sender: sender.clone(),
         metrics: metrics.clone(),
@@ -208,6 +213,10 @@
     fn handle(&mut self, event: DispatchEvent) {
         match event {
             DispatchEvent::Route(wait) => {
+                if let Some(name) = &wait.ask.model {
+                    let now = self.clock.now();
+                    self.demand.note(&name.model, wait.ask.tokens, now);
+                }
                 let customer = wait.customer.clone();
                 let deadline = wait.deadline;
                 self.queue.push(&customer, wait, deadline);
@@ -218,6 +227,9 @@
             DispatchEvent::Silent { name } => {
                 self.table.silent(&name, self.clock.now());
             }
+            DispatchEvent::Demand(reply) => {
+                let _ = reply.send(self.demand.rates(self.clock.now()));
+            }
             DispatchEvent::Status(reply) => {
                 let _ = reply.send(self.status());
             }
--- a/crates/celerylead/src/tasks/exchange.rs
+++ b/crates/celerylead/src/tasks/exchange.rs
@@ -17,7 +17,7 @@
     },
     settings::ResolvedValues,
     wire::{
-        engine::EngineAsk,
+        engine::{self, EngineAsk},
         headers::REQUEST_ID,
         link::{HttpLink, SendFault},
     },
@@ -127,6 +127,14 @@
     let sent_at = Instant::now();
     let sent = link.send(message, sent_at + timeout).await;
     let (request, code, error) = match sent {
+        Ok(response)
+            if errand.route.model.is_some()
+                && let Some(proof) = engine::turned_away(&response) =>
+        {
+            // The runner is well; it just doesn't hold the model any more.
+            slot.finish(RunResult::Neutral);
+            return TryEnd::Again(request.turned_away(proof));
+        }
         Ok(response) if is_for(&response, &id.to_string()) => {
             return TryEnd::Answered(Box::new(Exchange {
                 request: request.answered(),
--- a/crates/celerylead/src/tasks/host.rs
+++ b/crates/celerylead/src/tasks/host.rs
@@ -19,6 +19,7 @@
     context::HostContext,
     dispatch, entry,
     member::{self, HostIdentity, MemberEvent, MemberSetup},
+    owner::{self, OwnerSetup},
     peer::{self, PeerSources},
     shares, usage,
 };
@@ -157,6 +158,15 @@
         share_inbox,
         share_sender.clone(),
     );
+    let dispatch =
+        dispatch::start(&options.zone, &clock, seen.clone(), &metrics);
+    owner::start(OwnerSetup {
+        identity: identity.clone(),
+        table: TableClient::new(&options.table),
+        clock: clock.clone(),
+        settings: seen.clone(),
+        dispatch: dispatch.clone(),
+    });
     let member = member::start(MemberSetup {
         identity: identity.clone(),
         table: TableClient::new(&options.table),
@@ -165,6 +175,7 @@
         seeds: options.seeds.clone(),
         shares: share_sender,
         peers,
+        dispatch: dispatch.clone(),
         settings,
         metrics: metrics.clone(),
     });
@@ -175,12 +186,7 @@
         &metrics,
     );
     let context = HostContext {
-        dispatch: dispatch::start(
-            &options.zone,
-            &clock,
-            seen.clone(),
-            &metrics,
-        ),
+        dispatch,
         identity,
         clock,
         settings: seen,
--- a/crates/celerylead/src/tasks/member.rs
+++ b/crates/celerylead/src/tasks/member.rs
@@ -13,6 +13,7 @@
 };
 
 use super::{
+    dispatch::{DispatchEvent, DispatchPort},
     peer::PeerPort,
     shares::{ShareEvent, ShareView},
 };
@@ -68,6 +69,7 @@
     pub(crate) seeds: Vec<String>,
     pub(crate) shares: mpsc::Sender<ShareEvent>,
     pub(crate) peers: PeerPort,
+    pub(crate) dispatch: DispatchPort,
     pub(crate) settings: watch::Sender<SettingsView>,
     pub(crate) metrics: HostMetrics,
 }
@@ -271,6 +273,8 @@
         };
         let view = self.setup.settings.borrow().clone();
         let hold = Duration::from_secs(view.tree.defaults.standing_hold_s);
+        let dispatch = &self.setup.dispatch.sender;
+        let demand = super::ask(dispatch, DispatchEvent::Demand).await;
         let deadline = now.earliest.after(self.setup.lease_ttl);
         let lease = HostLease {
             tag: HostTag { host: identity.host.clone(), incarnation },
@@ -281,6 +285,7 @@
             standing_deadline: deadline.after(hold),
             revision: view.state.revision,
             phase: LeasePhase::Serving,
+            demand: demand.unwrap_or_default(),
         };
         let key = host_key(&identity.zone, &identity.host);
         let version = answer.version(&key);
--- a/crates/celerylead/src/tasks/mod.rs
+++ b/crates/celerylead/src/tasks/mod.rs
@@ -11,6 +11,7 @@
 //! | [`shares`] | the buckets of the customers' rates held here |
 //! | [`dispatch`] | the runners' state and the queue before them |
 //! | [`runner`] | the connections to one runner |
+//! | [`owner`] | the runners whose memory this host looks after |
 //! | [`entry`] | the listening socket; a task for each caller |
 //! | [`usage`] | usage records until they are confirmed |
 //! | [`admin`] | the socket for health and metrics |
@@ -23,6 +24,7 @@
 pub(crate) mod exchange;
 pub mod host;
 pub(crate) mod member;
+pub(crate) mod owner;
 pub(crate) mod peer;
 pub(crate) mod runner;
 pub(crate) mod service;
--- a/crates/celerylead/src/tasks/runner.rs
+++ b/crates/celerylead/src/tasks/runner.rs
@@ -139,7 +139,10 @@
     }
 }
 
-async fn fetch_report(plan: &RunnerPlan) -> anyhow::Result<RunnerReport> {
+/// Reads a runner's report.
+pub(crate) async fn fetch_report(
+    plan: &RunnerPlan,
+) -> anyhow::Result<RunnerReport> {
     let path = match plan.kind {
         GroupKind::Model => "/v1/report",
         GroupKind::Service => "/health",
--- a/crates/celerylead/src/wire/engine.rs
+++ b/crates/celerylead/src/wire/engine.rs
@@ -3,13 +3,13 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{
-    HeaderMap, Method, Request,
+    HeaderMap, Method, Request, Response, StatusCode,
     header::{self, HeaderValue},
 };
 use serde::Deserialize;
 
 use super::headers::REQUEST_ID;
-use crate::request::RequestId;
+use crate::request::{RequestId, TurnedAwayProof};
 
 /// Tokens that an answer says it used.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
@@ -36,6 +36,19 @@
     serde_json::from_slice::<UsageHolder>(json).ok()?.usage
 }
 
+/// Header by which an engine says that it didn't run a request.
+const REFUSED_HEADER: &str = "x-engine-refused";
+
+/// Tells whether an engine turned a request away without running it, as it
+/// does for a model that isn't resident.
+pub(crate) fn turned_away<B>(
+    response: &Response<B>,
+) -> Option<TurnedAwayProof> {
+    let refused = response.status() == StatusCode::CONFLICT
+        && response.headers().contains_key(REFUSED_HEADER);
+    refused.then_some(TurnedAwayProof(()))
+}
+
 /// What the host sends on: never more of the caller than this.
 pub(crate) struct EngineAsk {
     pub(crate) method: Method,
--- a/crates/celerylead/src/wire/table.rs
+++ b/crates/celerylead/src/wire/table.rs
@@ -13,7 +13,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Full, Limited};
-use hyper::{Method, Request, header};
+use hyper::{Method, Request, StatusCode, header};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use tokio::time::Instant;
 
@@ -212,13 +212,28 @@
     }
 }
 
-/// Sends one request on a connection of its own and reads the whole answer.
+/// Sends one request on a connection of its own and reads the whole answer,
+/// which has to be a success.
 pub(crate) async fn exchange(
     peer: &str,
     method: Method,
     path: &str,
     body: Vec<u8>,
 ) -> anyhow::Result<Bytes> {
+    let (status, bytes) = exchange_status(peer, method, path, body).await?;
+    if !status.is_success() {
+        anyhow::bail!("answer has status {status}");
+    }
+    Ok(bytes)
+}
+
+/// Sends one request on a connection of its own and reads status and answer.
+pub(crate) async fn exchange_status(
+    peer: &str,
+    method: Method,
+    path: &str,
+    body: Vec<u8>,
+) -> anyhow::Result<(StatusCode, Bytes)> {
     let deadline = Instant::now() + TABLE_TIMEOUT;
     let request = Request::builder()
         .method(method)
@@ -239,8 +254,5 @@
         .at(StepName::ReadBody, peer)?
         .map_err(|error| anyhow::anyhow!("{error}"))?
         .to_bytes();
-    if !status.is_success() {
-        anyhow::bail!("answer has status {status}");
-    }
-    Ok(bytes)
+    Ok((status, bytes))
 }
--- a/crates/playground/src/main.rs
+++ b/crates/playground/src/main.rs
@@ -70,11 +70,8 @@
 async fn start_surroundings() -> anyhow::Result<Surroundings> {
     let mut engines = Vec::new();
     for tokens_per_second in [80.0, 30.0] {
-        let options = EngineOptions {
-            tokens_per_second,
-            models: vec!["outline".to_owned(), "ledger".to_owned()],
-            memory_mb: 1_000,
-        };
+        let options =
+            EngineOptions { tokens_per_second, ..EngineOptions::default() };
         engines.push(EngineStandIn::start(ANY_PORT, &options).await?);
     }
     Ok(Surroundings {
--- a/crates/stand-ins/src/datagram.rs
+++ b/crates/stand-ins/src/datagram.rs
@@ -18,8 +18,10 @@
     /// # Errors
     ///
     /// Returns an error where no address can be bound.
-    pub async fn start(target: &str) -> anyhow::Result<DatagramProxy> {
-        let socket = UdpSocket::bind("127.0.0.1:0").await?;
+    pub fn start(target: &str) -> anyhow::Result<DatagramProxy> {
+        let socket = std::net::UdpSocket::bind("127.0.0.1:0")?;
+        socket.set_nonblocking(true)?;
+        let socket = UdpSocket::from_std(socket)?;
         let address = socket.local_addr()?.to_string();
         let (cut, seen) = watch::channel(false);
         tokio::spawn(run(Arc::new(socket), target.parse()?, seen));
--- a/crates/stand-ins/src/engine.rs
+++ b/crates/stand-ins/src/engine.rs
@@ -50,10 +50,44 @@
 pub struct EngineOptions {
     /// Tokens a second of a request that runs alone.
     pub tokens_per_second: f64,
-    /// Models that are loaded at the start.
-    pub models: Vec<String>,
+    /// Models that are loaded at the start, with their memory in MB.
+    pub models: Vec<(String, u64)>,
     /// Accelerator memory, in MB.
     pub memory_mb: u64,
+    /// Whether orders under an old fencing number are refused.
+    pub fencing: bool,
+    /// Time that a load takes.
+    pub load_time: Duration,
+}
+
+impl Default for EngineOptions {
+    fn default() -> Self {
+        EngineOptions {
+            tokens_per_second: 100.0,
+            models: Vec::new(),
+            memory_mb: 1_000,
+            fencing: false,
+            load_time: Duration::from_millis(200),
+        }
+    }
+}
+
+/// A model in an engine's memory.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct HeldModel {
+    name: String,
+    size_mb: u64,
+    state: ModelState,
+    /// Requests that run on it.
+    active: u32,
+}
+
+/// What an engine does with a model.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ModelState {
+    Loading,
+    Resident,
+    Unloading,
 }
 
 #[derive(Debug)]
@@ -61,6 +95,11 @@
     options: EngineOptions,
     fault: EngineFault,
     active: u32,
+    models: Vec<HeldModel>,
+    fence: u64,
+    /// Most memory that was ever in use, in MB.
+    peak_mb: u64,
+    loads: u64,
     /// Request id and how often it ran.
     runs: Vec<(String, u32)>,
     cancelled: u64,
@@ -88,10 +127,20 @@
     ) -> anyhow::Result<EngineStandIn> {
         let listener = TcpListener::bind(listen).await?;
         let address = listener.local_addr()?.to_string();
+        let models = options.models.iter().map(|(name, size_mb)| HeldModel {
+            name: name.clone(),
+            size_mb: *size_mb,
+            state: ModelState::Resident,
+            active: 0,
+        });
         let state = StatePort::start(EngineState {
             options: options.clone(),
             fault: EngineFault::None,
             active: 0,
+            models: models.collect(),
+            fence: 0,
+            peak_mb: 0,
+            loads: 0,
             runs: Vec::new(),
             cancelled: 0,
             tokens: 0,
@@ -114,6 +163,21 @@
         self.state.with(|state| state.runs.clone()).await
     }
 
+    /// Returns the most memory that was ever in use, in MB.
+    pub async fn peak_mb(&self) -> u64 {
+        self.state.with(|state| state.peak_mb).await
+    }
+
+    /// Returns the number of loads so far.
+    pub async fn loads(&self) -> u64 {
+        self.state.with(|state| state.loads).await
+    }
+
+    /// Returns the names of the resident models.
+    pub async fn resident(&self) -> Vec<String> {
+        self.state.with(|state| state.resident()).await
+    }
+
     /// Returns the number of requests that their caller gave up.
     pub async fn cancelled(&self) -> u64 {
         self.state.with(|state| state.cancelled).await
@@ -139,6 +203,7 @@
 struct Job {
     port: StatePort<EngineState>,
     id: String,
+    model: String,
     fault: EngineFault,
     stream: bool,
     wants_usage: bool,
@@ -161,16 +226,60 @@
     let head =
         format!("{} {}\n{}", parts.method, parts.uri, lines(&parts.headers));
     let ask: Value = serde_json::from_slice(&body).ok()?;
+    if parts.uri.path() == "/v1/orders" {
+        return Some(take_order(port, &ask).await);
+    }
     let id = parts.headers.get("x-request-id");
     let id = id.and_then(|id| id.to_str().ok()).unwrap_or("").to_owned();
     let job_port = port.clone();
     let job = port
         .with(move |state| {
+            let model = state.start_on(&ask)?;
             state.note(head + &text, &id);
-            state.job(job_port, id, &ask)
+            Some(state.job(job_port, id, model, &ask))
         })
         .await;
-    run(job).await
+    match job {
+        Some(job) => run(job).await,
+        None => Some(not_resident()),
+    }
+}
+
+/// Answer to a request for a model that isn't resident: it didn't run.
+fn not_resident() -> Response<ReplyBody> {
+    let body = json!({"error": {"code": "model_not_resident"}});
+    let mut response = json_reply(StatusCode::CONFLICT, &body);
+    let value = HeaderValue::from_static("model-not-resident");
+    response.headers_mut().insert("x-engine-refused", value);
+    response
+}
+
+/// Takes an order and carries it out in the background.
+async fn take_order(
+    port: StatePort<EngineState>,
+    order: &Value,
+) -> Response<ReplyBody> {
+    let text = |name: &str| order[name].as_str().unwrap_or("").to_owned();
+    let (kind, model) = (text("kind"), text("model"));
+    let fence = order["fence"].as_u64().unwrap_or(0);
+    let size_mb = order["size_mb"].as_u64().unwrap_or(0);
+    let taken = {
+        let (kind, model) = (kind.clone(), model.clone());
+        port.with(move |state| state.order(fence, &kind, &model, size_mb))
+            .await
+    };
+    if !taken {
+        let body = json!({"error": {"code": "old_fence"}});
+        return json_reply(StatusCode::CONFLICT, &body);
+    }
+    if kind == "load" {
+        let load_time = port.with(|state| state.options.load_time).await;
+        tokio::spawn(async move {
+            tokio::time::sleep(load_time).await;
+            port.with(move |state| state.loaded(&model)).await;
+        });
+    }
+    json_reply(StatusCode::ACCEPTED, &json!({}))
 }
 
 async fn run(job: Job) -> Reply {
@@ -288,9 +397,11 @@
 
     async fn end(&self, cancelled: bool) {
         let tokens = self.prompt_tokens + self.output_tokens;
+        let model = self.model.clone();
         self.port
             .with(move |state| {
                 state.active -= 1;
+                state.end_on(&model);
                 state.tokens += tokens;
                 state.cancelled += u64::from(cancelled);
             })
@@ -300,14 +411,98 @@
 
 impl EngineState {
     fn report(&self) -> Value {
+        let held = |state| self.models.iter().any(|m| m.state == state);
         json!({
-            "models": self.options.models,
+            "models": self.resident(),
             "active": self.active,
-            "used_mb": 0,
+            "used_mb": self.used_mb(),
             "memory_mb": self.options.memory_mb,
+            "fence": self.fence,
+            "loading": held(ModelState::Loading),
         })
     }
 
+    fn resident(&self) -> Vec<String> {
+        let models = self.models.iter();
+        models
+            .filter(|model| model.state == ModelState::Resident)
+            .map(|model| model.name.clone())
+            .collect()
+    }
+
+    fn used_mb(&self) -> u64 {
+        self.models.iter().map(|model| model.size_mb).sum()
+    }
+
+    /// Takes an order, unless it is under an old fencing number.
+    fn order(
+        &mut self,
+        fence: u64,
+        kind: &str,
+        model: &str,
+        size_mb: u64,
+    ) -> bool {
+        if self.options.fencing && fence < self.fence {
+            return false;
+        }
+        self.fence = self.fence.max(fence);
+        let held = self.models.iter_mut().find(|held| held.name == model);
+        match (kind, held) {
+            ("load", None) => {
+                self.loads += 1;
+                self.models.push(HeldModel {
+                    name: model.to_owned(),
+                    size_mb,
+                    state: ModelState::Loading,
+                    active: 0,
+                });
+                self.peak_mb = self.peak_mb.max(self.used_mb());
+            }
+            ("unload", Some(held)) => {
+                held.state = ModelState::Unloading;
+                self.free_ended();
+            }
+            _ => {}
+        }
+        true
+    }
+
+    fn loaded(&mut self, model: &str) {
+        let mut models = self.models.iter_mut();
+        let held = models.find(|held| held.name == model);
+        if let Some(held) = held.filter(|m| m.state == ModelState::Loading) {
+            held.state = ModelState::Resident;
+        }
+    }
+
+    /// Frees the models that are unloading and run nothing any more.
+    fn free_ended(&mut self) {
+        self.models.retain(|model| {
+            model.state != ModelState::Unloading || 0 < model.active
+        });
+    }
+
+    /// Starts a request on its model, if that is resident.
+    fn start_on(&mut self, ask: &Value) -> Option<String> {
+        let name = ask.get("model").and_then(Value::as_str)?;
+        let name = name.split(':').next().unwrap_or(name);
+        let mut models = self.models.iter_mut();
+        let model = models.find(|held| held.name == name)?;
+        if model.state != ModelState::Resident {
+            return None;
+        }
+        model.active += 1;
+        Some(name.to_owned())
+    }
+
+    fn end_on(&mut self, name: &str) {
+        let mut models = self.models.iter_mut();
+        if let Some(model) = models.find(|held| held.name == name) {
+            model.active -= 1;
+        }
+        self.free_ended();
+    }
+
     fn note(&mut self, text: String, id: &str) {
         if self.seen.len() < MAX_SEEN {
             self.seen.push(text);
@@ -322,6 +517,7 @@
         &mut self,
         port: StatePort<EngineState>,
         id: String,
+        model: String,
         ask: &Value,
     ) -> Job {
         self.active += 1;
@@ -333,6 +529,7 @@
         Job {
             port,
             id,
+            model,
             fault: self.fault,
             stream: ask.get("stream") == Some(&Value::Bool(true)),
             wants_usage: ask
--- a/crates/stand-ins/src/main.rs
+++ b/crates/stand-ins/src/main.rs
@@ -63,8 +63,8 @@
         StandInCommand::Engine { listen, tokens_per_second, model } => {
             let options = EngineOptions {
                 tokens_per_second,
-                models: model,
-                memory_mb: 0,
+                models: model.into_iter().map(|name| (name, 100)).collect(),
+                ..EngineOptions::default()
             };
             EngineStandIn::start(&listen, &options).await?.address
         }
--- a/crates/system-tests/tests/system/fleet.rs
+++ b/crates/system-tests/tests/system/fleet.rs
@@ -16,6 +16,7 @@
 };
 use celerylead_stand_ins::{
     certificates::TestAuthority,
+    datagram::DatagramProxy,
     engine::{EngineOptions, EngineStandIn},
     objects::ObjectStandIn,
     table::TableStandIn,
@@ -34,6 +35,8 @@
     pub(crate) listen: String,
     pub(crate) peer: String,
     pub(crate) admin: String,
+    /// The proxy by which other hosts reach it.
+    pub(crate) peer_proxy: Option<DatagramProxy>,
     child: Child,
 }
 
@@ -42,6 +45,8 @@
 pub(crate) struct HostExtras {
     /// Address of the table service, where it is reached by a proxy.
     pub(crate) table: Option<String>,
+    /// Whether other hosts reach it by a proxy.
+    pub(crate) peer_proxy: bool,
     /// Further flags.
     pub(crate) flags: Vec<String>,
 }
@@ -108,6 +113,18 @@
         place
     }
 
+    /// Starts a host with extras and waits until it serves.
+    pub(crate) async fn host_with(
+        &mut self,
+        name: &str,
+        zone: &str,
+        extras: &HostExtras,
+    ) -> usize {
+        let place = self.start_host(name, zone, extras);
+        self.wait_ready(place).await;
+        place
+    }
+
     /// Starts a host.
     pub(crate) fn start_host(
         &mut self,
@@ -124,6 +141,14 @@
             std::fs::write(&path, text).expect("a certificate's file");
             path
         };
+        let proxied = extras.peer_proxy.then(|| {
+            let socket = std::net::UdpSocket::bind("127.0.0.1:0");
+            let socket = socket.expect("a free port");
+            let peer = socket.local_addr().expect("an address").to_string();
+            drop(socket);
+            let proxy = DatagramProxy::start(&peer).expect("proxy");
+            (peer, proxy)
+        });
         let table = extras.table.as_ref().unwrap_or(&self.table.address);
         let log = std::fs::File::options()
             .create(true)
@@ -134,7 +159,6 @@
         command
             .args(["--host", name, "--zone", zone])
             .args(["--listen", "127.0.0.1:0"])
-            .args(["--peer-listen", "127.0.0.1:0"])
             .args(["--admin-listen", "127.0.0.1:0"])
             .args(["--table", table])
             .args(["--objects", &self.objects.address])
@@ -147,6 +171,16 @@
             .arg("--peer-key")
             .arg(file("key", &identity.key))
             .args(&extras.flags)
+            .args(match &proxied {
+                Some(_) => [].as_slice(),
+                None => ["--peer-listen", "127.0.0.1:0"].as_slice(),
+            })
+            .args(proxied.iter().flat_map(|(peer, proxy)| {
+                [
+                    format!("--peer-listen={peer}"),
+                    format!("--peer-address={}", proxy.address),
+                ]
+            }))
             .env("CELERYLEAD_CREDENTIAL", "runner-credential")
             .stdout(Stdio::piped())
             .stderr(log);
@@ -163,6 +197,7 @@
             listen: address("listening"),
             peer: address("peer"),
             admin: address("admin"),
+            peer_proxy: proxied.map(|(_, proxy)| proxy),
             child,
         });
         self.hosts.len() - 1
@@ -258,8 +293,8 @@
 pub(crate) async fn engine(tokens_per_second: f64) -> EngineStandIn {
     let options = EngineOptions {
         tokens_per_second,
-        models: vec!["outline".to_owned(), "ledger".to_owned()],
-        memory_mb: 1_000,
+        models: vec![("outline".to_owned(), 100), ("ledger".to_owned(), 100)],
+        ..EngineOptions::default()
     };
     EngineStandIn::start("127.0.0.1:0", &options).await.expect("engine")
 }
--- /dev/null
+++ b/crates/system-tests/tests/system/memory.rs
@@ -0,0 +1,211 @@
+//! Accelerator memory is never overcommitted, and every model stays
+//! reachable, while owners die and orders come late.
+
+use std::time::Duration;
+
+use celerylead_stand_ins::{
+    engine::{EngineOptions, EngineStandIn},
+    proxy::{FaultProxy, ProxyFault},
+    table::TableFault,
+};
+use rustix::process::Signal;
+
+use crate::{
+    client::{call, chat},
+    fleet::{Fleet, hash, wait_for},
+};
+
+const KEY: &str = "cl-memory-key";
+const MEMORY_MB: u64 = 300;
+const MODELS: [&str; 5] = ["m0", "m1", "m2", "m3", "m4"];
+const SIZES: [u64; 5] = [150, 100, 100, 90, 60];
+
+/// What happens while models are placed; numbers are hosts.
+#[derive(Clone, Copy, Debug)]
+enum MoveFault {
+    /// Kills the host.
+    Kill(usize),
+    /// Stops the host for longer than its lease.
+    Freeze(usize),
+    /// Holds all traffic to the engines back for a while.
+    LateOrders,
+    /// The table service is down for a while.
+    Outage,
+    /// Writes take effect and their answers are lost for a while.
+    LostAnswers,
+}
+
+struct MemoryCase {
+    name: &'static str,
+    fencing: bool,
+    faults: &'static [MoveFault],
+}
+
+struct MemoryFleet {
+    fleet: Fleet,
+    engines: Vec<EngineStandIn>,
+    proxies: Vec<FaultProxy>,
+}
+
+impl MemoryFleet {
+    async fn start(fencing: bool, models: usize) -> MemoryFleet {
+        let fleet = Fleet::start(&[]).await;
+        let mut engines = Vec::new();
+        let mut proxies = Vec::new();
+        for _ in 0..2 {
+            let options = EngineOptions {
+                tokens_per_second: 500.0,
+                memory_mb: MEMORY_MB,
+                fencing,
+                load_time: Duration::from_millis(700),
+                ..EngineOptions::default()
+            };
+            let engine = EngineStandIn::start("127.0.0.1:0", &options).await;
+            let engine = engine.expect("engine");
+            let proxy = FaultProxy::start(&engine.address).await;
+            proxies.push(proxy.expect("proxy"));
+            engines.push(engine);
+        }
+        let memory = MemoryFleet { fleet, engines, proxies };
+        memory.fleet.apply(&memory.file(fencing, models)).await;
+        memory
+    }
+
+    fn file(&self, fencing: bool, models: usize) -> String {
+        let mut file = format!(
+            "[[region]]\nname = \"r\"\n\
+             [[zone]]\nname = \"kgn\"\nregion = \"r\"\n\
+             [[group]]\nname = \"g\"\nkind = \"model\"\n\
+             fencing = {fencing}\nset = {{ memory_mb = {MEMORY_MB} }}\n\
+             [[customer]]\nname = \"parish\"\n\
+             set = {{ rate = 90000, burst = 90000 }}\n\
+             [[key]]\nname = \"k\"\ncustomer = \"parish\"\n\
+             sha256 = \"{}\"\n",
+            hash(KEY),
+        );
+        for (place, proxy) in self.proxies.iter().enumerate() {
+            file += &format!(
+                "[[runner]]\nname = \"g-{place}\"\ngroup = \"g\"\n\
+                 zone = \"kgn\"\naddress = \"{}\"\n",
+                proxy.address,
+            );
+        }
+        for (model, size) in MODELS.iter().zip(SIZES).take(models) {
+            file += &format!(
+                "[[model]]\nname = \"{model}\"\ngroup = \"g\"\n\
+                 size_mb = {size}\n"
+            );
+        }
+        file
+    }
+
+    async fn assert_memory(&self, name: &str) {
+        for (place, engine) in self.engines.iter().enumerate() {
+            let peak = engine.peak_mb().await;
+            assert!(peak <= MEMORY_MB, "{name}: engine {place} had {peak} MB");
+        }
+    }
+
+    /// Waits until the host answers for every model.
+    async fn wait_reachable(&self, host: usize, models: usize) {
+        let listen = &self.fleet.hosts[host].listen;
+        for model in MODELS.iter().take(models) {
+            wait_for(model, async || {
+                let ask = chat(KEY, model, 1, false);
+                call(listen, ask).await.is_ok_and(|a| a.status == 200)
+            })
+            .await;
+        }
+    }
+
+    async fn strike(&mut self, fault: MoveFault) {
+        match fault {
+            MoveFault::Kill(host) => self.fleet.hosts[host].kill(),
+            MoveFault::Freeze(host) => {
+                self.fleet.hosts[host].signal(Signal::STOP);
+                tokio::time::sleep(Duration::from_secs(7)).await;
+                self.fleet.hosts[host].signal(Signal::CONT);
+            }
+            MoveFault::LateOrders => {
+                for proxy in &self.proxies {
+                    proxy.set_fault(ProxyFault::Freeze);
+                }
+                tokio::time::sleep(Duration::from_secs(3)).await;
+                for proxy in &self.proxies {
+                    proxy.set_fault(ProxyFault::None);
+                }
+            }
+            MoveFault::Outage | MoveFault::LostAnswers => {
+                let fault = match fault {
+                    MoveFault::Outage => TableFault::Down,
+                    _ => TableFault::LostAnswers,
+                };
+                self.fleet.table.set_fault(fault).await;
+                tokio::time::sleep(Duration::from_secs(3)).await;
+                self.fleet.table.set_fault(TableFault::None).await;
+            }
+        }
+    }
+}
+
+async fn memory_holds(case: &MemoryCase) {
+    let mut memory = MemoryFleet::start(case.fencing, 3).await;
+    for host in ["kgn-1", "kgn-2", "kgn-3"] {
+        memory.fleet.host(host, "kgn").await;
+    }
+    // The last host outlives every case.
+    memory.wait_reachable(2, 3).await;
+    memory.assert_memory(case.name).await;
+    // Two more models: copies have to go, under the case's faults.
+    let file = memory.file(case.fencing, MODELS.len());
+    memory.fleet.apply(&file).await;
+    for fault in case.faults {
+        tokio::time::sleep(Duration::from_millis(1_200)).await;
+        memory.strike(*fault).await;
+        memory.assert_memory(case.name).await;
+    }
+    memory.wait_reachable(2, MODELS.len()).await;
+    memory.assert_memory(case.name).await;
+    let mut loads = Vec::new();
+    for engine in &memory.engines {
+        loads.push(engine.loads().await);
+    }
+    println!("{}: loads {loads:?}", case.name);
+}
+
+macro_rules! memory_tests {
+    ($($test:ident: $case:expr;)+) => {$(
+        #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+        async fn $test() {
+            memory_holds(&$case).await;
+        }
+    )+};
+}
+
+memory_tests! {
+    memory_holds_in_peace: MemoryCase {
+        name: "peace",
+        fencing: false,
+        faults: &[],
+    };
+    memory_holds_when_owners_die: MemoryCase {
+        name: "owners killed",
+        fencing: true,
+        faults: &[MoveFault::Kill(0), MoveFault::Kill(1)],
+    };
+    memory_holds_when_owners_freeze_and_orders_come_late: MemoryCase {
+        name: "owner frozen, orders late",
+        fencing: true,
+        faults: &[MoveFault::LateOrders, MoveFault::Freeze(0)],
+    };
+    memory_holds_without_fencing: MemoryCase {
+        name: "engine ignores fencing",
+        fencing: false,
+        faults: &[MoveFault::LateOrders, MoveFault::Freeze(1)],
+    };
+    memory_holds_in_an_outage: MemoryCase {
+        name: "outage and lost answers",
+        fencing: true,
+        faults: &[MoveFault::Outage, MoveFault::LostAnswers],
+    };
+}
--- /dev/null
+++ b/crates/system-tests/tests/system/zones.rs
@@ -0,0 +1,149 @@
+//! A zone cut off from the platform and from the other zone.
+
+use std::time::Duration;
+
+use celerylead::settings::SettingsChange;
+use celerylead_stand_ins::proxy::{FaultProxy, ProxyFault};
+use rustix::process::Signal;
+
+use crate::{
+    client::{call, chat},
+    fleet::{Fleet, HostExtras, TestCustomer, hash, settings_file, wait_for},
+    load::{LoadPlan, excess, run},
+};
+
+const KEY: &str = "cl-zones-key";
+const OTHER_KEY: &str = "cl-zones-other";
+const RATE: u64 = 300;
+const BURST: u64 = 900;
+
+/// A fleet of a zone that can be cut off, `kgn`, and one that can't, `spt`.
+struct SplitFleet {
+    fleet: Fleet,
+    table: FaultProxy,
+}
+
+impl SplitFleet {
+    async fn start(defaults: &str) -> SplitFleet {
+        let mut fleet = Fleet::start(&[2_000.0, 2_000.0]).await;
+        let customers = [
+            TestCustomer {
+                name: "parish",
+                key: KEY,
+                rate: RATE,
+                burst: BURST,
+            },
+            TestCustomer {
+                name: "council",
+                key: OTHER_KEY,
+                rate: RATE,
+                burst: BURST,
+            },
+        ];
+        let addresses: Vec<String> =
+            fleet.engines.iter().map(|held| held.address.clone()).collect();
+        let engines =
+            [("kgn", addresses[0].as_str()), ("spt", addresses[1].as_str())];
+        fleet
+            .apply(&settings_file(
+                &["kgn", "spt"],
+                &engines,
+                &customers,
+                &format!("slots = 64\n{defaults}"),
+            ))
+            .await;
+        let table = FaultProxy::start(&fleet.table.address).await;
+        let table = table.expect("proxy");
+        let cut_off = HostExtras {
+            table: Some(table.address.clone()),
+            peer_proxy: true,
+            ..HostExtras::default()
+        };
+        let reached = HostExtras { peer_proxy: true, ..HostExtras::default() };
+        fleet.host_with("kgn-1", "kgn", &cut_off).await;
+        fleet.host_with("spt-1", "spt", &reached).await;
+        fleet.wait_shares().await;
+        SplitFleet { fleet, table }
+    }
+
+    fn set_cut(&self, cut: bool) {
+        let fault = if cut { ProxyFault::Cut } else { ProxyFault::None };
+        self.table.set_fault(fault);
+        for host in &self.fleet.hosts {
+            let proxy = host.peer_proxy.as_ref().expect("it has a proxy");
+            proxy.set_cut(cut);
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_zone_cut_off_serves_its_standing_part_and_no_more() {
+    let mut split = SplitFleet::start("standing_hold_s = 600").await;
+    let hosts = split.fleet.hosts.iter();
+    let plan = LoadPlan {
+        key: KEY,
+        hosts: hosts.map(|host| host.listen.clone()).collect(),
+        requests_per_second: 60.0,
+        length: Duration::from_secs(20),
+        max_tokens: 12,
+    };
+    let load = tokio::spawn(async move { run(&plan).await });
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    split.set_cut(true);
+    // Two faults at once: the host of the other zone is stopped as well,
+    // for longer than its lease.
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    split.fleet.hosts[1].signal(Signal::STOP);
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    split.fleet.hosts[1].signal(Signal::CONT);
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    split.set_cut(false);
+    let records = load.await.expect("the load runs to its end");
+    assert_eq!(excess(&records, RATE, BURST), None);
+    // The cut lasts from 2 s to 15 s; the lease of 4 s is over by 7 s.
+    let served = |from: u64, to: u64| {
+        let within =
+            records.iter().filter(|record| (from..to).contains(&record.sent));
+        within.map(|record| record.tokens()).sum::<u64>()
+    };
+    let cut_off = served(8_000, 11_000);
+    let healed = served(17_000, 20_000);
+    println!("3 s cut off: {cut_off} tokens; 3 s healed: {healed} tokens");
+    // A quarter of the rate stands at the zone: 225 tokens in 3 s.
+    assert!(150 <= cut_off, "a zone cut off goes on serving");
+    assert!(cut_off <= healed);
+    split.fleet.hosts[0].kill();
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_zone_cut_off_trusts_keys_only_for_a_time() {
+    let split = SplitFleet::start("key_trust_s = 5").await;
+    let listen = split.fleet.hosts[0].listen.clone();
+    let ask = |key| call(&listen, chat(key, "outline", 1, false));
+    assert_eq!(ask(KEY).await.expect("an answer").status, 200);
+    split.set_cut(true);
+    let cut_at = tokio::time::Instant::now();
+    let change = SettingsChange::WithdrawKey { hash: hash(KEY) };
+    split.fleet.change(&change).await;
+    let reached = split.fleet.hosts[1].listen.clone();
+    wait_for("the zone that is reached to refuse", async || {
+        let answer = call(&reached, chat(KEY, "outline", 1, false)).await;
+        answer.is_ok_and(|answer| answer.status == 401)
+    })
+    .await;
+    // The zone that can't hear of it trusts no key any more.
+    wait_for("the zone cut off to refuse", async || {
+        ask(KEY).await.is_ok_and(|answer| answer.code() == "not_ready")
+    })
+    .await;
+    let refused = cut_at.elapsed();
+    println!("a zone cut off refused after {refused:?}");
+    assert!(refused < Duration::from_secs(8), "{refused:?}");
+    split.set_cut(false);
+    wait_for("the zone to know the withdrawal", async || {
+        ask(KEY).await.is_ok_and(|answer| answer.status == 401)
+    })
+    .await;
+    let other = ask(OTHER_KEY).await.expect("an answer");
+    assert_eq!(other.status, 200, "{other:?}");
+}
