Keep a copy of usage records at a neighbour until they are confirmed

Cause: hosts keep nothing; a host that died in an outage of the object store took its usage records along. Ruled out: writing each record before the answer ends (a store call for each request, and none in an outage). Change: records are sealed into named batches every 100 ms, copied to a host of the zone and written by it under the same name if it doesn't hear of the confirmation within 10 s; writing moved to a task of its own, so that a slow store doesn't hold up the copies. Conclusion: what can be lost is the last 100 ms before a kill, and hosts that die together with their keeper in an outage.

--- a/crates/celerylead/src/tasks/host.rs
+++ b/crates/celerylead/src/tasks/host.rs
@@ -21,7 +21,8 @@
     member::{self, HostIdentity, MemberEvent, MemberSetup},
     owner::{self, OwnerSetup},
     peer::{self, PeerSources},
-    shares, usage,
+    shares,
+    usage::{self, UsageSetup},
 };
 use crate::{
     clock::HostClock,
@@ -134,23 +135,65 @@
     let admin_listener = bind(&options.admin_listen).await?;
     let endpoint = options.identity.endpoint(&options.peer_listen)?;
     let peer_listen = endpoint.local_addr()?.to_string();
+    let started = start_state(options, &endpoint, &peer_listen)?;
+    let (phase, phases) = watch::channel(HostPhase::Serving);
+    let listen = listener.local_addr()?.to_string();
+    let admin_listen = admin_listener.local_addr()?.to_string();
+    let context = started.context;
+    let admin = admin::run(admin_listener, context.clone(), phases.clone());
+    let entry = entry::run(listener, tls, context, phases);
+    tracing::info!(event = "host_started", listen, peer_listen, admin_listen,);
+    Ok(RunningHost {
+        listen,
+        peer_listen,
+        admin_listen,
+        options: options.clone(),
+        phase,
+        member: started.member,
+        entry: super::spawn(entry),
+        admin: super::spawn(admin),
+        usage: started.usage,
+        span,
+    })
+}
+
+/// Tasks that have no socket for callers.
+struct StartedState {
+    context: HostContext,
+    member: mpsc::Sender<MemberEvent>,
+    usage: JoinHandle<()>,
+}
+
+/// Starts the tasks that own the host's state.
+fn start_state(
+    options: &HostOptions,
+    endpoint: &quinn::Endpoint,
+    peer_listen: &str,
+) -> anyhow::Result<StartedState> {
+    let credential = headers::bearer(&options.credential)?;
     let identity = HostIdentity {
         host: options.host.clone(),
         zone: options.zone.clone(),
         peer_address: options
             .peer_address
             .clone()
-            .unwrap_or_else(|| peer_listen.clone()),
+            .unwrap_or_else(|| peer_listen.to_owned()),
         nonce: rand::random(),
     };
     let clock = HostClock::default();
     let metrics = HostMetrics::default();
+    let table = TableClient::new(&options.table);
     let (settings, seen) = watch::channel(SettingsView::default());
+    let (neighbours, neighbours_seen) = watch::channel(Vec::new());
     let (peers, peer_inbox) = peer::mailbox();
     let (share_sender, share_inbox) = shares::mailbox();
-    let sources =
-        PeerSources { shares: share_sender.clone(), settings: seen.clone() };
-    peer::start(&endpoint, &sources, peer_inbox);
+    let (copy_sender, copies) = usage::copies_mailbox();
+    let sources = PeerSources {
+        shares: share_sender.clone(),
+        settings: seen.clone(),
+        usage: copy_sender,
+    };
+    peer::start(endpoint, &sources, peer_inbox);
     let shares = shares::start(
         &options.zone,
         &clock,
@@ -162,14 +205,23 @@
         dispatch::start(&options.zone, &clock, seen.clone(), &metrics);
     owner::start(OwnerSetup {
         identity: identity.clone(),
-        table: TableClient::new(&options.table),
+        table: table.clone(),
         clock: clock.clone(),
         settings: seen.clone(),
         dispatch: dispatch.clone(),
     });
+    let usage_setup = UsageSetup {
+        store: options.objects.clone(),
+        host: options.host.clone(),
+        nonce: identity.nonce,
+        peers: peers.clone(),
+        neighbours: neighbours_seen,
+        metrics: metrics.clone(),
+    };
+    let (usage, usage_task) = usage::start(usage_setup, copies);
     let member = member::start(MemberSetup {
         identity: identity.clone(),
-        table: TableClient::new(&options.table),
+        table,
         clock: clock.clone(),
         lease_ttl: options.lease_ttl,
         seeds: options.seeds.clone(),
@@ -177,14 +229,9 @@
         peers,
         dispatch: dispatch.clone(),
         settings,
+        neighbours,
         metrics: metrics.clone(),
     });
-    let (usage, usage_task) = usage::start(
-        options.objects.as_deref(),
-        &options.host,
-        identity.nonce,
-        &metrics,
-    );
     let context = HostContext {
         dispatch,
         identity,
@@ -193,27 +240,10 @@
         shares,
         usage,
         metrics,
-        credential: headers::bearer(&options.credential)?,
+        credential,
         sequence: Arc::new(AtomicU64::new(1)),
     };
-    let (phase, phases) = watch::channel(HostPhase::Serving);
-    let listen = listener.local_addr()?.to_string();
-    let admin_listen = admin_listener.local_addr()?.to_string();
-    let admin = admin::run(admin_listener, context.clone(), phases.clone());
-    let entry = entry::run(listener, tls, context, phases);
-    tracing::info!(event = "host_started", listen, peer_listen, admin_listen,);
-    Ok(RunningHost {
-        listen,
-        peer_listen,
-        admin_listen,
-        options: options.clone(),
-        phase,
-        member,
-        entry: super::spawn(entry),
-        admin: super::spawn(admin),
-        usage: usage_task,
-        span,
-    })
+    Ok(StartedState { context, member, usage: usage_task })
 }
 
 impl RunningHost {
--- a/crates/celerylead/src/tasks/member.rs
+++ b/crates/celerylead/src/tasks/member.rs
@@ -71,6 +71,8 @@
     pub(crate) peers: PeerPort,
     pub(crate) dispatch: DispatchPort,
     pub(crate) settings: watch::Sender<SettingsView>,
+    /// Addresses of the other live hosts of the zone.
+    pub(crate) neighbours: watch::Sender<Vec<String>>,
     pub(crate) metrics: HostMetrics,
 }
 
@@ -250,6 +252,14 @@
             tracing::error!(event = "host_superseded");
         }
         self.own = mine.filter(|_| !self.retired);
+        let now = self.setup.clock.bound();
+        let live = leases
+            .values()
+            .filter(|lease| lease.tag.host != identity.host)
+            .filter(|lease| lease.is_live(now))
+            .map(|lease| lease.peer_address.clone())
+            .collect();
+        self.setup.neighbours.send_replace(live);
         self.leases = leases;
         Ok(())
     }
--- a/crates/celerylead/src/tasks/peer.rs
+++ b/crates/celerylead/src/tasks/peer.rs
@@ -11,7 +11,7 @@
     time::Instant,
 };
 
-use super::{MAILBOX, shares::ShareEvent};
+use super::{MAILBOX, shares::ShareEvent, usage::UsageCopy};
 use crate::{
     customer::{HolderAddress, HolderPart, PartTokens, TakenTokens},
     settings::SettingsView,
@@ -75,8 +75,20 @@
             ended,
             spare,
         };
+        self.tell(&part.address, ask);
+    }
+
+    /// Tells the keeper of a usage batch that the store has it. Where the
+    /// message is lost the keeper writes it again under the same name.
+    pub(crate) fn usage_confirmed(&self, address: &str, name: &str) {
+        let ask = PeerAsk::UsageConfirmed { name: name.to_owned() };
+        self.tell(address, ask);
+    }
+
+    /// Sends a message that may get lost.
+    fn tell(&self, address: &str, ask: PeerAsk) {
         let event =
-            PeerEvent { address: part.address.clone(), ask, reply: None };
+            PeerEvent { address: address.to_owned(), ask, reply: None };
         let _ = self.sender.try_send(event);
     }
 }
@@ -128,6 +140,7 @@
 pub(crate) struct PeerSources {
     pub(crate) shares: mpsc::Sender<ShareEvent>,
     pub(crate) settings: watch::Receiver<SettingsView>,
+    pub(crate) usage: mpsc::Sender<UsageCopy>,
 }
 
 /// State of the task.
@@ -366,6 +379,14 @@
             let _ = sources.shares.send(event).await;
             PeerAnswer::Done
         }
+        PeerAsk::KeepUsage { batch } => {
+            let _ = sources.usage.send(UsageCopy::Keep(batch)).await;
+            PeerAnswer::Done
+        }
+        PeerAsk::UsageConfirmed { name } => {
+            let _ = sources.usage.send(UsageCopy::Confirmed(name)).await;
+            PeerAnswer::Done
+        }
         PeerAsk::Settings { above } => {
             let view = sources.settings.borrow().clone();
             let newer = above < view.state.revision;
--- a/crates/celerylead/src/tasks/usage.rs
+++ b/crates/celerylead/src/tasks/usage.rs
@@ -2,27 +2,47 @@
 //!
 //! Records wait here in batches, each under a name that never changes. A
 //! batch is written with insert-if-absent until the store confirms it, so an
-//! answer lost after the write doesn't record it twice.
+//! answer lost after the write doesn't record it twice. Hosts keep nothing
+//! when they die, so each batch is copied to another host of the zone, which
+//! writes it under the same name if it doesn't hear in time that it was
+//! confirmed.
 
 use std::{collections::VecDeque, time::Duration};
 
 use hyper::Method;
-use tokio::{sync::mpsc, time::MissedTickBehavior};
+use tokio::{
+    sync::{mpsc, watch},
+    time::{Instant, MissedTickBehavior},
+};
 
-use super::MAX_IN_FLIGHT;
+use super::{MAILBOX, MAX_IN_FLIGHT, peer::PeerPort};
 use crate::{
     metrics::HostMetrics,
     step::{StepContext as _, StepName},
     usage::{UsageBatch, UsageRecord},
-    wire::table::exchange,
+    wire::{peer::PeerAsk, table::exchange},
 };
 
 /// Time between two batches.
-const BATCH_PERIOD: Duration = Duration::from_millis(1_000);
+const BATCH_PERIOD: Duration = Duration::from_millis(100);
+/// Time between two tries of the store after a failure.
+const RETRY_PERIOD: Duration = Duration::from_millis(1_000);
 /// Records of one batch.
 const MAX_BATCH: usize = 4_096;
+/// Time after which another host's batch is written here.
+const KEEP_TIME: Duration = Duration::from_secs(10);
+/// Batches of other hosts that are kept at once.
+const MAX_KEPT: usize = 65_536;
+
+/// What another host asks of the task.
+pub(crate) enum UsageCopy {
+    /// Keep a copy of a batch.
+    Keep(UsageBatch),
+    /// The batch of this name is in the store.
+    Confirmed(String),
+}
 
-/// The way to the task.
+/// The way to the task for callers' requests.
 #[derive(Clone)]
 pub(crate) struct UsagePort {
     sender: mpsc::Sender<UsageRecord>,
@@ -49,37 +69,92 @@
     }
 }
 
-/// State of the task.
-struct UsageTask {
-    store: Option<String>,
+/// A batch of another host, written here from its deadline on.
+struct KeptBatch {
+    batch: UsageBatch,
+    deadline: Instant,
+}
+
+/// What the task is started with.
+pub(crate) struct UsageSetup {
+    /// Address of the object store; without one nothing is recorded.
+    pub(crate) store: Option<String>,
+    pub(crate) host: String,
+    /// Random number of the process.
+    pub(crate) nonce: u64,
+    pub(crate) peers: PeerPort,
+    /// Addresses of the other hosts of the zone.
+    pub(crate) neighbours: watch::Receiver<Vec<String>>,
+    pub(crate) metrics: HostMetrics,
+}
+
+/// State of the task that makes batches and copies them.
+struct SealTask {
     host: String,
     nonce: u64,
     sequence: u64,
-    batches: VecDeque<UsageBatch>,
+    peers: PeerPort,
+    neighbours: watch::Receiver<Vec<String>>,
+    store: mpsc::Sender<StoreEvent>,
+}
+
+/// Message to the task that writes to the store.
+enum StoreEvent {
+    /// A batch of this host, and the host that keeps a copy.
+    Own(UsageBatch, Option<String>),
+    /// What another host asks.
+    Copy(UsageCopy),
+}
+
+/// State of the task that writes to the store.
+struct StoreTask {
+    store: Option<String>,
+    peers: PeerPort,
     metrics: HostMetrics,
+    /// Own batches that are not confirmed, each with the host that keeps a
+    /// copy.
+    batches: VecDeque<(UsageBatch, Option<String>)>,
+    kept: Vec<KeptBatch>,
 }
 
-/// Starts the task; it ends, after a last try, when its ports are dropped.
+/// Makes the mailbox for other hosts' batches.
+pub(crate) fn copies_mailbox()
+-> (mpsc::Sender<UsageCopy>, mpsc::Receiver<UsageCopy>) {
+    mpsc::channel(MAILBOX)
+}
+
+/// Starts the tasks; they end, after a last try, when the port is dropped.
 pub(crate) fn start(
-    store: Option<&str>,
-    host: &str,
-    nonce: u64,
-    metrics: &HostMetrics,
+    setup: UsageSetup,
+    copies: mpsc::Receiver<UsageCopy>,
 ) -> (UsagePort, tokio::task::JoinHandle<()>) {
     let (sender, inbox) = mpsc::channel(MAX_IN_FLIGHT);
-    let task = UsageTask {
-        store: store.map(str::to_owned),
-        host: host.to_owned(),
-        nonce,
+    let (store, events) = mpsc::channel(MAILBOX);
+    let seal = SealTask {
+        host: setup.host,
+        nonce: setup.nonce,
         sequence: 0,
+        peers: setup.peers.clone(),
+        neighbours: setup.neighbours,
+        store,
+    };
+    let write = StoreTask {
+        store: setup.store,
+        peers: setup.peers,
+        metrics: setup.metrics,
         batches: VecDeque::new(),
-        metrics: metrics.clone(),
+        kept: Vec::new(),
     };
-    (UsagePort { sender }, super::spawn(task.run(inbox)))
+    super::spawn(seal.run(inbox, copies));
+    (UsagePort { sender }, super::spawn(write.run(events)))
 }
 
-impl UsageTask {
-    async fn run(mut self, mut inbox: mpsc::Receiver<UsageRecord>) {
+impl SealTask {
+    async fn run(
+        mut self,
+        mut inbox: mpsc::Receiver<UsageRecord>,
+        mut copies: mpsc::Receiver<UsageCopy>,
+    ) {
         let mut period = tokio::time::interval(BATCH_PERIOD);
         period.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut records = Vec::new();
@@ -93,56 +168,139 @@
                         continue;
                     }
                 }
+                Some(copy) = copies.recv() => {
+                    let _ = self.store.send(StoreEvent::Copy(copy)).await;
+                    continue;
+                }
                 _ = period.tick() => {}
             }
-            self.seal(&mut records);
-            self.flush().await;
-        }
-        self.seal(&mut records);
-        self.flush().await;
-        let left: usize =
-            self.batches.iter().map(|batch| batch.records.len()).sum();
-        if 0 < left {
-            tracing::error!(event = "usage_lost", records = left);
+            self.seal(&mut records).await;
         }
+        self.seal(&mut records).await;
     }
 
-    fn seal(&mut self, records: &mut Vec<UsageRecord>) {
+    /// Makes a batch of the records and copies it to another host.
+    async fn seal(&mut self, records: &mut Vec<UsageRecord>) {
         if records.is_empty() {
             return;
         }
         self.sequence += 1;
-        self.batches.push_back(UsageBatch {
+        let batch = UsageBatch {
             host: self.host.clone(),
             nonce: self.nonce,
             sequence: self.sequence,
             records: std::mem::take(records),
-        });
+        };
+        let keeper = self.copy(&batch).await;
+        let _ = self.store.send(StoreEvent::Own(batch, keeper)).await;
     }
 
-    async fn flush(&mut self) {
-        let Some(store) = self.store.clone() else {
-            self.batches.clear();
-            return;
-        };
-        while let Some(batch) = self.batches.front() {
-            match put(&store, batch).await {
-                Ok(()) => {
-                    self.batches.pop_front();
+    /// Copies a batch to the first host that takes it.
+    async fn copy(&self, batch: &UsageBatch) -> Option<String> {
+        let neighbours = self.neighbours.borrow().clone();
+        for address in neighbours {
+            let ask = PeerAsk::KeepUsage { batch: batch.clone() };
+            if self.peers.ask(&address, &ask).await.is_some() {
+                return Some(address);
+            }
+        }
+        None
+    }
+}
+
+impl StoreTask {
+    async fn run(mut self, mut events: mpsc::Receiver<StoreEvent>) {
+        let mut retry = Instant::now();
+        loop {
+            tokio::select! {
+                event = events.recv() => match event {
+                    Some(event) => self.take(event),
+                    None => break,
+                },
+                () = sleep_until(self.due().map(|due| due.max(retry))) => {
+                    retry = Instant::now();
+                    if let Err(error) = self.write_next().await {
+                        retry += RETRY_PERIOD;
+                        self.note_failure(&error);
+                    }
                 }
-                Err(error) => {
-                    self.metrics.platform_errors.inc();
-                    tracing::warn!(
-                        event = "usage_delayed",
-                        error = format!("{error:#}"),
-                    );
-                    break;
+            }
+            self.metrics.usage_waiting.set(self.waiting() as i64);
+        }
+        while !self.batches.is_empty() {
+            if let Err(error) = self.write_next().await {
+                self.note_failure(&error);
+                tracing::error!(
+                    event = "usage_left_to_neighbour",
+                    records = self.waiting(),
+                );
+                return;
+            }
+        }
+    }
+
+    fn take(&mut self, event: StoreEvent) {
+        match event {
+            StoreEvent::Own(..) if self.store.is_none() => {}
+            StoreEvent::Own(batch, keeper) => {
+                self.batches.push_back((batch, keeper));
+            }
+            StoreEvent::Copy(UsageCopy::Keep(batch)) => {
+                if MAX_KEPT <= self.kept.len() {
+                    tracing::error!(event = "usage_copy_refused");
+                    return;
                 }
+                let deadline = Instant::now() + KEEP_TIME;
+                self.kept.push(KeptBatch { batch, deadline });
+            }
+            StoreEvent::Copy(UsageCopy::Confirmed(name)) => {
+                self.kept.retain(|held| held.batch.object_name() != name);
+            }
+        }
+    }
+
+    /// Point at which the next batch is to be written, if there is one.
+    fn due(&self) -> Option<Instant> {
+        if !self.batches.is_empty() {
+            return Some(Instant::now());
+        }
+        self.kept.first().map(|held| held.deadline)
+    }
+
+    /// Writes an own batch, or one of another host whose time has come.
+    async fn write_next(&mut self) -> anyhow::Result<()> {
+        let Some(store) = self.store.as_deref() else { return Ok(()) };
+        if let Some((batch, keeper)) = self.batches.front() {
+            put(store, batch).await?;
+            if let Some(keeper) = keeper {
+                let name = batch.object_name();
+                self.peers.usage_confirmed(keeper, &name);
             }
+            self.batches.pop_front();
+            return Ok(());
+        }
+        if let Some(held) = self.kept.first() {
+            put(store, &held.batch).await?;
+            self.kept.remove(0);
         }
-        let left: usize =
-            self.batches.iter().map(|batch| batch.records.len()).sum();
-        self.metrics.usage_waiting.set(left as i64);
+        Ok(())
+    }
+
+    fn note_failure(&self, error: &anyhow::Error) {
+        self.metrics.platform_errors.inc();
+        tracing::warn!(event = "usage_delayed", error = format!("{error:#}"));
+    }
+
+    fn waiting(&self) -> usize {
+        self.batches.iter().map(|(batch, _)| batch.records.len()).sum()
+    }
+}
+
+/// Sleeps until a point, or for ever.
+async fn sleep_until(point: Option<Instant>) {
+    match point {
+        Some(point) => tokio::time::sleep_until(point).await,
+        None => std::future::pending().await,
     }
 }
 
--- a/crates/celerylead/src/wire/peer.rs
+++ b/crates/celerylead/src/wire/peer.rs
@@ -21,6 +21,7 @@
     clock::EpochMillis,
     customer::{PartTokens, share::PartKind},
     settings::SettingsState,
+    usage::UsageBatch,
 };
 
 /// Name that the certificate of every host carries.
@@ -45,6 +46,10 @@
     GrantEnded { customer: String, kind: PartKind, ended: u64, spare: u64 },
     /// The settings, if newer than this revision.
     Settings { above: u64 },
+    /// Keep a copy of usage records until they are confirmed.
+    KeepUsage { batch: UsageBatch },
+    /// The usage records of this name are in the store.
+    UsageConfirmed { name: String },
 }
 
 /// Answer to a question.
