--- a/crates/celerylead-host/src/main.rs
+++ b/crates/celerylead-host/src/main.rs
@@ -82,6 +82,14 @@
         display_fallback
     )]
     drain_limit_ms: u64,
+    /// Threads that serve; one takes the least processor time for a token
+    #[bpaf(
+        env("CELERYLEAD_THREADS"),
+        argument("COUNT"),
+        fallback(1),
+        display_fallback
+    )]
+    threads: usize,
     /// Log filter, such as info or celerylead=debug
     #[bpaf(env("CELERYLEAD_LOG"), argument("FILTER"), fallback("info".to_owned()), display_fallback)]
     log: String,
@@ -114,6 +122,8 @@
     let ttl = flags.lease_ttl_ms;
     let fits = (4_000..=60_000).contains(&ttl);
     accept("--lease-ttl-ms", &ttl.to_string(), fits, LEASE_TTL_RANGE)?;
+    let fits = (1..=256).contains(&flags.threads);
+    accept("--threads", &flags.threads.to_string(), fits, "1 to 256")?;
     let drains = [
         ("--drain-grace-ms", flags.drain_grace_ms),
         ("--drain-limit-ms", flags.drain_limit_ms),
@@ -147,16 +157,23 @@
     text.parse::<std::net::SocketAddr>().is_ok()
 }
 
-#[tokio::main]
-async fn main() -> anyhow::Result<()> {
+fn main() -> anyhow::Result<()> {
     let flags = host_flags().run();
     celerylead::log::start(&flags.log)
         .with_context(|| format!("--log is {:?}", flags.log))?;
     check(&flags)?;
     let options = options(&flags)?;
+    tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(flags.threads)
+        .enable_all()
+        .build()?
+        .block_on(run(&options))
+}
+
+async fn run(options: &HostOptions) -> anyhow::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
-    let host = celerylead::host::start(&options).await?;
+    let host = celerylead::host::start(options).await?;
     println!(
         "listening={} peer={} admin={}",
         host.listen, host.peer_listen, host.admin_listen,
--- a/crates/celerylead/src/tasks/stream.rs
+++ b/crates/celerylead/src/tasks/stream.rs
@@ -150,6 +150,10 @@
     tally: AnswerTally,
     key: Option<KeyWatch>,
     idle_timeout: Duration,
+    /// Point at which the answer has paused for too long.
+    idle_deadline: Instant,
+    /// Wakes the stream at a deadline; moved only when that comes, since
+    /// that is much rarer than a frame.
     idle: Pin<Box<Sleep>>,
     ended: bool,
 }
@@ -170,6 +174,7 @@
             tally,
             key: key.cloned(),
             idle_timeout,
+            idle_deadline: Instant::now() + idle_timeout,
             idle: Box::pin(tokio::time::sleep(idle_timeout)),
             ended: false,
         }
@@ -194,7 +199,7 @@
             let frame = Pin::new(&mut self.upstream).poll_frame(context);
             let frame = match frame {
                 Poll::Pending => {
-                    if self.idle.as_mut().poll(context).is_pending() {
+                    if !self.poll_idle(context) {
                         return Poll::Pending;
                     }
                     return self.cut(
@@ -221,8 +226,7 @@
                 }
                 None => return self.end(),
             };
-            let deadline = Instant::now() + self.idle_timeout;
-            self.idle.as_mut().reset(deadline);
+            self.idle_deadline = Instant::now() + self.idle_timeout;
             let Some(scanner) = &mut self.scanner else {
                 return Poll::Ready(Some(Ok(Frame::data(bytes))));
             };
@@ -243,6 +247,17 @@
         }
     }
 
+    /// Tells whether the answer has paused for too long.
+    fn poll_idle(&mut self, context: &mut Context<'_>) -> bool {
+        while self.idle.as_mut().poll(context).is_ready() {
+            if self.idle_deadline <= Instant::now() {
+                return true;
+            }
+            self.idle.as_mut().reset(self.idle_deadline);
+        }
+        false
+    }
+
     /// The runner's answer ended by its own framing.
     fn end(&mut self) -> Poll<Option<Result<Frame<Bytes>, anyhow::Error>>> {
         let whole = self.scanner.as_ref().is_none_or(|scan| scan.whole);
--- a/crates/stand-ins/src/engine.rs
+++ b/crates/stand-ins/src/engine.rs
@@ -25,6 +25,9 @@
 /// Requests seen that are kept for a test to look at.
 const MAX_SEEN: usize = 4_096;
 
+/// Seconds below which an engine doesn't pause between tokens.
+const LEAST_PAUSE: f64 = 0.000_1;
+
 /// How the engine behaves.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum EngineFault {
@@ -319,7 +322,9 @@
 
 async fn answer_whole(job: Job) -> Response<ReplyBody> {
     let pause = job.pause.mul_f64(job.output_tokens as f64);
-    tokio::time::sleep(pause).await;
+    if !pause.is_zero() {
+        tokio::time::sleep(pause).await;
+    }
     let text = "word ".repeat(job.output_tokens as usize);
     let value = json!({
         "object": "chat.completion",
@@ -363,7 +368,9 @@
             job.end(false).await;
             return;
         }
-        tokio::time::sleep(job.pause).await;
+        if !job.pause.is_zero() {
+            tokio::time::sleep(job.pause).await;
+        }
         let event = json!({
             "object": "chat.completion.chunk",
             "choices": [{"index": 0, "delta": {"content": "word "}}],
@@ -523,6 +530,8 @@
         self.active += 1;
         let crowd = 1.0 + f64::from(self.active - 1) / 16.0;
         let pause = crowd / self.options.tokens_per_second.max(0.1);
+        // A pause below the timer's resolution is none at all.
+        let pause = if pause < LEAST_PAUSE { 0.0 } else { pause };
         let prompt = ask.get("messages").or(ask.get("prompt"));
         let words = prompt.map_or(0, words_in);
         let max = ask.get("max_tokens").and_then(Value::as_u64);
--- a/crates/system-tests/tests/system/fleet.rs
+++ b/crates/system-tests/tests/system/fleet.rs
@@ -248,6 +248,12 @@
 }
 
 impl HostProcess {
+    #[allow(dead_code, reason = "used by the measurements")]
+    /// Returns the process id.
+    pub(crate) fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal.
     pub(crate) fn signal(&self, signal: rustix::process::Signal) {
         let id = i32::try_from(self.child.id()).expect("a process id");
