Run random faults in seeded rounds with every check at the end

Ruled out: a simulator; the rounds use real processes behind fault proxies. Change: four hosts in two zones, two engines, a load of four times the rate, eight faults a round out of ten kinds (freeze, kill and restart, table down, slow or losing answers, cut from table or hosts, runner frozen, cut or cutting streams), some left in place while the next strikes; then checks of at-most-once, true refusals, whole answers, the rate in every window, usage recorded once, and recovery.

--- a/crates/system-tests/tests/system/load.rs
+++ b/crates/system-tests/tests/system/load.rs
@@ -90,16 +90,6 @@
     None
 }
 
-/// Reads a metric of a host.
-pub(crate) async fn metric(admin: &str, name: &str) -> f64 {
-    let ask = request("GET", "/metrics", None, "");
-    let page = crate::client::call(admin, ask).await.expect("metrics").body;
-    let mut lines = page.lines();
-    let line = lines.find(|line| line.starts_with(name));
-    let value = line.and_then(|line| line.rsplit(' ').next());
-    value.and_then(|value| value.parse().ok()).unwrap_or(f64::NAN)
-}
-
 fn millis(start: Instant) -> u64 {
     u64::try_from(start.elapsed().as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/system-tests/tests/system/main.rs
+++ b/crates/system-tests/tests/system/main.rs
@@ -9,6 +9,7 @@
 mod memory;
 mod once;
 mod rates;
+mod rounds;
 mod session;
 mod shutdown;
 mod usage;
--- /dev/null
+++ b/crates/system-tests/tests/system/rounds.rs
@@ -0,0 +1,311 @@
+//! Random faults in short rounds, from a seed, with every invariant checked
+//! at the end of each round.
+//!
+//! `CELERYLEAD_SEED=7 CELERYLEAD_ROUNDS=100 cargo test -p
+//! celerylead-system-tests rounds -- --nocapture`
+
+use std::{collections::BTreeSet, time::Duration};
+
+use celerylead_stand_ins::{
+    engine::{EngineFault, EngineStandIn},
+    proxy::{FaultProxy, ProxyFault},
+    table::TableFault,
+};
+use rand::{RngExt as _, SeedableRng as _, rngs::StdRng};
+use rustix::process::Signal;
+
+use crate::{
+    client::{Answer, call, chat},
+    fleet::{Fleet, HostExtras, TestCustomer, settings_file, wait_for},
+};
+
+const KEY: &str = "cl-rounds-key";
+const RATE: u64 = 400;
+const BURST: u64 = 1_200;
+/// Seed of the rounds that CI runs.
+const CI_SEED: u64 = 20_261_204;
+const CI_ROUNDS: u64 = 2;
+/// Faults of one round.
+const FAULTS: usize = 8;
+const ZONES: [&str; 4] = ["kgn", "kgn", "spt", "spt"];
+
+/// One request of a round.
+struct RoundRecord {
+    sent: u64,
+    ended: u64,
+    stream: bool,
+    /// `None` where the connection failed.
+    answer: Option<Answer>,
+}
+
+struct RoundFleet {
+    fleet: Fleet,
+    engines: Vec<EngineStandIn>,
+    runners: Vec<FaultProxy>,
+    tables: Vec<FaultProxy>,
+    /// Restarts so far, for the names of log files.
+    restarts: usize,
+}
+
+impl RoundFleet {
+    async fn start() -> RoundFleet {
+        let mut fleet = Fleet::start(&[800.0, 300.0]).await;
+        let engines = fleet.engines.clone();
+        let mut runners = Vec::new();
+        for engine in &engines {
+            let proxy = FaultProxy::start(&engine.address).await;
+            runners.push(proxy.expect("proxy"));
+        }
+        let customers = [TestCustomer {
+            name: "parish",
+            key: KEY,
+            rate: RATE,
+            burst: BURST,
+        }];
+        let places = [
+            ("kgn", runners[0].address.as_str()),
+            ("spt", runners[1].address.as_str()),
+        ];
+        let defaults = "slots = 32\nqueue_ms = 2000\nhead_timeout_ms = 3000\n\
+                        idle_timeout_ms = 3000\nstanding_hold_s = 600";
+        let file =
+            settings_file(&["kgn", "spt"], &places, &customers, defaults);
+        fleet.apply(&file).await;
+        let mut tables = Vec::new();
+        for (place, zone) in ZONES.into_iter().enumerate() {
+            let table = FaultProxy::start(&fleet.table.address).await;
+            tables.push(table.expect("proxy"));
+            let extras = HostExtras {
+                table: Some(tables[place].address.clone()),
+                peer_proxy: true,
+                ..HostExtras::default()
+            };
+            fleet.host_with(&format!("{zone}-{place}"), zone, &extras).await;
+        }
+        fleet.wait_shares().await;
+        RoundFleet { fleet, engines, runners, tables, restarts: 0 }
+    }
+
+    /// Strikes with one random fault, for a while, and mends it.
+    async fn strike(&mut self, random: &mut StdRng) -> String {
+        let host = random.random_range(0..ZONES.len());
+        let runner = random.random_range(0..self.runners.len());
+        let length = Duration::from_millis(random.random_range(300..5_500));
+        let kind = random.random_range(0..10);
+        match kind {
+            0 => self.fleet.hosts[host].signal(Signal::STOP),
+            1 => self.restart(host).await,
+            2 => self.fleet.table.set_fault(TableFault::Down).await,
+            3 => self.fleet.table.set_fault(TableFault::LostAnswers).await,
+            4 => {
+                let slow = TableFault::Slow(Duration::from_millis(700));
+                self.fleet.table.set_fault(slow).await;
+            }
+            5 => self.tables[host].set_fault(ProxyFault::Cut),
+            6 => {
+                let proxy = self.fleet.hosts[host].peer_proxy.as_ref();
+                proxy.expect("it has a proxy").set_cut(true);
+            }
+            7 => self.runners[runner].set_fault(ProxyFault::Freeze),
+            8 => self.runners[runner].set_fault(ProxyFault::Cut),
+            _ => {
+                self.engines[runner].set_fault(EngineFault::CutAfter(2)).await
+            }
+        }
+        tokio::time::sleep(length).await;
+        if random.random_bool(0.3) {
+            // The next fault joins this one; all are mended at the end.
+            return format!("{kind} at {host}/{runner}, left");
+        }
+        self.mend().await;
+        format!("{kind} at {host}/{runner} for {length:?}")
+    }
+
+    async fn mend(&self) {
+        for host in &self.fleet.hosts {
+            host.signal(Signal::CONT);
+            if let Some(proxy) = &host.peer_proxy {
+                proxy.set_cut(false);
+            }
+        }
+        self.fleet.table.set_fault(TableFault::None).await;
+        for proxy in self.tables.iter().chain(&self.runners) {
+            proxy.set_fault(ProxyFault::None);
+        }
+        for engine in &self.engines {
+            engine.set_fault(EngineFault::None).await;
+        }
+    }
+
+    /// Kills a host and starts it again under its name.
+    async fn restart(&mut self, place: usize) {
+        self.restarts += 1;
+        self.fleet.hosts[place].kill();
+        let name = self.fleet.hosts[place].name.clone();
+        let extras = HostExtras {
+            table: Some(self.tables[place].address.clone()),
+            peer_proxy: true,
+            ..HostExtras::default()
+        };
+        let fresh = self.fleet.start_host(&name, ZONES[place], &extras);
+        self.fleet.hosts.swap_remove(place);
+        debug_assert_eq!(fresh, ZONES.len());
+    }
+}
+
+/// Sends at four times the rate until told to stop.
+async fn load(
+    addresses: tokio::sync::watch::Receiver<Vec<String>>,
+    mut stop: tokio::sync::oneshot::Receiver<()>,
+) -> Vec<RoundRecord> {
+    let start = std::time::Instant::now();
+    let millis = move || u64::try_from(start.elapsed().as_millis()).unwrap();
+    let mut period = tokio::time::interval(Duration::from_millis(12));
+    let mut calls = tokio::task::JoinSet::new();
+    let mut turn = 0;
+    while stop.try_recv().is_err() {
+        period.tick().await;
+        turn += 1;
+        let address = addresses.borrow()[turn % ZONES.len()].clone();
+        let stream = turn % 3 == 0;
+        calls.spawn(async move {
+            let sent = millis();
+            let answer =
+                call(&address, chat(KEY, "outline", 12, stream)).await;
+            RoundRecord { sent, ended: millis(), stream, answer: answer.ok() }
+        });
+    }
+    calls.join_all().await
+}
+
+async fn round(seed: u64) {
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut world = RoundFleet::start().await;
+    let addresses = |world: &RoundFleet| -> Vec<String> {
+        let hosts = world.fleet.hosts.iter();
+        hosts.map(|host| host.listen.clone()).collect()
+    };
+    let (listen, seen) = tokio::sync::watch::channel(addresses(&world));
+    let (stop, stopped) = tokio::sync::oneshot::channel();
+    let load = tokio::spawn(load(seen, stopped));
+    let mut faults = Vec::new();
+    for _ in 0..FAULTS {
+        faults.push(world.strike(&mut random).await);
+        listen.send_replace(addresses(&world));
+    }
+    world.mend().await;
+    let _ = stop.send(());
+    let records = load.await.expect("the load ends");
+    println!("seed {seed}: {faults:?}");
+    check(&world, &records, seed).await;
+    // The fleet recovers: every host answers again.
+    for host in &world.fleet.hosts {
+        wait_for("a host to answer again", async || {
+            let answer = call(&host.listen, chat(KEY, "outline", 1, false));
+            answer.await.is_ok_and(|answer| answer.status == 200)
+        })
+        .await;
+    }
+}
+
+async fn check(world: &RoundFleet, records: &[RoundRecord], seed: u64) {
+    let mut ran = Vec::new();
+    for engine in &world.engines {
+        ran.extend(engine.runs().await);
+    }
+    let mut ids: Vec<&String> = ran.iter().map(|(id, _)| id).collect();
+    ids.sort();
+    let twice = ids.windows(2).find(|pair| pair[0] == pair[1]);
+    assert_eq!(twice, None, "seed {seed}: ran on two runners");
+    let often = ran.iter().find(|(_, count)| 1 < *count);
+    assert_eq!(often, None, "seed {seed}: ran more than once");
+    let ran: BTreeSet<String> = ran.into_iter().map(|(id, _)| id).collect();
+    let mut answered = Vec::new();
+    for record in records {
+        let Some(answer) = &record.answer else { continue };
+        let id = answer.header("x-request-id");
+        if answer.outcome() == "not-run" {
+            assert!(!ran.contains(id), "seed {seed}: {id} said not-run");
+        }
+        let whole = match record.stream {
+            true => answer.is_done(),
+            false => answer.status == 200 && answer.whole,
+        };
+        if !whole {
+            let honest = answer.status != 200
+                || answer.body.contains("\"outcome\"")
+                || !answer.whole
+                || !answer.body.contains("[DONE]");
+            assert!(honest, "seed {seed}: passed off as whole: {answer:?}");
+            continue;
+        }
+        let words = answer.body.matches("word").count();
+        assert_eq!(words, 12, "seed {seed}: {id} isn't whole");
+        answered.push((record.sent, record.ended, id.to_owned()));
+    }
+    check_rate(&answered, seed);
+    check_usage(world, &answered, seed).await;
+}
+
+/// Asserts that no window has more than rate and burst allow; each answer
+/// used 16 tokens.
+fn check_rate(answered: &[(u64, u64, String)], seed: u64) {
+    let mut by_end: Vec<_> = answered.iter().collect();
+    by_end.sort_by_key(|(_, ended, _)| *ended);
+    for (start, ..) in &by_end {
+        let mut sum = 0;
+        for (_, ended, _) in by_end.iter().filter(|(sent, ..)| start <= sent) {
+            sum += 16;
+            let allowed = BURST * 1_000 + RATE * (ended - start);
+            assert!(sum * 1_000 <= allowed, "seed {seed}: {sum} tokens");
+        }
+    }
+}
+
+/// Asserts that nothing is recorded twice, and says what was lost.
+async fn check_usage(
+    world: &RoundFleet,
+    answered: &[(u64, u64, String)],
+    seed: u64,
+) {
+    // A neighbour writes what a killed host left after 10 s.
+    tokio::time::sleep(Duration::from_secs(13)).await;
+    let objects = world.fleet.objects.objects().await;
+    let mut recorded: Vec<String> = objects
+        .iter()
+        .flat_map(|(_, batch)| batch["records"].as_array().cloned())
+        .flatten()
+        .map(|record| record["request_id"].as_str().unwrap_or("").to_owned())
+        .collect();
+    recorded.sort();
+    let twice = recorded.windows(2).find(|pair| pair[0] == pair[1]);
+    assert_eq!(twice, None, "seed {seed}: recorded twice");
+    let lost = answered
+        .iter()
+        .filter(|(_, _, id)| recorded.binary_search(id).is_err())
+        .count();
+    println!(
+        "seed {seed}: {} answered, {} recorded, {lost} lost, {} restarts",
+        answered.len(),
+        recorded.len(),
+        world.restarts,
+    );
+    assert!(
+        world.restarts != 0 || lost == 0,
+        "seed {seed}: lost without kill"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn random_faults_break_no_promise() {
+    let number = |name: &str, usual: u64| {
+        let value = std::env::var(name).ok();
+        value.and_then(|value| value.parse().ok()).unwrap_or(usual)
+    };
+    let seed = number("CELERYLEAD_SEED", CI_SEED);
+    let rounds = number("CELERYLEAD_ROUNDS", CI_ROUNDS);
+    for round_number in 0..rounds {
+        round(seed + round_number).await;
+    }
+    println!("{rounds} rounds from seed {seed}: every check held");
+}
