--- /dev/null
+++ b/crates/celerylead/tests/pages.rs
@@ -0,0 +1,95 @@
+//! Pages that are made from the code, or have to name what is in it.
+
+use std::path::Path;
+
+use celerylead::settings::VALUE_RULES;
+use expect_test::expect_file;
+
+const HEAD: &str = "\
+# Settings
+
+One TOML file under version control declares the tree; `celerylead check
+FILE` checks it without any service, `celerylead apply FILE` puts it in force.
+A file with a fault is rejected whole, with the line of every fault.
+
+## Branches
+
+| table | fields | inherits from |
+|---|---|---|
+| `[defaults]` | any value below | built-in values |
+| `[[region]]` | `name` | `defaults` |
+| `[[zone]]` | `name`, `region` | region |
+| `[[group]]` | `name`, `kind` (`model` or `service`), `fencing` (bool) | `defaults` |
+| `[[runner]]` | `name`, `group`, `zone`, `address` (`IP:PORT`) | zone, then group |
+| `[[model]]` | `name`, `group`, `size_mb` | group |
+| `[[adapter]]` | `name`, `model`, `size_mb` | model |
+| `[[customer]]` | `name`, `models` (list; absent means all) | `defaults` |
+| `[[key]]` | `name`, `customer`, `sha256` (hash, never the key) | customer |
+| `[[service]]` | `name`, `group` | group |
+| `[[route]]` | `service`, `path` (prefix), `methods` (list; absent means all) | service |
+
+Each branch overrides values in a table named `set`, such as
+`set = { max_output_tokens = 128 }`. `celerylead show KIND/NAME` tells each
+value of a branch and where it came from. Names are 1 to 64 letters, digits,
+`-`, `_` and `.`. `fencing = true` says that the group's engines refuse
+orders under an old fencing number.
+
+Keys given by `celerylead key give` live beside the file and survive an
+`apply`; a withdrawn key stays withdrawn, whatever a later file says.
+
+## Values
+
+| name | unit | default | accepted | meaning |
+|---|---|---|---|---|
+";
+
+#[test]
+fn the_settings_page_is_made_from_the_rules() {
+    let mut page = HEAD.to_owned();
+    for rule in VALUE_RULES {
+        let (default, accepted) = if rule.unit == "bool" {
+            let word = if rule.default == 0 { "false" } else { "true" };
+            (word.to_owned(), "false, true".to_owned())
+        } else {
+            let accepted = format!("{} to {}", rule.low, rule.high);
+            (rule.default.to_string(), accepted)
+        };
+        page += &format!(
+            "| `{}` | {} | {default} | {accepted} | {} |\n",
+            rule.name,
+            rule.unit,
+            rule.meaning.trim(),
+        );
+    }
+    expect_file!["../../../docs/SETTINGS.md"].assert_eq(&page);
+}
+
+#[test]
+fn the_operations_page_names_every_event() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let page = root.join("../../docs/OPERATIONS.md");
+    let page = std::fs::read_to_string(page).expect("the page is there");
+    let mut events = Vec::new();
+    collect_events(&root.join("src"), &mut events);
+    assert!(20 < events.len(), "the search finds the events");
+    for event in events {
+        let named = page.contains(&format!("`{event}`"));
+        assert!(named, "docs/OPERATIONS.md doesn't name {event}");
+    }
+}
+
+/// Collects the names after `event = ` in all source files below a folder.
+fn collect_events(folder: &Path, events: &mut Vec<String>) {
+    for entry in std::fs::read_dir(folder).expect("a source folder") {
+        let path = entry.expect("an entry").path();
+        if path.is_dir() {
+            collect_events(&path, events);
+            continue;
+        }
+        let text = std::fs::read_to_string(&path).expect("a source file");
+        for rest in text.split("event = \"").skip(1) {
+            let name = rest.split('"').next().unwrap_or("");
+            events.push(name.to_owned());
+        }
+    }
+}
