Read leases every other second and parts only when they have changed

Cause: at the users' size each host would have read the parts of all customers, all ledgers of its zone and the demand for 450 models every second, far above 24 KB/s. Ruled out: watching rows for changes, which the table service doesn't offer. Change: a head row that each write of parts raises, in the same transaction, so that the parts in hand are known to be current; leases every other turn; claims of a turn in one transaction; demand of the 16 models asked for most; owners look every fifth second while nothing is to be done.

--- a/crates/celerylead/src/placement/demand.rs
+++ b/crates/celerylead/src/placement/demand.rs
@@ -6,6 +6,8 @@
 
 /// Time in which a past demand counts for half.
 const HALF_LIFE: Duration = Duration::from_secs(10);
+/// Models of which a host reports the demand: those in highest demand.
+const MOST_MODELS: usize = 16;
 /// Demand below which a model isn't reported, in tokens a second.
 const LEAST_DEMAND: u64 = 1;
 
@@ -55,16 +57,21 @@
         self.models.insert(model.to_owned(), sum);
     }
 
-    /// Returns the demand for each model, in tokens a second.
+    /// Returns the demand for the models in highest demand, in tokens a
+    /// second.
     pub fn rates(&self, now: EpochMillis) -> ModelDemand {
         // A steady demand d sums up to d times the mean life.
         let mean_life = HALF_LIFE.as_secs_f64() / std::f64::consts::LN_2;
-        self.models
+        let mut rates: Vec<(String, u64)> = self
+            .models
             .iter()
             .map(|(model, sum)| {
                 (model.clone(), (sum.at(now) / mean_life) as u64)
             })
             .filter(|(_, rate)| LEAST_DEMAND <= *rate)
-            .collect()
+            .collect();
+        rates.sort_by_key(|(_, rate)| std::cmp::Reverse(*rate));
+        rates.truncate(MOST_MODELS);
+        rates.into_iter().collect()
     }
 }
--- a/crates/celerylead/src/platform.rs
+++ b/crates/celerylead/src/platform.rs
@@ -14,6 +14,8 @@
 pub const SETTINGS_HEAD: &str = "settings/head";
 /// Key of the row with the whole settings state.
 pub const SETTINGS_STATE: &str = "settings/state";
+/// Key of the row that changes with each write of parts of rates.
+pub const SHARES_HEAD: &str = "shares-head";
 /// Prefix of the rows with the parts of rates.
 pub const SHARES_PREFIX: &str = "shares/";
 /// Prefix of the zones' placements.
--- a/crates/celerylead/src/tasks/member.rs
+++ b/crates/celerylead/src/tasks/member.rs
@@ -1,8 +1,10 @@
 //! The task that speaks with the platform's table service.
 //!
-//! It renews the host's lease, reads settings, leases and parts in one
-//! transaction a second, and writes the claims that follow from them. While
-//! the table doesn't answer it asks other hosts for newer settings.
+//! It reads the settings' head once a second, leases and the head of the
+//! parts every other time, renews the host's lease and writes the claims that
+//! follow. What is large, the settings and the parts, is read only when its
+//! head has changed. While the table doesn't answer it asks other hosts for
+//! newer settings.
 
 use std::time::Duration;
 
@@ -26,8 +28,8 @@
     metrics::HostMetrics,
     platform::{
         CommitAsk, ReadAnswer, ReadAsk, SETTINGS_HEAD, SETTINGS_STATE,
-        SHARES_PREFIX, SettingsHead, TableClient, TableRow, host_key,
-        hosts_prefix, share_key,
+        SHARES_HEAD, SHARES_PREFIX, SettingsHead, TableClient, TableRow,
+        host_key, hosts_prefix, share_key,
     },
     settings::{SettingsState, SettingsView},
     wire::peer::{PeerAnswer, PeerAsk},
@@ -35,12 +37,14 @@
 
 /// Time between two readings of the table.
 const POLL_PERIOD: Duration = Duration::from_millis(1_000);
+/// Time between two readings of leases and parts.
+const FULL_PERIOD: Duration = Duration::from_millis(1_800);
 /// Time between two readings after a write of this host.
 const POLL_AFTER_WRITE: Duration = Duration::from_millis(100);
 /// Time between two renewals of the lease.
 const RENEW_PERIOD: Duration = Duration::from_millis(2_000);
 /// Claims that are written after one reading.
-const MAX_CLAIMS: usize = 32;
+const MAX_CLAIMS: usize = 64;
 
 /// Who a host is.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -86,6 +90,10 @@
     /// under this host's name.
     retired: bool,
     leases: ZoneLeases,
+    /// The parts as last read, with their head.
+    shares: ReadAnswer,
+    /// Point from which a turn reads leases and parts too.
+    full_at: Instant,
     turn: usize,
 }
 
@@ -98,6 +106,8 @@
         renewed: Instant::now(),
         retired: false,
         leases: ZoneLeases::default(),
+        shares: ReadAnswer::default(),
+        full_at: Instant::now(),
         turn: 0,
     };
     super::spawn(task.run(inbox));
@@ -132,14 +142,21 @@
     /// Reads the table once and acts on it; tells whether it wrote.
     async fn turn(&mut self) -> bool {
         let read_from = self.setup.clock.now();
-        match self.setup.table.read(&self.ask()).await {
+        let full = self.full_at <= Instant::now();
+        match self.setup.table.read(&self.ask(full)).await {
             Ok(answer) => {
-                let wrote = self.act(&answer, read_from).await;
+                let wrote = self.act(answer, read_from, full).await;
                 self.show_lease();
-                wrote.unwrap_or_else(|error| {
+                let wrote = wrote.unwrap_or_else(|error| {
                     self.note_failure(&error);
                     true
-                })
+                });
+                if full || wrote {
+                    let wait =
+                        if wrote { Duration::ZERO } else { FULL_PERIOD };
+                    self.full_at = Instant::now() + wait;
+                }
+                wrote
             }
             Err(error) => {
                 self.note_failure(&error);
@@ -150,22 +167,42 @@
         }
     }
 
-    fn ask(&self) -> ReadAsk {
-        let zone = &self.setup.identity.zone;
-        ReadAsk {
+    /// What to read: the settings' head always, leases and the head of the
+    /// parts less often.
+    fn ask(&self, full: bool) -> ReadAsk {
+        let mut ask = ReadAsk {
             keys: vec![SETTINGS_HEAD.to_owned()],
-            prefixes: vec![hosts_prefix(zone), SHARES_PREFIX.to_owned()],
+            prefixes: Vec::new(),
+        };
+        if full {
+            ask.keys.push(SHARES_HEAD.to_owned());
+            ask.prefixes.push(hosts_prefix(&self.setup.identity.zone));
         }
+        ask
     }
 
     async fn act(
         &mut self,
-        answer: &ReadAnswer,
-        read_from: EpochMillis,
+        mut answer: ReadAnswer,
+        mut read_from: EpochMillis,
+        full: bool,
     ) -> anyhow::Result<bool> {
-        self.adopt_settings(answer, read_from).await?;
-        self.adopt_leases(answer)?;
-        let rows = share_rows(answer)?;
+        let adopted = self.adopt_settings(&answer, read_from).await?;
+        if !full {
+            // What was adopted is reported at once, by a full turn.
+            return Ok(adopted);
+        }
+        if answer.version(SHARES_HEAD) != self.shares.version(SHARES_HEAD) {
+            // Some part has changed: read all of them with the leases, as of
+            // one point. Otherwise those in hand are those of this point.
+            let mut ask = self.ask(true);
+            ask.prefixes.push(SHARES_PREFIX.to_owned());
+            read_from = self.setup.clock.now();
+            answer = self.setup.table.read(&ask).await?;
+            self.shares = answer.clone();
+        }
+        self.adopt_leases(&answer)?;
+        let rows = share_rows(&self.shares)?;
         let view = ShareView {
             lease: self.own.clone(),
             read_from,
@@ -176,17 +213,18 @@
             return Ok(false);
         }
         if self.own.is_none() || self.renewal_is_due() {
-            return self.renew(answer).await;
+            return self.renew(&answer).await;
         }
-        self.claim(answer, &rows).await
+        self.claim(&answer, &rows).await
     }
 
-    /// Adopts newer settings and confirms that those in force are current.
+    /// Adopts newer settings and confirms that those in force are current;
+    /// tells whether it adopted any.
     async fn adopt_settings(
         &mut self,
         answer: &ReadAnswer,
         read_from: EpochMillis,
-    ) -> anyhow::Result<()> {
+    ) -> anyhow::Result<bool> {
         let held = self.setup.settings.borrow().state.revision;
         let head: SettingsHead = match answer.row(SETTINGS_HEAD) {
             Some(row) => row.decode()?,
@@ -202,11 +240,13 @@
                 let state: SettingsState = row.decode()?;
                 self.adopt(&state, read_from).await;
             }
-        } else if held == head.revision {
+            return Ok(true);
+        }
+        if held == head.revision {
             // A head older than what is in force is a stale reading.
             self.confirm(read_from);
         }
-        Ok(())
+        Ok(false)
     }
 
     async fn adopt(&mut self, state: &SettingsState, confirmed: EpochMillis) {
@@ -329,7 +369,7 @@
             zone: &self.setup.identity.zone,
             address: &self.setup.identity.peer_address,
         };
-        let mut written = 0;
+        let mut claims = Vec::new();
         for plan in &tree.customers {
             let held =
                 rows.binary_search_by(|row| row.customer.cmp(&plan.name));
@@ -338,40 +378,48 @@
                 Err(_) => (false, ShareRow::first(&plan.name, &target)),
             };
             let now = self.setup.clock.bound();
-            if !own.is_live(now) || MAX_CLAIMS <= written {
+            if !own.is_live(now) || MAX_CLAIMS <= claims.len() {
                 break;
             }
             let claim = row.claim(&claimant, &target, &self.leases, now);
-            let Some(claim) = claim.or_else(|| first_row(former, row)) else {
-                continue;
-            };
-            self.write_claim(&claim, answer).await?;
-            written += 1;
+            claims.extend(claim.or_else(|| first_row(former, row)));
+        }
+        if claims.is_empty() {
+            return Ok(false);
         }
-        Ok(0 < written)
+        self.write_claims(&claims, answer).await?;
+        Ok(true)
     }
 
-    async fn write_claim(
+    /// Writes claims in one transaction. Every write of parts raises their
+    /// head, by which hosts see that they have to read them again.
+    async fn write_claims(
         &self,
-        claim: &ShareClaim,
+        claims: &[ShareClaim],
         answer: &ReadAnswer,
     ) -> anyhow::Result<()> {
         let identity = &self.setup.identity;
-        let key = share_key(&claim.row.customer);
         let own = host_key(&identity.zone, &identity.host);
+        let head = self.shares.version(SHARES_HEAD);
         let mut ask = CommitAsk::default()
-            .check(&key, answer.version(&key))
-            .check(&own, answer.version(&own))
-            .write(&key, &claim.row);
-        for host in &claim.depends_on {
-            let lease = host_key(&identity.zone, host);
-            ask = ask.check(&lease, answer.version(&lease));
+            .check(SHARES_HEAD, head)
+            .write(SHARES_HEAD, &head)
+            .check(&own, answer.version(&own));
+        for claim in claims {
+            let key = share_key(&claim.row.customer);
+            ask = ask
+                .check(&key, self.shares.version(&key))
+                .write(&key, &claim.row);
+            for host in &claim.depends_on {
+                let lease = host_key(&identity.zone, host);
+                ask = ask.check(&lease, answer.version(&lease));
+            }
         }
-        let written = self.setup.table.commit(&ask).await?;
+        let committed = self.setup.table.commit(&ask).await?.committed;
         tracing::info!(
             event = "share_claimed",
-            customer = claim.row.customer,
-            committed = written.committed,
+            customers = claims.len(),
+            committed,
         );
         Ok(())
     }
--- a/crates/celerylead/src/tasks/owner.rs
+++ b/crates/celerylead/src/tasks/owner.rs
@@ -41,8 +41,10 @@
     wire::table::exchange_status,
 };
 
-/// Time between two turns.
+/// Time between two turns while something is to be done.
 const TURN_PERIOD: Duration = Duration::from_millis(1_000);
+/// Turns of which all but one are left out while nothing is.
+const IDLE_TURNS: u32 = 5;
 /// Time for which a silent runner keeps its place in the plan.
 const GONE_AFTER: Duration = Duration::from_secs(10);
 /// Path of orders at an engine.
@@ -65,6 +67,8 @@
     /// known.
     sent: Vec<String>,
     sequence: u64,
+    /// Whether the last turn changed something or waits for an order.
+    busy: bool,
     /// When each runner was last in service.
     seen: SortedTable<String, EpochMillis>,
     refusals: mpsc::Sender<RefusedOrder>,
@@ -106,6 +110,7 @@
         held: HeldLease::default(),
         sent: Vec::new(),
         sequence: 0,
+        busy: true,
         seen: SortedTable::default(),
         refusals,
     };
@@ -116,16 +121,25 @@
     async fn run(mut self, mut refused: mpsc::Receiver<RefusedOrder>) {
         let mut period = tokio::time::interval(TURN_PERIOD);
         period.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut idle = 0;
         loop {
             period.tick().await;
-            if self.setup.settings.has_changed().is_err() {
+            self.held.tick(self.setup.clock.now());
+            let Ok(changed) = self.setup.settings.has_changed() else {
                 return;
+            };
+            idle += 1;
+            if !changed && !self.busy && idle < IDLE_TURNS {
+                continue;
             }
+            idle = 0;
+            self.setup.settings.mark_unchanged();
             let mut refusals = Vec::new();
             while let Ok(order) = refused.try_recv() {
                 refusals.push(order);
             }
             if let Err(error) = self.turn(&refusals).await {
+                self.busy = true;
                 tracing::debug!(
                     event = "owner_turn_failed",
                     error = format!("{error:#}"),
@@ -136,7 +150,6 @@
 
     async fn turn(&mut self, refusals: &[RefusedOrder]) -> anyhow::Result<()> {
         let clock = self.setup.clock.clone();
-        self.held.tick(clock.now());
         let identity = self.setup.identity.clone();
         let read_from = clock.now();
         let ask = ReadAsk {
@@ -181,17 +194,26 @@
             ledgers: &ledgers,
             plan: &plan,
         };
+        // Orders of the zone that are out may make room for the next.
+        self.busy = ledgers.iter().any(|ledger| !ledger.orders.is_empty());
         self.look_after_runners(&view, refusals).await?;
         self.plan_zone(&view).await
     }
 
+    /// Writes to the table; the next turn comes soon, to see what came of
+    /// it.
+    async fn commit(&mut self, ask: &CommitAsk) -> anyhow::Result<bool> {
+        self.busy = true;
+        Ok(self.setup.table.commit(ask).await?.committed)
+    }
+
     async fn look_after_runners(
         &mut self,
         view: &TurnView<'_>,
         refusals: &[RefusedOrder],
     ) -> anyhow::Result<()> {
         let mut reports = JoinSet::new();
-        for plan in engines_of(view.tree, &self.setup.identity.zone) {
+        for plan in engines_of(view.tree, &view.own.zone) {
             let ledger = find_ledger(view.ledgers, &plan.name);
             let mine = ledger.filter(|held| held.owner == view.own.tag);
             if mine.is_none() {
@@ -222,7 +244,7 @@
 
     /// Takes a runner over whose owner is gone, where this host is home.
     async fn take_over(
-        &self,
+        &mut self,
         view: &TurnView<'_>,
         plan: &RunnerPlan,
         ledger: Option<&RunnerLedger>,
@@ -254,7 +276,7 @@
                 ask = ask.check(&key, view.answer.version(&key));
             }
         }
-        let committed = self.setup.table.commit(&ask).await?.committed;
+        let committed = self.commit(&ask).await?;
         tracing::info!(
             event = "runner_taken_over",
             runner = plan.name,
@@ -287,7 +309,7 @@
         }
         if settled != *ledger {
             let ask = self.ledger_write(view, &settled);
-            self.setup.table.commit(&ask).await?;
+            self.commit(&ask).await?;
             return Ok(());
         }
         if plan.fencing
@@ -305,7 +327,7 @@
     }
 
     async fn raise_fence(
-        &self,
+        &mut self,
         plan: &RunnerPlan,
         ledger: &RunnerLedger,
     ) -> anyhow::Result<()> {
@@ -319,6 +341,7 @@
             placed: now,
             held_until: now,
         };
+        self.busy = true;
         if self.held.is_live(self.setup.clock.bound()) {
             send_order(plan, &order).await;
         }
@@ -393,7 +416,7 @@
             let key = ledger_key(zone, survivor);
             ask = ask.check(&key, view.answer.version(&key));
         }
-        if !self.setup.table.commit(&ask).await?.committed {
+        if !self.commit(&ask).await? {
             return Ok(());
         }
         self.sent.retain(|id| {
@@ -473,7 +496,7 @@
             .check(&key, view.answer.version(&key))
             .check(&own, view.answer.version(&own))
             .write(&key, &plan);
-        let committed = self.setup.table.commit(&ask).await?.committed;
+        let committed = self.commit(&ask).await?;
         tracing::info!(event = "placement_planned", committed);
         Ok(())
     }
