--- a/crates/celerylead-cli/src/commands.rs
+++ b/crates/celerylead-cli/src/commands.rs
@@ -9,7 +9,7 @@
     membership::{HostLease, LeasePhase},
     operator::{ChangeResult, SettingsDesk},
     platform::TableClient,
-    settings::{self, KeyGrant, SettingsChange, SettingsTree},
+    settings::{self, KeyGrant, SettingsChange, SettingsTree, VALUE_RULES},
 };
 use serde_json::json;
 
@@ -41,7 +41,11 @@
             let id = change_id.clone().unwrap_or_else(new_id);
             change_settings(flags, printer, &change, &id, *base).await
         }
-        OperatorCommand::Show { branch } => {
+        OperatorCommand::Show { file: true, .. } => {
+            print!("{}", desk(flags)?.state().await?.file);
+            Ok(ExitCode::SUCCESS)
+        }
+        OperatorCommand::Show { branch, .. } => {
             show(flags, printer, branch.as_deref()).await
         }
         OperatorCommand::Key { command } => key(flags, printer, command).await,
@@ -112,17 +116,23 @@
     Ok(ExitCode::SUCCESS)
 }
 
-/// One line for each value that a branch doesn't have by default, and one
-/// for each branch.
+/// One line for each value at the branch that sets it, and one for each
+/// branch.
 fn branch_lines(tree: &SettingsTree) -> Vec<String> {
     let mut lines: Vec<String> = tree
         .origins
         .iter()
-        .filter(|value| value.origin != "built-in")
+        .filter(|value| value.origin == value.branch)
         .map(|value| {
             format!("{} {} = {}", value.branch, value.name, value.value)
         })
         .collect();
+    let defaults = tree.defaults.entries().into_iter().zip(VALUE_RULES);
+    lines.extend(
+        defaults
+            .filter(|((_, value), rule)| *value != rule.default)
+            .map(|((name, value), _)| format!("defaults {name} = {value}")),
+    );
     lines.extend(tree.runners.iter().map(|runner| {
         format!("runner/{} at {}", runner.name, runner.address)
     }));
--- a/crates/celerylead-cli/src/flags.rs
+++ b/crates/celerylead-cli/src/flags.rs
@@ -82,6 +82,9 @@
     /// Show the settings in force, or one branch with the origin of each value
     #[bpaf(command)]
     Show {
+        /// Print just the settings file in force
+        #[bpaf(long)]
+        file: bool,
         /// Branch, such as model/outline
         #[bpaf(positional("BRANCH"), optional)]
         branch: Option<String>,
