Spread reports and count copies along; explain where a request would go

Ruled out: dropping own polling for the owners' digests now; it needs a message between hosts that is not designed yet. Change: a host reads at most 50 reports a second, spread over the runners; the plan counts copies and memory along; look-ups by binary search. Owners' orders moved to wire, the view of a zone to a module of its own. A command says where a request would go and why.

--- a/crates/celerylead-cli/src/commands.rs
+++ b/crates/celerylead-cli/src/commands.rs
@@ -7,7 +7,7 @@
     HostClock,
     customer::CallerKey,
     membership::{HostLease, LeasePhase},
-    operator::{ChangeResult, SettingsDesk},
+    operator::{self, ChangeResult, SettingsDesk},
     platform::TableClient,
     settings::{self, KeyGrant, SettingsChange, SettingsTree, VALUE_RULES},
 };
@@ -50,6 +50,10 @@
         }
         OperatorCommand::Key { command } => key(flags, printer, command).await,
         OperatorCommand::Status => status(flags, printer).await,
+        OperatorCommand::Explain { host, customer, model } => {
+            printer.record(&operator::explain(host, customer, model).await?);
+            Ok(ExitCode::SUCCESS)
+        }
         OperatorCommand::Audit => audit(flags, printer).await,
         OperatorCommand::Drain { name } => {
             let change = SettingsChange::Drain { name: name.clone() };
--- a/crates/celerylead-cli/src/flags.rs
+++ b/crates/celerylead-cli/src/flags.rs
@@ -98,6 +98,19 @@
     /// Show hosts, the revisions they have in force and the parts of rates
     #[bpaf(command)]
     Status,
+    /// Show where a request would go from a host, and why
+    #[bpaf(command)]
+    Explain {
+        /// Address of the host for health and metrics
+        #[bpaf(argument("IP:PORT"))]
+        host: String,
+        /// Customer
+        #[bpaf(positional("CUSTOMER"))]
+        customer: String,
+        /// Model, as MODEL or MODEL:ADAPTER
+        #[bpaf(positional("MODEL"))]
+        model: String,
+    },
     /// Show who changed what and when
     #[bpaf(command)]
     Audit,
--- a/crates/celerylead/src/operator.rs
+++ b/crates/celerylead/src/operator.rs
@@ -5,6 +5,7 @@
 //! an id, so that a change whose answer was lost is recognised when it is
 //! asked for again, and is never made twice.
 
+use hyper::Method;
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -16,6 +17,8 @@
         SHARES_PREFIX, SettingsHead, TableClient, TableRow, audit_key,
     },
     settings::{AuditEntry, SettingsChange, SettingsState},
+    step::{StepContext as _, StepName},
+    wire::table::exchange,
 };
 
 /// Tries of a change that others' changes overtake.
@@ -47,6 +50,34 @@
     },
 }
 
+/// Asks a host, by its address for health and metrics, where a request of
+/// a customer for a model would go.
+///
+/// # Errors
+///
+/// Returns an error where the host doesn't answer.
+///
+/// # Examples
+///
+/// ```no_run
+/// # async fn run() -> anyhow::Result<()> {
+/// let why = celerylead::operator::explain(
+///     "127.0.0.1:8082", "parish", "outline:court",
+/// );
+/// println!("{}", why.await?["runners"]);
+/// # Ok(())
+/// # }
+/// ```
+pub async fn explain(
+    host: &str,
+    customer: &str,
+    model: &str,
+) -> anyhow::Result<serde_json::Value> {
+    let path = format!("/explain?customer={customer}&model={model}");
+    let answer = exchange(host, Method::GET, &path, Vec::new()).await?;
+    serde_json::from_slice(&answer).at(StepName::Decode, host)
+}
+
 /// An operator at the table service.
 #[derive(Clone, Debug)]
 pub struct SettingsDesk {
--- a/crates/celerylead/src/placement/plan.rs
+++ b/crates/celerylead/src/placement/plan.rs
@@ -48,7 +48,8 @@
 }
 
 /// Returns the plan that follows `current`, with at most `changes` copies
-/// more, besides those that keep models reachable.
+/// more, besides those that keep models reachable. `needs` are sorted by
+/// name.
 ///
 /// # Examples
 ///
@@ -79,7 +80,13 @@
     needs: &[ModelNeed],
     changes: usize,
 ) -> PlacementPlan {
-    let mut draft = PlanDraft { rooms, needs, plan: PlacementPlan::default() };
+    let mut draft = PlanDraft {
+        rooms,
+        needs,
+        plan: PlacementPlan::default(),
+        copies: SortedTable::default(),
+        used: SortedTable::default(),
+    };
     draft.carry_over(current);
     draft.reach_all();
     for _ in 0..changes {
@@ -94,6 +101,10 @@
     rooms: &'a [RunnerRoom],
     needs: &'a [ModelNeed],
     plan: PlacementPlan,
+    /// Copies planned by model, and memory planned by runner in MB: counted
+    /// along, since they are asked for far more often than they change.
+    copies: SortedTable<String, usize>,
+    used: SortedTable<String, u64>,
 }
 
 impl PlanDraft<'_> {
@@ -236,7 +247,10 @@
     }
 
     fn need(&self, model: &str) -> Option<&ModelNeed> {
-        self.needs.iter().find(|need| need.name == model)
+        let needs = self.needs;
+        let place =
+            needs.binary_search_by(|need| need.name.as_str().cmp(model));
+        Some(&needs[place.ok()?])
     }
 
     fn planned(&self, runner: &str) -> &[String] {
@@ -244,18 +258,16 @@
     }
 
     fn holds(&self, runner: &str, model: &str) -> bool {
-        self.planned(runner).iter().any(|held| held == model)
+        let planned = self.planned(runner);
+        planned.binary_search_by(|held| held.as_str().cmp(model)).is_ok()
     }
 
     fn copies(&self, model: &str) -> usize {
-        let targets = self.plan.targets.values();
-        targets.filter(|held| held.iter().any(|name| name == model)).count()
+        self.copies.get(model).copied().unwrap_or(0)
     }
 
     fn free(&self, room: &RunnerRoom) -> u64 {
-        let planned = self.planned(&room.name).iter();
-        let sizes = planned.filter_map(|model| self.need(model));
-        let used: u64 = sizes.map(|need| need.size_mb).sum();
+        let used = self.used.get(&room.name).copied().unwrap_or(0);
         room.memory_mb.saturating_sub(used)
     }
 
@@ -269,15 +281,22 @@
     }
 
     fn place(&mut self, runner: &str, model: &str) {
+        let size = self.need(model).map_or(0, |need| need.size_mb);
         let held = self.plan.targets.entry(runner.to_owned(), Vec::new);
         if let Err(place) = held.binary_search_by(|m| m.as_str().cmp(model)) {
             held.insert(place, model.to_owned());
+            *self.copies.entry(model.to_owned(), || 0) += 1;
+            *self.used.entry(runner.to_owned(), || 0) += size;
         }
     }
 
     fn drop(&mut self, runner: &str, model: &str) {
-        if let Some(held) = self.plan.targets.get_mut(runner) {
-            held.retain(|name| name != model);
+        let size = self.need(model).map_or(0, |need| need.size_mb);
+        let Some(held) = self.plan.targets.get_mut(runner) else { return };
+        if let Ok(place) = held.binary_search_by(|m| m.as_str().cmp(model)) {
+            held.remove(place);
+            *self.copies.entry(model.to_owned(), || 0) -= 1;
+            *self.used.entry(runner.to_owned(), || 0) -= size;
         }
     }
 }
--- a/crates/celerylead/src/request/mod.rs
+++ b/crates/celerylead/src/request/mod.rs
@@ -23,5 +23,5 @@
     },
     queue::FairQueue,
     refusal::{Refusal, RefusalCode, RunOutcome},
-    route::{RouteAsk, RouteChoice, RouteTable, RunResult},
+    route::{RouteAsk, RouteChoice, RouteReason, RouteTable, RunResult},
 };
--- a/crates/celerylead/src/request/route.rs
+++ b/crates/celerylead/src/request/route.rs
@@ -60,6 +60,22 @@
     pub tokens: u64,
 }
 
+/// Why a runner would be chosen, or not.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct RouteReason {
+    /// Name of the runner.
+    pub runner: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Requests of this host that it works on.
+    pub active: u32,
+    /// Learned speed, once it has answered.
+    pub tokens_per_second: Option<f64>,
+    /// Expected seconds until the request's end.
+    pub seconds: f64,
+}
+
 /// How a request that was routed ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -120,8 +136,10 @@
         report: &RunnerReport,
         now: EpochMillis,
     ) {
+        let mut report = report.clone();
+        report.models.sort();
         if let Some(runner) = self.serving.get_mut(name) {
-            runner.state.report = report.clone();
+            runner.state.report = report;
             return;
         }
         let ready = |runner: &Runner<Joining>| runner.state.not_before <= now;
@@ -129,7 +147,7 @@
             return;
         }
         if let Some(runner) = self.joining.remove(name) {
-            self.serving.insert(name.to_owned(), runner.serve(report));
+            self.serving.insert(name.to_owned(), runner.serve(&report));
         }
     }
 
@@ -156,13 +174,21 @@
         })
     }
 
-    /// Lists the runners that could take a request, with their expected
-    /// seconds until its end.
-    pub fn explain(&self, ask: &RouteAsk) -> Vec<(String, f64)> {
-        let candidates = self.candidates(ask);
-        candidates
-            .map(|(runner, cost)| (runner.plan.name.clone(), cost))
-            .collect()
+    /// Lists the runners that could take a request now, the one that would
+    /// be chosen first.
+    pub fn explain(&self, ask: &RouteAsk) -> Vec<RouteReason> {
+        let mut reasons: Vec<RouteReason> = self
+            .candidates(ask)
+            .map(|(runner, seconds)| RouteReason {
+                runner: runner.plan.name.clone(),
+                zone: runner.plan.zone.clone(),
+                active: runner.active,
+                tokens_per_second: runner.speed.tokens_per_second(),
+                seconds,
+            })
+            .collect();
+        reasons.sort_by(|one, other| one.seconds.total_cmp(&other.seconds));
+        reasons
     }
 
     /// Tells whether a runner could take the request now.
--- a/crates/celerylead/src/runner/life.rs
+++ b/crates/celerylead/src/runner/life.rs
@@ -141,9 +141,10 @@
         self.into_state(Joining { not_before })
     }
 
-    /// Tells whether `name` is resident.
+    /// Tells whether `name` is resident, by a report sorted by name.
     pub fn holds(&self, name: &str) -> bool {
-        self.state.report.models.iter().any(|held| held == name)
+        let models = &self.state.report.models;
+        models.binary_search_by(|held| held.as_str().cmp(name)).is_ok()
     }
 }
 
--- a/crates/celerylead/src/tasks/admin.rs
+++ b/crates/celerylead/src/tasks/admin.rs
@@ -12,8 +12,10 @@
 use serde_json::json;
 use tokio::{net::TcpListener, sync::watch, task::JoinSet};
 
-use super::{context::HostContext, dispatch::DispatchEvent, host::HostPhase};
-use crate::wire::reply;
+use super::{
+    call, context::HostContext, dispatch::DispatchEvent, host::HostPhase,
+};
+use crate::{model::ModelName, request::RouteAsk, wire::reply};
 
 /// Serves until the host's process ends.
 pub(crate) async fn run(
@@ -60,6 +62,10 @@
         }
         "/readyz" => ready(context, *phase.borrow()),
         "/status" => status(context).await,
+        "/explain" => {
+            let query = request.uri().query().unwrap_or("").to_owned();
+            explain(context, &query).await
+        }
         "/healthz" => {
             let body = json!({"status": "alive"}).to_string();
             reply::json_reply(StatusCode::OK, body)
@@ -86,6 +92,42 @@
     reply::json_reply(status, body.to_string())
 }
 
+/// Says where a request of a customer for a model would go, and why.
+async fn explain(context: &HostContext, query: &str) -> Response<Full<Bytes>> {
+    let value = |name: &str| {
+        let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+        let found = pairs.into_iter().find(|(key, _)| *key == name);
+        found.map(|(_, value)| value.to_owned()).unwrap_or_default()
+    };
+    let (customer, name) = (value("customer"), value("model"));
+    let view = context.settings.borrow().clone();
+    let plan = view.tree.customer(&customer);
+    let Ok(name) = name.parse::<ModelName>() else {
+        return reply::json_reply(StatusCode::BAD_REQUEST, "{}".to_owned());
+    };
+    let model = view.tree.model(&name.model);
+    let allowed = plan.map(|plan| call::may_use(&plan.models, &name.model));
+    let ask = RouteAsk {
+        group: model.map(|model| model.group.clone()).unwrap_or_default(),
+        model: Some(name),
+        tokens: 1,
+        tried: Vec::new(),
+        reruns: 0,
+    };
+    let dispatch = &context.dispatch.sender;
+    let runners =
+        super::ask(dispatch, |reply| DispatchEvent::Explain(ask, reply));
+    let body = json!({
+        "customer_known": plan.is_some(),
+        "model_known": model.is_some(),
+        "customer_may_use_model": allowed.unwrap_or(false),
+        "rate": plan.map(|plan| plan.values.rate),
+        "burst": plan.map(|plan| plan.values.burst),
+        "runners": runners.await,
+    });
+    reply::json_reply(StatusCode::OK, body.to_string())
+}
+
 async fn status(context: &HostContext) -> Response<Full<Bytes>> {
     let runners =
         super::ask(&context.dispatch.sender, DispatchEvent::Status).await;
--- a/crates/celerylead/src/tasks/dispatch.rs
+++ b/crates/celerylead/src/tasks/dispatch.rs
@@ -17,7 +17,7 @@
     placement::{DemandMeter, ModelDemand},
     request::{
         FairQueue, Refusal, RefusalCode, RetryBudget, RouteAsk, RouteChoice,
-        RouteTable, RunResult,
+        RouteReason, RouteTable, RunResult,
     },
     runner::RunnerReport,
     settings::SettingsView,
@@ -35,6 +35,8 @@
     Report { name: String, report: RunnerReport },
     /// A runner doesn't report any more.
     Silent { name: String },
+    /// Say where a request would go, the first choice first.
+    Explain(RouteAsk, oneshot::Sender<Vec<RouteReason>>),
     /// Say what each model is asked for.
     Demand(oneshot::Sender<ModelDemand>),
     /// Say what each runner in service looks like.
@@ -147,6 +149,8 @@
     budget: RetryBudget,
     ports: SortedTable<String, (String, RunnerPort)>,
     sender: mpsc::Sender<DispatchEvent>,
+    /// Time between two reports of each runner.
+    period: watch::Sender<Duration>,
     metrics: HostMetrics,
 }
 
@@ -167,6 +171,7 @@
         budget: RetryBudget::default(),
         ports: SortedTable::default(),
         sender: sender.clone(),
+        period: watch::Sender::new(runner::report_period(0)),
         metrics: metrics.clone(),
     };
     super::spawn(task.run(inbox, ends, settings));
@@ -238,6 +243,9 @@
             DispatchEvent::Silent { name } => {
                 self.table.silent(&name, self.clock.now());
             }
+            DispatchEvent::Explain(ask, reply) => {
+                let _ = reply.send(self.table.explain(&ask));
+            }
             DispatchEvent::Demand(reply) => {
                 let _ = reply.send(self.demand.rates(self.clock.now()));
             }
@@ -249,13 +257,16 @@
 
     fn adopt(&mut self, view: &SettingsView) {
         self.table.adopt(&view.state, &view.tree);
+        let period = runner::report_period(view.tree.runners.len());
+        self.period.send_replace(period);
         self.ports.retain(|name, (address, _)| {
             let plan = view.tree.runner(name);
             plan.is_some_and(|plan| plan.address == *address)
         });
         for plan in &view.tree.runners {
             if self.ports.get(plan.name.as_str()).is_none() {
-                let port = runner::start(plan, &self.sender);
+                let period = self.period.subscribe();
+                let port = runner::start(plan, &self.sender, &period);
                 let row = (plan.address.clone(), port);
                 self.ports.insert(plan.name.clone(), row);
             }
--- a/crates/celerylead/src/tasks/exchange.rs
+++ b/crates/celerylead/src/tasks/exchange.rs
@@ -94,7 +94,7 @@
                 errand.route.reruns += 1;
                 let share = rand::random();
                 let wait = backoff(errand.route.reruns, share);
-                tokio::time::sleep(wait).await;
+                tokio::time::sleep_until(Instant::now() + wait).await;
             }
         }
         errand.route.tried.push(runner);
--- a/crates/celerylead/src/tasks/host.rs
+++ b/crates/celerylead/src/tasks/host.rs
@@ -11,6 +11,7 @@
     net::TcpListener,
     sync::{mpsc, watch},
     task::JoinHandle,
+    time::Instant,
 };
 use tracing::Instrument as _;
 
@@ -259,17 +260,18 @@
     async fn leave(self) {
         tracing::info!(event = "host_leaving");
         self.phase.send_replace(HostPhase::Leaving);
+        let grace_end = Instant::now() + self.options.drain_grace;
         super::ask(&self.member, MemberEvent::Release).await;
-        tokio::time::sleep(self.options.drain_grace).await;
+        tokio::time::sleep_until(grace_end).await;
         self.phase.send_replace(HostPhase::Ending);
-        let limit = self.options.drain_limit;
-        if tokio::time::timeout(limit, self.entry).await.is_err() {
+        let deadline = Instant::now() + self.options.drain_limit;
+        if tokio::time::timeout_at(deadline, self.entry).await.is_err() {
             tracing::error!(event = "drain_limit_reached");
         }
         // The last port of the usage task goes with the admin task.
         self.admin.abort();
         let _ = self.admin.await;
-        let _ = tokio::time::timeout(limit, self.usage).await;
+        let _ = tokio::time::timeout_at(deadline, self.usage).await;
         tracing::info!(event = "host_stopped");
     }
 }
--- a/crates/celerylead/src/tasks/mod.rs
+++ b/crates/celerylead/src/tasks/mod.rs
@@ -31,6 +31,7 @@
 pub(crate) mod shares;
 pub(crate) mod stream;
 pub(crate) mod usage;
+pub(crate) mod zone;
 
 use std::future::Future;
 
--- a/crates/celerylead/src/tasks/owner.rs
+++ b/crates/celerylead/src/tasks/owner.rs
@@ -7,8 +7,6 @@
 
 use std::time::Duration;
 
-use hyper::{Method, StatusCode};
-use serde::Serialize;
 use tokio::{
     sync::{mpsc, watch},
     task::JoinSet,
@@ -16,29 +14,29 @@
 };
 
 use super::{
-    dispatch::{DispatchEvent, DispatchPort, RunnerStatus},
+    dispatch::{DispatchEvent, DispatchPort},
     member::HostIdentity,
     runner::fetch_report,
+    zone::{ZoneView, engines_of, find_ledger, needs},
 };
 use crate::{
     clock::{EpochMillis, HostClock},
     customer::share::ZoneLeases,
     membership::{HeldLease, HostLease, best_host},
     placement::{
-        ModelNeed, OrderDraft, OwnedRunner, PlacementPlan, RunnerRoom,
-        next_plan,
+        OrderDraft, OwnedRunner, PlacementPlan, RunnerRoom, next_plan,
     },
     platform::{
-        CommitAsk, PLACEMENT_PREFIX, ReadAnswer, ReadAsk, TableClient,
-        host_key, hosts_prefix, ledger_key, ledgers_prefix, placement_key,
+        CommitAsk, PLACEMENT_PREFIX, ReadAsk, TableClient, host_key,
+        hosts_prefix, ledger_key, ledgers_prefix, placement_key,
     },
     runner::{
         ORDER_QUARANTINE, OrderKind, ReadReport, RunnerLedger, RunnerOrder,
         RunnerReport,
     },
-    settings::{GroupKind, RunnerPlan, SettingsTree, SettingsView},
+    settings::{RunnerPlan, SettingsView},
     sorted::SortedTable,
-    wire::table::exchange_status,
+    wire::order::{OrderEnd, send_order},
 };
 
 /// Time between two turns while something is to be done.
@@ -47,8 +45,6 @@
 const IDLE_TURNS: u32 = 5;
 /// Time for which a silent runner keeps its place in the plan.
 const GONE_AFTER: Duration = Duration::from_secs(10);
-/// Path of orders at an engine.
-const ORDERS_PATH: &str = "/v1/orders";
 
 /// What the task is started with.
 pub(crate) struct OwnerSetup {
@@ -80,28 +76,6 @@
     id: String,
 }
 
-/// An order as an engine reads it.
-#[derive(Serialize)]
-#[serde(rename_all = "snake_case")]
-struct EngineOrder<'a> {
-    id: &'a str,
-    fence: u64,
-    kind: OrderKind,
-    model: &'a str,
-    size_mb: u64,
-}
-
-/// All that one turn works with.
-struct TurnView<'a> {
-    answer: &'a ReadAnswer,
-    own: &'a HostLease,
-    tree: &'a SettingsTree,
-    leases: &'a ZoneLeases,
-    runners: &'a [RunnerStatus],
-    ledgers: &'a [RunnerLedger],
-    plan: &'a PlacementPlan,
-}
-
 /// Starts the task; it ends with the settings' channel.
 pub(crate) fn start(setup: OwnerSetup) {
     let (refusals, refused) = mpsc::channel(super::MAILBOX);
@@ -185,7 +159,7 @@
             None => PlacementPlan::default(),
         };
         let tree = self.setup.settings.borrow().tree.clone();
-        let view = TurnView {
+        let view = ZoneView {
             answer: &answer,
             own: &own,
             tree: &tree,
@@ -209,7 +183,7 @@
 
     async fn look_after_runners(
         &mut self,
-        view: &TurnView<'_>,
+        view: &ZoneView<'_>,
         refusals: &[RefusedOrder],
     ) -> anyhow::Result<()> {
         let mut reports = JoinSet::new();
@@ -245,7 +219,7 @@
     /// Takes a runner over whose owner is gone, where this host is home.
     async fn take_over(
         &mut self,
-        view: &TurnView<'_>,
+        view: &ZoneView<'_>,
         plan: &RunnerPlan,
         ledger: Option<&RunnerLedger>,
     ) -> anyhow::Result<()> {
@@ -289,7 +263,7 @@
     /// Settles the orders of an own runner, or gives the next one.
     async fn look_after(
         &mut self,
-        view: &TurnView<'_>,
+        view: &ZoneView<'_>,
         plan: &RunnerPlan,
         ledger: &RunnerLedger,
         read: &ReadReport<'_>,
@@ -360,7 +334,7 @@
 
     fn next_order(
         &self,
-        view: &TurnView<'_>,
+        view: &ZoneView<'_>,
         plan: &RunnerPlan,
         ledger: &RunnerLedger,
         report: &RunnerReport,
@@ -386,7 +360,7 @@
     /// Reserves an order and, once that is written, sends it.
     async fn give(
         &mut self,
-        view: &TurnView<'_>,
+        view: &ZoneView<'_>,
         plan: &RunnerPlan,
         ledger: &RunnerLedger,
         draft: &OrderDraft,
@@ -442,7 +416,7 @@
         let refusals = self.refusals.clone();
         let plan = plan.clone();
         super::spawn(async move {
-            if send_order(&plan, &order).await {
+            if send_order(&plan, &order).await == OrderEnd::Refused {
                 let RunnerOrder { id, .. } = order;
                 let refused = RefusedOrder { runner: plan.name, id };
                 let _ = refusals.send(refused).await;
@@ -454,7 +428,7 @@
     /// Starts the write of a ledger that this host owns or takes.
     fn ledger_write(
         &self,
-        view: &TurnView<'_>,
+        view: &ZoneView<'_>,
         ledger: &RunnerLedger,
     ) -> CommitAsk {
         let identity = &self.setup.identity;
@@ -472,7 +446,7 @@
     }
 
     /// Plans for the zone, where that falls to this host.
-    async fn plan_zone(&mut self, view: &TurnView<'_>) -> anyhow::Result<()> {
+    async fn plan_zone(&mut self, view: &ZoneView<'_>) -> anyhow::Result<()> {
         let clock = &self.setup.clock;
         let bound = clock.bound();
         let live =
@@ -505,7 +479,7 @@
     /// that have just fallen silent.
     fn rooms(
         &mut self,
-        view: &TurnView<'_>,
+        view: &ZoneView<'_>,
         now: EpochMillis,
     ) -> Vec<RunnerRoom> {
         let state = self.setup.settings.borrow().state.clone();
@@ -534,106 +508,3 @@
         rooms
     }
 }
-
-impl TurnView<'_> {
-    fn status(&self, runner: &str) -> Option<&RunnerStatus> {
-        self.runners.iter().find(|held| held.name == runner)
-    }
-
-    /// Finds another runner of the zone on which a model is resident,
-    /// planned, and not being unloaded.
-    fn survivor(&self, runner: &str, model: &str) -> Option<String> {
-        let planned = self.plan.targets.iter().find(|(other, models)| {
-            let resident = self
-                .status(other)
-                .is_some_and(|held| held.models.iter().any(|m| m == model));
-            let leaving =
-                find_ledger(self.ledgers, other).is_none_or(|held| {
-                    held.orders.iter().any(|order| order.model == model)
-                });
-            let wanted = models.iter().any(|held| held == model);
-            other.as_str() != runner && wanted && resident && !leaving
-        });
-        planned.map(|(other, _)| other.clone())
-    }
-}
-
-fn needs(view: &TurnView<'_>) -> anyhow::Result<Vec<ModelNeed>> {
-    let own = placement_key(&view.own.zone);
-    let mut elsewhere: Vec<String> = Vec::new();
-    for row in view.answer.under(PLACEMENT_PREFIX) {
-        if row.key == own {
-            continue;
-        }
-        let plan: PlacementPlan = row.decode()?;
-        elsewhere.extend(plan.targets.values().flatten().cloned());
-    }
-    let models = view.tree.models.iter();
-    Ok(models
-        .map(|model| {
-            let leases = view.leases.values();
-            let demand =
-                leases.filter_map(|lease| lease.demand.get(&model.name)).sum();
-            ModelNeed {
-                name: model.name.clone(),
-                group: model.group.clone(),
-                size_mb: view.tree.resident_mb(&model.name),
-                demand,
-                elsewhere: elsewhere.contains(&model.name),
-            }
-        })
-        .collect())
-}
-
-fn engines_of<'a>(
-    tree: &'a SettingsTree,
-    zone: &'a str,
-) -> impl Iterator<Item = &'a RunnerPlan> {
-    tree.runners
-        .iter()
-        .filter(move |plan| plan.kind == GroupKind::Model && plan.zone == zone)
-}
-
-fn find_ledger<'a>(
-    ledgers: &'a [RunnerLedger],
-    runner: &str,
-) -> Option<&'a RunnerLedger> {
-    let place =
-        ledgers.binary_search_by(|held| held.runner.as_str().cmp(runner));
-    Some(&ledgers[place.ok()?])
-}
-
-/// Sends an order; tells whether the runner surely refused it.
-async fn send_order(plan: &RunnerPlan, order: &RunnerOrder) -> bool {
-    let message = EngineOrder {
-        id: &order.id,
-        fence: order.fence,
-        kind: order.kind,
-        model: &order.model,
-        size_mb: order.size_mb,
-    };
-    let Ok(body) = serde_json::to_vec(&message) else { return true };
-    let peer = plan.address.as_str();
-    match exchange_status(peer, Method::POST, ORDERS_PATH, body).await {
-        Ok((status, _)) => {
-            if !status.is_success() {
-                tracing::warn!(
-                    event = "order_refused",
-                    runner = plan.name,
-                    order = order.id,
-                    status = status.as_u16(),
-                );
-            }
-            status == StatusCode::CONFLICT
-        }
-        Err(error) => {
-            tracing::warn!(
-                event = "order_in_doubt",
-                runner = plan.name,
-                order = order.id,
-                error = format!("{error:#}"),
-            );
-            false
-        }
-    }
-}
--- a/crates/celerylead/src/tasks/runner.rs
+++ b/crates/celerylead/src/tasks/runner.rs
@@ -6,8 +6,8 @@
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::{Request, header};
 use tokio::{
-    sync::{mpsc, oneshot},
-    time::{Instant, MissedTickBehavior},
+    sync::{mpsc, oneshot, watch},
+    time::Instant,
 };
 
 use super::{MAILBOX, dispatch::DispatchEvent};
@@ -18,8 +18,10 @@
     wire::link::{HttpLink, SendFault},
 };
 
-/// Time between two reports of a runner.
+/// Time between two reports of a runner, where there are few.
 const REPORT_PERIOD: Duration = Duration::from_millis(500);
+/// Reports that a host reads in a second at most, of all its runners.
+const REPORTS_PER_SECOND: u64 = 50;
 /// Longest wait for a report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Reports missed in a row after which a runner is out of service.
@@ -51,19 +53,28 @@
     plan: RunnerPlan,
     idle: Vec<(Instant, HttpLink)>,
     missed: u32,
+    period: watch::Receiver<Duration>,
     dispatch: mpsc::Sender<DispatchEvent>,
 }
 
+/// Returns the time between two reports of each of so many runners.
+pub(crate) fn report_period(runners: usize) -> Duration {
+    let millis = runners as u64 * 1_000 / REPORTS_PER_SECOND;
+    REPORT_PERIOD.max(Duration::from_millis(millis))
+}
+
 /// Starts the task of a runner; it ends when its port is dropped.
 pub(crate) fn start(
     plan: &RunnerPlan,
     dispatch: &mpsc::Sender<DispatchEvent>,
+    period: &watch::Receiver<Duration>,
 ) -> RunnerPort {
     let (sender, inbox) = mpsc::channel(MAILBOX);
     let task = RunnerTask {
         plan: plan.clone(),
         idle: Vec::new(),
         missed: 0,
+        period: period.clone(),
         dispatch: dispatch.clone(),
     };
     super::spawn(task.run(inbox));
@@ -72,8 +83,7 @@
 
 impl RunnerTask {
     async fn run(mut self, mut inbox: mpsc::Receiver<RunnerEvent>) {
-        let mut period = tokio::time::interval(REPORT_PERIOD);
-        period.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut due = Instant::now();
         let (fetched, mut reports) = mpsc::channel(1);
         let mut fetching = false;
         loop {
@@ -82,8 +92,12 @@
                     Some(event) => self.handle(event),
                     None => return,
                 },
-                _ = period.tick(), if !fetching => {
+                () = tokio::time::sleep_until(due), if !fetching => {
                     fetching = true;
+                    // Reports of many runners are spread over the period.
+                    let share = rand::random_range(0.8..1.2);
+                    let wait = self.period.borrow().mul_f64(share);
+                    due = Instant::now() + wait;
                     let plan = self.plan.clone();
                     let fetched = fetched.clone();
                     super::spawn(async move {
--- a/crates/celerylead/src/tasks/stream.rs
+++ b/crates/celerylead/src/tasks/stream.rs
@@ -167,6 +167,7 @@
         key: Option<&KeyWatch>,
         idle_timeout: Duration,
     ) -> AnswerStream {
+        let idle_deadline = Instant::now() + idle_timeout;
         AnswerStream {
             upstream,
             link: Some(link),
@@ -174,8 +175,8 @@
             tally,
             key: key.cloned(),
             idle_timeout,
-            idle_deadline: Instant::now() + idle_timeout,
-            idle: Box::pin(tokio::time::sleep(idle_timeout)),
+            idle_deadline,
+            idle: Box::pin(tokio::time::sleep_until(idle_deadline)),
             ended: false,
         }
     }
--- a/crates/celerylead/src/wire/mod.rs
+++ b/crates/celerylead/src/wire/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod engine;
 pub(crate) mod headers;
 pub(crate) mod link;
+pub(crate) mod order;
 pub(crate) mod peer;
 pub(crate) mod reply;
 pub(crate) mod table;
--- /dev/null
+++ b/crates/celerylead/src/wire/order.rs
@@ -0,0 +1,77 @@
+//! Orders to engines: load, unload, raise the fencing number.
+
+use hyper::{Method, StatusCode};
+use serde::Serialize;
+
+use super::table::exchange_status;
+use crate::{
+    runner::{OrderKind, RunnerOrder},
+    settings::RunnerPlan,
+};
+
+/// Path of orders at an engine.
+const ORDERS_PATH: &str = "/v1/orders";
+
+/// What is known of an order after it was sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum OrderEnd {
+    /// The engine took it.
+    Taken,
+    /// The engine refused it; it will never take effect.
+    Refused,
+    /// It may take effect, now or later.
+    InDoubt,
+}
+
+/// An order as an engine reads it.
+#[derive(Serialize)]
+#[serde(rename_all = "snake_case")]
+struct EngineOrder<'a> {
+    id: &'a str,
+    fence: u64,
+    kind: OrderKind,
+    model: &'a str,
+    size_mb: u64,
+}
+
+/// Sends an order to an engine.
+pub(crate) async fn send_order(
+    plan: &RunnerPlan,
+    order: &RunnerOrder,
+) -> OrderEnd {
+    let message = EngineOrder {
+        id: &order.id,
+        fence: order.fence,
+        kind: order.kind,
+        model: &order.model,
+        size_mb: order.size_mb,
+    };
+    let Ok(body) = serde_json::to_vec(&message) else {
+        return OrderEnd::Refused;
+    };
+    let peer = plan.address.as_str();
+    match exchange_status(peer, Method::POST, ORDERS_PATH, body).await {
+        Ok((status, _)) if status.is_success() => OrderEnd::Taken,
+        Ok((status, _)) => {
+            tracing::warn!(
+                event = "order_refused",
+                runner = plan.name,
+                order = order.id,
+                status = status.as_u16(),
+            );
+            match status {
+                StatusCode::CONFLICT => OrderEnd::Refused,
+                _ => OrderEnd::InDoubt,
+            }
+        }
+        Err(error) => {
+            tracing::warn!(
+                event = "order_in_doubt",
+                runner = plan.name,
+                order = order.id,
+                error = format!("{error:#}"),
+            );
+            OrderEnd::InDoubt
+        }
+    }
+}
--- a/crates/system-tests/benches/slopes.rs
+++ b/crates/system-tests/benches/slopes.rs
@@ -138,7 +138,11 @@
 
 #[tokio::main(flavor = "multi_thread", worker_threads = 2)]
 async fn main() {
+    // `runners` as an argument measures the points of many runners only.
+    let few = std::env::args().any(|word| word == "runners");
     for point in POINTS {
-        watch(point).await;
+        if !few || 4 < point.runners {
+            watch(point).await;
+        }
     }
 }
