--- a/crates/system-tests/benches/slopes.rs
+++ b/crates/system-tests/benches/slopes.rs
@@ -138,10 +138,10 @@
 
 #[tokio::main(flavor = "multi_thread", worker_threads = 2)]
 async fn main() {
-    // `runners` as an argument measures the points of many runners only.
-    let few = std::env::args().any(|word| word == "runners");
+    // `many` as an argument measures the points of many runners and models.
+    let many = std::env::args().any(|word| word == "many");
     for point in POINTS {
-        if !few || 4 < point.runners {
+        if !many || 4 < point.runners || 14 < point.models {
             watch(point).await;
         }
     }
