Read reports at common points

Cause: with reports capped and spread evenly the control of 100 runners cost 2.6 % of a core, more than the 1.8 % before the cap: each report woke the host by itself, which costs more than the report. Ruled out: a lower cap, which would make reports of 274 runners 14 s old. Change: reports still come at most 50 a second, at points twice a second that all runners of a host share.

--- a/crates/celerylead/src/tasks/dispatch.rs
+++ b/crates/celerylead/src/tasks/dispatch.rs
@@ -151,6 +151,7 @@
     sender: mpsc::Sender<DispatchEvent>,
     /// Time between two reports of each runner.
     period: watch::Sender<Duration>,
+    started: Instant,
     metrics: HostMetrics,
 }
 
@@ -172,6 +173,7 @@
         ports: SortedTable::default(),
         sender: sender.clone(),
         period: watch::Sender::new(runner::report_period(0)),
+        started: Instant::now(),
         metrics: metrics.clone(),
     };
     super::spawn(task.run(inbox, ends, settings));
@@ -266,7 +268,8 @@
         for plan in &view.tree.runners {
             if self.ports.get(plan.name.as_str()).is_none() {
                 let period = self.period.subscribe();
-                let port = runner::start(plan, &self.sender, &period);
+                let port =
+                    runner::start(plan, &self.sender, &period, self.started);
                 let row = (plan.address.clone(), port);
                 self.ports.insert(plan.name.clone(), row);
             }
--- a/crates/celerylead/src/tasks/runner.rs
+++ b/crates/celerylead/src/tasks/runner.rs
@@ -54,6 +54,8 @@
     idle: Vec<(Instant, HttpLink)>,
     missed: u32,
     period: watch::Receiver<Duration>,
+    /// Start of the host, from which the common points are counted.
+    started: Instant,
     dispatch: mpsc::Sender<DispatchEvent>,
 }
 
@@ -68,6 +70,7 @@
     plan: &RunnerPlan,
     dispatch: &mpsc::Sender<DispatchEvent>,
     period: &watch::Receiver<Duration>,
+    started: Instant,
 ) -> RunnerPort {
     let (sender, inbox) = mpsc::channel(MAILBOX);
     let task = RunnerTask {
@@ -75,6 +78,7 @@
         idle: Vec::new(),
         missed: 0,
         period: period.clone(),
+        started,
         dispatch: dispatch.clone(),
     };
     super::spawn(task.run(inbox));
@@ -94,10 +98,7 @@
                 },
                 () = tokio::time::sleep_until(due), if !fetching => {
                     fetching = true;
-                    // Reports of many runners are spread over the period.
-                    let share = rand::random_range(0.8..1.2);
-                    let wait = self.period.borrow().mul_f64(share);
-                    due = Instant::now() + wait;
+                    due = self.next_report();
                     let plan = self.plan.clone();
                     let fetched = fetched.clone();
                     super::spawn(async move {
@@ -113,6 +114,18 @@
         }
     }
 
+    /// Point of the next report. Reports of many runners are spread over the
+    /// period, but come at common points: to wake up costs a host more than
+    /// to read several reports at once.
+    fn next_report(&self) -> Instant {
+        let share = rand::random_range(0.8..1.2);
+        let wait = self.period.borrow().mul_f64(share);
+        let due = self.started.elapsed() + wait + REPORT_PERIOD / 2;
+        let steps = due.as_millis() / REPORT_PERIOD.as_millis();
+        let steps = u32::try_from(steps).unwrap_or(u32::MAX);
+        self.started + REPORT_PERIOD * steps
+    }
+
     fn handle(&mut self, event: RunnerEvent) {
         let limit = Instant::now();
         self.idle.retain(|(until, link)| limit < *until && link.is_ready());
