Ask holders for tokens in one loop

Cause: gather had the same loop twice, for near and for far holders, though the share book already hands holders out nearest first. Ruled out: sorting again in gather. Change: one loop over the holders as given. Behaviour is the same. Conclusion: no change of behaviour.

--- a/crates/celerylead/src/tasks/peer.rs
+++ b/crates/celerylead/src/tasks/peer.rs
@@ -93,7 +93,7 @@
     }
 }
 
-/// Asks other holders for tokens, those of the own zone first.
+/// Asks other holders for tokens, in the order given: nearest first.
 pub(crate) async fn gather(
     peers: &PeerPort,
     customer: &str,
@@ -101,20 +101,10 @@
     holders: &[HolderAddress],
 ) -> TakenTokens {
     let mut taken = TakenTokens::default();
-    let (near, far): (Vec<_>, Vec<_>) =
-        holders.iter().partition(|holder| holder.same_zone);
-    for holder in near {
+    for holder in holders {
         let missing = tokens.saturating_sub(taken.total());
         if missing == 0 {
-            return taken;
-        }
-        let granted = grant(peers, customer, missing, &holder.address).await;
-        taken.insert_granted(&holder.address, granted);
-    }
-    for holder in far {
-        let missing = tokens.saturating_sub(taken.total());
-        if missing == 0 {
-            return taken;
+            break;
         }
         let granted = grant(peers, customer, missing, &holder.address).await;
         taken.insert_granted(&holder.address, granted);
