--- /dev/null
+++ b/crates/celerylead/src/catalog/mod.rs
@@ -0,0 +1,154 @@
+//! What an operator has configured, as one value.
+//!
+//! A catalog holds the routes, services, customers and limits of one
+//! revision. It is immutable: a host swaps the whole value, so every call
+//! sees one revision from its first look-up to its answer. Where it comes
+//! from is the adapter's matter; the look-ups here are all that routing
+//! needs of it.
+//!
+//! * A route is found by host name and path: among the routes of the name,
+//!   the one with the longest prefix of the path.
+//! * A customer is found by the hash of the key that a caller shows. Keys in
+//!   clear aren't kept.
+
+mod customer;
+mod route;
+mod service;
+#[cfg(test)]
+mod tests;
+
+use serde::{Deserialize, Serialize};
+
+pub use self::{
+    customer::{BilledCustomer, RateUnit, TokenRate},
+    route::{CallRoute, RouteKind, SplitTarget},
+    service::{EngineModel, EngineTraits, ServiceTraits},
+};
+use crate::{
+    customer::{CallerKey, KeyHash},
+    sorted::SortedTable,
+};
+
+/// Bounds on what a caller may send.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct CallLimits {
+    /// Largest head, in bytes.
+    pub head_bytes: usize,
+    /// Largest body, in bytes.
+    pub body_bytes: usize,
+    /// Longest time to send a head, in milliseconds.
+    pub head_ms: u64,
+    /// Longest idle time of a connection, in milliseconds.
+    pub idle_ms: u64,
+}
+
+impl Default for CallLimits {
+    fn default() -> Self {
+        CallLimits {
+            head_bytes: 16 << 10,
+            body_bytes: 4 << 20,
+            head_ms: 3_000,
+            idle_ms: 15_000,
+        }
+    }
+}
+
+/// One revision of the configuration.
+///
+/// # Examples
+///
+/// ```
+/// use celerylead::catalog::ServiceCatalog;
+///
+/// let catalog = ServiceCatalog::default();
+/// assert!(catalog.route("example.org", "/a/").is_none());
+/// ```
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct ServiceCatalog {
+    /// Number of the revision; only a higher one replaces it.
+    pub revision: u64,
+    /// Bounds on what callers may send.
+    pub limits: CallLimits,
+    routes: SortedTable<String, Vec<CallRoute>>,
+    services: SortedTable<String, ServiceTraits>,
+    customers: Vec<BilledCustomer>,
+    keys: SortedTable<KeyHash, usize>,
+}
+
+impl ServiceCatalog {
+    /// Makes a catalog of its parts.
+    pub fn new(
+        revision: u64,
+        limits: CallLimits,
+        routes: Vec<CallRoute>,
+        services: Vec<ServiceTraits>,
+        customers: Vec<(BilledCustomer, Vec<CallerKey>)>,
+    ) -> ServiceCatalog {
+        let mut catalog =
+            ServiceCatalog { revision, limits, ..ServiceCatalog::default() };
+        for route in routes {
+            let name = route.host.to_ascii_lowercase();
+            catalog.routes.entry(name, Vec::new).push(route);
+        }
+        for (_, routes) in catalog.routes.iter_mut() {
+            routes.sort_by(|one, other| one.prefix.cmp(&other.prefix));
+        }
+        catalog.services = services
+            .into_iter()
+            .map(|service| (service.name.clone(), service))
+            .collect();
+        let mut keys = Vec::new();
+        for (customer, shown) in customers {
+            let place = catalog.customers.len();
+            keys.extend(shown.iter().map(|key| (key.hash(), place)));
+            catalog.customers.push(customer);
+        }
+        catalog.keys = keys.into_iter().collect();
+        catalog
+    }
+
+    /// Returns the route of a call: the longest prefix of `path` among the
+    /// routes of the host name.
+    pub fn route(&self, host: &str, path: &str) -> Option<&CallRoute> {
+        let routes = match self.routes.get(host) {
+            Some(routes) => routes,
+            None => self.routes.get(&host.to_ascii_lowercase())?,
+        };
+        // Prefixes end with a slash, so each candidate is a part of the path
+        // up to one of its slashes.
+        path.rmatch_indices('/').find_map(|(end, _)| {
+            let prefix = &path[..=end];
+            let place = routes
+                .binary_search_by(|route| route.prefix.as_str().cmp(prefix));
+            place.ok().map(|place| &routes[place])
+        })
+    }
+
+    /// Returns the service of this name.
+    pub fn service(&self, name: &str) -> Option<&ServiceTraits> {
+        self.services.get(name)
+    }
+
+    /// Iterates over the services by name.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceTraits> {
+        self.services.values()
+    }
+
+    /// Returns the customer that holds a key.
+    pub fn customer(&self, key: &CallerKey) -> Option<&BilledCustomer> {
+        let place = self.keys.get(&key.hash())?;
+        self.customers.get(*place)
+    }
+
+    /// Iterates over the customers.
+    pub fn customers(&self) -> impl Iterator<Item = &BilledCustomer> {
+        self.customers.iter()
+    }
+
+    /// Tells whether calls need a key at all.
+    pub fn bills(&self) -> bool {
+        !self.customers.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/celerylead/src/catalog/tests.rs
@@ -0,0 +1,109 @@
+//! Look-ups of the catalog, as tables of cases.
+
+use super::{
+    BilledCustomer, CallLimits, CallRoute, RouteKind, ServiceCatalog,
+    SplitTarget,
+};
+use crate::customer::CallerKey;
+
+fn route(host: &str, prefix: &str) -> CallRoute {
+    CallRoute {
+        name: format!("{host}{prefix}"),
+        host: host.to_owned(),
+        prefix: prefix.to_owned(),
+        kind: RouteKind::Safe,
+        timeout_ms: 1_000,
+        objective_ms: 100,
+        priority: 0,
+        targets: vec![
+            SplitTarget { service: "blue".to_owned(), weight: 90 },
+            SplitTarget { service: "green".to_owned(), weight: 10 },
+        ],
+        max_attempts: 1,
+        public: false,
+    }
+}
+
+fn catalog() -> ServiceCatalog {
+    let customer = BilledCustomer {
+        name: "parish".to_owned(),
+        priority: None,
+        rate: None,
+    };
+    let keys = vec![CallerKey::shown("k-1"), CallerKey::shown("k-2")];
+    ServiceCatalog::new(
+        3,
+        CallLimits::default(),
+        vec![
+            route("a.example", "/x/"),
+            route("a.example", "/x/y/"),
+            route("a.example", "/"),
+            route("b.example", "/x/"),
+        ],
+        Vec::new(),
+        vec![(customer, keys)],
+    )
+}
+
+#[test]
+fn the_longest_prefix_wins() {
+    struct Case {
+        host: &'static str,
+        path: &'static str,
+        found: Option<&'static str>,
+    }
+    let cases = [
+        Case { host: "a.example", path: "/x/1", found: Some("/x/") },
+        Case { host: "a.example", path: "/x/y/1", found: Some("/x/y/") },
+        Case { host: "a.example", path: "/x/y", found: Some("/x/") },
+        Case { host: "a.example", path: "/z", found: Some("/") },
+        Case { host: "A.Example", path: "/x/", found: Some("/x/") },
+        Case { host: "b.example", path: "/xy", found: None },
+        Case { host: "b.example", path: "*", found: None },
+        Case { host: "c.example", path: "/x/", found: None },
+    ];
+    let catalog = catalog();
+    for Case { host, path, found } in cases {
+        let route = catalog.route(host, path);
+        let prefix = route.map(|route| route.prefix.as_str());
+        assert_eq!(prefix, found, "{host}{path}");
+    }
+}
+
+#[test]
+fn a_key_leads_to_its_customer() {
+    struct Case {
+        key: &'static str,
+        found: Option<&'static str>,
+    }
+    let cases = [
+        Case { key: "k-1", found: Some("parish") },
+        Case { key: "k-2", found: Some("parish") },
+        Case { key: "k-3", found: None },
+        Case { key: "", found: None },
+    ];
+    let catalog = catalog();
+    for Case { key, found } in cases {
+        let customer = catalog.customer(&CallerKey::shown(key));
+        let name = customer.map(|customer| customer.name.as_str());
+        assert_eq!(name, found, "{key}");
+    }
+}
+
+#[test]
+fn a_split_follows_its_weights() {
+    struct Case {
+        draw: f64,
+        target: &'static str,
+    }
+    let cases = [
+        Case { draw: 0.0, target: "blue" },
+        Case { draw: 0.899, target: "blue" },
+        Case { draw: 0.901, target: "green" },
+        Case { draw: 1.0, target: "green" },
+    ];
+    let route = route("a.example", "/");
+    for Case { draw, target } in cases {
+        assert_eq!(route.target(draw), Some(target), "{draw}");
+    }
+}
--- /dev/null
+++ b/crates/celerylead/src/customer/fleet.rs
@@ -0,0 +1,190 @@
+//! A customer's rate over all hosts, by what they tell each other.
+//!
+//! Each host keeps the whole bucket and books its own spending in it at
+//! once. Hosts tell each other their total spending several times a second,
+//! and each books what the others' totals grew by. What several hosts spend
+//! between two tellings may exceed the rate for that moment; it is owed, so
+//! later calls wait for it.
+//!
+//! A host that isn't heard is booked as spending its even share all the
+//! while. On both sides of a cut the even shares add up to the rate. When it
+//! is heard again, what it spent beyond its booked share is booked too; a
+//! share that it didn't use stays lost.
+//!
+//! A bucket starts empty: hosts that were restarted together can't spend a
+//! second burst.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{catalog::TokenRate, clock::EpochMillis, sorted::SortedTable};
+
+/// Silence after which a host is booked as spending its even share; three
+/// tellings may be lost.
+const SILENCE: Duration = Duration::from_millis(700);
+
+/// What a host has told of its spending for a customer.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+struct ToldTotal {
+    /// Its process; another one counts from zero.
+    incarnation: u64,
+    total: i64,
+    /// Units booked for it since, while it wasn't heard.
+    assumed: f64,
+}
+
+/// The rate of one customer.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct FleetBucket {
+    rate: TokenRate,
+    /// Units that may be spent; below zero after others spent.
+    level: f64,
+    refilled: EpochMillis,
+    /// Units that this host spent since its start.
+    spent: i64,
+    told: SortedTable<String, ToldTotal>,
+}
+
+impl FleetBucket {
+    /// Makes an empty bucket.
+    pub fn empty(rate: TokenRate, now: EpochMillis) -> FleetBucket {
+        FleetBucket {
+            rate,
+            level: 0.0,
+            refilled: now,
+            spent: 0,
+            told: SortedTable::default(),
+        }
+    }
+
+    /// Returns the total that this host has spent.
+    pub fn spent(&self) -> i64 {
+        self.spent
+    }
+
+    /// Changes rate and burst; a smaller burst cuts the level at once.
+    pub fn resize(&mut self, rate: TokenRate) {
+        self.rate = rate;
+        self.level = self.level.min(rate.burst as f64);
+    }
+
+    /// Takes `cost` whole, or says when to come back.
+    ///
+    /// A call that needs more than the burst is let in by a full bucket and
+    /// leaves a debt.
+    ///
+    /// # Errors
+    ///
+    /// Returns the point at which the bucket will hold enough.
+    pub fn take(
+        &mut self,
+        cost: u64,
+        hosts: &HostHearing,
+        now: EpochMillis,
+    ) -> Result<(), EpochMillis> {
+        self.refill(hosts, now);
+        let cost = cost as f64;
+        let needed = cost.min(self.rate.burst as f64);
+        if needed <= self.level {
+            self.level -= cost;
+            self.spent += cost as i64;
+            return Ok(());
+        }
+        let per_second = (self.rate.per_second as f64).max(1.0);
+        let seconds = (needed - self.level) / per_second;
+        Err(now.after(Duration::from_secs_f64(seconds.min(60.0))))
+    }
+
+    /// Gives back the cost of a call that surely didn't run.
+    pub fn give_back(&mut self, cost: u64) {
+        self.level = (self.level + cost as f64).min(self.rate.burst as f64);
+        self.spent -= cost as i64;
+    }
+
+    /// Books the total that another host told.
+    pub fn told(&mut self, host: &str, incarnation: u64, total: i64) {
+        let fresh = ToldTotal { incarnation, total, assumed: 0.0 };
+        let Some(last) = self.told.get_mut(host) else {
+            // What it spent before it was first heard is in its own past.
+            self.told.insert(host.to_owned(), fresh);
+            return;
+        };
+        let before =
+            if last.incarnation == incarnation { last.total } else { 0 };
+        let grown = (total - before) as f64;
+        self.level -= (grown - last.assumed).max(grown.min(0.0));
+        *last = fresh;
+    }
+
+    fn refill(&mut self, hosts: &HostHearing, now: EpochMillis) {
+        let seconds = self.refilled.until(now).as_secs_f64();
+        if seconds <= 0.0 {
+            return;
+        }
+        self.refilled = now;
+        let gained = self.rate.per_second as f64 * seconds;
+        let share = gained / hosts.count() as f64;
+        let mut silent = 0.0;
+        for host in hosts.silent(now) {
+            silent += share;
+            if let Some(told) = self.told.get_mut(host) {
+                told.assumed += share;
+            }
+        }
+        let level = self.level + gained - silent;
+        self.level = level.min(self.rate.burst as f64);
+    }
+}
+
+/// The other hosts, and when each was last heard.
+///
+/// # Examples
+///
+/// ```
+/// use celerylead::{EpochMillis, customer::HostHearing};
+///
+/// let mut hearing = HostHearing::default();
+/// hearing.expect("front-2");
+/// assert_eq!(hearing.count(), 2);
+/// assert_eq!(hearing.silent(EpochMillis(5_000)).count(), 1);
+/// hearing.heard("front-2", EpochMillis(5_000));
+/// assert_eq!(hearing.silent(EpochMillis(5_100)).count(), 0);
+/// ```
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct HostHearing {
+    hosts: SortedTable<String, EpochMillis>,
+}
+
+impl HostHearing {
+    /// Notes that a host exists.
+    pub fn expect(&mut self, host: &str) {
+        self.hosts.entry(host.to_owned(), EpochMillis::default);
+    }
+
+    /// Notes that a host was heard.
+    pub fn heard(&mut self, host: &str, now: EpochMillis) {
+        self.hosts.insert(host.to_owned(), now);
+    }
+
+    /// Forgets a host that is gone for good.
+    pub fn forget(&mut self, host: &str) {
+        self.hosts.remove(host);
+    }
+
+    /// Returns the number of hosts, this one among them.
+    pub fn count(&self) -> usize {
+        self.hosts.len() + 1
+    }
+
+    /// Iterates over the hosts that haven't been heard for a while.
+    pub fn silent(&self, now: EpochMillis) -> impl Iterator<Item = &str> {
+        self.hosts
+            .iter()
+            .filter(move |(_, heard)| heard.after(SILENCE) <= now)
+            .map(|(host, _)| host.as_str())
+    }
+}
--- a/crates/celerylead/src/lib.rs
+++ b/crates/celerylead/src/lib.rs
@@ -17,9 +17,15 @@
 //! | [`usage`] | what is billed |
 //! | [`platform`] | the table service and the keys of our rows |
 //! | [`host`] | a whole host: sockets, tasks, shutdown |
+//! | [`catalog`] | one revision of an operator's routes and services |
+//! | [`roster`] | which runners a registry lists |
+//! | [`relay`] | which runner gets a call |
+//! | [`port`] | messages and encodings of the systems outside |
+//! | [`node`] | a whole host behind an adapter |
 //!
-//! The first eight are aggregates: types and rules without input or output,
-//! which take the time as a parameter. Tasks and encodings are apart.
+//! All but the last rows of either kind are aggregates: types and rules
+//! without input or output, which take the time as a parameter. Tasks and
+//! encodings are apart.
 //!
 //! # Examples
 //!
@@ -35,6 +41,7 @@
 //! assert_eq!(tree.customer("parish").unwrap().values.burst, 400);
 //! ```
 
+pub mod catalog;
 mod clock;
 pub mod customer;
 pub mod log;
@@ -44,7 +51,10 @@
 pub mod operator;
 pub mod placement;
 pub mod platform;
+pub mod port;
+pub mod relay;
 pub mod request;
+pub mod roster;
 pub mod runner;
 pub mod settings;
 mod sorted;
@@ -57,6 +67,6 @@
     clock::{ClockBound, EpochMillis, HostClock, MAX_CLOCK_SKEW},
     sorted::SortedTable,
     step::{StepContext, StepName},
-    tasks::host,
+    tasks::{host, node},
     wire::peer::{PEER_NAME, PeerIdentity},
 };
--- /dev/null
+++ b/crates/celerylead/src/membership/digest.rs
@@ -0,0 +1,83 @@
+//! What hosts tell each other several times a second.
+//!
+//! A digest replaces the one before it from the same host, so a lost one
+//! costs freshness only. Totals are counted from the start of the process
+//! that tells them, which its incarnation names.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{model::ModelName, placement::ModelDemand};
+
+/// Calls of a host in flight at a runner.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct RunnerLoad {
+    /// Identity of the runner.
+    pub runner: String,
+    /// Calls in flight.
+    pub calls: u32,
+    /// Tokens of these calls.
+    pub tokens: u64,
+}
+
+/// What a host has spent of a customer's rate.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct SpentTotal {
+    /// Name of the customer.
+    pub customer: String,
+    /// Units since the start of the host's process.
+    pub total: i64,
+}
+
+/// What a host tells the others.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct HostDigest {
+    /// Name of the host.
+    pub host: String,
+    /// Random number of its process.
+    pub incarnation: u64,
+    /// Runners at which it has calls.
+    pub loads: Vec<RunnerLoad>,
+    /// Its spending by customer.
+    pub spent: Vec<SpentTotal>,
+    /// What it is asked for, in tokens a second by model.
+    pub demand: ModelDemand,
+}
+
+/// Message from one host to another.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum HostMessage {
+    /// What the sender carries.
+    Digest(HostDigest),
+    /// The adapters that runners hold by order; from the host that orders.
+    Adapters {
+        /// Name of the host that orders.
+        host: String,
+        /// Adapters by the runner's identity.
+        held: Vec<(String, Vec<ModelName>)>,
+    },
+    /// A call found its adapter at no runner of the service.
+    Want {
+        /// Name of the service.
+        service: String,
+        /// Model and adapter.
+        name: ModelName,
+    },
+}
+
+/// Row of a host: where the others reach it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct HostRow {
+    /// Name of the host.
+    pub host: String,
+    /// Availability zone.
+    pub zone: String,
+    /// Address for other hosts, as `IP:PORT`.
+    pub address: String,
+    /// Random number of its process.
+    pub incarnation: u64,
+}
--- a/crates/celerylead/src/membership/mod.rs
+++ b/crates/celerylead/src/membership/mod.rs
@@ -8,14 +8,22 @@
 //! [`HostLease::deadline`]; the standing part of a rate, with which a zone
 //! goes on when it is cut off from the platform, ends with
 //! [`HostLease::standing_deadline`].
+//!
+//! Hosts behind an adapter hold nothing by such a lease. They tell each
+//! other a [`HostDigest`] several times a second, and one of them gives the
+//! orders to runners under the [`OrdersLease`].
 
+mod digest;
 mod lease;
+mod orders;
 mod rendezvous;
 
 #[cfg(test)]
 mod tests;
 
 pub use self::{
+    digest::{HostDigest, HostMessage, HostRow, RunnerLoad, SpentTotal},
     lease::{HeldLease, HostLease, HostTag, LeasePhase, MAX_PAUSE},
+    orders::{LeaseClaim, OrdersLease, OrdersRow, RENEW_PERIOD},
     rendezvous::{best_host, rank},
 };
--- /dev/null
+++ b/crates/celerylead/src/relay/backend.rs
@@ -0,0 +1,165 @@
+//! A runner as one host sees it.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{
+    clock::EpochMillis, model::ModelName, roster::RunnerFacts,
+    sorted::SortedTable,
+};
+
+/// Weight of a new sample in the mean of a runner's pace.
+const PACE_WEIGHT: f64 = 0.2;
+/// Weight of a new sample in the mean of a runner's failures.
+const FAILURE_WEIGHT: f64 = 0.1;
+/// Failures in a row after which a runner is set aside.
+const FAILURES_TO_SET_ASIDE: u32 = 3;
+/// First time for which a runner is set aside; doubled each time.
+const SET_ASIDE: Duration = Duration::from_millis(500);
+/// Longest time for which a runner is set aside.
+const MAX_SET_ASIDE_DOUBLINGS: u32 = 4;
+/// Age from which what another host told of its calls isn't believed.
+const PEER_LOAD_AGE: Duration = Duration::from_millis(1_500);
+
+/// How a call at a runner ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum CallEnd {
+    /// A whole answer; the pace in microseconds is the time of a plain call
+    /// or the mean time between events of a stream.
+    Whole {
+        /// Microseconds.
+        pace_us: u64,
+    },
+    /// The runner answered that it failed.
+    Failed,
+    /// The runner broke off, answered wrongly or not at all.
+    Broken,
+    /// The runner turned the call away before running it.
+    TurnedAway,
+    /// The caller went away, or the end says nothing of the runner.
+    Neutral,
+}
+
+/// Calls of another host at a runner.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct PeerLoad {
+    /// Calls in flight.
+    pub calls: u32,
+    /// Tokens of these calls.
+    pub tokens: u64,
+    /// Point at which it was told.
+    pub told_at: EpochMillis,
+}
+
+/// A runner in the relay table.
+#[derive(Clone, Debug)]
+pub(super) struct RelayBackend {
+    pub(super) facts: RunnerFacts,
+    /// Adapters that were loaded since the runner's last entry, by order.
+    pub(super) adapters: Vec<ModelName>,
+    pub(super) calls: u32,
+    pub(super) tokens: u64,
+    pub(super) peers: SortedTable<String, PeerLoad>,
+    /// Mean pace by model in microseconds; the empty name is a plain call.
+    pace: SortedTable<String, f64>,
+    /// Share of calls that failed lately.
+    pub(super) failing: f64,
+    failures_in_row: u32,
+    set_aside: u32,
+    set_aside_until: EpochMillis,
+}
+
+impl RelayBackend {
+    pub(super) fn new(facts: RunnerFacts) -> RelayBackend {
+        RelayBackend {
+            facts,
+            adapters: Vec::new(),
+            calls: 0,
+            tokens: 0,
+            peers: SortedTable::default(),
+            pace: SortedTable::default(),
+            failing: 0.0,
+            failures_in_row: 0,
+            set_aside: 0,
+            set_aside_until: EpochMillis::default(),
+        }
+    }
+
+    /// Calls in flight, of this host and as told by others.
+    pub(super) fn load(&self, now: EpochMillis) -> u32 {
+        let told = self.fresh_peers(now).map(|load| load.calls);
+        self.calls + told.sum::<u32>()
+    }
+
+    /// Tokens of the calls in flight.
+    pub(super) fn tokens(&self, now: EpochMillis) -> u64 {
+        let told = self.fresh_peers(now).map(|load| load.tokens);
+        self.tokens + told.sum::<u64>()
+    }
+
+    fn fresh_peers(
+        &self,
+        now: EpochMillis,
+    ) -> impl Iterator<Item = &PeerLoad> {
+        self.peers
+            .values()
+            .filter(move |load| now < load.told_at.after(PEER_LOAD_AGE))
+    }
+
+    pub(super) fn pace(&self, model: &str) -> Option<f64> {
+        self.pace.get(model).copied()
+    }
+
+    pub(super) fn is_set_aside(&self, now: EpochMillis) -> bool {
+        now < self.set_aside_until
+    }
+
+    /// Tells whether the runner holds a model and its adapter.
+    pub(super) fn holds(&self, name: &ModelName) -> bool {
+        let Some(held) = self.facts.model(&name.model) else { return false };
+        let Some(adapter) = &name.adapter else { return true };
+        held.adapters.contains(adapter) || self.adapters.contains(name)
+    }
+
+    /// Books the end of a call of `tokens` for `model`.
+    pub(super) fn end(
+        &mut self,
+        model: &str,
+        tokens: u64,
+        end: CallEnd,
+        now: EpochMillis,
+    ) {
+        self.calls = self.calls.saturating_sub(1);
+        self.tokens = self.tokens.saturating_sub(tokens);
+        match end {
+            CallEnd::Whole { pace_us } => {
+                let sample = pace_us as f64;
+                let mean = self.pace.entry(model.to_owned(), || sample);
+                *mean += PACE_WEIGHT * (sample - *mean);
+                self.failing -= FAILURE_WEIGHT * self.failing;
+                self.failures_in_row = 0;
+                self.set_aside = 0;
+            }
+            CallEnd::Neutral => {}
+            CallEnd::Failed => self.note_failure(),
+            CallEnd::Broken | CallEnd::TurnedAway => {
+                self.note_failure();
+                self.failures_in_row += 1;
+                if FAILURES_TO_SET_ASIDE <= self.failures_in_row {
+                    let wait = SET_ASIDE * 2_u32.pow(self.set_aside);
+                    self.set_aside_until = now.after(wait);
+                    self.set_aside =
+                        MAX_SET_ASIDE_DOUBLINGS.min(self.set_aside + 1);
+                    self.failures_in_row = 0;
+                }
+            }
+        }
+    }
+
+    fn note_failure(&mut self) {
+        self.failing += FAILURE_WEIGHT * (1.0 - self.failing);
+    }
+}
--- /dev/null
+++ b/crates/celerylead/src/relay/table.rs
@@ -0,0 +1,292 @@
+//! The runners that a host may pass calls on to.
+
+use serde::{Deserialize, Serialize};
+
+use super::{
+    backend::{CallEnd, PeerLoad, RelayBackend},
+    call::RelayAsk,
+};
+use crate::{
+    catalog::ServiceCatalog, clock::EpochMillis, model::ModelName,
+    roster::RunnerFacts, sorted::SortedTable,
+};
+
+/// Pace assumed where no runner has answered yet, in microseconds.
+const UNKNOWN_PACE_US: f64 = 20_000.0;
+/// How many times as long a full runner takes as an idle one.
+const FULL_FACTOR: f64 = 3.0;
+/// How many times as long a runner is expected to take for each tenth of
+/// its calls that fail beyond the mean of its service.
+const FAILURE_FACTOR: f64 = 2.0;
+/// What the way into another availability zone adds, in parts of the pace.
+const OTHER_ZONE_FACTOR: f64 = 0.15;
+/// Calls beyond its slots that a model engine may be given, as a part of
+/// the slots: they wait in its queue.
+const ENGINE_QUEUE_SHARE: f64 = 0.25;
+/// The same for plain services, whose queues are short.
+const PLAIN_QUEUE_SHARE: f64 = 1.0;
+
+/// The runner chosen for a call, with what is booked there.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct RelayChoice {
+    /// Identity of the runner.
+    pub runner: String,
+    /// Its address, as `IP:PORT`.
+    pub address: String,
+    /// Name of the model, empty for a plain call.
+    pub model: String,
+    /// Tokens booked.
+    pub tokens: u64,
+}
+
+/// Why no runner was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum PickFault {
+    /// The service has no runner.
+    NoRunner,
+    /// No runner holds the model.
+    NoModel,
+    /// A runner holds the model, none the adapter.
+    NoAdapter,
+    /// Every runner that could take it is full.
+    Full,
+    /// Every runner that could take it was tried already.
+    AllTried,
+}
+
+impl PickFault {
+    /// Returns the fault as it stands in log lines.
+    pub fn text(self) -> &'static str {
+        match self {
+            PickFault::NoRunner => "no_runner",
+            PickFault::NoModel => "no_model",
+            PickFault::NoAdapter => "no_adapter",
+            PickFault::Full => "full",
+            PickFault::AllTried => "all_tried",
+        }
+    }
+}
+
+/// A runner, for people and for the digest to other hosts.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct RunnerView {
+    /// Identity.
+    pub id: String,
+    /// Calls of this host in flight.
+    pub calls: u32,
+    /// Tokens of these calls.
+    pub tokens: u64,
+    /// Share of calls that failed lately.
+    pub failing: f64,
+}
+
+/// The runners as one host sees them.
+#[derive(Debug, Default)]
+pub struct RelayTable {
+    zone: String,
+    backends: SortedTable<String, RelayBackend>,
+}
+
+impl RelayTable {
+    /// Makes an empty table for a host in `zone`.
+    pub fn new(zone: &str) -> RelayTable {
+        RelayTable { zone: zone.to_owned(), backends: SortedTable::default() }
+    }
+
+    /// Takes over the roster. A runner that isn't in it gets no more calls;
+    /// one that started again begins with nothing known of it.
+    pub fn adopt<'a>(&mut self, facts: impl Iterator<Item = &'a RunnerFacts>) {
+        let mut former = std::mem::take(&mut self.backends);
+        for facts in facts {
+            let known = former.remove(&facts.id);
+            let backend = match known {
+                Some(mut backend) if backend.facts.is_same_start(facts) => {
+                    backend.facts = facts.clone();
+                    backend
+                }
+                _ => RelayBackend::new(facts.clone()),
+            };
+            self.backends.insert(facts.id.clone(), backend);
+        }
+    }
+
+    /// Notes the adapters that a runner holds by order.
+    pub fn adapters(&mut self, runner: &str, adapters: &[ModelName]) {
+        if let Some(backend) = self.backends.get_mut(runner) {
+            backend.adapters = adapters.to_vec();
+        }
+    }
+
+    /// Notes what another host has in flight at a runner.
+    pub fn peer_load(&mut self, host: &str, runner: &str, load: PeerLoad) {
+        if let Some(backend) = self.backends.get_mut(runner) {
+            backend.peers.insert(host.to_owned(), load);
+        }
+    }
+
+    /// Chooses the runner for a call and books it there.
+    ///
+    /// # Errors
+    ///
+    /// Returns why none could be chosen.
+    pub fn pick(
+        &mut self,
+        ask: &RelayAsk,
+        catalog: &ServiceCatalog,
+        now: EpochMillis,
+    ) -> Result<RelayChoice, PickFault> {
+        let best = self.best(ask, catalog, now)?;
+        let model = ask.model.as_ref().map_or("", |name| &name.model);
+        let Some(backend) = self.backends.get_mut(&best) else {
+            return Err(PickFault::NoRunner);
+        };
+        backend.calls += 1;
+        backend.tokens += ask.tokens;
+        Ok(RelayChoice {
+            runner: best,
+            address: backend.facts.address.clone(),
+            model: model.to_owned(),
+            tokens: ask.tokens,
+        })
+    }
+
+    /// Books the end of a call.
+    pub fn done(
+        &mut self,
+        choice: &RelayChoice,
+        end: CallEnd,
+        now: EpochMillis,
+    ) {
+        if let Some(backend) = self.backends.get_mut(&choice.runner) {
+            backend.end(&choice.model, choice.tokens, end, now);
+        }
+    }
+
+    /// Tells whether a runner is in the table and takes new calls.
+    pub fn takes_calls(&self, runner: &str) -> bool {
+        let backend = self.backends.get(runner);
+        backend.is_some_and(|backend| !backend.facts.leaving)
+    }
+
+    /// Iterates over the runners.
+    pub fn views(&self) -> impl Iterator<Item = RunnerView> {
+        self.backends.iter().map(|(id, backend)| RunnerView {
+            id: id.clone(),
+            calls: backend.calls,
+            tokens: backend.tokens,
+            failing: backend.failing,
+        })
+    }
+
+    fn best(
+        &self,
+        ask: &RelayAsk,
+        catalog: &ServiceCatalog,
+        now: EpochMillis,
+    ) -> Result<String, PickFault> {
+        let mut fault = PickFault::NoRunner;
+        let mut open: Vec<&RelayBackend> = Vec::new();
+        for backend in self.backends.values() {
+            let Err(found) = is_candidate(backend, ask, catalog, now) else {
+                open.push(backend);
+                continue;
+            };
+            fault = nearer(fault, found);
+        }
+        let in_use = |backend: &&RelayBackend| !backend.is_set_aside(now);
+        if open.iter().any(in_use) {
+            open.retain(in_use);
+        }
+        let model = ask.model.as_ref().map_or("", |name| &name.model);
+        let paces = open.iter().filter_map(|backend| backend.pace(model));
+        // A runner that hasn't answered yet is taken for the fastest, so
+        // that each gets tried.
+        let unknown = paces.reduce(f64::min).unwrap_or(UNKNOWN_PACE_US);
+        let failing = open.iter().map(|backend| backend.failing).sum::<f64>()
+            / open.len().max(1) as f64;
+        open.iter()
+            .map(|backend| {
+                let pace = backend.pace(model).unwrap_or(unknown);
+                (backend, self.cost(backend, pace, failing, now))
+            })
+            .min_by(|one, other| one.1.total_cmp(&other.1))
+            .map(|(backend, _)| backend.facts.id.clone())
+            .ok_or(fault)
+    }
+
+    /// Expected time of a call, in microseconds of its pace.
+    fn cost(
+        &self,
+        backend: &RelayBackend,
+        pace: f64,
+        mean_failing: f64,
+        now: EpochMillis,
+    ) -> f64 {
+        let slots = f64::from(backend.facts.slots.max(1));
+        let load = f64::from(backend.load(now)) / slots;
+        let excess = (backend.failing - mean_failing).max(0.0) * 10.0;
+        let away = if backend.facts.zone == self.zone {
+            0.0
+        } else {
+            OTHER_ZONE_FACTOR
+        };
+        pace * (1.0 + (FULL_FACTOR - 1.0) * load + away)
+            * (1.0 + (FAILURE_FACTOR - 1.0) * excess * 2.0)
+    }
+}
+
+/// Tells whether a runner may get a call, or what speaks against it.
+fn is_candidate(
+    backend: &RelayBackend,
+    ask: &RelayAsk,
+    catalog: &ServiceCatalog,
+    now: EpochMillis,
+) -> Result<(), PickFault> {
+    if backend.facts.service != ask.service || backend.facts.leaving {
+        return Err(PickFault::NoRunner);
+    }
+    if let Some(name) = &ask.model
+        && !backend.holds(name)
+    {
+        let plain = ModelName { adapter: None, ..name.clone() };
+        return Err(if backend.holds(&plain) {
+            PickFault::NoAdapter
+        } else {
+            PickFault::NoModel
+        });
+    }
+    if ask.tried.contains(&backend.facts.id) {
+        return Err(PickFault::AllTried);
+    }
+    let service = catalog.service(&ask.service);
+    let engine = service.and_then(|service| service.engine.as_ref());
+    let share = match engine {
+        Some(_) => ENGINE_QUEUE_SHARE,
+        None => PLAIN_QUEUE_SHARE,
+    };
+    let room = f64::from(backend.facts.slots) * (1.0 + share);
+    if room <= f64::from(backend.load(now)) {
+        return Err(PickFault::Full);
+    }
+    if let Some(engine) = engine
+        && engine.token_capacity < backend.tokens(now) + ask.tokens
+    {
+        return Err(PickFault::Full);
+    }
+    Ok(())
+}
+
+/// Returns the fault that came closest to a choice.
+fn nearer(one: PickFault, other: PickFault) -> PickFault {
+    let rank = |fault| match fault {
+        PickFault::NoRunner => 0,
+        PickFault::NoModel => 1,
+        PickFault::NoAdapter => 2,
+        PickFault::AllTried => 3,
+        PickFault::Full => 4,
+    };
+    if rank(one) < rank(other) { other } else { one }
+}
--- /dev/null
+++ b/crates/celerylead/src/relay/tests.rs
@@ -0,0 +1,241 @@
+//! Choice of runners, as tables of cases.
+
+use super::{CallEnd, PeerLoad, PickFault, RelayAsk, RelayTable};
+use crate::{
+    catalog::{CallLimits, EngineTraits, ServiceCatalog, ServiceTraits},
+    clock::EpochMillis,
+    model::ModelName,
+    request::RequestId,
+    roster::{HeldModel, RunnerFacts},
+};
+
+const NOW: EpochMillis = EpochMillis(100_000);
+
+fn catalog() -> ServiceCatalog {
+    let engine = EngineTraits {
+        batch: 4,
+        token_capacity: 10_000,
+        memory_mb: 100.0,
+        adapter_places: 2,
+        loads_per_second: 1.0,
+        models: Vec::new(),
+    };
+    let services = vec![
+        ServiceTraits {
+            name: "advisor".to_owned(),
+            max_links: 10,
+            engine: Some(engine),
+        },
+        ServiceTraits {
+            name: "ledger".to_owned(),
+            max_links: 10,
+            engine: None,
+        },
+    ];
+    let limits = CallLimits::default();
+    ServiceCatalog::new(1, limits, Vec::new(), services, Vec::new())
+}
+
+fn runner(id: &str, service: &str, models: &[&str]) -> RunnerFacts {
+    let held = models.iter().map(|text| {
+        let (name, adapter) = text.split_once(':').unwrap_or((text, ""));
+        let adapters = (!adapter.is_empty()).then(|| adapter.to_owned());
+        HeldModel {
+            name: name.to_owned(),
+            adapters: adapters.into_iter().collect(),
+        }
+    });
+    RunnerFacts {
+        id: id.to_owned(),
+        service: service.to_owned(),
+        address: "10.0.0.1:80".to_owned(),
+        zone: "boden".to_owned(),
+        slots: 4,
+        leaving: false,
+        born: Some(1),
+        models: held.collect(),
+        copies: Vec::new(),
+        orders: 0,
+    }
+}
+
+fn ask(service: &str, model: Option<&str>) -> RelayAsk {
+    RelayAsk {
+        id: RequestId::given("r-1"),
+        service: service.to_owned(),
+        model: model.map(|text| text.parse::<ModelName>().unwrap()),
+        tokens: 1_000,
+        charge: None,
+        tried: Vec::new(),
+        deadline: EpochMillis(110_000),
+    }
+}
+
+#[test]
+fn a_runner_is_chosen_only_where_it_may_run_the_call() {
+    struct Case {
+        name: &'static str,
+        service: &'static str,
+        model: Option<&'static str>,
+        tried: &'static [&'static str],
+        leaving: &'static [&'static str],
+        found: Result<&'static str, PickFault>,
+    }
+    let case = Case {
+        name: "",
+        service: "advisor",
+        model: Some("bend"),
+        tried: &[],
+        leaving: &[],
+        found: Ok("a"),
+    };
+    let cases = [
+        Case { name: "holds the model", ..case },
+        Case {
+            name: "holds another model",
+            model: Some("weld"),
+            found: Ok("b"),
+            ..case
+        },
+        Case {
+            name: "holds the adapter",
+            model: Some("weld:x"),
+            found: Ok("b"),
+            ..case
+        },
+        Case {
+            name: "nobody holds the model",
+            model: Some("cut"),
+            found: Err(PickFault::NoModel),
+            ..case
+        },
+        Case {
+            name: "nobody holds the adapter",
+            model: Some("weld:y"),
+            found: Err(PickFault::NoAdapter),
+            ..case
+        },
+        Case {
+            name: "its only runner was tried",
+            tried: &["a"],
+            found: Err(PickFault::AllTried),
+            ..case
+        },
+        Case {
+            name: "its only runner leaves",
+            leaving: &["a"],
+            found: Err(PickFault::NoModel),
+            ..case
+        },
+        Case {
+            name: "a plain service",
+            service: "ledger",
+            model: None,
+            found: Ok("c"),
+            ..case
+        },
+        Case {
+            name: "no such service",
+            service: "archive",
+            model: None,
+            found: Err(PickFault::NoRunner),
+            ..case
+        },
+    ];
+    for case in cases {
+        let mut facts = vec![
+            runner("a", "advisor", &["bend"]),
+            runner("b", "advisor", &["weld:x"]),
+            runner("c", "ledger", &[]),
+        ];
+        for facts in &mut facts {
+            facts.leaving = case.leaving.contains(&facts.id.as_str());
+        }
+        let mut table = RelayTable::new("boden");
+        table.adopt(facts.iter());
+        let mut ask = ask(case.service, case.model);
+        ask.tried = case.tried.iter().map(|id| (*id).to_owned()).collect();
+        let found = table.pick(&ask, &catalog(), NOW);
+        let found = found.as_ref().map(|choice| choice.runner.as_str());
+        assert_eq!(found, case.found.as_ref().copied(), "{}", case.name);
+    }
+}
+
+#[test]
+fn load_told_by_other_hosts_counts_while_it_is_fresh() {
+    struct Case {
+        told_at: u64,
+        found: &'static str,
+    }
+    let cases = [
+        Case { told_at: 99_900, found: "b" },
+        Case { told_at: 98_000, found: "a" },
+    ];
+    for Case { told_at, found } in cases {
+        let facts = [
+            runner("a", "advisor", &["bend"]),
+            runner("b", "advisor", &["bend"]),
+        ];
+        let mut table = RelayTable::new("boden");
+        table.adopt(facts.iter());
+        let told_at = EpochMillis(told_at);
+        let load = PeerLoad { calls: 3, tokens: 10, told_at };
+        table.peer_load("front-2", "a", load);
+        let ask = ask("advisor", Some("bend"));
+        let choice = table.pick(&ask, &catalog(), NOW).unwrap();
+        assert_eq!(choice.runner, found, "told at {told_at}");
+    }
+}
+
+#[test]
+fn a_runner_that_fails_is_used_less_and_the_last_one_still() {
+    struct Case {
+        name: &'static str,
+        ends: &'static [CallEnd],
+        runners: &'static [&'static str],
+        found: &'static str,
+    }
+    let cases = [
+        Case {
+            name: "broken three times in a row",
+            ends: &[CallEnd::Broken; 3],
+            runners: &["a", "b"],
+            found: "b",
+        },
+        Case {
+            name: "the only one, broken",
+            ends: &[CallEnd::Broken; 3],
+            runners: &["a"],
+            found: "a",
+        },
+        Case {
+            name: "failed a few times",
+            ends: &[CallEnd::Failed; 2],
+            runners: &["a", "b"],
+            found: "b",
+        },
+        Case {
+            name: "the caller left",
+            ends: &[CallEnd::Neutral; 5],
+            runners: &["a", "b"],
+            found: "a",
+        },
+    ];
+    for case in cases {
+        let facts: Vec<RunnerFacts> = case
+            .runners
+            .iter()
+            .map(|id| runner(id, "advisor", &["bend"]))
+            .collect();
+        let ask = ask("advisor", Some("bend"));
+        let mut table = RelayTable::new("boden");
+        table.adopt(facts[..1].iter());
+        for end in case.ends {
+            let choice = table.pick(&ask, &catalog(), NOW).unwrap();
+            table.done(&choice, *end, NOW);
+        }
+        table.adopt(facts.iter());
+        let choice = table.pick(&ask, &catalog(), NOW).unwrap();
+        assert_eq!(choice.runner, case.found, "{}", case.name);
+    }
+}
--- a/crates/celerylead/src/request/budget.rs
+++ b/crates/celerylead/src/request/budget.rs
@@ -8,9 +8,9 @@
 
 use serde::{Deserialize, Serialize};
 
-/// Further runs that a request earns.
+/// Further runs that a request earns by default.
 const EARNED: f64 = 0.1;
-/// Further runs that can be saved up.
+/// Further runs that can be saved up by default.
 const RESERVE: f64 = 10.0;
 /// Longest wait before the first further run.
 const FIRST_BACKOFF: Duration = Duration::from_millis(10);
@@ -32,18 +32,26 @@
 #[serde(rename_all = "snake_case")]
 pub struct RetryBudget {
     runs: f64,
+    earned: f64,
+    reserve: f64,
 }
 
 impl Default for RetryBudget {
     fn default() -> Self {
-        RetryBudget { runs: RESERVE }
+        RetryBudget::new(EARNED, RESERVE)
     }
 }
 
 impl RetryBudget {
+    /// Makes a full budget in which a request earns `earned` of a further
+    /// run, and `reserve` runs can be saved up.
+    pub fn new(earned: f64, reserve: f64) -> RetryBudget {
+        RetryBudget { runs: reserve, earned, reserve }
+    }
+
     /// Notes a request.
     pub fn earn(&mut self) {
-        self.runs = (self.runs + EARNED).min(RESERVE);
+        self.runs = (self.runs + self.earned).min(self.reserve);
     }
 
     /// Takes a further run, if there is one.
--- a/crates/celerylead/src/request/life.rs
+++ b/crates/celerylead/src/request/life.rs
@@ -21,6 +21,11 @@
         RequestId(format!("{host}-{nonce:016x}-{sequence}"))
     }
 
+    /// Takes the id that a caller gave.
+    pub fn given(text: &str) -> RequestId {
+        RequestId(text.to_owned())
+    }
+
     /// Returns the id as text.
     pub fn as_str(&self) -> &str {
         &self.0
@@ -43,6 +48,13 @@
 #[derive(Debug)]
 pub struct TurnedAwayProof(pub(crate) ());
 
+impl TurnedAwayProof {
+    /// Takes an adapter's word that the runner's own mark was read.
+    pub fn marked_by_runner() -> TurnedAwayProof {
+        TurnedAwayProof(())
+    }
+}
+
 /// State: read from the caller, nothing charged.
 #[derive(Debug)]
 pub struct Received(());
--- a/crates/celerylead/src/request/refusal.rs
+++ b/crates/celerylead/src/request/refusal.rs
@@ -125,6 +125,26 @@
         }
     }
 
+    /// Returns the HTTP status: one that promises that nothing ran only
+    /// where that is known.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celerylead::request::{Refusal, RefusalCode, RunOutcome};
+    ///
+    /// let mut refusal = Refusal::not_run(RefusalCode::NoRunner, "full");
+    /// assert_eq!(refusal.status(), 503);
+    /// refusal.outcome = RunOutcome::OutcomeUnknown;
+    /// assert_eq!(refusal.status(), 502);
+    /// ```
+    pub fn status(&self) -> u16 {
+        let status = self.code.status();
+        let doubtful = self.outcome == RunOutcome::OutcomeUnknown;
+        let promises = matches!(status, 408 | 421 | 429 | 503);
+        if doubtful && promises { 502 } else { status }
+    }
+
     /// Says from when a retry may succeed.
     pub fn retry_at(mut self, at: Option<EpochMillis>) -> Refusal {
         self.retry_at = at;
--- /dev/null
+++ b/crates/celerylead/src/roster/tests.rs
@@ -0,0 +1,125 @@
+//! Rules of the roster, as tables of cases.
+
+use super::{RosterChange, RunnerFacts, RunnerRoster};
+use crate::clock::EpochMillis;
+
+fn facts(id: &str, leaving: bool) -> RunnerFacts {
+    RunnerFacts {
+        id: id.to_owned(),
+        service: "advisor".to_owned(),
+        address: "10.0.0.1:80".to_owned(),
+        zone: "boden".to_owned(),
+        slots: 4,
+        leaving,
+        born: None,
+        models: Vec::new(),
+        copies: Vec::new(),
+        orders: 0,
+    }
+}
+
+enum Step {
+    Listed(&'static str),
+    Leaving(&'static str),
+    Withdrawn(&'static str),
+    Whole(&'static [&'static str]),
+    Returned,
+}
+
+#[test]
+fn a_missing_entry_is_gone_unless_it_may_have_lapsed() {
+    struct Case {
+        name: &'static str,
+        steps: &'static [(u64, Step)],
+        at: u64,
+        left: &'static [&'static str],
+    }
+    let cases = [
+        Case {
+            name: "withdrawn in calm",
+            steps: &[(0, Step::Listed("a")), (10, Step::Withdrawn("a"))],
+            at: 10,
+            left: &[],
+        },
+        Case {
+            name: "lapsed in an outage, still held",
+            steps: &[
+                (0, Step::Listed("a")),
+                (100, Step::Returned),
+                (150, Step::Withdrawn("a")),
+            ],
+            at: 2_099,
+            left: &["a"],
+        },
+        Case {
+            name: "lapsed in an outage, not back in time",
+            steps: &[
+                (0, Step::Listed("a")),
+                (100, Step::Returned),
+                (150, Step::Withdrawn("a")),
+            ],
+            at: 2_100,
+            left: &[],
+        },
+        Case {
+            name: "lapsed in an outage, back in time",
+            steps: &[
+                (0, Step::Listed("a")),
+                (100, Step::Returned),
+                (150, Step::Whole(&[])),
+                (900, Step::Listed("a")),
+            ],
+            at: 9_000,
+            left: &["a"],
+        },
+        Case {
+            name: "a leaving runner doesn't lapse",
+            steps: &[
+                (0, Step::Leaving("a")),
+                (100, Step::Returned),
+                (150, Step::Withdrawn("a")),
+            ],
+            at: 150,
+            left: &[],
+        },
+        Case {
+            name: "a whole reading drops what it lacks",
+            steps: &[
+                (0, Step::Listed("a")),
+                (0, Step::Listed("b")),
+                (10, Step::Whole(&["b", "c"])),
+            ],
+            at: 10,
+            left: &["b", "c"],
+        },
+    ];
+    for case in cases {
+        let mut roster = RunnerRoster::default();
+        for (at, step) in case.steps {
+            let now = EpochMillis(*at);
+            match step {
+                Step::Listed(id) => {
+                    let facts = facts(id, false);
+                    roster.change(RosterChange::Listed(facts), now);
+                }
+                Step::Leaving(id) => {
+                    let facts = facts(id, true);
+                    roster.change(RosterChange::Listed(facts), now);
+                }
+                Step::Withdrawn(id) => {
+                    let id = (*id).to_owned();
+                    roster.change(RosterChange::Withdrawn(id), now);
+                }
+                Step::Whole(ids) => {
+                    let facts = ids.iter().map(|id| facts(id, false));
+                    roster.replace(facts.collect(), now);
+                }
+                Step::Returned => roster.registry_returned(now),
+            }
+        }
+        roster.expire(EpochMillis(case.at));
+        let left: Vec<&str> =
+            roster.facts().map(|facts| facts.id.as_str()).collect();
+        assert_eq!(left, case.left, "{}", case.name);
+    }
+}
--- a/crates/celerylead/src/tasks/mod.rs
+++ b/crates/celerylead/src/tasks/mod.rs
@@ -15,6 +15,9 @@
 //! | [`entry`] | the listening socket; a task for each caller |
 //! | [`usage`] | usage records until they are confirmed |
 //! | [`admin`] | the socket for health and metrics |
+//!
+//! A host behind an adapter of [`crate::port`] has tasks of its own, listed
+//! in [`node`].
 
 pub(crate) mod admin;
 pub(crate) mod call;
@@ -24,6 +27,7 @@
 pub(crate) mod exchange;
 pub mod host;
 pub(crate) mod member;
+pub mod node;
 pub(crate) mod owner;
 pub(crate) mod peer;
 pub(crate) mod runner;
--- /dev/null
+++ b/crates/celerylead/src/tasks/node/body.rs
@@ -0,0 +1,164 @@
+//! Bodies of answers on their way to the caller.
+//!
+//! A stream passes from the runner's connection to the caller's without a
+//! buffer between them, so a slow caller slows its runner and holds no
+//! memory. The booking at the runner ends when the answer ends, however it
+//! ends; dropped, it closes the runner's connection, which ends the run.
+
+use std::{
+    pin::Pin,
+    task::{Context, Poll},
+};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use tokio::time::{Instant, Sleep};
+
+use super::{call::CallRecord, desk::RelaySlot};
+use crate::{port::HttpLink, relay::CallEnd};
+
+/// Body of an answer to a caller.
+pub(crate) enum RelayBody {
+    /// All there at once.
+    Full(Full<Bytes>),
+    /// Passed on as it comes.
+    Stream(Box<RelayStream>),
+}
+
+/// A runner's answer that is passed on as it comes.
+pub(crate) struct RelayStream {
+    upstream: Incoming,
+    link: Option<(HttpLink, Instant)>,
+    slot: Option<RelaySlot>,
+    record: CallRecord,
+    /// Point at which the caller is told that its time is up.
+    deadline: Pin<Box<Sleep>>,
+    started: Instant,
+    frames: u32,
+}
+
+impl RelayStream {
+    /// Makes the body of an answer whose head has come. `link` is kept with
+    /// the point until which it may be used again.
+    pub(crate) fn new(
+        upstream: Incoming,
+        link: (HttpLink, Instant),
+        slot: RelaySlot,
+        record: CallRecord,
+        deadline: Instant,
+    ) -> RelayStream {
+        RelayStream {
+            upstream,
+            link: Some(link),
+            slot: Some(slot),
+            record,
+            deadline: Box::pin(tokio::time::sleep_until(deadline)),
+            started: Instant::now(),
+            frames: 0,
+        }
+    }
+
+    fn poll_next(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, anyhow::Error>>> {
+        loop {
+            if self.slot.is_none() {
+                return Poll::Ready(None);
+            }
+            let frame = Pin::new(&mut self.upstream).poll_frame(context);
+            let frame = match frame {
+                Poll::Ready(frame) => frame,
+                Poll::Pending => {
+                    if self.deadline.as_mut().poll(context).is_pending() {
+                        return Poll::Pending;
+                    }
+                    return self.cut(CallEnd::Neutral, "deadline", None);
+                }
+            };
+            match frame {
+                Some(Ok(frame)) => {
+                    // Trailers don't go on.
+                    let Ok(bytes) = frame.into_data() else { continue };
+                    self.frames += 1;
+                    return Poll::Ready(Some(Ok(Frame::data(bytes))));
+                }
+                Some(Err(error)) => {
+                    let error = Some(error);
+                    return self.cut(CallEnd::Broken, "answer_cut", error);
+                }
+                None => return self.end(),
+            }
+        }
+    }
+
+    /// The runner's answer ended by its own framing.
+    fn end(&mut self) -> Poll<Option<Result<Frame<Bytes>, anyhow::Error>>> {
+        let span = self.started.elapsed() / self.frames.max(1);
+        let pace_us = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        if let Some(slot) = self.slot.take() {
+            slot.finish(CallEnd::Whole { pace_us }, self.link.take());
+        }
+        self.record.log("ok");
+        Poll::Ready(None)
+    }
+
+    /// Ends an answer that isn't whole by cutting the caller's connection.
+    fn cut(
+        &mut self,
+        end: CallEnd,
+        code: &str,
+        error: Option<hyper::Error>,
+    ) -> Poll<Option<Result<Frame<Bytes>, anyhow::Error>>> {
+        self.link = None;
+        if let Some(slot) = self.slot.take() {
+            slot.finish(end, None);
+        }
+        self.record.log(code);
+        let error = match error {
+            Some(error) => anyhow::Error::new(error),
+            None => anyhow::anyhow!("the answer's time is up"),
+        };
+        Poll::Ready(Some(Err(error)))
+    }
+}
+
+impl Drop for RelayStream {
+    fn drop(&mut self) {
+        if self.slot.is_some() {
+            self.record.log("caller_gone");
+        }
+    }
+}
+
+impl Body for RelayBody {
+    type Data = Bytes;
+    type Error = anyhow::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, anyhow::Error>>> {
+        match self.get_mut() {
+            RelayBody::Full(body) => Pin::new(body)
+                .poll_frame(context)
+                .map_err(|never| match never {}),
+            RelayBody::Stream(stream) => stream.poll_next(context),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            RelayBody::Full(body) => body.is_end_stream(),
+            RelayBody::Stream(stream) => stream.slot.is_none(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            RelayBody::Full(body) => body.size_hint(),
+            RelayBody::Stream(_) => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/celerylead/src/tasks/node/control.rs
@@ -0,0 +1,173 @@
+//! The task that owns the sockets for readiness, metrics and snapshots.
+//!
+//! A snapshot is what another host needs to serve while the store is away:
+//! the catalog, in which keys stand as hashes only, and the roster.
+
+use std::{convert::Infallible, time::Duration};
+
+use bytes::Bytes;
+use http_body_util::{BodyExt as _, Full, Limited};
+use hyper::{
+    Request, Response, StatusCode, body::Incoming, server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use serde::de::DeserializeOwned;
+use tokio::{net::TcpListener, time::Instant};
+
+use super::{NodeContext, NodePhase, RosterWatch};
+use crate::{
+    catalog::ServiceCatalog,
+    port::{EdgeCodec, HttpLink, SendFault},
+    roster::RunnerFacts,
+    step::{StepContext as _, StepName},
+    wire::link,
+};
+
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+/// Path of the catalog, for other hosts.
+const CATALOG_PATH: &str = "/snapshot/catalog";
+/// Path of the roster, for other hosts.
+const ROSTER_PATH: &str = "/snapshot/roster";
+/// Longest wait for a snapshot of another host.
+const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Largest snapshot.
+const MAX_SNAPSHOT_BYTES: usize = 16 << 20;
+/// Longest idle time of a connection.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Serves the requests of one listener.
+pub(crate) async fn run<C: EdgeCodec>(
+    listener: TcpListener,
+    context: NodeContext<C>,
+    roster: RosterWatch,
+) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                tracing::warn!(event = "accept_failed", %error);
+                tokio::task::yield_now().await;
+                continue;
+            }
+        };
+        let context = context.clone();
+        let roster = roster.clone();
+        crate::tasks::spawn(async move {
+            if link::tune(&stream).is_err() {
+                return;
+            }
+            let service = service_fn(|request| {
+                let answered = answer(&context, &roster, &request);
+                async move { Ok::<_, Infallible>(answered) }
+            });
+            let served = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(IDLE_TIMEOUT)
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+            if let Err(error) = served {
+                tracing::debug!(event = "control_closed", %error);
+            }
+        });
+    }
+}
+
+fn answer<C: EdgeCodec>(
+    context: &NodeContext<C>,
+    roster: &RosterWatch,
+    request: &Request<Incoming>,
+) -> Response<Full<Bytes>> {
+    match request.uri().path() {
+        METRICS_PATH => text(StatusCode::OK, context.metrics.text()),
+        CATALOG_PATH => snapshot(context.catalog().as_deref()),
+        ROSTER_PATH => {
+            let facts = roster.borrow().clone();
+            snapshot(facts.as_deref())
+        }
+        _ => ready(context),
+    }
+}
+
+/// Says whether the host takes callers.
+pub(crate) fn ready<C: EdgeCodec>(
+    context: &NodeContext<C>,
+) -> Response<Full<Bytes>> {
+    let serving = *context.phase.borrow() == NodePhase::Serving;
+    if !serving {
+        return text(StatusCode::SERVICE_UNAVAILABLE, "leaving".to_owned());
+    }
+    if context.catalog.borrow().is_none() {
+        let reason = "no-configuration".to_owned();
+        return text(StatusCode::SERVICE_UNAVAILABLE, reason);
+    }
+    text(StatusCode::OK, "ready".to_owned())
+}
+
+fn text(status: StatusCode, text: String) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(Bytes::from(text)));
+    *response.status_mut() = status;
+    response
+}
+
+fn snapshot<T: serde::Serialize + ?Sized>(
+    value: Option<&T>,
+) -> Response<Full<Bytes>> {
+    let Some(value) = value else {
+        return text(StatusCode::NOT_FOUND, String::new());
+    };
+    match serde_json::to_string(value) {
+        Ok(body) => text(StatusCode::OK, body),
+        Err(error) => {
+            tracing::error!(event = "snapshot_failed", %error);
+            text(StatusCode::INTERNAL_SERVER_ERROR, String::new())
+        }
+    }
+}
+
+/// Reads another host's catalog.
+pub(crate) async fn fetch_catalog(
+    address: &str,
+) -> anyhow::Result<Option<ServiceCatalog>> {
+    fetch(address, CATALOG_PATH).await
+}
+
+/// Reads another host's roster.
+pub(crate) async fn fetch_roster(
+    address: &str,
+) -> anyhow::Result<Vec<RunnerFacts>> {
+    let facts = fetch(address, ROSTER_PATH).await?;
+    Ok(facts.unwrap_or_default())
+}
+
+/// Reads a snapshot; none where the other host has nothing either.
+async fn fetch<T: DeserializeOwned>(
+    address: &str,
+    path: &str,
+) -> anyhow::Result<Option<T>> {
+    let deadline = Instant::now() + SNAPSHOT_TIMEOUT;
+    let request = Request::get(path)
+        .header(hyper::header::HOST, address)
+        .body(Full::new(Bytes::new()))?;
+    let mut link = HttpLink::open(address, deadline).await?;
+    let response = match link.send(request, deadline).await {
+        Ok(response) => response,
+        Err(SendFault::Unsent(_, error) | SendFault::InDoubt(error)) => {
+            return Err(error);
+        }
+        Err(SendFault::TimedOut) => {
+            anyhow::bail!("no snapshot of {address} in time")
+        }
+    };
+    if !response.status().is_success() {
+        return Ok(None);
+    }
+    let body = Limited::new(response.into_body(), MAX_SNAPSHOT_BYTES);
+    let bytes = tokio::time::timeout_at(deadline, body.collect())
+        .await
+        .at(StepName::ReadBody, address)?
+        .map_err(|error| anyhow::anyhow!("{error}"))?
+        .to_bytes();
+    serde_json::from_slice(&bytes).at(StepName::Decode, address)
+}
--- /dev/null
+++ b/crates/celerylead/src/tasks/node/desk.rs
@@ -0,0 +1,465 @@
+//! The task that gives each call its runner.
+//!
+//! It owns what the decision needs: the relay table, the customers' rates,
+//! the budget of further runs and the idle connections to runners. A call
+//! that finds its model nowhere, or every runner full, waits here for a
+//! short time; what changes the table wakes it.
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::Instant,
+};
+
+use super::{CatalogWatch, RosterWatch, herald::HeraldPort};
+use crate::{
+    catalog::ServiceCatalog,
+    clock::{EpochMillis, HostClock},
+    customer::{FleetBucket, HostHearing},
+    membership::{HostDigest, RunnerLoad, SpentTotal},
+    metrics::HostMetrics,
+    model::ModelName,
+    placement::DemandMeter,
+    port::HttpLink,
+    relay::{CallEnd, PeerLoad, PickFault, RelayAsk, RelayChoice, RelayTable},
+    request::{Refusal, RefusalCode, RetryBudget},
+    sorted::SortedTable,
+    tasks::{MAILBOX, MAX_IN_FLIGHT},
+};
+
+/// Longest wait for a model or a free runner.
+const LONGEST_HOLD: Duration = Duration::from_millis(1_500);
+/// Part of the time left that a call may wait here.
+const HOLD_SHARE: f64 = 0.2;
+/// Time after which a caller that found every runner full may come back.
+const RETRY_WAIT: Duration = Duration::from_millis(150);
+/// Part of the platform's allowance of further runs that the hosts use.
+const BUDGET_SHARE: f64 = 0.8;
+/// Wake-up of the task when nothing is due.
+const IDLE_WAIT: Duration = Duration::from_secs(60);
+/// Idle connections kept to one runner.
+const MAX_IDLE_LINKS: usize = 32;
+
+/// The platform's allowance of further runs, of each service over all
+/// hosts.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct RetryAllowance {
+    /// Further runs for each call.
+    pub(crate) share: f64,
+    /// Further runs beyond that in the window.
+    pub(crate) slack: f64,
+}
+
+/// Message to the task.
+pub(crate) enum DeskEvent {
+    /// Give a call its runner.
+    Route(RouteWait),
+    /// What another host told.
+    Told { digest: Box<HostDigest>, at: EpochMillis },
+    /// A host exists.
+    Expect(String),
+    /// A host is gone for good.
+    Forget(String),
+    /// The adapters that runners hold by order.
+    Adapters(Vec<(String, Vec<ModelName>)>),
+    /// Fill in the digest of this host.
+    Digest(oneshot::Sender<HostDigest>),
+}
+
+/// A call that waits for its runner.
+pub(crate) struct RouteWait {
+    ask: RelayAsk,
+    /// Runs that may have happened already.
+    reruns: u32,
+    /// Whether a refusal gives the charge back.
+    refundable: Option<(String, u64)>,
+    until: EpochMillis,
+    reply: oneshot::Sender<Result<RoutedCall, Refusal>>,
+}
+
+/// The runner chosen, with an idle connection to it if there is one.
+struct RoutedCall {
+    choice: RelayChoice,
+    link: Option<HttpLink>,
+}
+
+/// End of a routed call.
+struct RelayDone {
+    choice: RelayChoice,
+    end: CallEnd,
+    link: Option<(HttpLink, Instant)>,
+}
+
+/// The way to the task.
+#[derive(Clone)]
+pub(crate) struct DeskPort {
+    pub(crate) sender: mpsc::Sender<DeskEvent>,
+    done: mpsc::Sender<RelayDone>,
+}
+
+/// A booking at a runner; dropped without an end it counts as neutral.
+pub(crate) struct RelaySlot {
+    pub(crate) choice: RelayChoice,
+    pub(crate) link: Option<HttpLink>,
+    permit: Option<mpsc::OwnedPermit<RelayDone>>,
+}
+
+impl RelaySlot {
+    /// Books the end, and the connection where it may be used again until
+    /// the point beside it.
+    pub(crate) fn finish(
+        mut self,
+        end: CallEnd,
+        link: Option<(HttpLink, Instant)>,
+    ) {
+        self.send(end, link);
+    }
+
+    fn send(&mut self, end: CallEnd, link: Option<(HttpLink, Instant)>) {
+        let Some(permit) = self.permit.take() else { return };
+        permit.send(RelayDone { choice: self.choice.clone(), end, link });
+    }
+}
+
+impl Drop for RelaySlot {
+    fn drop(&mut self) {
+        self.send(CallEnd::Neutral, None);
+    }
+}
+
+impl DeskPort {
+    /// Waits for a runner. `refundable` is what a refusal gives back: the
+    /// charge of a call that surely didn't run.
+    pub(crate) async fn route(
+        &self,
+        ask: &RelayAsk,
+        reruns: u32,
+        refundable: Option<(String, u64)>,
+        now: EpochMillis,
+    ) -> Result<RelaySlot, Refusal> {
+        // The room for the end is taken first, so that an end never waits.
+        let permit = self.done.clone().reserve_owned().await;
+        let permit = permit.map_err(|_| stopped())?;
+        let left = now.until(ask.deadline).mul_f64(HOLD_SHARE);
+        let wait = |reply| {
+            DeskEvent::Route(RouteWait {
+                ask: ask.clone(),
+                reruns,
+                refundable,
+                until: now.after(left.min(LONGEST_HOLD)),
+                reply,
+            })
+        };
+        let routed = crate::tasks::ask(&self.sender, wait).await;
+        let RoutedCall { choice, link } = routed.ok_or_else(stopped)??;
+        Ok(RelaySlot { choice, link, permit: Some(permit) })
+    }
+}
+
+/// What the task is started with.
+pub(crate) struct DeskSetup {
+    pub(crate) zone: String,
+    pub(crate) clock: HostClock,
+    pub(crate) catalog: CatalogWatch,
+    pub(crate) roster: RosterWatch,
+    pub(crate) herald: HeraldPort,
+    pub(crate) allowance: RetryAllowance,
+    pub(crate) metrics: HostMetrics,
+}
+
+/// State of the task.
+struct DeskTask {
+    setup: DeskSetup,
+    catalog: Arc<ServiceCatalog>,
+    table: RelayTable,
+    rates: SortedTable<String, FleetBucket>,
+    hearing: HostHearing,
+    budgets: SortedTable<String, RetryBudget>,
+    demand: DemandMeter,
+    links: SortedTable<String, Vec<(Instant, HttpLink)>>,
+    waiting: Vec<RouteWait>,
+}
+
+/// Makes the port and the mailboxes of the task.
+pub(crate) fn mailbox() -> (DeskPort, DeskInbox) {
+    let (sender, events) = mpsc::channel(MAILBOX);
+    let (done, ends) = mpsc::channel(MAX_IN_FLIGHT);
+    (DeskPort { sender, done }, DeskInbox { events, ends })
+}
+
+/// The mailboxes of the task.
+pub(crate) struct DeskInbox {
+    events: mpsc::Receiver<DeskEvent>,
+    ends: mpsc::Receiver<RelayDone>,
+}
+
+/// Starts the task.
+pub(crate) fn start(setup: DeskSetup, inbox: DeskInbox) {
+    let task = DeskTask {
+        catalog: Arc::default(),
+        table: RelayTable::new(&setup.zone),
+        rates: SortedTable::default(),
+        hearing: HostHearing::default(),
+        budgets: SortedTable::default(),
+        demand: DemandMeter::default(),
+        links: SortedTable::default(),
+        waiting: Vec::new(),
+        setup,
+    };
+    crate::tasks::spawn(task.run(inbox));
+}
+
+impl DeskTask {
+    async fn run(mut self, mut inbox: DeskInbox) {
+        let mut catalog = self.setup.catalog.clone();
+        let mut roster = self.setup.roster.clone();
+        loop {
+            let wake = self.wake();
+            tokio::select! {
+                event = inbox.events.recv() => match event {
+                    Some(event) => self.handle(event),
+                    None => return,
+                },
+                Some(done) = inbox.ends.recv() => self.done(done),
+                Ok(()) = catalog.changed() => {
+                    let newest = catalog.borrow_and_update().clone();
+                    if let Some(newest) = newest {
+                        self.adopt_catalog(newest);
+                    }
+                }
+                Ok(()) = roster.changed() => {
+                    let newest = roster.borrow_and_update().clone();
+                    self.adopt_roster(&newest.unwrap_or_default());
+                }
+                () = tokio::time::sleep_until(wake) => self.pump(),
+            }
+        }
+    }
+
+    fn wake(&self) -> Instant {
+        let now = self.setup.clock.now();
+        let next = self.waiting.iter().map(|wait| wait.until).min();
+        Instant::now() + next.map_or(IDLE_WAIT, |at| now.until(at))
+    }
+
+    fn handle(&mut self, event: DeskEvent) {
+        let now = self.setup.clock.now();
+        match event {
+            DeskEvent::Route(wait) => self.admit(wait, now),
+            DeskEvent::Told { digest, at } => self.told(&digest, at),
+            DeskEvent::Expect(host) => self.hearing.expect(&host),
+            DeskEvent::Forget(host) => self.hearing.forget(&host),
+            DeskEvent::Adapters(held) => {
+                for (runner, adapters) in held {
+                    self.table.adapters(&runner, &adapters);
+                }
+                self.pump();
+            }
+            DeskEvent::Digest(reply) => {
+                let _ = reply.send(self.digest(now));
+            }
+        }
+    }
+
+    fn adopt_catalog(&mut self, catalog: Arc<ServiceCatalog>) {
+        let now = self.setup.clock.now();
+        let mut former = std::mem::take(&mut self.rates);
+        for customer in catalog.customers() {
+            let Some(rate) = customer.rate else { continue };
+            let bucket = match former.remove(&customer.name) {
+                Some(mut bucket) => {
+                    bucket.resize(rate);
+                    bucket
+                }
+                None => FleetBucket::empty(rate, now),
+            };
+            self.rates.insert(customer.name.clone(), bucket);
+        }
+        self.catalog = catalog;
+        self.pump();
+    }
+
+    fn adopt_roster(&mut self, roster: &[crate::roster::RunnerFacts]) {
+        self.table.adopt(roster.iter());
+        let table = &self.table;
+        self.links.retain(|runner, _| table.takes_calls(runner));
+        self.pump();
+    }
+
+    /// Charges a call, unless it was charged before, and looks for its
+    /// runner.
+    fn admit(&mut self, mut wait: RouteWait, now: EpochMillis) {
+        let (share, slack) =
+            (self.setup.allowance.share, self.setup.allowance.slack);
+        let hosts = self.hearing.count() as f64;
+        let budget = self.budgets.entry(wait.ask.service.clone(), || {
+            let reserve = slack * BUDGET_SHARE / hosts;
+            RetryBudget::new(share * BUDGET_SHARE, reserve)
+        });
+        if wait.ask.tried.is_empty() {
+            budget.earn();
+        } else if !budget.spend() {
+            let code = RefusalCode::NoRunner;
+            self.refuse(
+                wait,
+                code,
+                "the budget of further sends is spent",
+                now,
+            );
+            return;
+        }
+        if let Some((customer, cost)) = wait.ask.charge.take() {
+            if let Some(bucket) = self.rates.get_mut(&customer)
+                && let Err(at) = bucket.take(cost, &self.hearing, now)
+            {
+                let refusal = Refusal::not_run(
+                    RefusalCode::RateLimited,
+                    "the customer is over its rate",
+                );
+                let _ = wait.reply.send(Err(refusal.retry_at(Some(at))));
+                return;
+            }
+            wait.refundable = Some((customer, cost));
+            if let Some(name) = &wait.ask.model {
+                self.demand.note(&name.model, wait.ask.tokens, now);
+            }
+        }
+        self.place(wait, now);
+    }
+
+    /// Sends a call to its runner, or keeps it waiting for one.
+    fn place(&mut self, wait: RouteWait, now: EpochMillis) {
+        if wait.reply.is_closed() {
+            return;
+        }
+        match self.table.pick(&wait.ask, &self.catalog, now) {
+            Ok(choice) => self.send(wait, choice, now),
+            Err(fault) => self.keep(wait, fault, now),
+        }
+    }
+
+    fn send(
+        &mut self,
+        wait: RouteWait,
+        choice: RelayChoice,
+        now: EpochMillis,
+    ) {
+        let link = self.idle_link(&choice.runner);
+        let routed = RoutedCall { choice, link };
+        if let Err(Ok(unheard)) = wait.reply.send(Ok(routed)) {
+            // The caller went away while its call waited.
+            self.table.done(&unheard.choice, CallEnd::Neutral, now);
+        }
+    }
+
+    fn keep(&mut self, wait: RouteWait, fault: PickFault, now: EpochMillis) {
+        if fault == PickFault::NoAdapter
+            && let Some(name) = &wait.ask.model
+        {
+            self.setup.herald.want(&wait.ask.service, name);
+        }
+        if fault == PickFault::AllTried || wait.until <= now {
+            let code = RefusalCode::NoRunner;
+            self.refuse(wait, code, fault.text(), now);
+            return;
+        }
+        self.waiting.push(wait);
+        self.setup.metrics.waiting.set(self.waiting.len() as i64);
+    }
+
+    fn refuse(
+        &mut self,
+        wait: RouteWait,
+        code: RefusalCode,
+        reason: &str,
+        now: EpochMillis,
+    ) {
+        if let Some((customer, cost)) = &wait.refundable
+            && let Some(bucket) = self.rates.get_mut(customer)
+        {
+            bucket.give_back(*cost);
+        }
+        let refusal = Refusal::not_run(code, reason);
+        let again = now.after(RETRY_WAIT);
+        let _ = wait.reply.send(Err(refusal.retry_at(Some(again))));
+    }
+
+    /// Looks again at the calls that wait, the oldest first.
+    fn pump(&mut self) {
+        if self.waiting.is_empty() {
+            return;
+        }
+        let now = self.setup.clock.now();
+        for wait in std::mem::take(&mut self.waiting) {
+            self.place(wait, now);
+        }
+        self.setup.metrics.waiting.set(self.waiting.len() as i64);
+    }
+
+    fn done(&mut self, done: RelayDone) {
+        let now = self.setup.clock.now();
+        self.table.done(&done.choice, done.end, now);
+        if let Some((link, until)) = done.link
+            && self.table.takes_calls(&done.choice.runner)
+        {
+            let links = self.links.entry(done.choice.runner.clone(), Vec::new);
+            if MAX_IDLE_LINKS <= links.len() {
+                links.remove(0);
+            }
+            links.push((until, link));
+        }
+        self.pump();
+    }
+
+    /// Returns the connection that was used last, if it may be used again.
+    fn idle_link(&mut self, runner: &str) -> Option<HttpLink> {
+        let links = self.links.get_mut(runner)?;
+        let now = Instant::now();
+        links.retain(|(until, link)| now < *until && link.is_ready());
+        links.pop().map(|(_, link)| link)
+    }
+
+    fn told(&mut self, digest: &HostDigest, at: EpochMillis) {
+        self.hearing.heard(&digest.host, at);
+        for load in &digest.loads {
+            let told = PeerLoad {
+                calls: load.calls,
+                tokens: load.tokens,
+                told_at: at,
+            };
+            self.table.peer_load(&digest.host, &load.runner, told);
+        }
+        for spent in &digest.spent {
+            if let Some(bucket) = self.rates.get_mut(&spent.customer) {
+                bucket.told(&digest.host, digest.incarnation, spent.total);
+            }
+        }
+    }
+
+    fn digest(&mut self, now: EpochMillis) -> HostDigest {
+        let loads = self.table.views().filter(|view| 0 < view.calls);
+        let spent = self.rates.iter().filter(|(_, b)| b.spent() != 0);
+        HostDigest {
+            loads: loads
+                .map(|view| RunnerLoad {
+                    runner: view.id,
+                    calls: view.calls,
+                    tokens: view.tokens,
+                })
+                .collect(),
+            spent: spent
+                .map(|(customer, bucket)| SpentTotal {
+                    customer: customer.clone(),
+                    total: bucket.spent(),
+                })
+                .collect(),
+            demand: self.demand.rates(now),
+            ..HostDigest::default()
+        }
+    }
+}
+
+fn stopped() -> Refusal {
+    Refusal::not_run(RefusalCode::NotReady, "the host is shutting down")
+}
--- /dev/null
+++ b/crates/celerylead/src/tasks/node/gate.rs
@@ -0,0 +1,109 @@
+//! The task that owns the callers' listener, and one task for each
+//! connection.
+
+use std::{convert::Infallible, time::Duration};
+
+use hyper::{
+    Request, Response,
+    body::Incoming,
+    header::{self, HeaderValue},
+    server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+    task::JoinSet,
+};
+
+use super::{NodeContext, NodePhase, body::RelayBody, call};
+use crate::{port::EdgeCodec, wire::link};
+
+/// How many times the configured idle time a connection is kept: callers
+/// follow a change of that time sooner than open connections do.
+const IDLE_FACTOR: u32 = 2;
+/// Largest head that is read at all; the configured bound lies below.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
+/// Accepts callers until the host ends, then waits until each has its
+/// answer.
+pub(crate) async fn run<C: EdgeCodec>(
+    listener: TcpListener,
+    context: NodeContext<C>,
+) {
+    let mut phase = context.phase.clone();
+    let mut callers = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => {
+                    callers.spawn(serve(stream, context.clone()));
+                }
+                Err(error) => {
+                    tracing::warn!(event = "accept_failed", %error);
+                    // Out of descriptors: callers in hand go first.
+                    let _ = callers.join_next().await;
+                }
+            },
+            Some(_) = callers.join_next() => {}
+            () = ending(&mut phase) => break,
+        }
+    }
+    drop(listener);
+    while callers.join_next().await.is_some() {}
+}
+
+async fn ending(phase: &mut watch::Receiver<NodePhase>) {
+    let _ = phase.wait_for(|phase| *phase == NodePhase::Ending).await;
+}
+
+async fn serve<C: EdgeCodec>(stream: TcpStream, context: NodeContext<C>) {
+    if let Err(error) = link::tune(&stream) {
+        tracing::debug!(event = "caller_closed", %error);
+        return;
+    }
+    let limits =
+        context.catalog().map(|catalog| catalog.limits).unwrap_or_default();
+    let idle = Duration::from_millis(limits.idle_ms) * IDLE_FACTOR;
+    let mut phase = context.phase.clone();
+    let service = service_fn(|request| {
+        let context = &context;
+        async move { Ok::<_, Infallible>(answer(context, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle)
+        .max_header_size(MAX_HEAD_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = ending(&mut phase) => {
+            // Ends after the request in hand, if there is one.
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        tracing::debug!(event = "caller_closed", %error);
+    }
+}
+
+/// Answers one request.
+async fn answer<C: EdgeCodec>(
+    context: &NodeContext<C>,
+    request: Request<Incoming>,
+) -> Response<RelayBody> {
+    // A body in chunks beside a length could hide a second request behind
+    // it, so nothing is read from the connection after one.
+    let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
+    context.metrics.in_flight.inc();
+    let mut response = call::answer(context, request).await;
+    context.metrics.in_flight.dec();
+    if chunked || *context.phase.borrow() != NodePhase::Serving {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    response
+}
--- /dev/null
+++ b/crates/celerylead/src/tasks/node/herald.rs
@@ -0,0 +1,346 @@
+//! The task that owns the socket between hosts.
+//!
+//! It tells the other hosts what this one carries, more often within the
+//! availability zone than across, and hands what they tell to the desk and
+//! the placer. Who the others are it reads from the hosts' table; each host
+//! writes its own row when it is missing there.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bytes::Bytes;
+use tokio::{
+    net::UdpSocket,
+    sync::mpsc,
+    time::{Instant, MissedTickBehavior},
+};
+
+use super::desk::{DeskEvent, DeskPort};
+use crate::{
+    clock::HostClock,
+    membership::{HostDigest, HostMessage, HostRow},
+    model::ModelName,
+    port::{RowChange, RowKey, RowPut, StorePort, StoreTable},
+    sorted::SortedTable,
+    tasks::MAILBOX,
+};
+
+/// Time between two digests to the hosts of the availability zone.
+const TELL_PERIOD: Duration = Duration::from_millis(200);
+/// Digests within the zone for each one to other zones.
+const FAR_SHARE: u32 = 2;
+/// Time between two readings of the hosts' table once it was read.
+const READ_PERIOD: Duration = Duration::from_millis(10_000);
+/// The same while it was never read, or this host's row is missing.
+const RETRY_PERIOD: Duration = Duration::from_millis(700);
+/// Largest datagram; digests are a few hundred bytes.
+const MAX_DATAGRAM_BYTES: usize = 16 << 10;
+
+/// Who this host is, for the others.
+#[derive(Clone, Debug)]
+pub(crate) struct HeraldSetup {
+    pub(crate) row: HostRow,
+    pub(crate) store: StorePort,
+    pub(crate) clock: HostClock,
+}
+
+/// Message to the task.
+pub(crate) enum HeraldEvent {
+    /// A call found its adapter at no runner of the service.
+    Want { service: String, name: ModelName },
+    /// Tell all hosts which adapters runners hold by order.
+    Adapters(Vec<(String, Vec<ModelName>)>),
+}
+
+/// What the placer hears of the hosts.
+pub(crate) enum Heard {
+    /// What another host, or this one, carries.
+    Digest(HostDigest),
+    /// An adapter is missing.
+    Want { service: String, name: ModelName },
+}
+
+/// The way to the task.
+#[derive(Clone)]
+pub(crate) struct HeraldPort {
+    sender: mpsc::Sender<HeraldEvent>,
+}
+
+impl HeraldPort {
+    /// Tells the placer that an adapter is missing. The call asks again
+    /// when it is looked at next, so a lost message costs time only.
+    pub(crate) fn want(&self, service: &str, name: &ModelName) {
+        let event = HeraldEvent::Want {
+            service: service.to_owned(),
+            name: name.clone(),
+        };
+        if self.sender.try_send(event).is_err() {
+            tracing::debug!(event = "want_dropped", name = %name);
+        }
+    }
+
+    /// Tells all hosts which adapters runners hold.
+    pub(crate) async fn adapters(&self, held: Vec<(String, Vec<ModelName>)>) {
+        let _ = self.sender.send(HeraldEvent::Adapters(held)).await;
+    }
+}
+
+/// Makes the port and the mailbox of the task.
+pub(crate) fn mailbox() -> (HeraldPort, mpsc::Receiver<HeraldEvent>) {
+    let (sender, inbox) = mpsc::channel(MAILBOX);
+    (HeraldPort { sender }, inbox)
+}
+
+/// Another host.
+struct KnownHost {
+    zone: String,
+    address: SocketAddr,
+}
+
+struct HeraldTask {
+    setup: HeraldSetup,
+    socket: UdpSocket,
+    desk: DeskPort,
+    placer: mpsc::Sender<Heard>,
+    hosts: SortedTable<String, KnownHost>,
+    /// Host that last told of adapters: the one that orders.
+    orderer: Option<String>,
+    round: u32,
+}
+
+/// Starts the task.
+pub(crate) fn start(
+    setup: HeraldSetup,
+    socket: UdpSocket,
+    desk: DeskPort,
+    inbox: mpsc::Receiver<HeraldEvent>,
+    placer: mpsc::Sender<Heard>,
+) {
+    let (rows, read) = mpsc::channel(1);
+    crate::tasks::spawn(keep_row(setup.clone(), rows));
+    let task = HeraldTask {
+        setup,
+        socket,
+        desk,
+        placer,
+        hosts: SortedTable::default(),
+        orderer: None,
+        round: 0,
+    };
+    crate::tasks::spawn(task.run(inbox, read));
+}
+
+impl HeraldTask {
+    async fn run(
+        mut self,
+        mut inbox: mpsc::Receiver<HeraldEvent>,
+        mut rows: mpsc::Receiver<Vec<HostRow>>,
+    ) {
+        let mut period = tokio::time::interval(TELL_PERIOD);
+        period.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+        loop {
+            tokio::select! {
+                event = inbox.recv() => match event {
+                    Some(event) => self.handle(event).await,
+                    None => return,
+                },
+                Some(rows) = rows.recv() => self.adopt(rows).await,
+                received = self.socket.recv_from(&mut buffer) => {
+                    match received {
+                        Ok((length, _)) => self.hear(&buffer[..length]).await,
+                        Err(error) => {
+                            tracing::debug!(event = "receive_failed", %error);
+                        }
+                    }
+                }
+                _ = period.tick() => self.tell().await,
+            }
+        }
+    }
+
+    async fn handle(&mut self, event: HeraldEvent) {
+        match event {
+            HeraldEvent::Want { service, name } => {
+                let own = self.setup.row.host.as_str();
+                let known = self
+                    .orderer
+                    .as_deref()
+                    .filter(|orderer| *orderer != own)
+                    .and_then(|orderer| self.hosts.get(orderer));
+                if let Some(host) = known {
+                    let address = host.address;
+                    let want = HostMessage::Want { service, name };
+                    self.send(&want, &[address]).await;
+                } else {
+                    let _ =
+                        self.placer.try_send(Heard::Want { service, name });
+                }
+            }
+            HeraldEvent::Adapters(held) => {
+                self.orderer = Some(self.setup.row.host.clone());
+                let all: Vec<SocketAddr> =
+                    self.hosts.values().map(|host| host.address).collect();
+                let message = HostMessage::Adapters {
+                    host: self.setup.row.host.clone(),
+                    held: held.clone(),
+                };
+                self.send(&message, &all).await;
+                let event = DeskEvent::Adapters(held);
+                let _ = self.desk.sender.send(event).await;
+            }
+        }
+    }
+
+    /// Tells the other hosts what this one carries.
+    async fn tell(&mut self) {
+        self.round = self.round.wrapping_add(1);
+        let asked =
+            crate::tasks::ask(&self.desk.sender, DeskEvent::Digest).await;
+        let Some(mut digest) = asked else { return };
+        digest.host = self.setup.row.host.clone();
+        digest.incarnation = self.setup.row.incarnation;
+        let _ = self.placer.try_send(Heard::Digest(digest.clone()));
+        let far = self.round.is_multiple_of(FAR_SHARE);
+        let zone = self.setup.row.zone.as_str();
+        let listeners: Vec<SocketAddr> = self
+            .hosts
+            .values()
+            .filter(|host| far || host.zone == zone)
+            .map(|host| host.address)
+            .collect();
+        self.send(&HostMessage::Digest(digest), &listeners).await;
+    }
+
+    async fn send(&self, message: &HostMessage, listeners: &[SocketAddr]) {
+        let bytes = match postcard::to_stdvec(message) {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                tracing::error!(event = "message_unwritable", %error);
+                return;
+            }
+        };
+        for address in listeners {
+            if let Err(error) = self.socket.send_to(&bytes, address).await {
+                tracing::debug!(event = "send_failed", %address, %error);
+            }
+        }
+    }
+
+    async fn hear(&mut self, bytes: &[u8]) {
+        let message = match postcard::from_bytes(bytes) {
+            Ok(message) => message,
+            Err(error) => {
+                tracing::debug!(event = "message_unreadable", %error);
+                return;
+            }
+        };
+        match message {
+            HostMessage::Digest(digest) => {
+                let _ = self.placer.try_send(Heard::Digest(digest.clone()));
+                let at = self.setup.clock.now();
+                let digest = Box::new(digest);
+                let event = DeskEvent::Told { digest, at };
+                let _ = self.desk.sender.send(event).await;
+            }
+            HostMessage::Adapters { host, held } => {
+                self.orderer = Some(host);
+                let event = DeskEvent::Adapters(held);
+                let _ = self.desk.sender.send(event).await;
+            }
+            HostMessage::Want { service, name } => {
+                let _ = self.placer.try_send(Heard::Want { service, name });
+            }
+        }
+    }
+
+    async fn adopt(&mut self, rows: Vec<HostRow>) {
+        let mut hosts = SortedTable::default();
+        for row in rows {
+            if row.host == self.setup.row.host {
+                continue;
+            }
+            let Ok(address) = row.address.parse() else {
+                tracing::warn!(event = "host_unreadable", peer = row.host);
+                continue;
+            };
+            if self.hosts.get(&row.host).is_none() {
+                tracing::info!(
+                    event = "host_known",
+                    peer = row.host,
+                    peer_zone = row.zone,
+                    peer_address = row.address,
+                );
+                let event = DeskEvent::Expect(row.host.clone());
+                let _ = self.desk.sender.send(event).await;
+            }
+            hosts.insert(row.host, KnownHost { zone: row.zone, address });
+        }
+        for host in self.hosts.keys() {
+            if hosts.get(host).is_none() {
+                tracing::info!(event = "host_gone", peer = host.as_str());
+                let event = DeskEvent::Forget(host.clone());
+                let _ = self.desk.sender.send(event).await;
+            }
+        }
+        self.hosts = hosts;
+    }
+}
+
+/// Reads the hosts' table at a slow pace, and writes this host's row where
+/// it is missing or of another process.
+async fn keep_row(setup: HeraldSetup, rows: mpsc::Sender<Vec<HostRow>>) {
+    loop {
+        let due = match read_rows(&setup, &rows).await {
+            Ok(true) => READ_PERIOD,
+            Ok(false) => RETRY_PERIOD,
+            Err(error) => {
+                tracing::info!(event = "store_failed", source = "hosts", %error);
+                RETRY_PERIOD
+            }
+        };
+        let jitter = rand::random_range(0.8..1.2);
+        tokio::time::sleep_until(Instant::now() + due.mul_f64(jitter)).await;
+        if rows.is_closed() {
+            return;
+        }
+    }
+}
+
+/// Tells whether this host's row was in place.
+async fn read_rows(
+    setup: &HeraldSetup,
+    rows: &mpsc::Sender<Vec<HostRow>>,
+) -> anyhow::Result<bool> {
+    let read = setup.store.read(StoreTable::Hosts).await;
+    let reading = read.map_err(|fault| anyhow::anyhow!("{fault}"))?;
+    let mut known = Vec::new();
+    let mut version = 0;
+    for row in &reading.rows {
+        let RowChange::Written(row) = row else { continue };
+        match serde_json::from_slice::<HostRow>(&row.value) {
+            Ok(host) => {
+                if host.host == setup.row.host {
+                    version = row.version;
+                }
+                known.push(host);
+            }
+            Err(error) => {
+                tracing::warn!(event = "host_unreadable", row = row.key, %error);
+            }
+        }
+    }
+    let in_place = known.contains(&setup.row);
+    let _ = rows.send(known).await;
+    if !in_place {
+        let key = setup.row.host.clone();
+        let value = serde_json::to_vec(&setup.row)?;
+        let put = RowPut {
+            row: RowKey { table: StoreTable::Hosts, key },
+            expected: version,
+            value: Some(Bytes::from(value)),
+        };
+        let written = setup.store.write(put).await;
+        written.map_err(|fault| anyhow::anyhow!("{fault}"))?;
+    }
+    Ok(in_place)
+}
--- /dev/null
+++ b/crates/celerylead/src/tasks/node/run.rs
@@ -0,0 +1,201 @@
+//! Start and end of a host behind an adapter.
+
+use std::time::Duration;
+
+use tokio::{
+    net::{TcpListener, UdpSocket},
+    sync::{mpsc, watch},
+    task::JoinHandle,
+    time::Instant,
+};
+use tracing::Instrument as _;
+
+use super::{
+    NodeContext, NodePhase, control, desk,
+    desk::{DeskSetup, RetryAllowance},
+    gate, herald,
+    herald::HeraldSetup,
+    placer::{self, PlacerSetup},
+    watcher::{self, WatcherSetup},
+};
+use crate::{
+    clock::HostClock,
+    membership::HostRow,
+    metrics::HostMetrics,
+    port::{EdgeCodec, StorePort},
+    step::{StepContext as _, StepName},
+};
+
+/// Time after which a leaving host takes no more connections: the balancer
+/// asks once a second and believes the second refusal.
+const LEAVE_GRACE: Duration = Duration::from_millis(3_200);
+/// Time kept free at the end of the platform's grace, for the exit itself.
+const EXIT_MARGIN: Duration = Duration::from_millis(400);
+
+/// What a host's process is told at its start.
+#[derive(Clone, Debug, PartialEq)]
+pub struct NodeOptions {
+    /// Name of the host.
+    pub host: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Address for callers, as `IP:PORT`.
+    pub front: String,
+    /// Address for the balancer's question, as `IP:PORT`.
+    pub ready: String,
+    /// Address for metrics and snapshots, as `IP:PORT`, if there is one.
+    pub control: Option<String>,
+    /// Address for other hosts (UDP), as `IP:PORT`.
+    pub peers: String,
+    /// Control addresses of other hosts.
+    pub seeds: Vec<String>,
+    /// Time from SIGTERM after which the process is killed.
+    pub grace: Duration,
+    /// Span in which orders of two hosts count as taking turns.
+    pub order_turns: Duration,
+    /// Further sends of a service for each call, over all hosts.
+    pub retry_share: f64,
+    /// Further sends of a service beyond that.
+    pub retry_slack: f64,
+}
+
+/// A host whose sockets are open and whose tasks run.
+pub struct RunningNode {
+    phase: watch::Sender<NodePhase>,
+    gate: JoinHandle<()>,
+    grace: Duration,
+    span: tracing::Span,
+}
+
+/// Opens the sockets of a host and starts its tasks.
+///
+/// # Errors
+///
+/// Returns an error where an address can't be bound.
+pub async fn start<C: EdgeCodec>(
+    options: &NodeOptions,
+    codec: C,
+    store: StorePort,
+) -> anyhow::Result<RunningNode> {
+    let span = tracing::info_span!(
+        "host",
+        host = options.host.as_str(),
+        zone = options.zone.as_str(),
+    );
+    start_tasks(options, codec, store, span.clone()).instrument(span).await
+}
+
+async fn start_tasks<C: EdgeCodec>(
+    options: &NodeOptions,
+    codec: C,
+    store: StorePort,
+    span: tracing::Span,
+) -> anyhow::Result<RunningNode> {
+    let front = listen(&options.front).await?;
+    let ready = listen(&options.ready).await?;
+    let peers = UdpSocket::bind(&options.peers)
+        .await
+        .at(StepName::Listen, &options.peers)?;
+    let clock = HostClock::default();
+    let metrics = HostMetrics::default();
+    let (catalog, roster) = watcher::start(&WatcherSetup {
+        codec: codec.clone(),
+        store: store.clone(),
+        clock: clock.clone(),
+        metrics: metrics.clone(),
+        seeds: options.seeds.clone(),
+    });
+    let (herald_port, herald_inbox) = herald::mailbox();
+    let (desk_port, desk_inbox) = desk::mailbox();
+    let setup = DeskSetup {
+        zone: options.zone.clone(),
+        clock: clock.clone(),
+        catalog: catalog.clone(),
+        roster: roster.clone(),
+        herald: herald_port.clone(),
+        allowance: RetryAllowance {
+            share: options.retry_share,
+            slack: options.retry_slack,
+        },
+        metrics: metrics.clone(),
+    };
+    desk::start(setup, desk_inbox);
+    let row = HostRow {
+        host: options.host.clone(),
+        zone: options.zone.clone(),
+        address: options.peers.clone(),
+        incarnation: rand::random(),
+    };
+    let (heard, hearing) = mpsc::channel(placer::MAILBOX);
+    let setup = PlacerSetup {
+        row: row.clone(),
+        codec: codec.clone(),
+        store: store.clone(),
+        clock: clock.clone(),
+        catalog: catalog.clone(),
+        roster: roster.clone(),
+        herald: herald_port,
+        turns: options.order_turns,
+    };
+    placer::start(setup, hearing);
+    let setup = HeraldSetup { row, store, clock: clock.clone() };
+    herald::start(setup, peers, desk_port.clone(), herald_inbox, heard);
+    let (phase, phases) = watch::channel(NodePhase::Serving);
+    let context = NodeContext {
+        codec,
+        clock,
+        catalog,
+        desk: desk_port,
+        metrics,
+        phase: phases,
+    };
+    let listeners =
+        [Some(ready), listen_if(options.control.as_deref()).await?];
+    for listener in listeners.into_iter().flatten() {
+        let roster = roster.clone();
+        crate::tasks::spawn(control::run(listener, context.clone(), roster));
+    }
+    let gate = crate::tasks::spawn(gate::run(front, context));
+    tracing::info!(
+        event = "host_started",
+        front = options.front,
+        peers = options.peers,
+    );
+    Ok(RunningNode { phase, gate, grace: options.grace, span })
+}
+
+async fn listen(address: &str) -> anyhow::Result<TcpListener> {
+    TcpListener::bind(address).await.at(StepName::Listen, address)
+}
+
+async fn listen_if(
+    address: Option<&str>,
+) -> anyhow::Result<Option<TcpListener>> {
+    match address {
+        Some(address) => listen(address).await.map(Some),
+        None => Ok(None),
+    }
+}
+
+impl RunningNode {
+    /// Leaves: says so, goes on taking callers until the balancer has
+    /// noticed, then ends once every call in hand has its answer or the
+    /// grace is over.
+    pub async fn shut_down(self) {
+        let span = self.span.clone();
+        self.leave().instrument(span).await;
+    }
+
+    async fn leave(self) {
+        let began = Instant::now();
+        tracing::info!(event = "host_leaving");
+        self.phase.send_replace(NodePhase::Leaving);
+        tokio::time::sleep_until(began + LEAVE_GRACE).await;
+        self.phase.send_replace(NodePhase::Ending);
+        let deadline = began + self.grace.saturating_sub(EXIT_MARGIN);
+        if tokio::time::timeout_at(deadline, self.gate).await.is_err() {
+            tracing::warn!(event = "drain_limit_reached");
+        }
+        tracing::info!(event = "host_stopped");
+    }
+}
--- /dev/null
+++ b/crates/celerylead/src/tasks/node/watcher.rs
@@ -0,0 +1,364 @@
+//! The tasks that follow the platform's store.
+//!
+//! One follows the operator's configuration, one the runners' registry. Each
+//! owns its position in the feed. The configuration's feed is a long poll,
+//! as it changes rarely; the registry's is read at a steady pace, since many
+//! runners write there and each answer costs. While the store is silent, and
+//! nothing is known, a host asks its seeds.
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::{sync::watch, time::Instant};
+
+use super::{CatalogWatch, RosterWatch, control};
+use crate::{
+    catalog::ServiceCatalog,
+    clock::HostClock,
+    metrics::HostMetrics,
+    port::{
+        EdgeCodec, RowChange, StoreFault, StorePort, StoreReading, StoreTable,
+    },
+    roster::{RosterChange, RunnerFacts, RunnerRoster},
+};
+
+/// Longest wait of one poll of the configuration's feed.
+const CONFIGURATION_WAIT: Duration = Duration::from_millis(8_000);
+/// Pause between two readings of the registry's feed.
+const REGISTRY_PAUSE: Duration = Duration::from_millis(600);
+/// Longest wait of one reading of the registry's feed.
+const REGISTRY_WAIT: Duration = Duration::from_millis(5_000);
+/// First wait after a failed call, doubled up to the longest.
+const FIRST_BACKOFF: Duration = Duration::from_millis(100);
+/// Longest wait after a failed call.
+const LONGEST_BACKOFF: Duration = Duration::from_millis(800);
+/// Time without an answer after which the store counts as having been away.
+const AWAY: Duration = Duration::from_millis(1_500);
+
+/// What the tasks are started with.
+#[derive(Clone)]
+pub(crate) struct WatcherSetup<C> {
+    pub(crate) codec: C,
+    pub(crate) store: StorePort,
+    pub(crate) clock: HostClock,
+    pub(crate) metrics: HostMetrics,
+    /// Control addresses to ask while the store is silent.
+    pub(crate) seeds: Vec<String>,
+}
+
+/// Starts both tasks.
+pub(crate) fn start<C: EdgeCodec>(
+    setup: &WatcherSetup<C>,
+) -> (CatalogWatch, RosterWatch) {
+    let (catalog, catalog_seen) = watch::channel(None);
+    let (roster, roster_seen) = watch::channel(None);
+    let configuration = ConfigurationTask {
+        feed: FeedPosition::new(StoreTable::Configuration),
+        setup: setup.clone(),
+        catalog,
+    };
+    let registry = RegistryTask {
+        feed: FeedPosition::new(StoreTable::Registry),
+        setup: setup.clone(),
+        list: RunnerRoster::default(),
+        answered: Instant::now(),
+        roster,
+    };
+    crate::tasks::spawn(configuration.run());
+    crate::tasks::spawn(registry.run());
+    (catalog_seen, roster_seen)
+}
+
+/// A position in the feed of a table.
+struct FeedPosition {
+    table: StoreTable,
+    /// Version after which changes are to be read; none before the first
+    /// whole reading.
+    after: Option<u64>,
+    failures: u32,
+}
+
+/// What a step along a feed gave.
+enum FeedStep {
+    /// All rows of the table.
+    Whole(StoreReading),
+    /// Rows that have changed.
+    Changes(StoreReading),
+}
+
+impl FeedPosition {
+    fn new(table: StoreTable) -> FeedPosition {
+        FeedPosition { table, after: None, failures: 0 }
+    }
+
+    /// Reads on, or the whole table where the position is lost.
+    async fn step(
+        &mut self,
+        store: &StorePort,
+        wait: Duration,
+    ) -> Result<FeedStep, StoreFault> {
+        let step = match self.after {
+            None => store.read(self.table).await.map(FeedStep::Whole),
+            Some(after) => {
+                let read = store.follow(self.table, after, wait).await;
+                read.map(FeedStep::Changes)
+            }
+        };
+        match &step {
+            Ok(FeedStep::Whole(reading) | FeedStep::Changes(reading)) => {
+                self.after = Some(reading.version);
+                self.failures = 0;
+            }
+            Err(StoreFault::HistoryDropped) => self.after = None,
+            Err(_) => self.failures += 1,
+        }
+        step
+    }
+
+    /// Wait before the next step after a failed one.
+    fn backoff(&self) -> Duration {
+        let doubled = FIRST_BACKOFF * 2_u32.pow(self.failures.min(8));
+        doubled.min(LONGEST_BACKOFF).mul_f64(rand::random_range(0.7..1.0))
+    }
+}
+
+struct ConfigurationTask<C> {
+    setup: WatcherSetup<C>,
+    feed: FeedPosition,
+    catalog: watch::Sender<Option<Arc<ServiceCatalog>>>,
+}
+
+impl<C: EdgeCodec> ConfigurationTask<C> {
+    async fn run(mut self) {
+        loop {
+            let store = self.setup.store.clone();
+            let step = self.feed.step(&store, CONFIGURATION_WAIT).await;
+            match step {
+                Ok(FeedStep::Whole(reading) | FeedStep::Changes(reading)) => {
+                    reading.rows.iter().for_each(|row| self.adopt(row));
+                    if self.catalog.borrow().is_none() {
+                        tokio::time::sleep(FIRST_BACKOFF).await;
+                    }
+                }
+                Err(fault) => {
+                    note_fault(&self.setup.metrics, "configuration", &fault);
+                    if !matches!(fault, StoreFault::HistoryDropped) {
+                        self.ask_seed().await;
+                        tokio::time::sleep(self.feed.backoff()).await;
+                    }
+                }
+            }
+            if self.catalog.is_closed() {
+                return;
+            }
+        }
+    }
+
+    fn adopt(&self, row: &RowChange) {
+        let RowChange::Written(row) = row else { return };
+        match self.setup.codec.read_catalog(&row.key, &row.value) {
+            Ok(Some(catalog)) => self.adopt_catalog(catalog, "store"),
+            Ok(None) => {}
+            Err(error) => tracing::warn!(
+                event = "configuration_unreadable",
+                row = row.key,
+                version = row.version,
+                error = format!("{error:#}"),
+            ),
+        }
+    }
+
+    /// Adopts a catalog; an older revision than the one held never is.
+    fn adopt_catalog(&self, catalog: ServiceCatalog, source: &str) {
+        let held =
+            self.catalog.borrow().as_ref().map_or(0, |held| held.revision);
+        if catalog.revision <= held {
+            return;
+        }
+        tracing::info!(
+            event = "configuration_adopted",
+            revision = catalog.revision,
+            former = held,
+            source,
+        );
+        self.setup.metrics.revision.set(catalog.revision as i64);
+        self.catalog.send_replace(Some(Arc::new(catalog)));
+    }
+
+    /// Asks a seed for its catalog; a host that was restarted while the
+    /// store is away starts from there.
+    async fn ask_seed(&self) {
+        let Some(seed) = pick_seed(&self.setup.seeds) else { return };
+        match control::fetch_catalog(seed).await {
+            Ok(Some(catalog)) => self.adopt_catalog(catalog, seed),
+            Ok(None) => {}
+            Err(error) => tracing::debug!(
+                event = "seed_failed",
+                seed,
+                error = format!("{error:#}"),
+            ),
+        }
+    }
+}
+
+struct RegistryTask<C> {
+    setup: WatcherSetup<C>,
+    feed: FeedPosition,
+    list: RunnerRoster,
+    /// Point of the last answer of the store.
+    answered: Instant,
+    roster: watch::Sender<Option<Arc<Vec<RunnerFacts>>>>,
+}
+
+impl<C: EdgeCodec> RegistryTask<C> {
+    async fn run(mut self) {
+        loop {
+            let began = Instant::now();
+            let store = self.setup.store.clone();
+            let wait = self.wait();
+            let step = self.feed.step(&store, wait).await;
+            let pause = match step {
+                Ok(step) => {
+                    self.note_answer(began);
+                    self.adopt(step);
+                    REGISTRY_PAUSE
+                }
+                Err(StoreFault::HistoryDropped) => Duration::ZERO,
+                Err(fault) => {
+                    note_fault(&self.setup.metrics, "registry", &fault);
+                    self.ask_seed().await;
+                    self.feed.backoff()
+                }
+            };
+            tokio::time::sleep(pause).await;
+            if self.list.expire(self.setup.clock.now()) {
+                self.show();
+            }
+            if self.roster.is_closed() {
+                return;
+            }
+        }
+    }
+
+    /// Longest wait of the next reading: not past the next expiry.
+    fn wait(&self) -> Duration {
+        let now = self.setup.clock.now();
+        let next = self.list.next_expiry().map(|at| now.until(at));
+        next.unwrap_or(REGISTRY_WAIT).min(REGISTRY_WAIT)
+    }
+
+    /// Notes that the store answered a call that began at `began`; where it
+    /// was silent before, entries that are missing now may have lapsed.
+    fn note_answer(&mut self, began: Instant) {
+        if self.answered + AWAY < began && 0 < self.list.facts().count() {
+            let away_ms = self.answered.elapsed().as_millis() as u64;
+            tracing::info!(event = "registry_returned", away_ms);
+            self.list.registry_returned(self.setup.clock.now());
+        }
+        self.answered = Instant::now();
+    }
+
+    fn adopt(&mut self, step: FeedStep) {
+        let now = self.setup.clock.now();
+        match step {
+            FeedStep::Whole(reading) => {
+                let listed = reading.rows.iter().filter_map(|row| match self
+                    .change(row)
+                {
+                    RosterChange::Listed(facts) => Some(facts),
+                    RosterChange::Withdrawn(_) => None,
+                });
+                let listed = listed.collect();
+                self.list.replace(listed, now);
+                self.show();
+            }
+            FeedStep::Changes(reading) => {
+                if reading.rows.is_empty() {
+                    return;
+                }
+                for row in &reading.rows {
+                    let change = self.change(row);
+                    self.list.change(change, now);
+                }
+                self.show();
+            }
+        }
+    }
+
+    fn change(&self, row: &RowChange) -> RosterChange {
+        let row = match row {
+            RowChange::Written(row) => row,
+            RowChange::Removed(id) => {
+                return RosterChange::Withdrawn(id.clone());
+            }
+        };
+        match self.setup.codec.read_runner(&row.key, &row.value) {
+            Ok(facts) => RosterChange::Listed(facts),
+            Err(error) => {
+                tracing::warn!(
+                    event = "registry_entry_unreadable",
+                    runner = row.key,
+                    version = row.version,
+                    error = format!("{error:#}"),
+                );
+                RosterChange::Withdrawn(row.key.clone())
+            }
+        }
+    }
+
+    fn show(&self) {
+        let facts: Vec<RunnerFacts> = self.list.facts().cloned().collect();
+        self.log_changes(&facts);
+        self.roster.send_replace(Some(Arc::new(facts)));
+    }
+
+    /// Logs which runners came, went or began to leave.
+    fn log_changes(&self, facts: &[RunnerFacts]) {
+        let former = self.roster.borrow().clone().unwrap_or_default();
+        for facts in facts {
+            let known = former.iter().find(|held| held.id == facts.id);
+            let same = known.is_some_and(|held| {
+                held.leaving == facts.leaving && held.is_same_start(facts)
+            });
+            if !same {
+                tracing::info!(
+                    event = "runner_listed",
+                    runner = facts.id,
+                    service = facts.service,
+                    runner_zone = facts.zone,
+                    leaving = facts.leaving,
+                );
+            }
+        }
+        for held in former.iter() {
+            if !facts.iter().any(|facts| facts.id == held.id) {
+                tracing::info!(event = "runner_gone", runner = held.id);
+            }
+        }
+    }
+
+    /// Takes over a seed's roster where none was ever read.
+    async fn ask_seed(&mut self) {
+        if 0 < self.list.facts().count() {
+            return;
+        }
+        let Some(seed) = pick_seed(&self.setup.seeds) else { return };
+        let Ok(facts) = control::fetch_roster(seed).await else { return };
+        if !facts.is_empty() {
+            tracing::info!(event = "roster_adopted", source = seed);
+            self.list.replace(facts, self.setup.clock.now());
+            self.show();
+        }
+    }
+}
+
+fn pick_seed(seeds: &[String]) -> Option<&String> {
+    if seeds.is_empty() {
+        return None;
+    }
+    seeds.get(rand::random_range(0..seeds.len()))
+}
+
+fn note_fault(metrics: &HostMetrics, source: &str, fault: &StoreFault) {
+    metrics.platform_errors.inc();
+    tracing::info!(event = "store_failed", source, error = %fault);
+}
--- a/crates/celerylead/src/wire/link.rs
+++ b/crates/celerylead/src/wire/link.rs
@@ -4,10 +4,13 @@
 //! out to be closed. Whether that is allowed is for the request's state to
 //! say, so connections are used directly, one request at a time.
 
+use std::{io, time::Duration};
+
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, Response, body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
 use tokio::{net::TcpStream, time::Instant};
 
 use crate::{
@@ -15,14 +18,39 @@
     step::{StepContext as _, StepName},
 };
 
+/// Silence after which the kernel asks whether the peer is there.
+const KEEPALIVE_IDLE: Duration = Duration::from_millis(1_000);
+/// Time between two such questions; whole seconds, the kernel's unit.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Questions without an answer after which a connection is dead.
+const KEEPALIVE_RETRIES: u32 = 2;
+/// Time for which written bytes may stay without an answer of the kernel at
+/// the other end.
+const USER_TIMEOUT: Duration = Duration::from_millis(3_000);
+
+/// Sets the options that every connection needs: no delay of small writes,
+/// and an end to connections that went silent without a reset.
+pub(crate) fn tune(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE_IDLE)
+        .with_interval(KEEPALIVE_INTERVAL)
+        .with_retries(KEEPALIVE_RETRIES);
+    socket.set_tcp_keepalive(&keepalive)?;
+    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
+}
+
 /// An open connection to a server.
-pub(crate) struct HttpLink {
+#[derive(Debug)]
+pub struct HttpLink {
     sender: http1::SendRequest<Full<Bytes>>,
     peer: String,
 }
 
 /// Why no head of an answer came.
-pub(crate) enum SendFault {
+#[derive(Debug)]
+pub enum SendFault {
     /// Not a byte was written.
     Unsent(UnsentProof, anyhow::Error),
     /// Bytes may have been written.
@@ -33,7 +61,11 @@
 
 impl HttpLink {
     /// Connects to `peer` before `deadline`.
-    pub(crate) async fn open(
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the connection doesn't open in time.
+    pub async fn open(
         peer: &str,
         deadline: Instant,
     ) -> anyhow::Result<HttpLink> {
@@ -42,7 +74,7 @@
                 .await
                 .at(StepName::Connect, peer)?
                 .at(StepName::Connect, peer)?;
-        stream.set_nodelay(true).at(StepName::Connect, peer)?;
+        tune(&stream).at(StepName::Connect, peer)?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
             .at(StepName::Connect, peer)?;
@@ -56,12 +88,16 @@
     }
 
     /// Tells whether the connection can take a request now.
-    pub(crate) fn is_ready(&self) -> bool {
+    pub fn is_ready(&self) -> bool {
         self.sender.is_ready()
     }
 
     /// Sends a request and waits for the head of its answer.
-    pub(crate) async fn send(
+    ///
+    /// # Errors
+    ///
+    /// Returns whether bytes of the request may have been written.
+    pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
         deadline: Instant,
