Give orders for models and adapters from one host under a lease

Cause: 21 of 32 models and adapters at Blue Mahoe were never served, as no host gave orders (refused: no_adapter, no_model). Ruled out: an owner for each runner (turns between hosts, writes). Change: the orders lease, shelves that repeat an unanswered order, plans over all zones, adapters on request.

--- a/crates/celerylead/src/membership/digest.rs
+++ b/crates/celerylead/src/membership/digest.rs
@@ -59,13 +59,8 @@
         /// Adapters by the runner's identity.
         held: Vec<(String, Vec<ModelName>)>,
     },
-    /// A call found its adapter at no runner of the service.
-    Want {
-        /// Name of the service.
-        service: String,
-        /// Model and adapter.
-        name: ModelName,
-    },
+    /// A call found its adapter at no runner.
+    Want(ModelName),
 }
 
 /// Row of a host: where the others reach it.
--- a/crates/celerylead/src/membership/orders.rs
+++ b/crates/celerylead/src/membership/orders.rs
@@ -90,6 +90,9 @@
         let held = self.seen.as_ref();
         let fencing = match held {
             Some(row) if own(&row) => row.fencing,
+            // A former process of this host: orders of one host don't take
+            // turns, but the number tells the processes apart.
+            Some(row) if row.holder == host => row.fencing + 1,
             Some(row) => {
                 let free = self.seen_at.after(HOLD + SEND_MARGIN + turns);
                 if now < free {
--- a/crates/celerylead/src/placement/demand.rs
+++ b/crates/celerylead/src/placement/demand.rs
@@ -4,7 +4,7 @@
 
 use crate::{clock::EpochMillis, sorted::SortedTable};
 
-/// Time in which a past demand counts for half.
+/// Time in which a past demand counts for half by default.
 const HALF_LIFE: Duration = Duration::from_secs(10);
 /// Models of which a host reports the demand: those in highest demand.
 const MOST_MODELS: usize = 16;
@@ -26,9 +26,16 @@
 /// assert!(60 < *meter.rates(EpochMillis(0)).get("outline").unwrap());
 /// assert!(meter.rates(EpochMillis(300_000)).is_empty());
 /// ```
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct DemandMeter {
     models: SortedTable<String, DecayedSum>,
+    half_life: Duration,
+}
+
+impl Default for DemandMeter {
+    fn default() -> Self {
+        DemandMeter::new(HALF_LIFE)
+    }
 }
 
 /// Tokens, each counted for less as it gets older.
@@ -39,18 +46,24 @@
 }
 
 impl DecayedSum {
-    fn at(&self, now: EpochMillis) -> f64 {
+    fn at(&self, now: EpochMillis, half_life: Duration) -> f64 {
         let age = self.noted.until(now).as_secs_f64();
-        self.tokens * 0.5_f64.powf(age / HALF_LIFE.as_secs_f64())
+        self.tokens * 0.5_f64.powf(age / half_life.as_secs_f64())
     }
 }
 
 impl DemandMeter {
+    /// Makes a meter in which a past demand counts for half after
+    /// `half_life`.
+    pub fn new(half_life: Duration) -> DemandMeter {
+        DemandMeter { models: SortedTable::default(), half_life }
+    }
+
     /// Notes a request of `tokens` for a model.
     pub fn note(&mut self, model: &str, tokens: u64, now: EpochMillis) {
         if let Some(sum) = self.models.get_mut(model) {
-            *sum =
-                DecayedSum { tokens: sum.at(now) + tokens as f64, noted: now };
+            let tokens = sum.at(now, self.half_life) + tokens as f64;
+            *sum = DecayedSum { tokens, noted: now };
             return;
         }
         let sum = DecayedSum { tokens: tokens as f64, noted: now };
@@ -61,12 +74,15 @@
     /// second.
     pub fn rates(&self, now: EpochMillis) -> ModelDemand {
         // A steady demand d sums up to d times the mean life.
-        let mean_life = HALF_LIFE.as_secs_f64() / std::f64::consts::LN_2;
+        let mean_life = self.half_life.as_secs_f64() / std::f64::consts::LN_2;
         let mut rates: Vec<(String, u64)> = self
             .models
             .iter()
             .map(|(model, sum)| {
-                (model.clone(), (sum.at(now) / mean_life) as u64)
+                (
+                    model.clone(),
+                    (sum.at(now, self.half_life) / mean_life) as u64,
+                )
             })
             .filter(|(_, rate)| LEAST_DEMAND <= *rate)
             .collect();
--- /dev/null
+++ b/crates/celerylead/src/placement/fleet.rs
@@ -0,0 +1,157 @@
+//! Which models belong on which runner of a service, over all zones.
+
+use crate::{
+    catalog::{EngineTraits, ServiceTraits},
+    placement::{
+        ModelDemand, ModelNeed, PlacementPlan, RunnerRoom, next_plan,
+        shelf::{Idle, RunnerShelf, ShelfTable},
+    },
+    roster::HeldModel,
+    runner::OrderKind,
+    sorted::SortedTable,
+};
+
+/// Copies that one turn may add to the plan.
+const CHANGES: usize = 1;
+
+/// The plans of all services.
+#[derive(Clone, Debug, Default)]
+pub struct FleetPlan {
+    services: SortedTable<String, PlacementPlan>,
+}
+
+/// The plan of one service as it is carried out.
+#[derive(Debug)]
+pub struct ServicePlan<'a> {
+    plan: &'a PlacementPlan,
+    engine: &'a EngineTraits,
+    service: &'a str,
+}
+
+/// An order for a model.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ModelStep {
+    /// Identity of the runner.
+    pub runner: String,
+    /// Load or unload.
+    pub kind: OrderKind,
+    /// Name of the model.
+    pub model: String,
+    /// Whether it comes from the weight store, not from a copy.
+    pub from_store: bool,
+}
+
+impl FleetPlan {
+    /// Moves the plan of a service on by what demand asks for.
+    pub fn turn<'a>(
+        &'a mut self,
+        service: &'a ServiceTraits,
+        shelves: &ShelfTable,
+        demand: &ModelDemand,
+    ) -> Option<ServicePlan<'a>> {
+        let engine = service.engine.as_ref()?;
+        let name = service.name.as_str();
+        let reserve = adapter_reserve(engine);
+        let rooms: Vec<RunnerRoom> = shelves
+            .expected()
+            .filter(|(facts, _)| facts.service == name)
+            .map(|(facts, models)| RunnerRoom {
+                name: facts.id.clone(),
+                group: name.to_owned(),
+                memory_mb: (engine.memory_mb - reserve).max(0.0) as u64,
+                resident: models.into_iter().map(|held| held.name).collect(),
+            })
+            .collect();
+        let needs: Vec<ModelNeed> = engine
+            .models
+            .iter()
+            .map(|model| ModelNeed {
+                name: model.name.clone(),
+                group: name.to_owned(),
+                size_mb: model.size_mb.ceil() as u64,
+                demand: demand.get(&model.name).copied().unwrap_or(0),
+                elsewhere: false,
+            })
+            .collect();
+        let plan = self.services.entry(name.to_owned(), Default::default);
+        *plan = next_plan(plan, &rooms, &needs, CHANGES);
+        Some(ServicePlan { plan, engine, service: name })
+    }
+}
+
+impl ServicePlan<'_> {
+    /// Returns the next order that brings a runner closer to the plan.
+    pub fn next_step(&self, shelves: &ShelfTable) -> Option<ModelStep> {
+        let own = shelves.idle();
+        let mut own = own.filter(|shelf| shelf.facts.service == self.service);
+        own.find_map(|shelf| self.step_at(shelf, shelves))
+    }
+
+    fn step_at(
+        &self,
+        shelf: &RunnerShelf<Idle>,
+        shelves: &ShelfTable,
+    ) -> Option<ModelStep> {
+        let target = self.plan.targets.get(&shelf.facts.id)?;
+        let held =
+            |model: &str| shelf.models.iter().any(|held| held.name == model);
+        let missing = target.iter().find(|model| !held(model))?;
+        let size = self.engine.model(missing)?.size_mb;
+        let runner = shelf.facts.id.clone();
+        if size <= self.free_mb(&shelf.models) {
+            return Some(ModelStep {
+                runner,
+                kind: OrderKind::Load,
+                model: missing.clone(),
+                from_store: !shelf.facts.copies.contains(missing),
+            });
+        }
+        let unwanted = shelf.models.iter().find(|held| {
+            !target.contains(&held.name)
+                && self.has_survivor(&held.name, &shelf.facts.id, shelves)
+        })?;
+        Some(ModelStep {
+            runner,
+            kind: OrderKind::Unload,
+            model: unwanted.name.clone(),
+            from_store: false,
+        })
+    }
+
+    /// Memory without what is held, and without the places for adapters.
+    fn free_mb(&self, models: &[HeldModel]) -> f64 {
+        let sizes = models.iter().map(|held| {
+            // A model that isn't in the configuration any more takes an
+            // unknown part: as much as there is.
+            let known = self.engine.model(&held.name);
+            known.map_or(self.engine.memory_mb, |model| model.size_mb)
+        });
+        let held: f64 = sizes.sum();
+        self.engine.memory_mb - held - adapter_reserve(self.engine)
+    }
+
+    /// Tells whether another runner holds a model and keeps it.
+    fn has_survivor(
+        &self,
+        model: &str,
+        runner: &str,
+        shelves: &ShelfTable,
+    ) -> bool {
+        if self.engine.model(model).is_none() {
+            return true;
+        }
+        shelves.held().any(|(facts, models)| {
+            let planned = self.plan.targets.get(&facts.id);
+            facts.id != runner
+                && models.iter().any(|held| held.name == model)
+                && planned.is_some_and(|t| t.iter().any(|m| m == model))
+        })
+    }
+}
+
+/// Memory kept free for adapters: all places, at the largest size.
+fn adapter_reserve(engine: &EngineTraits) -> f64 {
+    let sizes = engine.models.iter().filter(|model| 0 < model.adapters);
+    let largest = sizes.map(|model| model.adapter_mb).fold(0.0, f64::max);
+    largest * f64::from(engine.adapter_places)
+}
--- a/crates/celerylead/src/placement/mod.rs
+++ b/crates/celerylead/src/placement/mod.rs
@@ -13,16 +13,32 @@
 //!
 //! A plan changes a little at a time, so that loads stay within what the
 //! weight store allows.
+//!
+//! Behind an adapter one host plans for all zones and gives all orders. A
+//! [`RunnerShelf`] is what it knows of a runner and of the order under way
+//! there, a [`FleetPlan`] what it wants, an [`AdapterBook`] which adapters
+//! are missing, and a [`LoadAllowance`] bounds the loads from the weight
+//! store over all runners.
 
+mod adapters;
 mod demand;
+mod fleet;
+mod loads;
 mod order;
 mod plan;
+mod shelf;
 
 #[cfg(test)]
 mod tests;
 
 pub use self::{
+    adapters::{AdapterBook, AdapterStep},
     demand::{DemandMeter, ModelDemand},
+    fleet::{FleetPlan, ModelStep, ServicePlan},
+    loads::LoadAllowance,
     order::{OrderDraft, OwnedRunner},
     plan::{ModelNeed, PlacementPlan, RunnerRoom, next_plan},
+    shelf::{
+        Doubtful, Idle, OrderStep, Ordered, RunnerShelf, ShelfTable, Unread,
+    },
 };
--- a/crates/celerylead/src/tasks/node/call.rs
+++ b/crates/celerylead/src/tasks/node/call.rs
@@ -265,7 +265,7 @@
             let now = self.context.clock.now();
             let desk = &self.context.desk;
             let refund = refundable.clone();
-            let slot = match desk.route(&ask, reruns, refund, now).await {
+            let slot = match desk.route(&ask, refund, now).await {
                 Ok(slot) => slot,
                 Err(refusal) => return last_word(fallback, request, refusal),
             };
--- a/crates/celerylead/src/tasks/node/desk.rs
+++ b/crates/celerylead/src/tasks/node/desk.rs
@@ -38,6 +38,9 @@
 const BUDGET_SHARE: f64 = 0.8;
 /// Wake-up of the task when nothing is due.
 const IDLE_WAIT: Duration = Duration::from_secs(60);
+/// Time in which past demand for a model counts for half; demand moves
+/// within seconds.
+const DEMAND_HALF_LIFE: Duration = Duration::from_millis(3_000);
 /// Idle connections kept to one runner.
 const MAX_IDLE_LINKS: usize = 32;
 
@@ -70,8 +73,6 @@
 /// A call that waits for its runner.
 pub(crate) struct RouteWait {
     ask: RelayAsk,
-    /// Runs that may have happened already.
-    reruns: u32,
     /// Whether a refusal gives the charge back.
     refundable: Option<(String, u64)>,
     until: EpochMillis,
@@ -134,7 +135,6 @@
     pub(crate) async fn route(
         &self,
         ask: &RelayAsk,
-        reruns: u32,
         refundable: Option<(String, u64)>,
         now: EpochMillis,
     ) -> Result<RelaySlot, Refusal> {
@@ -145,7 +145,6 @@
         let wait = |reply| {
             DeskEvent::Route(RouteWait {
                 ask: ask.clone(),
-                reruns,
                 refundable,
                 until: now.after(left.min(LONGEST_HOLD)),
                 reply,
@@ -202,7 +201,7 @@
         rates: SortedTable::default(),
         hearing: HostHearing::default(),
         budgets: SortedTable::default(),
-        demand: DemandMeter::default(),
+        demand: DemandMeter::new(DEMAND_HALF_LIFE),
         links: SortedTable::default(),
         waiting: Vec::new(),
         setup,
@@ -357,7 +356,7 @@
         if fault == PickFault::NoAdapter
             && let Some(name) = &wait.ask.model
         {
-            self.setup.herald.want(&wait.ask.service, name);
+            self.setup.herald.want(name);
         }
         if fault == PickFault::AllTried || wait.until <= now {
             let code = RefusalCode::NoRunner;
--- a/crates/celerylead/src/tasks/node/herald.rs
+++ b/crates/celerylead/src/tasks/node/herald.rs
@@ -46,7 +46,7 @@
 /// Message to the task.
 pub(crate) enum HeraldEvent {
     /// A call found its adapter at no runner of the service.
-    Want { service: String, name: ModelName },
+    Want(ModelName),
     /// Tell all hosts which adapters runners hold by order.
     Adapters(Vec<(String, Vec<ModelName>)>),
 }
@@ -56,7 +56,9 @@
     /// What another host, or this one, carries.
     Digest(HostDigest),
     /// An adapter is missing.
-    Want { service: String, name: ModelName },
+    Want(ModelName),
+    /// Another host told which adapters runners hold: it gives the orders.
+    Holder,
 }
 
 /// The way to the task.
@@ -68,11 +70,8 @@
 impl HeraldPort {
     /// Tells the placer that an adapter is missing. The call asks again
     /// when it is looked at next, so a lost message costs time only.
-    pub(crate) fn want(&self, service: &str, name: &ModelName) {
-        let event = HeraldEvent::Want {
-            service: service.to_owned(),
-            name: name.clone(),
-        };
+    pub(crate) fn want(&self, name: &ModelName) {
+        let event = HeraldEvent::Want(name.clone());
         if self.sender.try_send(event).is_err() {
             tracing::debug!(event = "want_dropped", name = %name);
         }
@@ -160,7 +159,7 @@
 
     async fn handle(&mut self, event: HeraldEvent) {
         match event {
-            HeraldEvent::Want { service, name } => {
+            HeraldEvent::Want(name) => {
                 let own = self.setup.row.host.as_str();
                 let known = self
                     .orderer
@@ -169,11 +168,10 @@
                     .and_then(|orderer| self.hosts.get(orderer));
                 if let Some(host) = known {
                     let address = host.address;
-                    let want = HostMessage::Want { service, name };
+                    let want = HostMessage::Want(name);
                     self.send(&want, &[address]).await;
                 } else {
-                    let _ =
-                        self.placer.try_send(Heard::Want { service, name });
+                    let _ = self.placer.try_send(Heard::Want(name));
                 }
             }
             HeraldEvent::Adapters(held) => {
@@ -244,11 +242,12 @@
             }
             HostMessage::Adapters { host, held } => {
                 self.orderer = Some(host);
+                let _ = self.placer.try_send(Heard::Holder);
                 let event = DeskEvent::Adapters(held);
                 let _ = self.desk.sender.send(event).await;
             }
-            HostMessage::Want { service, name } => {
-                let _ = self.placer.try_send(Heard::Want { service, name });
+            HostMessage::Want(name) => {
+                let _ = self.placer.try_send(Heard::Want(name));
             }
         }
     }
--- a/crates/celerylead/src/tasks/node/placer.rs
+++ b/crates/celerylead/src/tasks/node/placer.rs
@@ -1,17 +1,61 @@
 //! The task that gives orders to the runners, on the host that may.
+//!
+//! Every host runs it; one holds the lease on orders. The holder is heard by
+//! the others, as it tells them which adapters runners hold; only when it
+//! falls silent do they read the lease's row. Orders and reports are sent by
+//! futures of their own, which tell the task how they ended.
 
 use std::time::Duration;
 
-use tokio::sync::mpsc;
+use bytes::Bytes;
+use http_body_util::{BodyExt as _, Limited};
+use tokio::{
+    sync::mpsc,
+    time::{Instant, MissedTickBehavior},
+};
 
 use super::{
     CatalogWatch, RosterWatch,
     herald::{Heard, HeraldPort},
 };
-use crate::{clock::HostClock, membership::HostRow, port::StorePort};
+use crate::{
+    catalog::{EngineTraits, ServiceCatalog},
+    clock::{EpochMillis, HostClock},
+    membership::{HostRow, OrdersLease, OrdersRow, RENEW_PERIOD},
+    model::ModelName,
+    placement::{
+        AdapterBook, FleetPlan, LoadAllowance, ModelDemand, OrderStep,
+        ShelfTable,
+    },
+    port::{
+        EdgeCodec, EngineReport, HttpLink, OrderVerdict, PlacementOrder,
+        RowChange, RowKey, RowPut, SendFault, StorePort, StoreTable,
+    },
+    roster::RunnerFacts,
+    runner::OrderKind,
+    sorted::SortedTable,
+};
 
 /// Messages that wait before senders drop theirs.
 pub(crate) const MAILBOX: usize = 256;
+/// Time between two turns of the task.
+const TURN: Duration = Duration::from_millis(50);
+/// Turns between two changes of the plan.
+const PLAN_TURNS: u32 = 8;
+/// Time between two tellings of adapters that haven't changed.
+const TELL_PERIOD: Duration = Duration::from_millis(1_000);
+/// Silence of the holder after which the lease's row is read.
+const HOLDER_SILENCE: Duration = Duration::from_millis(2_500);
+/// Time between two readings of the row.
+const READ_PERIOD: Duration = Duration::from_millis(1_000);
+/// Longest wait for an answer of a runner to an order or for a report.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
+/// Age from which a host's digest says nothing of demand.
+const DEMAND_AGE: Duration = Duration::from_millis(2_000);
+/// Largest report of a runner.
+const MAX_REPORT_BYTES: usize = 1 << 20;
+/// Key of the lease's row.
+const LEASE_KEY: &str = "placement";
 
 /// What the task is started with.
 pub(crate) struct PlacerSetup<C> {
@@ -22,16 +66,466 @@
     pub(crate) catalog: CatalogWatch,
     pub(crate) roster: RosterWatch,
     pub(crate) herald: HeraldPort,
+    /// Span in which orders of two hosts count as taking turns.
     pub(crate) turns: Duration,
 }
 
+/// How something that was sent ended.
+enum Ended {
+    Order(PlacementOrder, Option<OrderVerdict>),
+    Report(String, Option<EngineReport>),
+    /// The lease's row was read.
+    Read(Option<OrdersRow>, u64),
+    /// The lease's row was written, or not.
+    Claimed(crate::membership::LeaseClaim, Option<u64>),
+    /// The store didn't answer.
+    StoreFailed,
+}
+
+struct PlacerTask<C> {
+    setup: PlacerSetup<C>,
+    lease: OrdersLease,
+    /// Whether a call of the store is under way.
+    asking: bool,
+    /// Point from which the store may be asked again.
+    ask_at: Instant,
+    /// Point at which the holder was heard last.
+    heard_at: Instant,
+    /// Whether this host held the lease at its last turn.
+    holding: bool,
+    shelves: ShelfTable,
+    plan: FleetPlan,
+    book: AdapterBook,
+    loads: LoadAllowance,
+    demand: SortedTable<String, (EpochMillis, ModelDemand)>,
+    told: Vec<(String, Vec<ModelName>)>,
+    told_at: Instant,
+    turn: u32,
+    ended: mpsc::Sender<Ended>,
+}
+
 /// Starts the task.
-pub(crate) fn start<C: Send + 'static>(
+pub(crate) fn start<C: EdgeCodec>(
     setup: PlacerSetup<C>,
-    mut inbox: mpsc::Receiver<Heard>,
+    inbox: mpsc::Receiver<Heard>,
 ) {
-    crate::tasks::spawn(async move {
-        let _setup = setup;
-        while inbox.recv().await.is_some() {}
+    let (ended, ends) = mpsc::channel(MAILBOX);
+    let now = Instant::now();
+    let jitter = Duration::from_millis(rand::random_range(0..400));
+    let task = PlacerTask {
+        lease: OrdersLease::default(),
+        asking: false,
+        ask_at: now + jitter,
+        heard_at: now - HOLDER_SILENCE,
+        holding: false,
+        shelves: ShelfTable::default(),
+        plan: FleetPlan::default(),
+        book: AdapterBook::default(),
+        loads: LoadAllowance::empty(setup.clock.now()),
+        demand: SortedTable::default(),
+        told: Vec::new(),
+        told_at: now,
+        turn: 0,
+        ended,
+        setup,
+    };
+    crate::tasks::spawn(task.run(inbox, ends));
+}
+
+impl<C: EdgeCodec> PlacerTask<C> {
+    async fn run(
+        mut self,
+        mut inbox: mpsc::Receiver<Heard>,
+        mut ends: mpsc::Receiver<Ended>,
+    ) {
+        let mut period = tokio::time::interval(TURN);
+        period.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            // Hosts that don't hold the lease have nothing to do each turn.
+            let idle = !self.holding && Instant::now() < self.ask_at;
+            tokio::select! {
+                heard = inbox.recv() => match heard {
+                    Some(heard) => self.hear(heard),
+                    None => return,
+                },
+                Some(ended) = ends.recv() => self.end(ended),
+                () = tokio::time::sleep_until(self.ask_at), if idle => {}
+                _ = period.tick(), if !idle => {}
+            }
+            self.turn().await;
+        }
+    }
+
+    fn hear(&mut self, heard: Heard) {
+        let now = self.setup.clock.now();
+        match heard {
+            Heard::Digest(digest) => {
+                let row = (now, digest.demand);
+                self.demand.insert(digest.host, row);
+            }
+            Heard::Want(name) => self.book.want(&name, now),
+            Heard::Holder => {
+                self.heard_at = Instant::now();
+                self.ask_at = self.heard_at + HOLDER_SILENCE;
+            }
+        }
+    }
+
+    async fn turn(&mut self) {
+        self.keep_lease();
+        let now = self.setup.clock.now();
+        let Some(fencing) = self.lease.fencing(now) else {
+            if std::mem::take(&mut self.holding) {
+                tracing::info!(event = "orders_lost");
+            }
+            return;
+        };
+        if !self.holding {
+            self.holding = true;
+            self.shelves.distrust(now);
+            self.loads = LoadAllowance::empty(now);
+            tracing::info!(event = "orders_held", fencing);
+        }
+        let roster = self.setup.roster.borrow().clone();
+        let catalog = self.setup.catalog.borrow().clone();
+        let (Some(roster), Some(catalog)) = (roster, catalog) else { return };
+        let engines = roster.iter().filter(|facts| {
+            let service = catalog.service(&facts.service);
+            service.is_some_and(|service| service.engine.is_some())
+        });
+        self.shelves.adopt(engines, now);
+        for step in self.shelves.due(now) {
+            self.send(step);
+        }
+        self.turn = self.turn.wrapping_add(1);
+        self.order(&catalog, fencing, now);
+        self.tell().await;
+    }
+
+    /// Renews the lease, or looks whether it is free.
+    fn keep_lease(&mut self) {
+        if self.asking || Instant::now() < self.ask_at {
+            return;
+        }
+        self.asking = true;
+        self.ask_at = Instant::now() + READ_PERIOD;
+        let now = self.setup.clock.now();
+        let row = &self.setup.row;
+        let claim = self.lease.claim(
+            &row.host,
+            row.incarnation,
+            self.setup.turns,
+            now,
+        );
+        let store = self.setup.store.clone();
+        let ended = self.ended.clone();
+        crate::tasks::spawn(async move {
+            let end = match claim {
+                Some(claim) => write_claim(&store, claim).await,
+                None => read_lease(&store).await,
+            };
+            let _ = ended.send(end).await;
+        });
+    }
+
+    fn end(&mut self, ended: Ended) {
+        let now = self.setup.clock.now();
+        match ended {
+            Ended::Order(order, verdict) => {
+                log_order(&order, verdict);
+                let takes = self.model_time(&order);
+                self.shelves.answered(&order, verdict, takes, now);
+            }
+            Ended::Report(runner, report) => {
+                self.shelves.reported(&runner, report, now);
+            }
+            Ended::Read(row, version) => {
+                self.asking = false;
+                self.lease.read(row, version, now);
+                let row = &self.setup.row;
+                let (host, turns) = (&row.host, self.setup.turns);
+                let claim =
+                    self.lease.claim(host, row.incarnation, turns, now);
+                if claim.is_some() {
+                    self.ask_at = Instant::now();
+                }
+            }
+            Ended::Claimed(claim, version) => {
+                self.asking = false;
+                self.ask_at = Instant::now() + RENEW_PERIOD;
+                match version {
+                    Some(version) => self.lease.claimed(&claim, version, now),
+                    None => self.lease.in_doubt(),
+                }
+            }
+            Ended::StoreFailed => {
+                self.asking = false;
+                self.lease.in_doubt();
+            }
+        }
+    }
+
+    fn model_time(&self, order: &PlacementOrder) -> Duration {
+        let catalog = self.setup.catalog.borrow();
+        let models = catalog.iter().flat_map(|catalog| catalog.services());
+        let engines = models.filter_map(|service| service.engine.as_ref());
+        let model = engines.filter_map(|engine| engine.model(&order.model));
+        let load_ms = model.map(|model| model.load_ms).max().unwrap_or(0);
+        Duration::from_millis(load_ms)
+    }
+
+    /// Gives the orders that are due, each to a runner that takes one.
+    fn order(
+        &mut self,
+        catalog: &ServiceCatalog,
+        fencing: u64,
+        now: EpochMillis,
+    ) {
+        let demand = self.total_demand(now);
+        for service in catalog.services() {
+            let Some(engine) = &service.engine else { continue };
+            if self.turn.is_multiple_of(PLAN_TURNS) {
+                self.order_models(service, engine, &demand, fencing, now);
+            }
+            self.order_adapters(engine, &demand, fencing, now);
+        }
+    }
+
+    fn order_models(
+        &mut self,
+        service: &crate::catalog::ServiceTraits,
+        engine: &EngineTraits,
+        demand: &ModelDemand,
+        fencing: u64,
+        now: EpochMillis,
+    ) {
+        let plan = self.plan.turn(service, &self.shelves, demand);
+        let Some(plan) = plan else { return };
+        let Some(step) = plan.next_step(&self.shelves) else { return };
+        if step.kind == OrderKind::Load
+            && step.from_store
+            && !self.loads.take(engine.loads_per_second, now)
+        {
+            return;
+        }
+        let name = ModelName { model: step.model, adapter: None };
+        self.give(&step.runner, step.kind, &name, fencing);
+    }
+
+    fn order_adapters(
+        &mut self,
+        engine: &EngineTraits,
+        demand: &ModelDemand,
+        fencing: u64,
+        now: EpochMillis,
+    ) {
+        let mut busy: Vec<(&String, &u64)> = demand.iter().collect();
+        busy.sort_by_key(|(_, rate)| std::cmp::Reverse(**rate));
+        let busy: Vec<String> =
+            busy.into_iter().map(|(model, _)| model.clone()).collect();
+        while let Some(step) =
+            self.book.next_step(&self.shelves, engine, &busy, now)
+        {
+            self.give(&step.runner, step.kind, &step.name, fencing);
+        }
+    }
+
+    fn give(
+        &mut self,
+        runner: &str,
+        kind: OrderKind,
+        name: &ModelName,
+        fencing: u64,
+    ) {
+        let shelf = self.shelves.idle().find(|shelf| shelf.facts.id == runner);
+        let Some(shelf) = shelf else { return };
+        let order = PlacementOrder {
+            runner: runner.to_owned(),
+            kind,
+            model: name.model.clone(),
+            adapter: name.adapter.clone(),
+            expected: shelf.orders(),
+            holder: self.setup.row.host.clone(),
+            fencing,
+        };
+        if let Some(step) = self.shelves.order(&order) {
+            self.send(step);
+        }
+    }
+
+    /// Demand over all hosts that were heard lately.
+    fn total_demand(&self, now: EpochMillis) -> ModelDemand {
+        let mut total = ModelDemand::default();
+        for (told_at, demand) in self.demand.values() {
+            if told_at.after(DEMAND_AGE) < now {
+                continue;
+            }
+            for (model, rate) in demand.iter() {
+                *total.entry(model.clone(), || 0) += rate;
+            }
+        }
+        total
+    }
+
+    /// Sends what a step asks for. The right to order is looked at once
+    /// more just before the order is written.
+    fn send(&self, step: OrderStep) {
+        let codec = self.setup.codec.clone();
+        let ended = self.ended.clone();
+        let clock = self.setup.clock.clone();
+        let lease = self.lease.clone();
+        crate::tasks::spawn(async move {
+            let end = match step {
+                OrderStep::Report(facts) => {
+                    let report = fetch_report(&codec, &facts).await;
+                    let report = report.inspect_err(|error| {
+                        tracing::info!(
+                            event = "report_failed",
+                            runner = facts.id,
+                            error = format!("{error:#}"),
+                        );
+                    });
+                    Ended::Report(facts.id, report.ok())
+                }
+                OrderStep::Send(facts, order) => {
+                    let may = || lease.fencing(clock.now()).is_some();
+                    let sent = send_order(&codec, &facts, &order, may).await;
+                    let verdict = sent.inspect_err(|error| {
+                        tracing::info!(
+                            event = "order_failed",
+                            runner = facts.id,
+                            error = format!("{error:#}"),
+                        );
+                    });
+                    Ended::Order(order, verdict.ok())
+                }
+            };
+            let _ = ended.send(end).await;
+        });
+    }
+
+    /// Tells the hosts which adapters runners hold, when that has changed
+    /// and at least once a period; they hear by it that the holder lives.
+    async fn tell(&mut self) {
+        let held: Vec<(String, Vec<ModelName>)> = self
+            .shelves
+            .held()
+            .map(|(facts, models)| {
+                let names = models.iter().flat_map(|held| {
+                    held.adapters.iter().map(|adapter| ModelName {
+                        model: held.name.clone(),
+                        adapter: Some(adapter.clone()),
+                    })
+                });
+                (facts.id.clone(), names.collect())
+            })
+            .collect();
+        let due = self.told_at + TELL_PERIOD <= Instant::now();
+        if held != self.told || due {
+            self.told_at = Instant::now();
+            self.told.clone_from(&held);
+            self.setup.herald.adapters(held).await;
+        }
+    }
+}
+
+fn log_order(order: &PlacementOrder, verdict: Option<OrderVerdict>) {
+    tracing::info!(
+        event = "order_ended",
+        runner = order.runner,
+        kind = ?order.kind,
+        model = order.model,
+        adapter = order.adapter,
+        expected = order.expected,
+        fencing = order.fencing,
+        verdict = ?verdict,
+    );
+}
+
+async fn read_lease(store: &StorePort) -> Ended {
+    let reading = match store.read(StoreTable::Leases).await {
+        Ok(reading) => reading,
+        Err(fault) => {
+            tracing::info!(event = "store_failed", source = "lease", error = %fault);
+            return Ended::StoreFailed;
+        }
+    };
+    let row = reading.rows.iter().find_map(|row| match row {
+        RowChange::Written(row) if row.key == LEASE_KEY => Some(row),
+        _ => None,
     });
+    let Some(row) = row else { return Ended::Read(None, 0) };
+    match serde_json::from_slice(&row.value) {
+        Ok(held) => Ended::Read(Some(held), row.version),
+        Err(error) => {
+            tracing::warn!(event = "lease_unreadable", %error);
+            Ended::StoreFailed
+        }
+    }
+}
+
+async fn write_claim(
+    store: &StorePort,
+    claim: crate::membership::LeaseClaim,
+) -> Ended {
+    let value = match serde_json::to_vec(&claim.row) {
+        Ok(value) => value,
+        Err(error) => {
+            tracing::error!(event = "lease_unwritable", %error);
+            return Ended::StoreFailed;
+        }
+    };
+    let put = RowPut {
+        row: RowKey { table: StoreTable::Leases, key: LEASE_KEY.to_owned() },
+        expected: claim.expected,
+        value: Some(Bytes::from(value)),
+    };
+    match store.write(put).await {
+        Ok(version) => Ended::Claimed(claim, version),
+        Err(fault) => {
+            tracing::info!(event = "store_failed", source = "lease", error = %fault);
+            Ended::StoreFailed
+        }
+    }
+}
+
+async fn send_order<C: EdgeCodec>(
+    codec: &C,
+    facts: &RunnerFacts,
+    order: &PlacementOrder,
+    may: impl Fn() -> bool,
+) -> anyhow::Result<OrderVerdict> {
+    let request = codec.order(order, &facts.address)?;
+    let deadline = Instant::now() + ORDER_TIMEOUT;
+    let mut link = HttpLink::open(&facts.address, deadline).await?;
+    if !may() {
+        anyhow::bail!("the lease on orders ran out before the order was sent");
+    }
+    let response = answer_of(link.send(request, deadline).await)?;
+    let (head, _) = response.into_parts();
+    Ok(codec.judge_order(&head))
+}
+
+async fn fetch_report<C: EdgeCodec>(
+    codec: &C,
+    facts: &RunnerFacts,
+) -> anyhow::Result<EngineReport> {
+    let request = codec.ask_report(&facts.id, &facts.address)?;
+    let deadline = Instant::now() + ORDER_TIMEOUT;
+    let mut link = HttpLink::open(&facts.address, deadline).await?;
+    let response = answer_of(link.send(request, deadline).await)?;
+    if !response.status().is_success() {
+        anyhow::bail!("the report has status {}", response.status());
+    }
+    let body = Limited::new(response.into_body(), MAX_REPORT_BYTES);
+    let body = tokio::time::timeout_at(deadline, body.collect()).await?;
+    let body = body.map_err(|error| anyhow::anyhow!("{error}"))?;
+    codec.read_report(&body.to_bytes())
+}
+
+fn answer_of<T>(sent: Result<T, SendFault>) -> anyhow::Result<T> {
+    sent.map_err(|fault| match fault {
+        SendFault::Unsent(_, error) | SendFault::InDoubt(error) => error,
+        SendFault::TimedOut => anyhow::anyhow!("no answer in time"),
+    })
 }
--- a/crates/celerylead/src/tasks/node/run.rs
+++ b/crates/celerylead/src/tasks/node/run.rs
@@ -28,7 +28,7 @@
 
 /// Time after which a leaving host takes no more connections: the balancer
 /// asks once a second and believes the second refusal.
-const LEAVE_GRACE: Duration = Duration::from_millis(3_200);
+const LEAVE_GRACE: Duration = Duration::from_millis(2_600);
 /// Time kept free at the end of the platform's grace, for the exit itself.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
 
