--- a/crates/celerylead/src/customer/fleet.rs
+++ b/crates/celerylead/src/customer/fleet.rs
@@ -119,6 +119,12 @@
         *last = fresh;
     }
 
+    /// Returns the units that may be spent, as last refilled; below zero
+    /// what is owed.
+    pub fn level(&self) -> i64 {
+        self.level as i64
+    }
+
     fn refill(&mut self, hosts: &HostHearing, now: EpochMillis) {
         let seconds = self.refilled.until(now).as_secs_f64();
         if seconds <= 0.0 {
--- a/crates/celerylead/src/tasks/node/desk.rs
+++ b/crates/celerylead/src/tasks/node/desk.rs
@@ -312,10 +312,15 @@
             if let Some(bucket) = self.rates.get_mut(&customer)
                 && let Err(at) = bucket.take(cost, &self.hearing, now)
             {
-                let refusal = Refusal::not_run(
-                    RefusalCode::RateLimited,
-                    "the customer is over its rate",
+                let message = format!(
+                    "customer {customer} is over its rate: cost {cost}, \
+                     level {}, {} of {} hosts silent",
+                    bucket.level(),
+                    self.hearing.silent(now).count(),
+                    self.hearing.count(),
                 );
+                let code = RefusalCode::RateLimited;
+                let refusal = Refusal::not_run(code, &message);
                 let _ = wait.reply.send(Err(refusal.retry_at(Some(at))));
                 return;
             }
