Test the host behind the adapter against stand-ins of store and runners

Cause: what was built had tables for routing and roster only. Ruled out: tests by an HTTP library's server, which can't send a second answer or an answer to another request. Change: a row store and a runner that writes its own bytes, tables for the wire, answers, refusals, store faults, orders, rates and leaving.

--- a/crates/celerylead/src/customer/tests.rs
+++ b/crates/celerylead/src/customer/tests.rs
@@ -1,2 +1,3 @@
 mod bucket;
 mod division;
+mod fleet;
--- a/crates/celerylead/src/membership/tests.rs
+++ b/crates/celerylead/src/membership/tests.rs
@@ -1,3 +1,5 @@
+mod orders;
+
 use super::{HeldLease, HostLease, HostTag, LeasePhase, best_host};
 use crate::clock::{ClockBound, EpochMillis};
 
--- a/crates/celerylead/src/placement/tests.rs
+++ b/crates/celerylead/src/placement/tests.rs
@@ -1,3 +1,5 @@
+mod shelf;
+
 use super::{ModelNeed, PlacementPlan, RunnerRoom, next_plan};
 
 struct PlanCase {
--- /dev/null
+++ b/crates/celerylead/src/placement/tests/shelf.rs
@@ -0,0 +1,306 @@
+//! Orders at one runner and what they leave behind, as tables of cases.
+
+use std::time::Duration;
+
+use crate::{
+    EpochMillis,
+    catalog::{EngineModel, EngineTraits},
+    model::ModelName,
+    placement::{AdapterBook, OrderStep, ShelfTable},
+    port::{EngineReport, OrderVerdict, PlacementOrder},
+    roster::{HeldModel, RunnerFacts},
+    runner::OrderKind,
+};
+
+fn facts(born: u64) -> RunnerFacts {
+    RunnerFacts {
+        id: "i-1".to_owned(),
+        service: "advisor".to_owned(),
+        address: "10.0.0.1:80".to_owned(),
+        zone: "boden".to_owned(),
+        slots: 4,
+        leaving: false,
+        born: Some(born),
+        models: Vec::new(),
+        copies: Vec::new(),
+        orders: 0,
+    }
+}
+
+fn report(orders: u64, busy: bool) -> EngineReport {
+    let held = HeldModel { name: "bend".to_owned(), adapters: Vec::new() };
+    EngineReport { models: vec![held], incoming: Vec::new(), busy, orders }
+}
+
+fn order(expected: u64, adapter: &str) -> PlacementOrder {
+    PlacementOrder {
+        runner: "i-1".to_owned(),
+        kind: OrderKind::Load,
+        model: "bend".to_owned(),
+        adapter: Some(adapter.to_owned()),
+        expected,
+        holder: "front-1".to_owned(),
+        fencing: 3,
+    }
+}
+
+/// What happens to a shelf, each at its point.
+enum Step {
+    /// It is asked for what is due: reports and orders, by their text.
+    Due(&'static [&'static str]),
+    /// The report came, with this number of orders.
+    Reported(u64),
+    /// The runner is busy, or didn't answer.
+    Unreported,
+    /// An adapter is ordered.
+    Order(&'static str),
+    /// The order was answered.
+    Answered(Option<OrderVerdict>),
+    /// The runner is listed with another start.
+    Reborn,
+    /// What it is known to hold, and whether it takes an order.
+    Holds(&'static [&'static str], bool),
+}
+
+#[test]
+fn an_order_is_settled_before_another_goes_out() {
+    struct Case {
+        name: &'static str,
+        steps: &'static [(u64, Step)],
+    }
+    use OrderVerdict::{Accepted, Conflict, Holds};
+    let cases = [
+        Case {
+            name: "a report comes first",
+            steps: &[
+                (0, Step::Order("a1")),
+                (0, Step::Due(&["report"])),
+                (0, Step::Due(&[])),
+                (10, Step::Reported(4)),
+                (10, Step::Holds(&[], true)),
+            ],
+        },
+        Case {
+            name: "a report that fails is read again",
+            steps: &[
+                (0, Step::Due(&["report"])),
+                (10, Step::Unreported),
+                (409, Step::Due(&[])),
+                (410, Step::Due(&["report"])),
+            ],
+        },
+        Case {
+            name: "accepted, and there a little later",
+            steps: &[
+                (0, Step::Due(&["report"])),
+                (0, Step::Reported(4)),
+                (0, Step::Order("a1")),
+                (5, Step::Answered(Some(Accepted))),
+                (34, Step::Due(&[])),
+                (34, Step::Holds(&[], false)),
+                (35, Step::Due(&[])),
+                (35, Step::Holds(&["a1"], true)),
+            ],
+        },
+        Case {
+            name: "unanswered, repeated, accepted",
+            steps: &[
+                (0, Step::Due(&["report"])),
+                (0, Step::Reported(4)),
+                (0, Step::Order("a1")),
+                (800, Step::Answered(None)),
+                (800, Step::Order("a2")),
+                (1_199, Step::Due(&[])),
+                (1_200, Step::Due(&["order a1 after 4"])),
+                (1_210, Step::Answered(Some(Accepted))),
+                (1_240, Step::Due(&[])),
+                (1_240, Step::Holds(&["a1"], true)),
+            ],
+        },
+        Case {
+            name: "unanswered, and carried out meanwhile",
+            steps: &[
+                (0, Step::Due(&["report"])),
+                (0, Step::Reported(4)),
+                (0, Step::Order("a1")),
+                (800, Step::Answered(None)),
+                (1_200, Step::Due(&["order a1 after 4"])),
+                (1_210, Step::Answered(Some(Conflict))),
+                (1_610, Step::Due(&["report"])),
+                (1_620, Step::Reported(5)),
+                (1_620, Step::Holds(&[], true)),
+            ],
+        },
+        Case {
+            name: "held already: the number is read",
+            steps: &[
+                (0, Step::Due(&["report"])),
+                (0, Step::Reported(4)),
+                (0, Step::Order("a1")),
+                (5, Step::Answered(Some(Holds))),
+                (5, Step::Due(&["report"])),
+            ],
+        },
+        Case {
+            name: "another start forgets the order",
+            steps: &[
+                (0, Step::Due(&["report"])),
+                (0, Step::Reported(4)),
+                (0, Step::Order("a1")),
+                (5, Step::Reborn),
+                (6, Step::Answered(Some(Accepted))),
+                (6, Step::Due(&["report"])),
+                (7, Step::Holds(&[], false)),
+            ],
+        },
+    ];
+    for case in cases {
+        let mut shelves = ShelfTable::default();
+        shelves.adopt([facts(1)].iter(), EpochMillis(0));
+        for (place, (at, step)) in case.steps.iter().enumerate() {
+            let label = format!("{}: {place}", case.name);
+            play(&mut shelves, step, EpochMillis(*at), &label);
+        }
+    }
+}
+
+fn play(shelves: &mut ShelfTable, step: &Step, now: EpochMillis, label: &str) {
+    match step {
+        Step::Due(expected) => {
+            let due = shelves.due(now);
+            let due: Vec<String> = due.iter().map(text).collect();
+            assert_eq!(due, *expected, "{label}");
+        }
+        Step::Reported(orders) => {
+            shelves.reported("i-1", Some(report(*orders, false)), now);
+        }
+        Step::Unreported => shelves.reported("i-1", None, now),
+        Step::Order(adapter) => {
+            // Refused where the runner takes none; cases look at what
+            // goes out.
+            shelves.order(&order(4, adapter));
+        }
+        Step::Answered(verdict) => {
+            let takes = Duration::from_millis(100);
+            shelves.answered(&order(4, "a1"), *verdict, takes, now);
+        }
+        Step::Reborn => shelves.adopt([facts(2)].iter(), now),
+        Step::Holds(adapters, idle) => {
+            let held: Vec<String> = shelves
+                .held()
+                .flat_map(|(_, models)| models.iter())
+                .flat_map(|model| model.adapters.clone())
+                .collect();
+            assert_eq!(held, *adapters, "{label}");
+            assert_eq!(shelves.idle().count() == 1, *idle, "{label}");
+        }
+    }
+}
+
+fn text(step: &OrderStep) -> String {
+    match step {
+        OrderStep::Report(_) => "report".to_owned(),
+        OrderStep::Send(_, order) => {
+            let adapter = order.adapter.as_deref().unwrap_or("");
+            format!("order {adapter} after {}", order.expected)
+        }
+    }
+}
+
+#[test]
+fn an_adapter_goes_where_there_is_a_place_or_one_is_made() {
+    struct Case {
+        name: &'static str,
+        held: &'static [&'static str],
+        /// Adapters that calls asked for, and when.
+        wanted: &'static [(&'static str, u64)],
+        in_demand: bool,
+        step: Option<(OrderKind, &'static str)>,
+    }
+    let case = Case {
+        name: "",
+        held: &[],
+        wanted: &[],
+        in_demand: false,
+        step: None,
+    };
+    let cases = [
+        Case { name: "nothing is asked for", ..case },
+        Case {
+            name: "what was asked for",
+            wanted: &[("a3", 9_900)],
+            step: Some((OrderKind::Load, "a3")),
+            ..case
+        },
+        Case {
+            name: "what was asked for long ago",
+            wanted: &[("a3", 1_000)],
+            ..case
+        },
+        Case {
+            name: "the first of a model in demand",
+            held: &["a1"],
+            in_demand: true,
+            step: Some((OrderKind::Load, "a2")),
+            ..case
+        },
+        Case {
+            name: "full: the one asked for longest ago gives way",
+            held: &["a1", "a2"],
+            wanted: &[("a1", 5_000), ("a2", 4_000), ("a3", 9_900)],
+            step: Some((OrderKind::Unload, "a2")),
+            ..case
+        },
+        Case {
+            name: "full of what is in use",
+            held: &["a1", "a2"],
+            wanted: &[("a1", 9_800), ("a2", 9_800), ("a3", 9_900)],
+            ..case
+        },
+        Case {
+            name: "full, and nobody asked",
+            held: &["a1", "a2"],
+            in_demand: true,
+            ..case
+        },
+    ];
+    let engine = EngineTraits {
+        batch: 4,
+        token_capacity: 100,
+        memory_mb: 100.0,
+        adapter_places: 2,
+        loads_per_second: 1.0,
+        models: vec![EngineModel {
+            name: "bend".to_owned(),
+            size_mb: 40.0,
+            load_ms: 10,
+            warm_ms: 10,
+            disk_ms: 10,
+            adapters: 3,
+            adapter_mb: 1.0,
+        }],
+    };
+    let now = EpochMillis(10_000);
+    for case in cases {
+        let mut shelves = ShelfTable::default();
+        shelves.adopt([facts(1)].iter(), EpochMillis(0));
+        shelves.due(EpochMillis(0));
+        let mut report = report(0, false);
+        for adapter in case.held {
+            report.models[0].adapters.push((*adapter).to_owned());
+        }
+        shelves.reported("i-1", Some(report), EpochMillis(0));
+        let mut book = AdapterBook::default();
+        for (adapter, at) in case.wanted {
+            let name: ModelName = format!("bend:{adapter}").parse().unwrap();
+            book.want(&name, EpochMillis(*at));
+        }
+        let demand: &[String] =
+            if case.in_demand { &["bend".to_owned()] } else { &[] };
+        let step = book.next_step(&shelves, &engine, demand, now);
+        let step = step.map(|step| (step.kind, step.name.adapter.unwrap()));
+        let expected =
+            case.step.map(|(kind, adapter)| (kind, adapter.to_owned()));
+        assert_eq!(step, expected, "{}", case.name);
+    }
+}
--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod engine;
 pub mod objects;
 pub mod proxy;
+pub mod raw_runner;
+pub mod rows;
 mod serve;
 pub mod service;
 pub mod table;
--- /dev/null
+++ b/crates/stand-ins/src/raw_runner.rs
@@ -0,0 +1,299 @@
+//! Stand-in of a runner of the platform, which writes its own bytes.
+//!
+//! An HTTP library wouldn't let it break the protocol; this one answers as
+//! the fault that is set asks for, and remembers what it ran.
+
+use std::time::Duration;
+
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::{TcpListener, TcpStream},
+};
+
+use crate::serve::StatePort;
+
+/// Time between two events of a stream.
+const EVENT_GAP: Duration = Duration::from_millis(15);
+/// Events of a stream.
+const EVENTS: u32 = 4;
+
+/// How the runner behaves.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum RunnerFault {
+    /// As it should.
+    #[default]
+    None,
+    /// Turns calls away with 503 and its mark.
+    Shed,
+    /// Answers 421: the call names another runner.
+    Misdirected,
+    /// Runs the call, then resets the connection.
+    ResetAfterRun,
+    /// Runs the call and never answers.
+    Mute,
+    /// Breaks off in the middle of the answer's body.
+    CutBody,
+    /// Sends a second answer behind the first.
+    ExtraAnswer,
+    /// Answers with the id of another request.
+    OtherId,
+    /// Answers a success without its signature.
+    Unsigned,
+    /// Answers a refusal without its mark.
+    BareRefusal,
+    /// Runs the call and answers that it failed.
+    Failure,
+    /// Does what an order says, but doesn't answer it.
+    MuteOrders,
+}
+
+/// A request as the runner read it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct SeenRequest {
+    /// Method and target, as they stood in the first line.
+    pub line: String,
+    /// Header lines, names in lower case.
+    pub headers: Vec<(String, String)>,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+impl SeenRequest {
+    /// Returns the value of a header.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let mut headers = self.headers.iter();
+        let found = headers.find(|(held, _)| held == name)?;
+        Some(&found.1)
+    }
+}
+
+#[derive(Debug, Default)]
+struct RunnerState {
+    fault: RunnerFault,
+    runs: Vec<SeenRequest>,
+    orders: Vec<SeenRequest>,
+    /// Requests that were still running when their caller went away.
+    abandoned: u32,
+}
+
+/// A runner, served at an address.
+#[derive(Clone)]
+pub struct RawRunner {
+    /// Where it listens.
+    pub address: String,
+    state: StatePort<RunnerState>,
+}
+
+impl RawRunner {
+    /// Starts a runner at a free port.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where no port can be bound.
+    pub async fn start() -> anyhow::Result<RawRunner> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?.to_string();
+        let state = StatePort::start(RunnerState::default());
+        let served = state.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let state = served.clone();
+                tokio::spawn(async move {
+                    let _ = serve(stream, &state).await;
+                });
+            }
+        });
+        Ok(RawRunner { address, state })
+    }
+
+    /// Sets how the runner behaves from now on.
+    pub async fn set_fault(&self, fault: RunnerFault) {
+        self.state.with(move |state| state.fault = fault).await;
+    }
+
+    /// Returns the calls that it ran.
+    pub async fn runs(&self) -> Vec<SeenRequest> {
+        self.state.with(|state| state.runs.clone()).await
+    }
+
+    /// Returns the orders that it got.
+    pub async fn orders(&self) -> Vec<SeenRequest> {
+        self.state.with(|state| state.orders.clone()).await
+    }
+
+    /// Returns how many calls' callers went away before the answer's end.
+    pub async fn abandoned(&self) -> u32 {
+        self.state.with(|state| state.abandoned).await
+    }
+}
+
+async fn serve(
+    mut stream: TcpStream,
+    state: &StatePort<RunnerState>,
+) -> anyhow::Result<()> {
+    stream.set_nodelay(true)?;
+    let mut buffer = Vec::new();
+    while let Some(request) = read_request(&mut stream, &mut buffer).await? {
+        let fault = state.with(|state| state.fault).await;
+        if request.line.starts_with("POST /-/order") {
+            let seen = request.clone();
+            state.with(move |state| state.orders.push(seen)).await;
+            if fault == RunnerFault::MuteOrders {
+                std::future::pending::<()>().await;
+            }
+            write_plain(&mut stream, "202 Accepted", "", b"").await?;
+            continue;
+        }
+        if request.line.starts_with("GET /-/report") {
+            let orders = state.with(|state| state.orders.len()).await;
+            let body =
+                format!("{{\"models\":[],\"busy\":false,\"seq\":{orders}}}");
+            write_plain(&mut stream, "200 OK", "", body.as_bytes()).await?;
+            continue;
+        }
+        answer(&mut stream, state, request, fault).await?;
+    }
+    Ok(())
+}
+
+/// Answers a call as the fault asks for; an error ends the connection.
+async fn answer(
+    stream: &mut TcpStream,
+    state: &StatePort<RunnerState>,
+    request: SeenRequest,
+    fault: RunnerFault,
+) -> anyhow::Result<()> {
+    let id = request.header("x-request-id").unwrap_or("").to_owned();
+    let signed = format!("x-request-id: {id}\r\nx-response-signature: s\r\n");
+    match fault {
+        RunnerFault::Shed => {
+            let marked = format!("{signed}x-not-executed: 1\r\n");
+            let status = "503 Service Unavailable";
+            return write_plain(stream, status, &marked, b"").await;
+        }
+        RunnerFault::Misdirected => {
+            let status = "421 Misdirected Request";
+            return write_plain(stream, status, &signed, b"").await;
+        }
+        _ => {}
+    }
+    let is_stream = request.header("x-model").is_some();
+    state.with(move |state| state.runs.push(request)).await;
+    match fault {
+        RunnerFault::ResetAfterRun => anyhow::bail!("reset"),
+        RunnerFault::Mute => std::future::pending().await,
+        RunnerFault::BareRefusal => {
+            let status = "503 Service Unavailable";
+            return write_plain(stream, status, &signed, b"").await;
+        }
+        RunnerFault::Failure => {
+            let status = "500 Internal Server Error";
+            return write_plain(stream, status, &signed, b"failed").await;
+        }
+        RunnerFault::CutBody if !is_stream => {
+            let head = "HTTP/1.1 200 OK\r\ncontent-length: 90\r\n";
+            let text = format!("{head}{signed}\r\nhalf");
+            stream.write_all(text.as_bytes()).await?;
+            anyhow::bail!("cut");
+        }
+        _ => {}
+    }
+    if is_stream {
+        let told = write_stream(stream, &signed, fault).await;
+        if told.is_err() {
+            state.with(|state| state.abandoned += 1).await;
+        }
+        return told;
+    }
+    let headers = match fault {
+        RunnerFault::OtherId => {
+            "x-request-id: other\r\nx-response-signature: s\r\n".to_owned()
+        }
+        RunnerFault::Unsigned => format!("x-request-id: {id}\r\n"),
+        _ => signed,
+    };
+    write_plain(stream, "200 OK", &headers, b"{\"done\":true}").await?;
+    if fault == RunnerFault::ExtraAnswer {
+        let extra = "x-request-id: extra\r\nx-response-signature: s\r\n";
+        write_plain(stream, "200 OK", extra, b"extra").await?;
+    }
+    Ok(())
+}
+
+async fn write_plain(
+    stream: &mut TcpStream,
+    status: &str,
+    headers: &str,
+    body: &[u8],
+) -> anyhow::Result<()> {
+    let length = body.len();
+    let head = format!(
+        "HTTP/1.1 {status}\r\ncontent-length: {length}\r\n\
+         keep-alive: timeout=5\r\n{headers}\r\n"
+    );
+    stream.write_all(&[head.as_bytes(), body].concat()).await?;
+    Ok(())
+}
+
+async fn write_stream(
+    stream: &mut TcpStream,
+    headers: &str,
+    fault: RunnerFault,
+) -> anyhow::Result<()> {
+    let head = format!(
+        "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
+         transfer-encoding: chunked\r\n{headers}\r\n"
+    );
+    stream.write_all(head.as_bytes()).await?;
+    for number in 1..=EVENTS {
+        let event = format!("id: {number}\ndata: x\n\n");
+        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+        stream.write_all(chunk.as_bytes()).await?;
+        if fault == RunnerFault::CutBody && number == 2 {
+            anyhow::bail!("cut");
+        }
+        // A caller that went away shows as the end of what it sends.
+        let mut byte = [0];
+        tokio::select! {
+            read = stream.read(&mut byte) => {
+                anyhow::ensure!(0 < read?, "the caller went away");
+            }
+            () = tokio::time::sleep(EVENT_GAP) => {}
+        }
+    }
+    stream.write_all(b"0\r\n\r\n").await?;
+    Ok(())
+}
+
+/// Reads one request; none where the connection ended between two.
+async fn read_request(
+    stream: &mut TcpStream,
+    buffer: &mut Vec<u8>,
+) -> anyhow::Result<Option<SeenRequest>> {
+    let end = loop {
+        let found = buffer.windows(4).position(|bytes| bytes == b"\r\n\r\n");
+        if let Some(found) = found {
+            break found;
+        }
+        if stream.read_buf(buffer).await? == 0 {
+            return Ok(None);
+        }
+    };
+    let head = String::from_utf8(buffer[..end].to_vec())?;
+    let mut lines = head.split("\r\n");
+    let line = lines.next().unwrap_or("").to_owned();
+    let headers = lines.filter_map(|line| line.split_once(':'));
+    let headers = headers
+        .map(|(name, value)| {
+            (name.to_ascii_lowercase(), value.trim().to_owned())
+        })
+        .collect();
+    let mut request = SeenRequest { line, headers, body: Vec::new() };
+    let length = request.header("content-length").unwrap_or("0").parse()?;
+    buffer.drain(..end + 4);
+    while buffer.len() < length {
+        anyhow::ensure!(0 < stream.read_buf(buffer).await?, "a cut body");
+    }
+    request.body = buffer.drain(..length).collect();
+    Ok(Some(request))
+}
