--- a/crates/celerylead/src/tasks/node/call.rs
+++ b/crates/celerylead/src/tasks/node/call.rs
@@ -52,10 +52,13 @@
     id: RequestId,
     route: String,
     customer: String,
+    model: String,
     runner: String,
     revision: u64,
     sends: u32,
     status: u16,
+    /// Time spent waiting for a runner, in milliseconds.
+    held_ms: u64,
     started: Instant,
     first: Option<Instant>,
     metrics: HostMetrics,
@@ -71,7 +74,9 @@
             request_id = self.id.as_str(),
             route = self.route,
             customer = self.customer,
+            model = self.model,
             runner = self.runner,
+            held_ms = self.held_ms,
             revision = self.revision,
             sends = self.sends,
             status = self.status,
@@ -155,7 +160,12 @@
         id: call.id.clone(),
         route: route.name.clone(),
         customer: customer.map_or_else(String::new, |c| c.name.clone()),
+        model: call
+            .model
+            .as_ref()
+            .map_or_else(String::new, ToString::to_string),
         runner: String::new(),
+        held_ms: 0,
         revision: catalog.revision,
         sends: 0,
         status: 0,
@@ -265,7 +275,10 @@
             let now = self.context.clock.now();
             let desk = &self.context.desk;
             let refund = refundable.clone();
-            let slot = match desk.route(&ask, refund, now).await {
+            let asked = Instant::now();
+            let routed = desk.route(&ask, refund, now).await;
+            self.record.held_ms += asked.elapsed().as_millis() as u64;
+            let slot = match routed {
                 Ok(slot) => slot,
                 Err(refusal) => return last_word(fallback, request, refusal),
             };
