Hand the orders lease over, place adapters by demand, leave silent runners

Ruled out: shortage of batch places. Change: a holder says that it stops, hosts learn the lease's version from the holder; demand by adapter; copies only from a sixteenth of a runner's token memory a second; runners set aside at a failed connection or 0.8 s of silence.

--- a/crates/celerylead/src/membership/digest.rs
+++ b/crates/celerylead/src/membership/digest.rs
@@ -6,6 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::orders::OrdersRow;
 use crate::{model::ModelName, placement::ModelDemand};
 
 /// Calls of a host in flight at a runner.
@@ -54,11 +55,18 @@
     Digest(HostDigest),
     /// The adapters that runners hold by order; from the host that orders.
     Adapters {
-        /// Name of the host that orders.
-        host: String,
+        /// The lease by which it does.
+        lease: OrdersRow,
+        /// Version of the lease's row.
+        version: u64,
         /// Adapters by the runner's identity.
         held: Vec<(String, Vec<ModelName>)>,
     },
+    /// The host that ordered under this number has stopped.
+    Released {
+        /// The number.
+        fencing: u64,
+    },
     /// A call found its adapter at no runner.
     Want(ModelName),
 }
--- a/crates/celerylead/src/membership/orders.rs
+++ b/crates/celerylead/src/membership/orders.rs
@@ -5,7 +5,9 @@
 //! the moment *before* the write was sent. Another host takes the lease only
 //! after it has seen no renewal for the lease's span, a margin for slow
 //! answers, and the span in which orders of two hosts would count as taking
-//! turns. No clocks are compared: each host counts by its own.
+//! turns. A holder that stops says so, and then only that last span is left
+//! to wait for; it doesn't order again under the number it gave up. No clocks
+//! are compared: each host counts by its own.
 
 use std::time::Duration;
 
@@ -16,9 +18,9 @@
 /// Time between two renewals.
 pub const RENEW_PERIOD: Duration = Duration::from_millis(1_000);
 /// Time after the start of a renewal for which its holder may order.
-const HOLD: Duration = Duration::from_millis(2_500);
+const HOLD: Duration = Duration::from_millis(2_200);
 /// Margin for an order that was written at the end of the hold.
-const SEND_MARGIN: Duration = Duration::from_millis(500);
+const SEND_MARGIN: Duration = Duration::from_millis(300);
 
 /// Row of the lease.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -43,6 +45,10 @@
     /// Point until which this host may order.
     held_until: EpochMillis,
     read: bool,
+    /// Point at which the holder of this number said that it stops.
+    released: Option<(u64, EpochMillis)>,
+    /// Number that this host gave up.
+    given_up: u64,
 }
 
 /// What a host should write.
@@ -84,28 +90,43 @@
         if !self.read {
             return None;
         }
-        let own = |row: &&OrdersRow| {
-            row.holder == host && row.incarnation == incarnation
-        };
-        let held = self.seen.as_ref();
-        let fencing = match held {
-            Some(row) if own(&row) => row.fencing,
-            // A former process of this host: orders of one host don't take
-            // turns, but the number tells the processes apart.
-            Some(row) if row.holder == host => row.fencing + 1,
-            Some(row) => {
-                let free = self.seen_at.after(HOLD + SEND_MARGIN + turns);
-                if now < free {
-                    return None;
-                }
-                row.fencing + 1
+        let fencing = match &self.seen {
+            Some(row) if row.holder == host => {
+                // Orders of one host don't take turns, but the number tells
+                // its processes apart, and what was given up.
+                let own = row.incarnation == incarnation;
+                let kept = own && row.fencing != self.given_up;
+                if kept { row.fencing } else { row.fencing + 1 }
             }
+            Some(row) if now < self.free_at(row, turns) => return None,
+            Some(row) => row.fencing + 1,
             None => 1,
         };
         let row = OrdersRow { holder: host.to_owned(), incarnation, fencing };
         Some(LeaseClaim { row, expected: self.version, since: now })
     }
 
+    /// Point from which another host's lease may be taken.
+    fn free_at(&self, row: &OrdersRow, turns: Duration) -> EpochMillis {
+        match self.released {
+            Some((fencing, at)) if fencing == row.fencing => at.after(turns),
+            _ => self.seen_at.after(HOLD + SEND_MARGIN + turns),
+        }
+    }
+
+    /// Notes that the holder of a number said that it stops.
+    pub fn released(&mut self, fencing: u64, now: EpochMillis) {
+        self.released = Some((fencing, now));
+    }
+
+    /// Stops ordering under the number held; returns it, where one was.
+    pub fn give_up(&mut self) -> Option<u64> {
+        let row = self.seen.as_ref()?;
+        self.held_until = EpochMillis::default();
+        self.given_up = row.fencing;
+        Some(row.fencing)
+    }
+
     /// Notes that a claim was written as `version`.
     pub fn claimed(
         &mut self,
@@ -128,8 +149,8 @@
         (now < self.held_until).then_some(row.fencing)
     }
 
-    /// Returns the name of the holder as last read.
-    pub fn holder(&self) -> Option<&str> {
-        self.seen.as_ref().map(|row| row.holder.as_str())
+    /// Returns the row as last read, with its version.
+    pub fn row(&self) -> Option<(&OrdersRow, u64)> {
+        Some((self.seen.as_ref()?, self.version))
     }
 }
--- a/crates/celerylead/src/membership/tests/orders.rs
+++ b/crates/celerylead/src/membership/tests/orders.rs
@@ -48,7 +48,7 @@
         Case {
             name: "another's row, just seen",
             readings: &[(0, Some(("b", 1, 4, 9)))],
-            at: 5_999,
+            at: 5_499,
             claim: None,
         },
         Case {
@@ -57,7 +57,7 @@
                 (0, Some(("b", 1, 4, 9))),
                 (5_000, Some(("b", 1, 4, 9))),
             ],
-            at: 6_000,
+            at: 5_500,
             claim: Some((5, 9)),
         },
         Case {
@@ -94,8 +94,8 @@
         holds: bool,
     }
     let cases = [
-        Case { answered: 10, at: 2_499, holds: true },
-        Case { answered: 10, at: 2_500, holds: false },
+        Case { answered: 10, at: 2_199, holds: true },
+        Case { answered: 10, at: 2_200, holds: false },
         Case { answered: 2_600, at: 2_601, holds: false },
     ];
     for Case { answered, at, holds } in cases {
@@ -107,3 +107,39 @@
         assert_eq!(fencing.is_some(), holds, "answered at {answered}");
     }
 }
+
+#[test]
+fn a_lease_that_was_given_up_is_taken_after_the_span_of_turns() {
+    struct Case {
+        name: &'static str,
+        /// Number that was given up.
+        released: u64,
+        at: u64,
+        claim: Option<u64>,
+    }
+    let cases = [
+        Case { name: "too soon", released: 4, at: 4_099, claim: None },
+        Case { name: "in time", released: 4, at: 4_100, claim: Some(5) },
+        Case { name: "an older number", released: 3, at: 4_100, claim: None },
+    ];
+    for Case { name, released, at, claim } in cases {
+        let mut lease = OrdersLease::default();
+        lease.read(Some(row("b", 1, 4)), 9, EpochMillis(1_000));
+        lease.released(released, EpochMillis(1_100));
+        let found = lease.claim("a", 7, TURNS, EpochMillis(at));
+        let found = found.map(|claim| claim.row.fencing);
+        assert_eq!(found, claim, "{name}");
+    }
+}
+
+#[test]
+fn a_host_that_gave_up_orders_only_under_a_new_number() {
+    let mut lease = OrdersLease::default();
+    lease.read(None, 0, EpochMillis(0));
+    let claim = lease.claim("a", 7, TURNS, EpochMillis(0)).unwrap();
+    lease.claimed(&claim, 5, EpochMillis(10));
+    assert_eq!(lease.give_up(), Some(1));
+    assert_eq!(lease.fencing(EpochMillis(20)), None);
+    let claim = lease.claim("a", 7, TURNS, EpochMillis(30)).unwrap();
+    assert_eq!(claim.row.fencing, 2);
+}
--- a/crates/celerylead/src/placement/adapters.rs
+++ b/crates/celerylead/src/placement/adapters.rs
@@ -1,4 +1,11 @@
-//! Which adapters are missing where.
+//! Which adapters belong on which runner.
+//!
+//! Calls for an adapter can only run where it is, so each that is asked for
+//! has a place, those that a call is waiting for first. Places that are left
+//! take further copies of the adapters in highest demand, and then those
+//! that nobody asked for yet of the models in demand. An adapter gives way
+//! only where another runner has it too, or it is asked for far less than
+//! the one that takes its place.
 
 use std::time::Duration;
 
@@ -6,16 +13,22 @@
     catalog::EngineTraits,
     clock::EpochMillis,
     model::ModelName,
-    placement::shelf::{Idle, RunnerShelf, ShelfTable},
+    placement::{
+        ModelDemand,
+        shelf::{Idle, RunnerShelf, ShelfTable},
+    },
     roster::HeldModel,
     runner::OrderKind,
     sorted::SortedTable,
 };
 
-/// Time after which an adapter that nobody asked for may give way.
-const KEEP: Duration = Duration::from_millis(2_000);
+/// Time for which a call that found its adapter nowhere counts.
+const WANT_AGE: Duration = Duration::from_millis(2_000);
+/// How many times the demand for an adapter without a place has to be that
+/// of the one that gives way.
+const YIELD_FACTOR: u64 = 2;
 
-/// What hosts asked for, by model and adapter.
+/// What calls asked for in vain, by model and adapter.
 #[derive(Clone, Debug, Default)]
 pub struct AdapterBook {
     wanted: SortedTable<ModelName, EpochMillis>,
@@ -32,98 +45,178 @@
     pub name: ModelName,
 }
 
+/// What the steps of one turn are chosen from.
+struct AdapterView<'a> {
+    shelves: &'a ShelfTable,
+    engine: &'a EngineTraits,
+    demand: &'a ModelDemand,
+    /// Runners that have an adapter, or will.
+    copies: SortedTable<ModelName, usize>,
+}
+
 impl AdapterBook {
     /// Notes that a call found an adapter nowhere.
     pub fn want(&mut self, name: &ModelName, now: EpochMillis) {
         self.wanted.insert(name.clone(), now);
     }
 
-    /// Returns the next step, if one is due: for what was asked for last,
-    /// then for the adapters of models in demand that no runner has.
+    /// Returns the next step, if one is due. `demand` is by model, and by
+    /// model and adapter.
     pub fn next_step(
         &self,
         shelves: &ShelfTable,
         engine: &EngineTraits,
-        in_demand: &[String],
+        demand: &ModelDemand,
         now: EpochMillis,
     ) -> Option<AdapterStep> {
-        let mut asked: Vec<_> = self.wanted.iter().collect();
-        asked.sort_by_key(|(_, at)| std::cmp::Reverse(**at));
-        let fresh = asked.into_iter().filter(|(_, at)| now < at.after(KEEP));
-        let fresh = fresh.map(|(name, _)| (name.clone(), true));
-        let spare = in_demand.iter().flat_map(|model| {
-            let count = engine.model(model).map_or(0, |model| model.adapters);
-            (1..=count).map(move |number| {
-                let adapter = Some(format!("a{number}"));
-                (ModelName { model: model.clone(), adapter }, false)
-            })
-        });
-        fresh.chain(spare).find_map(|(name, asked)| {
-            if is_expected(shelves, &name) {
-                return None;
-            }
-            self.step_for(&name, asked, shelves, engine, now)
-        })
+        let view = AdapterView::new(shelves, engine, demand);
+        let missing = self.missing(&view, now);
+        missing
+            .iter()
+            .find_map(|name| view.place(name))
+            .or_else(|| missing.iter().find_map(|name| view.make_way(name)))
+            .or_else(|| view.further_copy())
+            .or_else(|| view.spare())
     }
 
-    fn step_for(
+    /// Adapters that are asked for and nowhere: those that calls wait for
+    /// first, then by demand.
+    fn missing(
         &self,
-        name: &ModelName,
-        asked: bool,
-        shelves: &ShelfTable,
-        engine: &EngineTraits,
+        view: &AdapterView<'_>,
         now: EpochMillis,
-    ) -> Option<AdapterStep> {
-        let places = engine.adapter_places as usize;
-        let holders = shelves.idle().filter(|shelf| {
-            shelf.models.iter().any(|held| held.name == name.model)
-        });
-        let emptiest =
-            holders.min_by_key(|shelf| adapter_count(&shelf.models))?;
-        let runner = emptiest.facts.id.clone();
-        if adapter_count(&emptiest.models) < places {
-            let name = name.clone();
-            return Some(AdapterStep { runner, kind: OrderKind::Load, name });
-        }
-        if !asked {
-            return None;
+    ) -> Vec<ModelName> {
+        let fresh = self.wanted.iter();
+        let fresh = fresh.filter(|(_, at)| now < at.after(WANT_AGE));
+        let mut names: Vec<ModelName> =
+            fresh.map(|(name, _)| name.clone()).collect();
+        names.extend(view.asked().into_iter().map(|(name, _)| name));
+        names.retain(|name| view.copies(name) == 0);
+        names
+    }
+}
+
+impl<'a> AdapterView<'a> {
+    fn new(
+        shelves: &'a ShelfTable,
+        engine: &'a EngineTraits,
+        demand: &'a ModelDemand,
+    ) -> AdapterView<'a> {
+        let mut copies = SortedTable::default();
+        for (_, models) in shelves.expected() {
+            for name in held_adapters(&models) {
+                *copies.entry(name, || 0) += 1;
+            }
         }
-        let name = self.least_wanted(emptiest, now)?;
-        Some(AdapterStep { runner, kind: OrderKind::Unload, name })
+        AdapterView { shelves, engine, demand, copies }
     }
 
-    /// The adapter of a runner that was asked for longest ago.
-    fn least_wanted(
-        &self,
-        shelf: &RunnerShelf<Idle>,
-        now: EpochMillis,
-    ) -> Option<ModelName> {
-        let held = shelf.models.iter().flat_map(|held| {
-            held.adapters.iter().map(|adapter| ModelName {
-                model: held.name.clone(),
-                adapter: Some(adapter.clone()),
+    /// Adapters in demand, the highest first.
+    fn asked(&self) -> Vec<(ModelName, u64)> {
+        let mut asked: Vec<(ModelName, u64)> = self
+            .demand
+            .iter()
+            .filter_map(|(text, rate)| {
+                let name: ModelName = text.parse().ok()?;
+                name.adapter.is_some().then_some((name, *rate))
+            })
+            .collect();
+        asked.sort_by_key(|(_, rate)| std::cmp::Reverse(*rate));
+        asked
+    }
+
+    fn rate(&self, name: &ModelName) -> u64 {
+        self.demand.get(&name.to_string()).copied().unwrap_or(0)
+    }
+
+    fn copies(&self, name: &ModelName) -> usize {
+        self.copies.get(name).copied().unwrap_or(0)
+    }
+
+    /// Loads an adapter at a runner with a free place.
+    fn place(&self, name: &ModelName) -> Option<AdapterStep> {
+        let places = self.engine.adapter_places as usize;
+        let runner = self
+            .holders(name)
+            .filter(|shelf| !holds(&shelf.models, name))
+            .filter(|shelf| adapter_count(&shelf.models) < places)
+            .min_by_key(|shelf| adapter_count(&shelf.models))?;
+        Some(AdapterStep {
+            runner: runner.facts.id.clone(),
+            kind: OrderKind::Load,
+            name: name.clone(),
+        })
+    }
+
+    /// Unloads the adapter that is missed least, for one without a place.
+    fn make_way(&self, name: &ModelName) -> Option<AdapterStep> {
+        let (loss, runner, given_up) = self
+            .holders(name)
+            .flat_map(|shelf| {
+                let held = held_adapters(&shelf.models);
+                held.map(|held| (self.loss(&held), &shelf.facts.id, held))
+            })
+            .min()?;
+        let worth = loss == 0 || loss * YIELD_FACTOR < self.rate(name);
+        worth.then(|| AdapterStep {
+            runner: runner.clone(),
+            kind: OrderKind::Unload,
+            name: given_up,
+        })
+    }
+
+    /// Demand that would find an adapter nowhere if a copy went.
+    fn loss(&self, name: &ModelName) -> u64 {
+        if 1 < self.copies(name) { 0 } else { self.rate(name) }
+    }
+
+    /// A further copy of an adapter in demand, where places are free.
+    fn further_copy(&self) -> Option<AdapterStep> {
+        self.asked().iter().find_map(|(name, _)| self.place(name))
+    }
+
+    /// An adapter that nobody asked for yet, of a model in demand.
+    fn spare(&self) -> Option<AdapterStep> {
+        let models = self.engine.models.iter();
+        let models = models.filter(|model| {
+            self.demand.get(&model.name).is_some_and(|rate| 0 < *rate)
+        });
+        let names = models.flat_map(|model| {
+            (1..=model.adapters).map(|number| ModelName {
+                model: model.name.clone(),
+                adapter: Some(format!("a{number}")),
             })
         });
-        held.map(|name| {
-            let asked = self.wanted.get(&name).copied().unwrap_or_default();
-            (asked, name)
+        let mut missing = names.filter(|name| self.copies(name) == 0);
+        missing.find_map(|name| self.place(&name))
+    }
+
+    fn holders<'b>(
+        &'b self,
+        name: &'b ModelName,
+    ) -> impl Iterator<Item = &'b RunnerShelf<Idle>> {
+        self.shelves.idle().filter(|shelf| {
+            shelf.models.iter().any(|held| held.name == name.model)
         })
-        .filter(|(asked, _)| asked.after(KEEP) <= now)
-        .min()
-        .map(|(_, name)| name)
     }
 }
 
+fn holds(models: &[HeldModel], name: &ModelName) -> bool {
+    let Some(adapter) = &name.adapter else { return true };
+    models
+        .iter()
+        .any(|held| held.name == name.model && held.adapters.contains(adapter))
+}
+
 fn adapter_count(models: &[HeldModel]) -> usize {
     models.iter().map(|held| held.adapters.len()).sum()
 }
 
-/// Tells whether some runner has the adapter, or will.
-fn is_expected(shelves: &ShelfTable, name: &ModelName) -> bool {
-    let Some(adapter) = &name.adapter else { return true };
-    shelves.expected().any(|(_, models)| {
-        models.iter().any(|held| {
-            held.name == name.model && held.adapters.contains(adapter)
+fn held_adapters(models: &[HeldModel]) -> impl Iterator<Item = ModelName> {
+    models.iter().flat_map(|held| {
+        held.adapters.iter().map(|adapter| ModelName {
+            model: held.name.clone(),
+            adapter: Some(adapter.clone()),
         })
     })
 }
--- a/crates/celerylead/src/placement/demand.rs
+++ b/crates/celerylead/src/placement/demand.rs
@@ -6,7 +6,8 @@
 
 /// Time in which a past demand counts for half by default.
 const HALF_LIFE: Duration = Duration::from_secs(10);
-/// Models of which a host reports the demand: those in highest demand.
+/// Models of which a host reports the demand by default: those in highest
+/// demand.
 const MOST_MODELS: usize = 16;
 /// Demand below which a model isn't reported, in tokens a second.
 const LEAST_DEMAND: u64 = 1;
@@ -73,6 +74,11 @@
     /// Returns the demand for the models in highest demand, in tokens a
     /// second.
     pub fn rates(&self, now: EpochMillis) -> ModelDemand {
+        self.highest(MOST_MODELS, now)
+    }
+
+    /// Returns the highest `most` demands, in tokens a second.
+    pub fn highest(&self, most: usize, now: EpochMillis) -> ModelDemand {
         // A steady demand d sums up to d times the mean life.
         let mean_life = self.half_life.as_secs_f64() / std::f64::consts::LN_2;
         let mut rates: Vec<(String, u64)> = self
@@ -87,7 +93,7 @@
             .filter(|(_, rate)| LEAST_DEMAND <= *rate)
             .collect();
         rates.sort_by_key(|(_, rate)| std::cmp::Reverse(*rate));
-        rates.truncate(MOST_MODELS);
+        rates.truncate(most);
         rates.into_iter().collect()
     }
 }
--- a/crates/celerylead/src/placement/fleet.rs
+++ b/crates/celerylead/src/placement/fleet.rs
@@ -3,7 +3,8 @@
 use crate::{
     catalog::{EngineTraits, ServiceTraits},
     placement::{
-        ModelDemand, ModelNeed, PlacementPlan, RunnerRoom, next_plan,
+        ModelDemand, ModelNeed, PlacementPlan, PlanPace, RunnerRoom,
+        next_plan,
         shelf::{Idle, RunnerShelf, ShelfTable},
     },
     roster::HeldModel,
@@ -13,6 +14,10 @@
 
 /// Copies that one turn may add to the plan.
 const CHANGES: usize = 1;
+/// Part of a runner's memory for tokens that is asked for in a second from
+/// which a copy of the model is worth a load. Calls last about two seconds,
+/// so a copy at this demand is filled to an eighth.
+const COPY_SHARE: f64 = 1.0 / 16.0;
 
 /// The plans of all services.
 #[derive(Clone, Debug, Default)]
@@ -73,8 +78,12 @@
                 elsewhere: false,
             })
             .collect();
+        let pace = PlanPace {
+            changes: CHANGES,
+            copy_demand: engine.token_capacity as f64 * COPY_SHARE,
+        };
         let plan = self.services.entry(name.to_owned(), Default::default);
-        *plan = next_plan(plan, &rooms, &needs, CHANGES);
+        *plan = next_plan(plan, &rooms, &needs, pace);
         Some(ServicePlan { plan, engine, service: name })
     }
 }
--- a/crates/celerylead/src/placement/mod.rs
+++ b/crates/celerylead/src/placement/mod.rs
@@ -37,7 +37,7 @@
     fleet::{FleetPlan, ModelStep, ServicePlan},
     loads::LoadAllowance,
     order::{OrderDraft, OwnedRunner},
-    plan::{ModelNeed, PlacementPlan, RunnerRoom, next_plan},
+    plan::{ModelNeed, PlacementPlan, PlanPace, RunnerRoom, next_plan},
     shelf::{
         Doubtful, Idle, OrderStep, Ordered, RunnerShelf, ShelfTable, Unread,
     },
--- a/crates/celerylead/src/placement/tests/shelf.rs
+++ b/crates/celerylead/src/placement/tests/shelf.rs
@@ -6,7 +6,7 @@
     EpochMillis,
     catalog::{EngineModel, EngineTraits},
     model::ModelName,
-    placement::{AdapterBook, OrderStep, ShelfTable},
+    placement::{AdapterBook, ModelDemand, OrderStep, ShelfTable},
     port::{EngineReport, OrderVerdict, PlacementOrder},
     roster::{HeldModel, RunnerFacts},
     runner::OrderKind,
@@ -211,56 +211,61 @@
 fn an_adapter_goes_where_there_is_a_place_or_one_is_made() {
     struct Case {
         name: &'static str,
+        /// Adapters that the runner holds.
         held: &'static [&'static str],
-        /// Adapters that calls asked for, and when.
+        /// Adapters that calls found nowhere, and when.
         wanted: &'static [(&'static str, u64)],
-        in_demand: bool,
+        /// Demand, in tokens a second.
+        demand: &'static [(&'static str, u64)],
         step: Option<(OrderKind, &'static str)>,
     }
-    let case = Case {
-        name: "",
-        held: &[],
-        wanted: &[],
-        in_demand: false,
-        step: None,
-    };
+    let case =
+        Case { name: "", held: &[], wanted: &[], demand: &[], step: None };
     let cases = [
         Case { name: "nothing is asked for", ..case },
         Case {
-            name: "what was asked for",
+            name: "what a call waits for",
             wanted: &[("a3", 9_900)],
             step: Some((OrderKind::Load, "a3")),
             ..case
         },
         Case {
-            name: "what was asked for long ago",
+            name: "what a call waited for long ago",
             wanted: &[("a3", 1_000)],
             ..case
         },
         Case {
-            name: "the first of a model in demand",
+            name: "the highest demand first",
+            demand: &[("bend", 90), ("bend:a1", 30), ("bend:a2", 60)],
+            step: Some((OrderKind::Load, "a2")),
+            ..case
+        },
+        Case {
+            name: "a spare one of a model in demand",
             held: &["a1"],
-            in_demand: true,
+            demand: &[("bend", 90)],
             step: Some((OrderKind::Load, "a2")),
             ..case
         },
         Case {
-            name: "full: the one asked for longest ago gives way",
+            name: "full: the one asked for least gives way",
             held: &["a1", "a2"],
-            wanted: &[("a1", 5_000), ("a2", 4_000), ("a3", 9_900)],
+            wanted: &[("a3", 9_900)],
+            demand: &[("bend:a1", 50), ("bend:a2", 0), ("bend:a3", 9)],
             step: Some((OrderKind::Unload, "a2")),
             ..case
         },
         Case {
-            name: "full of what is in use",
+            name: "full of what is asked for as much",
             held: &["a1", "a2"],
-            wanted: &[("a1", 9_800), ("a2", 9_800), ("a3", 9_900)],
+            wanted: &[("a3", 9_900)],
+            demand: &[("bend:a1", 50), ("bend:a2", 50), ("bend:a3", 90)],
             ..case
         },
         Case {
             name: "full, and nobody asked",
             held: &["a1", "a2"],
-            in_demand: true,
+            demand: &[("bend", 90)],
             ..case
         },
     ];
@@ -295,9 +300,10 @@
             let name: ModelName = format!("bend:{adapter}").parse().unwrap();
             book.want(&name, EpochMillis(*at));
         }
-        let demand: &[String] =
-            if case.in_demand { &["bend".to_owned()] } else { &[] };
-        let step = book.next_step(&shelves, &engine, demand, now);
+        let demand = case.demand.iter();
+        let demand: ModelDemand =
+            demand.map(|(name, rate)| ((*name).to_owned(), *rate)).collect();
+        let step = book.next_step(&shelves, &engine, &demand, now);
         let step = step.map(|step| (step.kind, step.name.adapter.unwrap()));
         let expected =
             case.step.map(|(kind, adapter)| (kind, adapter.to_owned()));
--- a/crates/celerylead/src/relay/backend.rs
+++ b/crates/celerylead/src/relay/backend.rs
@@ -15,6 +15,9 @@
 const FAILURE_WEIGHT: f64 = 0.1;
 /// Failures in a row after which a runner is set aside.
 const FAILURES_TO_SET_ASIDE: u32 = 3;
+/// Time without any head of an answer, while some are due, after which a
+/// runner is taken for silent: several times the longest first token.
+const SILENCE: Duration = Duration::from_millis(800);
 /// First time for which a runner is set aside; doubled each time.
 const SET_ASIDE: Duration = Duration::from_millis(500);
 /// Longest time for which a runner is set aside.
@@ -36,6 +39,8 @@
     Failed,
     /// The runner broke off, answered wrongly or not at all.
     Broken,
+    /// No connection to the runner could be opened.
+    Unreachable,
     /// The runner turned the call away before running it.
     TurnedAway,
     /// The caller went away, or the end says nothing of the runner.
@@ -70,6 +75,11 @@
     failures_in_row: u32,
     set_aside: u32,
     set_aside_until: EpochMillis,
+    /// Calls of this host whose answer's head hasn't come.
+    unheard: u32,
+    /// Point at which the runner was heard last, or the oldest such call
+    /// was sent.
+    quiet_since: EpochMillis,
 }
 
 impl RelayBackend {
@@ -85,6 +95,8 @@
             failures_in_row: 0,
             set_aside: 0,
             set_aside_until: EpochMillis::default(),
+            unheard: 0,
+            quiet_since: EpochMillis::default(),
         }
     }
 
@@ -114,7 +126,25 @@
     }
 
     pub(super) fn is_set_aside(&self, now: EpochMillis) -> bool {
-        now < self.set_aside_until
+        let silent =
+            0 < self.unheard && self.quiet_since.after(SILENCE) <= now;
+        silent || now < self.set_aside_until
+    }
+
+    /// Books a call.
+    pub(super) fn begin(&mut self, tokens: u64, now: EpochMillis) {
+        if self.unheard == 0 {
+            self.quiet_since = now;
+        }
+        self.unheard += 1;
+        self.calls += 1;
+        self.tokens += tokens;
+    }
+
+    /// Notes that the head of an answer came.
+    pub(super) fn heard(&mut self, now: EpochMillis) {
+        self.unheard = self.unheard.saturating_sub(1);
+        self.quiet_since = now;
     }
 
     /// Tells whether the runner holds a model and its adapter.
@@ -124,16 +154,21 @@
         held.adapters.contains(adapter) || self.adapters.contains(name)
     }
 
-    /// Books the end of a call of `tokens` for `model`.
+    /// Books the end of a call of `tokens` for `model`; `heard` tells whether
+    /// the head of its answer was noted.
     pub(super) fn end(
         &mut self,
         model: &str,
         tokens: u64,
+        heard: bool,
         end: CallEnd,
         now: EpochMillis,
     ) {
         self.calls = self.calls.saturating_sub(1);
         self.tokens = self.tokens.saturating_sub(tokens);
+        if !heard {
+            self.unheard = self.unheard.saturating_sub(1);
+        }
         match end {
             CallEnd::Whole { pace_us } => {
                 let sample = pace_us as f64;
@@ -145,20 +180,28 @@
             }
             CallEnd::Neutral => {}
             CallEnd::Failed => self.note_failure(),
+            CallEnd::Unreachable => self.put_aside(now),
             CallEnd::Broken | CallEnd::TurnedAway => {
                 self.note_failure();
                 self.failures_in_row += 1;
                 if FAILURES_TO_SET_ASIDE <= self.failures_in_row {
-                    let wait = SET_ASIDE * 2_u32.pow(self.set_aside);
-                    self.set_aside_until = now.after(wait);
-                    self.set_aside =
-                        MAX_SET_ASIDE_DOUBLINGS.min(self.set_aside + 1);
-                    self.failures_in_row = 0;
+                    self.put_aside(now);
                 }
             }
         }
     }
 
+    fn put_aside(&mut self, now: EpochMillis) {
+        if now < self.set_aside_until {
+            // One of several calls that met the same fault.
+            return;
+        }
+        let wait = SET_ASIDE * 2_u32.pow(self.set_aside);
+        self.set_aside_until = now.after(wait);
+        self.set_aside = MAX_SET_ASIDE_DOUBLINGS.min(self.set_aside + 1);
+        self.failures_in_row = 0;
+    }
+
     fn note_failure(&mut self) {
         self.failing += FAILURE_WEIGHT * (1.0 - self.failing);
     }
--- a/crates/celerylead/src/relay/table.rs
+++ b/crates/celerylead/src/relay/table.rs
@@ -143,8 +143,7 @@
         let Some(backend) = self.backends.get_mut(&best) else {
             return Err(PickFault::NoRunner);
         };
-        backend.calls += 1;
-        backend.tokens += ask.tokens;
+        backend.begin(ask.tokens, now);
         Ok(RelayChoice {
             runner: best,
             address: backend.facts.address.clone(),
@@ -153,15 +152,24 @@
         })
     }
 
-    /// Books the end of a call.
+    /// Notes that the head of an answer came from a runner.
+    pub fn heard(&mut self, runner: &str, now: EpochMillis) {
+        if let Some(backend) = self.backends.get_mut(runner) {
+            backend.heard(now);
+        }
+    }
+
+    /// Books the end of a call; `heard` tells whether the head of its answer
+    /// was noted.
     pub fn done(
         &mut self,
         choice: &RelayChoice,
+        heard: bool,
         end: CallEnd,
         now: EpochMillis,
     ) {
         if let Some(backend) = self.backends.get_mut(&choice.runner) {
-            backend.end(&choice.model, choice.tokens, end, now);
+            backend.end(&choice.model, choice.tokens, heard, end, now);
         }
     }
 
--- a/crates/celerylead/src/relay/tests.rs
+++ b/crates/celerylead/src/relay/tests.rs
@@ -202,6 +202,12 @@
             runners: &["a", "b"],
             found: "b",
         },
+        Case {
+            name: "no connection, once",
+            ends: &[CallEnd::Unreachable],
+            runners: &["a", "b"],
+            found: "b",
+        },
         Case {
             name: "the only one, broken",
             ends: &[CallEnd::Broken; 3],
@@ -232,10 +238,68 @@
         table.adopt(facts[..1].iter());
         for end in case.ends {
             let choice = table.pick(&ask, &catalog(), NOW).unwrap();
-            table.done(&choice, *end, NOW);
+            table.done(&choice, false, *end, NOW);
         }
         table.adopt(facts.iter());
         let choice = table.pick(&ask, &catalog(), NOW).unwrap();
         assert_eq!(choice.runner, case.found, "{}", case.name);
     }
 }
+
+#[test]
+fn a_silent_runner_is_not_sent_more_while_another_answers() {
+    struct Case {
+        name: &'static str,
+        /// Calls sent to the first runner, and heads that came, by time.
+        sent: &'static [u64],
+        heard: &'static [u64],
+        at: u64,
+        found: &'static str,
+    }
+    let cases = [
+        Case {
+            name: "just sent",
+            sent: &[0],
+            heard: &[],
+            at: 700,
+            found: "a",
+        },
+        Case { name: "silent", sent: &[0], heard: &[], at: 800, found: "b" },
+        Case {
+            name: "heard since",
+            sent: &[0, 10],
+            heard: &[500],
+            at: 1_200,
+            found: "a",
+        },
+        Case {
+            name: "all heard",
+            sent: &[0],
+            heard: &[100],
+            at: 5_000,
+            found: "a",
+        },
+    ];
+    for case in cases {
+        let facts = [
+            runner("a", "advisor", &["bend"]),
+            runner("b", "advisor", &["bend"]),
+        ];
+        let ask = ask("advisor", Some("bend"));
+        let mut table = RelayTable::new("boden");
+        table.adopt(facts[..1].iter());
+        for at in case.sent {
+            table.pick(&ask, &catalog(), EpochMillis(*at)).unwrap();
+        }
+        for at in case.heard {
+            table.heard("a", EpochMillis(*at));
+        }
+        table.adopt(facts.iter());
+        // The second one is busier, so only silence speaks for it.
+        let told_at = EpochMillis(case.at);
+        let load = PeerLoad { calls: 3, tokens: 10, told_at };
+        table.peer_load("front-2", "b", load);
+        let choice = table.pick(&ask, &catalog(), EpochMillis(case.at));
+        assert_eq!(choice.unwrap().runner, case.found, "{}", case.name);
+    }
+}
--- a/crates/celerylead/src/tasks/node/call.rs
+++ b/crates/celerylead/src/tasks/node/call.rs
@@ -35,9 +35,10 @@
 
 /// Time a caller is taken to wait where it doesn't say.
 const DEFAULT_PATIENCE: Duration = Duration::from_secs(60);
-/// Longest wait for a connection to a runner; in a zone it opens within
-/// milliseconds, and a lost packet is sent again after a second.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_200);
+/// Longest wait for a connection to a runner. It opens within milliseconds;
+/// a lost packet would be sent again after a second, when another runner has
+/// long been asked.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Largest plain answer that is read whole before any of it is passed on.
 const MAX_WHOLE_BYTES: u64 = 256 << 10;
 /// Idle time after which a connection to a runner is too old for a request
@@ -344,7 +345,7 @@
             Ok(link) => link,
             Err(error) => {
                 self.note_failure(&slot, "connect", &error);
-                slot.finish(CallEnd::Broken, None);
+                slot.finish(CallEnd::Unreachable, None);
                 return self.again(request);
             }
         };
@@ -376,6 +377,7 @@
         let sent_at = Instant::now();
         match link.send(message, self.deadline).await {
             Ok(response) => {
+                slot.heard();
                 self.record.first = Some(Instant::now());
                 self.judge(request, slot, link, response, sent_at).await
             }
--- a/crates/celerylead/src/tasks/node/desk.rs
+++ b/crates/celerylead/src/tasks/node/desk.rs
@@ -41,6 +41,8 @@
 /// Time in which past demand for a model counts for half; demand moves
 /// within seconds.
 const DEMAND_HALF_LIFE: Duration = Duration::from_millis(3_000);
+/// Models and adapters whose demand a host tells the others.
+const MOST_DEMANDS: usize = 48;
 /// Idle connections kept to one runner.
 const MAX_IDLE_LINKS: usize = 32;
 
@@ -58,6 +60,8 @@
 pub(crate) enum DeskEvent {
     /// Give a call its runner.
     Route(RouteWait),
+    /// The head of an answer came from a runner.
+    Heard(String),
     /// What another host told.
     Told { digest: Box<HostDigest>, at: EpochMillis },
     /// A host exists.
@@ -88,6 +92,7 @@
 /// End of a routed call.
 struct RelayDone {
     choice: RelayChoice,
+    heard: bool,
     end: CallEnd,
     link: Option<(HttpLink, Instant)>,
 }
@@ -103,10 +108,19 @@
 pub(crate) struct RelaySlot {
     pub(crate) choice: RelayChoice,
     pub(crate) link: Option<HttpLink>,
+    sender: mpsc::Sender<DeskEvent>,
+    heard: bool,
     permit: Option<mpsc::OwnedPermit<RelayDone>>,
 }
 
 impl RelaySlot {
+    /// Notes that the head of the answer came. Where the desk is too busy
+    /// to hear it, the end of the call tells.
+    pub(crate) fn heard(&mut self) {
+        let event = DeskEvent::Heard(self.choice.runner.clone());
+        self.heard = self.sender.try_send(event).is_ok();
+    }
+
     /// Books the end, and the connection where it may be used again until
     /// the point beside it.
     pub(crate) fn finish(
@@ -119,7 +133,8 @@
 
     fn send(&mut self, end: CallEnd, link: Option<(HttpLink, Instant)>) {
         let Some(permit) = self.permit.take() else { return };
-        permit.send(RelayDone { choice: self.choice.clone(), end, link });
+        let (choice, heard) = (self.choice.clone(), self.heard);
+        permit.send(RelayDone { choice, heard, end, link });
     }
 }
 
@@ -152,7 +167,9 @@
         };
         let routed = crate::tasks::ask(&self.sender, wait).await;
         let RoutedCall { choice, link } = routed.ok_or_else(stopped)??;
-        Ok(RelaySlot { choice, link, permit: Some(permit) })
+        let sender = self.sender.clone();
+        let permit = Some(permit);
+        Ok(RelaySlot { choice, link, sender, heard: false, permit })
     }
 }
 
@@ -246,6 +263,7 @@
         let now = self.setup.clock.now();
         match event {
             DeskEvent::Route(wait) => self.admit(wait, now),
+            DeskEvent::Heard(runner) => self.table.heard(&runner, now),
             DeskEvent::Told { digest, at } => self.told(&digest, at),
             DeskEvent::Expect(host) => self.hearing.expect(&host),
             DeskEvent::Forget(host) => self.hearing.forget(&host),
@@ -327,6 +345,10 @@
             wait.refundable = Some((customer, cost));
             if let Some(name) = &wait.ask.model {
                 self.demand.note(&name.model, wait.ask.tokens, now);
+                if name.adapter.is_some() {
+                    let name = name.to_string();
+                    self.demand.note(&name, wait.ask.tokens, now);
+                }
             }
         }
         self.place(wait, now);
@@ -353,7 +375,8 @@
         let routed = RoutedCall { choice, link };
         if let Err(Ok(unheard)) = wait.reply.send(Ok(routed)) {
             // The caller went away while its call waited.
-            self.table.done(&unheard.choice, CallEnd::Neutral, now);
+            let choice = &unheard.choice;
+            self.table.done(choice, false, CallEnd::Neutral, now);
         }
     }
 
@@ -403,7 +426,7 @@
 
     fn done(&mut self, done: RelayDone) {
         let now = self.setup.clock.now();
-        self.table.done(&done.choice, done.end, now);
+        self.table.done(&done.choice, done.heard, done.end, now);
         if let Some((link, until)) = done.link
             && self.table.takes_calls(&done.choice.runner)
         {
@@ -458,7 +481,7 @@
                     total: bucket.spent(),
                 })
                 .collect(),
-            demand: self.demand.rates(now),
+            demand: self.demand.highest(MOST_DEMANDS, now),
             ..HostDigest::default()
         }
     }
--- a/crates/celerylead/src/tasks/node/herald.rs
+++ b/crates/celerylead/src/tasks/node/herald.rs
@@ -17,7 +17,7 @@
 use super::desk::{DeskEvent, DeskPort};
 use crate::{
     clock::HostClock,
-    membership::{HostDigest, HostMessage, HostRow},
+    membership::{HostDigest, HostMessage, HostRow, OrdersRow},
     model::ModelName,
     port::{RowChange, RowKey, RowPut, StorePort, StoreTable},
     sorted::SortedTable,
@@ -47,8 +47,8 @@
 pub(crate) enum HeraldEvent {
     /// A call found its adapter at no runner of the service.
     Want(ModelName),
-    /// Tell all hosts which adapters runners hold by order.
-    Adapters(Vec<(String, Vec<ModelName>)>),
+    /// Tell all hosts something, this one too.
+    Announce(HostMessage),
 }
 
 /// What the placer hears of the hosts.
@@ -57,8 +57,10 @@
     Digest(HostDigest),
     /// An adapter is missing.
     Want(ModelName),
-    /// Another host told which adapters runners hold: it gives the orders.
-    Holder,
+    /// Another host gives the orders by this version of the lease.
+    Holder(OrdersRow, u64),
+    /// The host that ordered under this number has stopped.
+    Released(u64),
 }
 
 /// The way to the task.
@@ -77,9 +79,9 @@
         }
     }
 
-    /// Tells all hosts which adapters runners hold.
-    pub(crate) async fn adapters(&self, held: Vec<(String, Vec<ModelName>)>) {
-        let _ = self.sender.send(HeraldEvent::Adapters(held)).await;
+    /// Tells all hosts something, this one too.
+    pub(crate) async fn announce(&self, message: HostMessage) {
+        let _ = self.sender.send(HeraldEvent::Announce(message)).await;
     }
 }
 
@@ -174,17 +176,15 @@
                     let _ = self.placer.try_send(Heard::Want(name));
                 }
             }
-            HeraldEvent::Adapters(held) => {
-                self.orderer = Some(self.setup.row.host.clone());
+            HeraldEvent::Announce(message) => {
                 let all: Vec<SocketAddr> =
                     self.hosts.values().map(|host| host.address).collect();
-                let message = HostMessage::Adapters {
-                    host: self.setup.row.host.clone(),
-                    held: held.clone(),
-                };
                 self.send(&message, &all).await;
-                let event = DeskEvent::Adapters(held);
-                let _ = self.desk.sender.send(event).await;
+                if let HostMessage::Adapters { lease, held, .. } = message {
+                    self.orderer = Some(lease.holder);
+                    let event = DeskEvent::Adapters(held);
+                    let _ = self.desk.sender.send(event).await;
+                }
             }
         }
     }
@@ -240,12 +240,15 @@
                 let event = DeskEvent::Told { digest, at };
                 let _ = self.desk.sender.send(event).await;
             }
-            HostMessage::Adapters { host, held } => {
-                self.orderer = Some(host);
-                let _ = self.placer.try_send(Heard::Holder);
+            HostMessage::Adapters { lease, version, held } => {
+                self.orderer = Some(lease.holder.clone());
+                let _ = self.placer.try_send(Heard::Holder(lease, version));
                 let event = DeskEvent::Adapters(held);
                 let _ = self.desk.sender.send(event).await;
             }
+            HostMessage::Released { fencing } => {
+                let _ = self.placer.try_send(Heard::Released(fencing));
+            }
             HostMessage::Want(name) => {
                 let _ = self.placer.try_send(Heard::Want(name));
             }
--- a/crates/celerylead/src/tasks/node/placer.rs
+++ b/crates/celerylead/src/tasks/node/placer.rs
@@ -10,18 +10,20 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Limited};
 use tokio::{
-    sync::mpsc,
+    sync::{mpsc, watch},
     time::{Instant, MissedTickBehavior},
 };
 
 use super::{
-    CatalogWatch, RosterWatch,
+    CatalogWatch, NodePhase, RosterWatch,
     herald::{Heard, HeraldPort},
 };
 use crate::{
     catalog::{EngineTraits, ServiceCatalog},
     clock::{EpochMillis, HostClock},
-    membership::{HostRow, OrdersLease, OrdersRow, RENEW_PERIOD},
+    membership::{
+        HostMessage, HostRow, LeaseClaim, OrdersLease, OrdersRow, RENEW_PERIOD,
+    },
     model::ModelName,
     placement::{
         AdapterBook, FleetPlan, LoadAllowance, ModelDemand, OrderStep,
@@ -42,10 +44,17 @@
 const TURN: Duration = Duration::from_millis(50);
 /// Turns between two changes of the plan.
 const PLAN_TURNS: u32 = 8;
+/// Time for which a new process moves no models: at a start the runners
+/// enter the registry over some seconds, and what seems to be nowhere may
+/// be at one that isn't listed yet.
+const SETTLE: Duration = Duration::from_millis(4_000);
 /// Time between two tellings of adapters that haven't changed.
 const TELL_PERIOD: Duration = Duration::from_millis(1_000);
 /// Silence of the holder after which the lease's row is read.
 const HOLDER_SILENCE: Duration = Duration::from_millis(2_500);
+/// Hosts that hear of a free lease look at it within this time after it may
+/// be taken, in milliseconds.
+const CLAIM_JITTER_MS: u64 = 400;
 /// Time between two readings of the row.
 const READ_PERIOD: Duration = Duration::from_millis(1_000);
 /// Longest wait for an answer of a runner to an order or for a report.
@@ -66,6 +75,7 @@
     pub(crate) catalog: CatalogWatch,
     pub(crate) roster: RosterWatch,
     pub(crate) herald: HeraldPort,
+    pub(crate) phase: watch::Receiver<NodePhase>,
     /// Span in which orders of two hosts count as taking turns.
     pub(crate) turns: Duration,
 }
@@ -77,7 +87,7 @@
     /// The lease's row was read.
     Read(Option<OrdersRow>, u64),
     /// The lease's row was written, or not.
-    Claimed(crate::membership::LeaseClaim, Option<u64>),
+    Claimed(LeaseClaim, Option<u64>),
     /// The store didn't answer.
     StoreFailed,
 }
@@ -89,10 +99,10 @@
     asking: bool,
     /// Point from which the store may be asked again.
     ask_at: Instant,
-    /// Point at which the holder was heard last.
-    heard_at: Instant,
     /// Whether this host held the lease at its last turn.
     holding: bool,
+    /// Point at which the process started.
+    started: Instant,
     shelves: ShelfTable,
     plan: FleetPlan,
     book: AdapterBook,
@@ -116,8 +126,8 @@
         lease: OrdersLease::default(),
         asking: false,
         ask_at: now + jitter,
-        heard_at: now - HOLDER_SILENCE,
         holding: false,
+        started: now,
         shelves: ShelfTable::default(),
         plan: FleetPlan::default(),
         book: AdapterBook::default(),
@@ -164,9 +174,18 @@
                 self.demand.insert(digest.host, row);
             }
             Heard::Want(name) => self.book.want(&name, now),
-            Heard::Holder => {
-                self.heard_at = Instant::now();
-                self.ask_at = self.heard_at + HOLDER_SILENCE;
+            Heard::Holder(row, version) => {
+                self.lease.read(Some(row), version, now);
+                self.ask_at = Instant::now() + HOLDER_SILENCE;
+            }
+            Heard::Released(fencing) => {
+                tracing::info!(event = "orders_released", fencing);
+                self.lease.released(fencing, now);
+                // The hosts look at different points, so that one succeeds
+                // at its first claim.
+                let jitter = rand::random_range(0..CLAIM_JITTER_MS);
+                let jitter = Duration::from_millis(jitter);
+                self.ask_at = Instant::now() + self.setup.turns + jitter;
             }
         }
     }
@@ -174,9 +193,11 @@
     async fn turn(&mut self) {
         self.keep_lease();
         let now = self.setup.clock.now();
-        let Some(fencing) = self.lease.fencing(now) else {
+        let leaving = *self.setup.phase.borrow() != NodePhase::Serving;
+        let held = self.lease.fencing(now).filter(|_| !leaving);
+        let Some(fencing) = held else {
             if std::mem::take(&mut self.holding) {
-                tracing::info!(event = "orders_lost");
+                self.give_up().await;
             }
             return;
         };
@@ -202,9 +223,19 @@
         self.tell().await;
     }
 
+    /// Stops ordering and tells the others, who needn't wait for the lease
+    /// to lapse then.
+    async fn give_up(&mut self) {
+        let Some(fencing) = self.lease.give_up() else { return };
+        tracing::info!(event = "orders_lost", fencing);
+        let message = HostMessage::Released { fencing };
+        self.setup.herald.announce(message).await;
+    }
+
     /// Renews the lease, or looks whether it is free.
     fn keep_lease(&mut self) {
-        if self.asking || Instant::now() < self.ask_at {
+        let leaving = *self.setup.phase.borrow() != NodePhase::Serving;
+        if self.asking || leaving || Instant::now() < self.ask_at {
             return;
         }
         self.asking = true;
@@ -254,7 +285,11 @@
                 self.asking = false;
                 self.ask_at = Instant::now() + RENEW_PERIOD;
                 match version {
-                    Some(version) => self.lease.claimed(&claim, version, now),
+                    Some(version) => {
+                        self.lease.claimed(&claim, version, now);
+                        // Told at once, so that the others know the version.
+                        self.told_at = Instant::now() - TELL_PERIOD;
+                    }
                     None => self.lease.in_doubt(),
                 }
             }
@@ -284,7 +319,8 @@
         let demand = self.total_demand(now);
         for service in catalog.services() {
             let Some(engine) = &service.engine else { continue };
-            if self.turn.is_multiple_of(PLAN_TURNS) {
+            let settled = self.started + SETTLE <= Instant::now();
+            if settled && self.turn.is_multiple_of(PLAN_TURNS) {
                 self.order_models(service, engine, &demand, fencing, now);
             }
             self.order_adapters(engine, &demand, fencing, now);
@@ -319,12 +355,8 @@
         fencing: u64,
         now: EpochMillis,
     ) {
-        let mut busy: Vec<(&String, &u64)> = demand.iter().collect();
-        busy.sort_by_key(|(_, rate)| std::cmp::Reverse(**rate));
-        let busy: Vec<String> =
-            busy.into_iter().map(|(model, _)| model.clone()).collect();
         while let Some(step) =
-            self.book.next_step(&self.shelves, engine, &busy, now)
+            self.book.next_step(&self.shelves, engine, demand, now)
         {
             self.give(&step.runner, step.kind, &step.name, fencing);
         }
@@ -422,9 +454,12 @@
             .collect();
         let due = self.told_at + TELL_PERIOD <= Instant::now();
         if held != self.told || due {
+            let Some((lease, version)) = self.lease.row() else { return };
             self.told_at = Instant::now();
             self.told.clone_from(&held);
-            self.setup.herald.adapters(held).await;
+            let lease = lease.clone();
+            let message = HostMessage::Adapters { lease, version, held };
+            self.setup.herald.announce(message).await;
         }
     }
 }
@@ -464,10 +499,7 @@
     }
 }
 
-async fn write_claim(
-    store: &StorePort,
-    claim: crate::membership::LeaseClaim,
-) -> Ended {
+async fn write_claim(store: &StorePort, claim: LeaseClaim) -> Ended {
     let value = match serde_json::to_vec(&claim.row) {
         Ok(value) => value,
         Err(error) => {
--- a/crates/celerylead/src/tasks/node/run.rs
+++ b/crates/celerylead/src/tasks/node/run.rs
@@ -105,6 +105,7 @@
         metrics: metrics.clone(),
         seeds: options.seeds.clone(),
     });
+    let (phase, phases) = watch::channel(NodePhase::Serving);
     let (herald_port, herald_inbox) = herald::mailbox();
     let (desk_port, desk_inbox) = desk::mailbox();
     let setup = DeskSetup {
@@ -135,12 +136,12 @@
         catalog: catalog.clone(),
         roster: roster.clone(),
         herald: herald_port,
+        phase: phases.clone(),
         turns: options.order_turns,
     };
     placer::start(setup, hearing);
     let setup = HeraldSetup { row, store, clock: clock.clone() };
     herald::start(setup, peers, desk_port.clone(), herald_inbox, heard);
-    let (phase, phases) = watch::channel(NodePhase::Serving);
     let context = NodeContext {
         codec,
         clock,
