Trial: even out runners' load in the plan, make way for waiting calls

Ruled out: nothing. Change: plans by load over all models of a runner, adapters weigh in, copies in free room, least-asked adapter makes way, one probe for a runner set aside, budget only for sends.

--- a/crates/celerylead/src/placement/adapters.rs
+++ b/crates/celerylead/src/placement/adapters.rs
@@ -70,30 +70,28 @@
         now: EpochMillis,
     ) -> Option<AdapterStep> {
         let view = AdapterView::new(shelves, engine, demand);
-        let missing = self.missing(&view, now);
-        missing
+        let waited: Vec<ModelName> = self
+            .wanted
             .iter()
+            .filter(|(name, at)| {
+                now < at.after(WANT_AGE) && view.copies(name) == 0
+            })
+            .map(|(name, _)| name.clone())
+            .collect();
+        let mut asked = view.asked();
+        asked.retain(|(name, _)| view.copies(name) == 0);
+        let asked = asked.iter().map(|(name, _)| name);
+        waited
+            .iter()
+            .chain(asked.clone())
             .find_map(|name| view.place(name))
-            .or_else(|| missing.iter().find_map(|name| view.make_way(name)))
+            .or_else(|| waited.iter().find_map(|name| view.make_way(name)))
+            .or_else(|| {
+                asked.clone().find_map(|name| view.make_way_for_more(name))
+            })
             .or_else(|| view.further_copy())
             .or_else(|| view.spare())
     }
-
-    /// Adapters that are asked for and nowhere: those that calls wait for
-    /// first, then by demand.
-    fn missing(
-        &self,
-        view: &AdapterView<'_>,
-        now: EpochMillis,
-    ) -> Vec<ModelName> {
-        let fresh = self.wanted.iter();
-        let fresh = fresh.filter(|(_, at)| now < at.after(WANT_AGE));
-        let mut names: Vec<ModelName> =
-            fresh.map(|(name, _)| name.clone()).collect();
-        names.extend(view.asked().into_iter().map(|(name, _)| name));
-        names.retain(|name| view.copies(name) == 0);
-        names
-    }
 }
 
 impl<'a> AdapterView<'a> {
@@ -150,21 +148,33 @@
 
     /// Unloads the adapter that is missed least, for one without a place.
     fn make_way(&self, name: &ModelName) -> Option<AdapterStep> {
-        let (loss, runner, given_up) = self
-            .holders(name)
-            .flat_map(|shelf| {
-                let held = held_adapters(&shelf.models);
-                held.map(|held| (self.loss(&held), &shelf.facts.id, held))
-            })
-            .min()?;
-        let worth = loss == 0 || loss * YIELD_FACTOR < self.rate(name);
-        worth.then(|| AdapterStep {
-            runner: runner.clone(),
+        let (_, runner, given_up) = self.least_missed(name)?;
+        Some(AdapterStep {
+            runner: runner.to_owned(),
             kind: OrderKind::Unload,
             name: given_up,
         })
     }
 
+    /// The same, where the one without a place is asked for far more.
+    fn make_way_for_more(&self, name: &ModelName) -> Option<AdapterStep> {
+        let (loss, ..) = self.least_missed(name)?;
+        let worth = loss * YIELD_FACTOR < self.rate(name);
+        worth.then(|| self.make_way(name)).flatten()
+    }
+
+    /// The adapter at a holder of the model that would be missed least.
+    fn least_missed(
+        &self,
+        name: &ModelName,
+    ) -> Option<(u64, &str, ModelName)> {
+        let held = self.holders(name).flat_map(|shelf| {
+            let held = held_adapters(&shelf.models);
+            held.map(|held| (self.loss(&held), shelf.facts.id.as_str(), held))
+        });
+        held.min()
+    }
+
     /// Demand that would find an adapter nowhere if a copy went.
     fn loss(&self, name: &ModelName) -> u64 {
         if 1 < self.copies(name) { 0 } else { self.rate(name) }
@@ -191,12 +201,13 @@
         missing.find_map(|name| self.place(&name))
     }
 
-    fn holders<'b>(
-        &'b self,
-        name: &'b ModelName,
-    ) -> impl Iterator<Item = &'b RunnerShelf<Idle>> {
-        self.shelves.idle().filter(|shelf| {
-            shelf.models.iter().any(|held| held.name == name.model)
+    fn holders(
+        &self,
+        name: &ModelName,
+    ) -> impl Iterator<Item = &'a RunnerShelf<Idle>> {
+        let model = name.model.clone();
+        self.shelves.idle().filter(move |shelf| {
+            shelf.models.iter().any(|held| held.name == model)
         })
     }
 }
--- a/crates/celerylead/src/placement/fleet.rs
+++ b/crates/celerylead/src/placement/fleet.rs
@@ -3,8 +3,8 @@
 use crate::{
     catalog::{EngineTraits, ServiceTraits},
     placement::{
-        ModelDemand, ModelNeed, PlacementPlan, PlanPace, RunnerRoom,
-        next_plan,
+        AdapterNeeds, ModelDemand, ModelNeed, PlacementPlan, PlanBalance,
+        RunnerRoom, next_plan,
         shelf::{Idle, RunnerShelf, ShelfTable},
     },
     roster::HeldModel,
@@ -12,12 +12,12 @@
     sorted::SortedTable,
 };
 
-/// Copies that one turn may add to the plan.
-const CHANGES: usize = 1;
+/// Changes of the plan in one turn.
+const CHANGES: usize = 2;
 /// Part of a runner's memory for tokens that is asked for in a second from
-/// which a copy of the model is worth a load. Calls last about two seconds,
-/// so a copy at this demand is filled to an eighth.
-const COPY_SHARE: f64 = 1.0 / 16.0;
+/// which it counts as busy. Calls last about two seconds, so its memory is
+/// filled to a quarter then.
+const BUSY_SHARE: f64 = 1.0 / 8.0;
 
 /// The plans of all services.
 #[derive(Clone, Debug, Default)]
@@ -78,22 +78,29 @@
                 elsewhere: false,
             })
             .collect();
-        let pace = PlanPace {
-            changes: CHANGES,
-            copy_demand: engine.token_capacity as f64 * COPY_SHARE,
-        };
         let plan = self.services.entry(name.to_owned(), Default::default);
-        *plan = next_plan(plan, &rooms, &needs, pace);
+        *plan = next_plan(plan, &rooms, &needs, 0);
+        let busy = engine.token_capacity as f64 * BUSY_SHARE;
+        let adapters = adapter_needs(engine, demand);
+        let balance = PlanBalance::new(&rooms, &needs, &adapters, busy);
+        for _ in 0..CHANGES {
+            if !balance.improve(plan) {
+                break;
+            }
+        }
         Some(ServicePlan { plan, engine, service: name })
     }
 }
 
 impl ServicePlan<'_> {
-    /// Returns the next order that brings a runner closer to the plan.
-    pub fn next_step(&self, shelves: &ShelfTable) -> Option<ModelStep> {
-        let own = shelves.idle();
-        let mut own = own.filter(|shelf| shelf.facts.service == self.service);
-        own.find_map(|shelf| self.step_at(shelf, shelves))
+    /// Returns the orders that bring runners closer to the plan, at most
+    /// one for each.
+    pub fn next_steps(&self, shelves: &ShelfTable) -> Vec<ModelStep> {
+        shelves
+            .idle()
+            .filter(|shelf| shelf.facts.service == self.service)
+            .filter_map(|shelf| self.step_at(shelf, shelves))
+            .collect()
     }
 
     fn step_at(
@@ -158,6 +165,17 @@
     }
 }
 
+/// Counts the adapters in demand by model.
+fn adapter_needs(engine: &EngineTraits, demand: &ModelDemand) -> AdapterNeeds {
+    let mut asked = SortedTable::default();
+    for text in demand.keys() {
+        if let Some((model, _)) = text.split_once(':') {
+            *asked.entry(model.to_owned(), || 0) += 1;
+        }
+    }
+    AdapterNeeds { places: engine.adapter_places, asked }
+}
+
 /// Memory kept free for adapters: all places, at the largest size.
 fn adapter_reserve(engine: &EngineTraits) -> f64 {
     let sizes = engine.models.iter().filter(|model| 0 < model.adapters);
--- a/crates/celerylead/src/placement/plan.rs
+++ b/crates/celerylead/src/placement/plan.rs
@@ -7,29 +7,10 @@
 /// How many times the demand for each copy of another model has to be that
 /// of a copy that is given up.
 const SWAP_FACTOR: f64 = 3.0;
-/// Demand for each copy from which a model gets a further one by default, in
-/// tokens a second.
+/// Demand for each copy from which a model gets a further one, in tokens a
+/// second.
 const COPY_DEMAND: f64 = 1.0;
 
-/// How fast a plan follows demand.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub struct PlanPace {
-    /// Copies that one turn may add, besides those that keep models
-    /// reachable.
-    pub changes: usize,
-    /// Demand for each copy from which a model gets a further one, in
-    /// tokens a second.
-    pub copy_demand: f64,
-}
-
-impl PlanPace {
-    /// Makes a pace of so many copies a turn, for any demand.
-    pub fn of_changes(changes: usize) -> PlanPace {
-        PlanPace { changes, copy_demand: COPY_DEMAND }
-    }
-}
-
 /// Models that should be resident on each runner of a zone.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -66,14 +47,15 @@
     pub elsewhere: bool,
 }
 
-/// Returns the plan that follows `current` at a pace. `needs` are sorted by
+/// Returns the plan that follows `current`, with at most `changes` copies
+/// more, besides those that keep models reachable. `needs` are sorted by
 /// name.
 ///
 /// # Examples
 ///
 /// ```
 /// use celerylead::placement::{
-///     ModelNeed, PlacementPlan, PlanPace, RunnerRoom, next_plan,
+///     ModelNeed, PlacementPlan, RunnerRoom, next_plan,
 /// };
 ///
 /// let room = RunnerRoom {
@@ -89,27 +71,25 @@
 ///     demand: 0,
 ///     elsewhere: false,
 /// };
-/// let pace = PlanPace::of_changes(1);
-/// let plan = next_plan(&PlacementPlan::default(), &[room], &[need], pace);
+/// let plan = next_plan(&PlacementPlan::default(), &[room], &[need], 1);
 /// assert_eq!(plan.targets.get("r-1").unwrap(), &["outline"]);
 /// ```
 pub fn next_plan(
     current: &PlacementPlan,
     rooms: &[RunnerRoom],
     needs: &[ModelNeed],
-    pace: PlanPace,
+    changes: usize,
 ) -> PlacementPlan {
     let mut draft = PlanDraft {
         rooms,
         needs,
-        copy_demand: pace.copy_demand,
         plan: PlacementPlan::default(),
         copies: SortedTable::default(),
         used: SortedTable::default(),
     };
     draft.carry_over(current);
     draft.reach_all();
-    for _ in 0..pace.changes {
+    for _ in 0..changes {
         if !draft.add_copy() && !draft.swap_copy() {
             break;
         }
@@ -120,7 +100,6 @@
 struct PlanDraft<'a> {
     rooms: &'a [RunnerRoom],
     needs: &'a [ModelNeed],
-    copy_demand: f64,
     plan: PlacementPlan,
     /// Copies planned by model, and memory planned by runner in MB: counted
     /// along, since they are asked for far more often than they change.
@@ -173,7 +152,7 @@
         let mut wanted: Vec<&ModelNeed> = self
             .needs
             .iter()
-            .filter(|need| self.copy_demand <= self.demand_per_copy(need))
+            .filter(|need| COPY_DEMAND <= self.demand_per_copy(need))
             .collect();
         wanted.sort_by(|one, other| {
             let demand = self.demand_per_copy(other);
@@ -196,7 +175,7 @@
         });
         let Some(hot) = hottest else { return false };
         let limit = self.demand_per_copy(hot) / SWAP_FACTOR;
-        if self.demand_per_copy(hot) < self.copy_demand {
+        if self.demand_per_copy(hot) < COPY_DEMAND {
             return false;
         }
         let mut best: Option<(f64, String, String)> = None;
--- a/crates/celerylead/src/placement/shelf.rs
+++ b/crates/celerylead/src/placement/shelf.rs
@@ -382,6 +382,15 @@
         let Some(mut shelf) = self.ordered.remove(id) else { return };
         let id = id.to_owned();
         match verdict {
+            Some(OrderVerdict::Accepted)
+                if order.kind == OrderKind::Unload
+                    && order.adapter.is_some() =>
+            {
+                // It is still in use: its place counts until a report says
+                // that it is gone.
+                let shelf = shelf.unread(now.after(LOOK_AGAIN));
+                self.unread.insert(id, shelf);
+            }
             Some(OrderVerdict::Accepted) => {
                 let wait = match order.adapter {
                     Some(_) => ADAPTER_SETTLE,
--- a/crates/celerylead/src/placement/tests/shelf.rs
+++ b/crates/celerylead/src/placement/tests/shelf.rs
@@ -54,6 +54,12 @@
     Unreported,
     /// An adapter is ordered.
     Order(&'static str),
+    /// An adapter is to be unloaded.
+    Unload(&'static str),
+    /// The order to unload it was accepted: it is in use.
+    Unloading(&'static str),
+    /// The report came, with this number of orders and this adapter.
+    ReportedWith(u64, &'static str),
     /// The order was answered.
     Answered(Option<OrderVerdict>),
     /// The runner is listed with another start.
@@ -141,6 +147,19 @@
                 (5, Step::Due(&["report"])),
             ],
         },
+        Case {
+            name: "unloaded only once a report says so",
+            steps: &[
+                (0, Step::Due(&["report"])),
+                (0, Step::ReportedWith(4, "a1")),
+                (0, Step::Unload("a1")),
+                (5, Step::Unloading("a1")),
+                (404, Step::Due(&[])),
+                (405, Step::Due(&["report"])),
+                (410, Step::ReportedWith(5, "a1")),
+                (410, Step::Holds(&["a1"], true)),
+            ],
+        },
         Case {
             name: "another start forgets the order",
             steps: &[
@@ -180,6 +199,21 @@
             // goes out.
             shelves.order(&order(4, adapter));
         }
+        Step::Unload(adapter) => {
+            let kind = OrderKind::Unload;
+            shelves.order(&PlacementOrder { kind, ..order(4, adapter) });
+        }
+        Step::Unloading(adapter) => {
+            let kind = OrderKind::Unload;
+            let order = PlacementOrder { kind, ..order(4, adapter) };
+            let verdict = Some(OrderVerdict::Accepted);
+            shelves.answered(&order, verdict, Duration::ZERO, now);
+        }
+        Step::ReportedWith(orders, adapter) => {
+            let mut report = report(*orders, false);
+            report.models[0].adapters.push((*adapter).to_owned());
+            shelves.reported("i-1", Some(report), now);
+        }
         Step::Answered(verdict) => {
             let takes = Duration::from_millis(100);
             shelves.answered(&order(4, "a1"), *verdict, takes, now);
@@ -255,10 +289,16 @@
             step: Some((OrderKind::Unload, "a2")),
             ..case
         },
+        Case {
+            name: "full, and asked for twice as much",
+            held: &["a1", "a2"],
+            demand: &[("bend:a1", 50), ("bend:a2", 45), ("bend:a3", 91)],
+            step: Some((OrderKind::Unload, "a2")),
+            ..case
+        },
         Case {
             name: "full of what is asked for as much",
             held: &["a1", "a2"],
-            wanted: &[("a3", 9_900)],
             demand: &[("bend:a1", 50), ("bend:a2", 50), ("bend:a3", 90)],
             ..case
         },
--- a/crates/celerylead/src/relay/backend.rs
+++ b/crates/celerylead/src/relay/backend.rs
@@ -126,9 +126,10 @@
     }
 
     pub(super) fn is_set_aside(&self, now: EpochMillis) -> bool {
-        let silent =
-            0 < self.unheard && self.quiet_since.after(SILENCE) <= now;
-        silent || now < self.set_aside_until
+        let silent = self.quiet_since.after(SILENCE) <= now;
+        // A runner that was set aside gets one call until it has answered.
+        let probed = 0 < self.set_aside;
+        (0 < self.unheard && (silent || probed)) || now < self.set_aside_until
     }
 
     /// Books a call.
--- a/crates/celerylead/src/relay/call.rs
+++ b/crates/celerylead/src/relay/call.rs
@@ -60,6 +60,9 @@
     pub charge: Option<(String, u64)>,
     /// Runners that were tried already.
     pub tried: Vec<String>,
+    /// Whether it was sent to one of them: a further send draws on the
+    /// budget, a connection that failed doesn't.
+    pub sent: bool,
     /// Point from which an answer is of no use.
     pub deadline: EpochMillis,
 }
--- a/crates/celerylead/src/relay/tests.rs
+++ b/crates/celerylead/src/relay/tests.rs
@@ -67,6 +67,7 @@
         tokens: 1_000,
         charge: None,
         tried: Vec::new(),
+        sent: false,
         deadline: EpochMillis(110_000),
     }
 }
@@ -303,3 +304,68 @@
         assert_eq!(choice.unwrap().runner, case.found, "{}", case.name);
     }
 }
+
+#[test]
+fn a_runner_that_was_set_aside_is_probed_by_one_call() {
+    struct Case {
+        name: &'static str,
+        /// Ends of calls at the first runner, each with its point.
+        ends: &'static [(u64, CallEnd)],
+        at: u64,
+        /// Runners of the next two calls.
+        found: [&'static str; 2],
+    }
+    let cases = [
+        Case {
+            name: "still aside",
+            ends: &[(0, CallEnd::Unreachable)],
+            at: 499,
+            found: ["b", "b"],
+        },
+        Case {
+            name: "due for a probe",
+            ends: &[(0, CallEnd::Unreachable)],
+            at: 500,
+            found: ["a", "b"],
+        },
+        Case {
+            name: "longer after a probe that failed",
+            ends: &[(0, CallEnd::Unreachable), (500, CallEnd::Unreachable)],
+            at: 1_499,
+            found: ["b", "b"],
+        },
+        Case {
+            name: "whole after a probe that succeeded",
+            ends: &[
+                (0, CallEnd::Unreachable),
+                (500, CallEnd::Whole { pace_us: 100 }),
+            ],
+            at: 510,
+            found: ["a", "a"],
+        },
+    ];
+    for case in cases {
+        let facts = [
+            runner("a", "advisor", &["bend"]),
+            runner("b", "advisor", &["bend"]),
+        ];
+        let ask = ask("advisor", Some("bend"));
+        let mut table = RelayTable::new("boden");
+        table.adopt(facts[..1].iter());
+        for (at, end) in case.ends {
+            let now = EpochMillis(*at);
+            let choice = table.pick(&ask, &catalog(), now).unwrap();
+            table.done(&choice, false, *end, now);
+        }
+        table.adopt(facts.iter());
+        let now = EpochMillis(case.at);
+        // The second one is busier, so only the probe speaks for it.
+        let load = PeerLoad { calls: 3, tokens: 10, told_at: now };
+        table.peer_load("front-2", "b", load);
+        let found = [(); 2].map(|()| {
+            let choice = table.pick(&ask, &catalog(), now);
+            choice.unwrap().runner
+        });
+        assert_eq!(found, case.found, "{}", case.name);
+    }
+}
--- a/crates/celerylead/src/tasks/node/call.rs
+++ b/crates/celerylead/src/tasks/node/call.rs
@@ -285,7 +285,9 @@
             };
             ask.charge = None;
             ask.tried.push(slot.choice.runner.clone());
-            match self.try_once(slot, request).await {
+            let end = self.try_once(slot, request).await;
+            ask.sent = 0 < self.record.sends;
+            match end {
                 TryEnd::Answered(response) => return Ok(response),
                 TryEnd::Failed(refusal) => return Err(refusal),
                 TryEnd::Again(again) => request = again,
@@ -328,6 +330,7 @@
             tokens: self.call.total_tokens().unwrap_or(0),
             charge,
             tried: Vec::new(),
+            sent: false,
             deadline: now.after(left),
         })
     }
--- a/crates/celerylead/src/tasks/node/desk.rs
+++ b/crates/celerylead/src/tasks/node/desk.rs
@@ -316,7 +316,7 @@
         });
         if wait.ask.tried.is_empty() {
             budget.earn();
-        } else if !budget.spend() {
+        } else if wait.ask.sent && !budget.spend() {
             let code = RefusalCode::NoRunner;
             self.refuse(
                 wait,
--- a/crates/celerylead/src/tasks/node/placer.rs
+++ b/crates/celerylead/src/tasks/node/placer.rs
@@ -337,15 +337,16 @@
     ) {
         let plan = self.plan.turn(service, &self.shelves, demand);
         let Some(plan) = plan else { return };
-        let Some(step) = plan.next_step(&self.shelves) else { return };
-        if step.kind == OrderKind::Load
-            && step.from_store
-            && !self.loads.take(engine.loads_per_second, now)
-        {
-            return;
+        for step in plan.next_steps(&self.shelves) {
+            if step.kind == OrderKind::Load
+                && step.from_store
+                && !self.loads.take(engine.loads_per_second, now)
+            {
+                continue;
+            }
+            let name = ModelName { model: step.model, adapter: None };
+            self.give(&step.runner, step.kind, &name, fencing);
         }
-        let name = ModelName { model: step.model, adapter: None };
-        self.give(&step.runner, step.kind, &name, fencing);
     }
 
     fn order_adapters(
