--- a/crates/celerylead/src/placement/adapters.rs
+++ b/crates/celerylead/src/placement/adapters.rs
@@ -24,14 +24,18 @@
 
 /// Time for which a call that found its adapter nowhere counts.
 const WANT_AGE: Duration = Duration::from_millis(2_000);
+/// Time for which an adapter that was loaded doesn't give way: the calls that
+/// waited for it begin, and it is in use.
+const KEEP: Duration = Duration::from_millis(700);
 /// How many times the demand for an adapter without a place has to be that
 /// of the one that gives way.
 const YIELD_FACTOR: u64 = 2;
 
-/// What calls asked for in vain, by model and adapter.
+/// What calls asked for in vain, and what was loaded for them.
 #[derive(Clone, Debug, Default)]
 pub struct AdapterBook {
     wanted: SortedTable<ModelName, EpochMillis>,
+    loaded: SortedTable<ModelName, EpochMillis>,
 }
 
 /// What to do for an adapter.
@@ -52,6 +56,8 @@
     demand: &'a ModelDemand,
     /// Runners that have an adapter, or will.
     copies: SortedTable<ModelName, usize>,
+    book: &'a AdapterBook,
+    now: EpochMillis,
 }
 
 impl AdapterBook {
@@ -60,6 +66,12 @@
         self.wanted.insert(name.clone(), now);
     }
 
+    /// Notes that an adapter was ordered: nobody waits for it any more.
+    pub fn loaded(&mut self, name: &ModelName, now: EpochMillis) {
+        self.wanted.remove(name);
+        self.loaded.insert(name.clone(), now);
+    }
+
     /// Returns the next step, if one is due. `demand` is by model, and by
     /// model and adapter.
     pub fn next_step(
@@ -69,7 +81,7 @@
         demand: &ModelDemand,
         now: EpochMillis,
     ) -> Option<AdapterStep> {
-        let view = AdapterView::new(shelves, engine, demand);
+        let view = AdapterView::new(self, shelves, engine, demand, now);
         let waited: Vec<ModelName> = self
             .wanted
             .iter()
@@ -96,9 +108,11 @@
 
 impl<'a> AdapterView<'a> {
     fn new(
+        book: &'a AdapterBook,
         shelves: &'a ShelfTable,
         engine: &'a EngineTraits,
         demand: &'a ModelDemand,
+        now: EpochMillis,
     ) -> AdapterView<'a> {
         let mut copies = SortedTable::default();
         for (_, models) in shelves.expected() {
@@ -106,7 +120,7 @@
                 *copies.entry(name, || 0) += 1;
             }
         }
-        AdapterView { shelves, engine, demand, copies }
+        AdapterView { shelves, engine, demand, copies, book, now }
     }
 
     /// Adapters in demand, the highest first.
@@ -172,7 +186,13 @@
             let held = held_adapters(&shelf.models);
             held.map(|held| (self.loss(&held), shelf.facts.id.as_str(), held))
         });
-        held.min()
+        held.filter(|(.., name)| !self.is_fresh(name)).min()
+    }
+
+    /// Tells whether an adapter was loaded just now.
+    fn is_fresh(&self, name: &ModelName) -> bool {
+        let loaded = self.book.loaded.get(name);
+        loaded.is_some_and(|at| self.now < at.after(KEEP))
     }
 
     /// Demand that would find an adapter nowhere if a copy went.
--- a/crates/celerylead/src/placement/tests/shelf.rs
+++ b/crates/celerylead/src/placement/tests/shelf.rs
@@ -249,12 +249,20 @@
         held: &'static [&'static str],
         /// Adapters that calls found nowhere, and when.
         wanted: &'static [(&'static str, u64)],
+        /// Adapters that were loaded, and when.
+        loaded: &'static [(&'static str, u64)],
         /// Demand, in tokens a second.
         demand: &'static [(&'static str, u64)],
         step: Option<(OrderKind, &'static str)>,
     }
-    let case =
-        Case { name: "", held: &[], wanted: &[], demand: &[], step: None };
+    let case = Case {
+        name: "",
+        held: &[],
+        wanted: &[],
+        loaded: &[],
+        demand: &[],
+        step: None,
+    };
     let cases = [
         Case { name: "nothing is asked for", ..case },
         Case {
@@ -289,6 +297,29 @@
             step: Some((OrderKind::Unload, "a2")),
             ..case
         },
+        Case {
+            name: "full: what was loaded just now stays",
+            held: &["a1", "a2"],
+            wanted: &[("a3", 9_900)],
+            loaded: &[("a2", 9_301)],
+            demand: &[("bend:a1", 50), ("bend:a2", 0)],
+            step: Some((OrderKind::Unload, "a1")),
+            ..case
+        },
+        Case {
+            name: "full of what was loaded just now",
+            held: &["a1", "a2"],
+            wanted: &[("a3", 9_900)],
+            loaded: &[("a1", 9_400), ("a2", 9_301)],
+            ..case
+        },
+        Case {
+            name: "loaded since it was asked for",
+            held: &["a1"],
+            wanted: &[("a3", 9_800)],
+            loaded: &[("a3", 9_900)],
+            ..case
+        },
         Case {
             name: "full, and asked for twice as much",
             held: &["a1", "a2"],
@@ -340,6 +371,10 @@
             let name: ModelName = format!("bend:{adapter}").parse().unwrap();
             book.want(&name, EpochMillis(*at));
         }
+        for (adapter, at) in case.loaded {
+            let name: ModelName = format!("bend:{adapter}").parse().unwrap();
+            book.loaded(&name, EpochMillis(*at));
+        }
         let demand = case.demand.iter();
         let demand: ModelDemand =
             demand.map(|(name, rate)| ((*name).to_owned(), *rate)).collect();
--- a/crates/celerylead/src/tasks/node/placer.rs
+++ b/crates/celerylead/src/tasks/node/placer.rs
@@ -359,6 +359,9 @@
         while let Some(step) =
             self.book.next_step(&self.shelves, engine, demand, now)
         {
+            if step.kind == OrderKind::Load {
+                self.book.loaded(&step.name, now);
+            }
             self.give(&step.runner, step.kind, &step.name, fencing);
         }
     }
