--- a/crates/celerylead/src/membership/digest.rs
+++ b/crates/celerylead/src/membership/digest.rs
@@ -53,13 +53,13 @@
 pub enum HostMessage {
     /// What the sender carries.
     Digest(HostDigest),
-    /// The adapters that runners hold by order; from the host that orders.
-    Adapters {
+    /// What runners hold, from the host that orders.
+    Held {
         /// The lease by which it does.
         lease: OrdersRow,
         /// Version of the lease's row.
         version: u64,
-        /// Adapters by the runner's identity.
+        /// Models and adapters that may be used, by the runner's identity.
         held: Vec<(String, Vec<ModelName>)>,
     },
     /// The host that ordered under this number has stopped.
--- a/crates/celerylead/src/placement/fleet.rs
+++ b/crates/celerylead/src/placement/fleet.rs
@@ -156,7 +156,7 @@
         if self.engine.model(model).is_none() {
             return true;
         }
-        shelves.held().any(|(facts, models)| {
+        shelves.usable().any(|(facts, models)| {
             let planned = self.plan.targets.get(&facts.id);
             facts.id != runner
                 && models.iter().any(|held| held.name == model)
--- a/crates/celerylead/src/placement/shelf.rs
+++ b/crates/celerylead/src/placement/shelf.rs
@@ -19,9 +19,12 @@
 /// Time after an accepted order for an adapter at which it is there; an
 /// adapter takes some ten milliseconds.
 const ADAPTER_SETTLE: Duration = Duration::from_millis(30);
-/// Time that an accepted order for a model takes at most, beyond what the
-/// model itself is said to take.
-const MODEL_SLACK: Duration = Duration::from_millis(6_000);
+/// Time after the end of a load, by what the model is said to take, at which
+/// the runner is asked whether it is there.
+const MODEL_SLACK: Duration = Duration::from_millis(50);
+/// Time for which hosts are told that a model goes before its unload is
+/// ordered: calls that are on their way arrive before it.
+const CLEAR_WAIT: Duration = Duration::from_millis(300);
 /// Wait before a report is read again, or an order is repeated; reports lag
 /// by some hundred milliseconds.
 const LOOK_AGAIN: Duration = Duration::from_millis(400);
@@ -40,6 +43,14 @@
     orders: u64,
 }
 
+/// State: hosts are told not to use what an order will unload.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Clearing {
+    order: PlacementOrder,
+    /// Point at which the order goes out.
+    send_at: EpochMillis,
+}
+
 /// State: an order is on its way, or was accepted and isn't carried out.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Ordered {
@@ -103,6 +114,21 @@
     fn order(self, order: PlacementOrder) -> RunnerShelf<Ordered> {
         self.into_state(Ordered { order, holds_at: None })
     }
+
+    fn clear(
+        self,
+        order: PlacementOrder,
+        send_at: EpochMillis,
+    ) -> RunnerShelf<Clearing> {
+        self.into_state(Clearing { order, send_at })
+    }
+}
+
+impl RunnerShelf<Clearing> {
+    fn cleared(self) -> RunnerShelf<Ordered> {
+        let order = self.state.order.clone();
+        self.into_state(Ordered { order, holds_at: None })
+    }
 }
 
 impl RunnerShelf<Ordered> {
@@ -175,6 +201,7 @@
 pub struct ShelfTable {
     unread: SortedTable<String, RunnerShelf<Unread>>,
     idle: SortedTable<String, RunnerShelf<Idle>>,
+    clearing: SortedTable<String, RunnerShelf<Clearing>>,
     ordered: SortedTable<String, RunnerShelf<Ordered>>,
     doubtful: SortedTable<String, RunnerShelf<Doubtful>>,
 }
@@ -194,6 +221,7 @@
         };
         self.unread.retain(|_, shelf| listed(&shelf.facts));
         self.idle.retain(|_, shelf| listed(&shelf.facts));
+        self.clearing.retain(|_, shelf| listed(&shelf.facts));
         self.ordered.retain(|_, shelf| listed(&shelf.facts));
         self.doubtful.retain(|_, shelf| listed(&shelf.facts));
         for facts in facts.clone().filter(|facts| !facts.leaving) {
@@ -207,18 +235,12 @@
             shelf.facts = facts.clone();
         } else if let Some(shelf) = self.idle.get_mut(id) {
             shelf.facts = facts.clone();
+        } else if let Some(shelf) = self.clearing.get_mut(id) {
+            shelf.facts = facts.clone();
         } else if let Some(shelf) = self.doubtful.get_mut(id) {
             shelf.facts = facts.clone();
         } else if let Some(shelf) = self.ordered.get_mut(id) {
             shelf.facts = facts.clone();
-            let order = &shelf.state.order;
-            let model_order = order.adapter.is_none();
-            let holds = facts.model(&order.model).is_some();
-            let wanted = order.kind == OrderKind::Load;
-            if shelf.state.holds_at.is_some() && model_order && holds == wanted
-            {
-                self.settle(id);
-            }
         } else {
             let shelf = RunnerShelf::new(facts, now);
             self.unread.insert(facts.id.clone(), shelf);
@@ -246,42 +268,68 @@
         let unread = unread.map(|shelf| (&shelf.facts, shelf.models.clone()));
         let idle = self.idle.values();
         let idle = idle.map(|shelf| (&shelf.facts, shelf.models.clone()));
-        let ordered = self.ordered.values().map(|shelf| {
-            let mut models = shelf.models.clone();
-            note_order(&mut models, &shelf.state.order);
-            (&shelf.facts, models)
-        });
-        let doubtful = self.doubtful.values().map(|shelf| {
-            let mut models = shelf.models.clone();
-            note_order(&mut models, &shelf.state.order);
-            (&shelf.facts, models)
+        let under_way = self.under_way().map(|(facts, models, order)| {
+            let mut models = models.to_vec();
+            note_order(&mut models, order);
+            (facts, models)
         });
-        unread.chain(idle).chain(ordered).chain(doubtful)
+        unread.chain(idle).chain(under_way)
     }
 
-    /// Iterates over what is known to be held now.
-    pub fn held(&self) -> impl Iterator<Item = (&RunnerFacts, &[HeldModel])> {
+    /// Iterates over what hosts may use now: what is held, without what is
+    /// being unloaded.
+    pub fn usable(
+        &self,
+    ) -> impl Iterator<Item = (&RunnerFacts, Vec<HeldModel>)> {
         let idle = self.idle.values();
-        let idle = idle.map(|shelf| (&shelf.facts, shelf.models.as_slice()));
-        let ordered = self.ordered.values();
-        let ordered =
-            ordered.map(|shelf| (&shelf.facts, shelf.models.as_slice()));
-        let doubtful = self.doubtful.values();
-        let doubtful =
-            doubtful.map(|shelf| (&shelf.facts, shelf.models.as_slice()));
-        idle.chain(ordered).chain(doubtful)
+        let idle = idle.map(|shelf| (&shelf.facts, shelf.models.clone()));
+        let under_way = self.under_way().map(|(facts, models, order)| {
+            let mut models = models.to_vec();
+            if order.kind == OrderKind::Unload {
+                note_order(&mut models, order);
+            }
+            (facts, models)
+        });
+        idle.chain(under_way)
+    }
+
+    /// Runners with an order under way, what they held before, and the
+    /// order.
+    fn under_way(
+        &self,
+    ) -> impl Iterator<Item = (&RunnerFacts, &[HeldModel], &PlacementOrder)>
+    {
+        let clearing = self.clearing.values().map(|shelf| {
+            (&shelf.facts, shelf.models.as_slice(), &shelf.state.order)
+        });
+        let ordered = self.ordered.values().map(|shelf| {
+            (&shelf.facts, shelf.models.as_slice(), &shelf.state.order)
+        });
+        let doubtful = self.doubtful.values().map(|shelf| {
+            (&shelf.facts, shelf.models.as_slice(), &shelf.state.order)
+        });
+        clearing.chain(ordered).chain(doubtful)
     }
 
     fn facts(&self) -> impl Iterator<Item = &RunnerFacts> {
         self.expected().map(|(facts, _)| facts)
     }
 
-    /// Books an order to an idle runner.
-    pub fn order(&mut self, order: &PlacementOrder) -> Option<OrderStep> {
+    /// Books an order to an idle runner; returns what is to be sent at once.
+    pub fn order(
+        &mut self,
+        order: &PlacementOrder,
+        now: EpochMillis,
+    ) -> Option<OrderStep> {
         let shelf = self.idle.remove(&order.runner)?;
+        let id = order.runner.clone();
+        if order.kind == OrderKind::Unload && order.adapter.is_none() {
+            let shelf = shelf.clear(order.clone(), now.after(CLEAR_WAIT));
+            self.clearing.insert(id, shelf);
+            return None;
+        }
         let step = OrderStep::Send(shelf.facts.clone(), order.clone());
-        let shelf = shelf.order(order.clone());
-        self.ordered.insert(order.runner.clone(), shelf);
+        self.ordered.insert(id, shelf.order(order.clone()));
         Some(step)
     }
 
@@ -309,6 +357,19 @@
             steps.push(OrderStep::Send(shelf.facts.clone(), order));
             self.ordered.insert(id, shelf);
         }
+        let cleared: Vec<String> = self
+            .clearing
+            .iter()
+            .filter(|(_, shelf)| shelf.state.send_at <= now)
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in cleared {
+            let Some(shelf) = self.clearing.remove(&id) else { continue };
+            let shelf = shelf.cleared();
+            let order = shelf.state.order.clone();
+            steps.push(OrderStep::Send(shelf.facts.clone(), order));
+            self.ordered.insert(id, shelf);
+        }
         self.settle_due(now);
         steps
     }
@@ -331,7 +392,7 @@
             if adapter {
                 self.settle(&id);
             } else if let Some(shelf) = self.ordered.remove(&id) {
-                // A model that should long be there: look what is.
+                // A model that should be there, or gone: look what is.
                 self.unread.insert(id, shelf.unread(now));
             }
         }
--- a/crates/celerylead/src/placement/tests/shelf.rs
+++ b/crates/celerylead/src/placement/tests/shelf.rs
@@ -56,6 +56,8 @@
     Order(&'static str),
     /// An adapter is to be unloaded.
     Unload(&'static str),
+    /// The model is to be unloaded.
+    UnloadModel,
     /// The order to unload it was accepted: it is in use.
     Unloading(&'static str),
     /// The report came, with this number of orders and this adapter.
@@ -160,6 +162,17 @@
                 (410, Step::Holds(&["a1"], true)),
             ],
         },
+        Case {
+            name: "a model is cleared before its unload",
+            steps: &[
+                (0, Step::Due(&["report"])),
+                (0, Step::ReportedWith(4, "a1")),
+                (0, Step::UnloadModel),
+                (0, Step::Holds(&[], false)),
+                (299, Step::Due(&[])),
+                (300, Step::Due(&["order  after 4"])),
+            ],
+        },
         Case {
             name: "another start forgets the order",
             steps: &[
@@ -197,11 +210,17 @@
         Step::Order(adapter) => {
             // Refused where the runner takes none; cases look at what
             // goes out.
-            shelves.order(&order(4, adapter));
+            shelves.order(&order(4, adapter), now);
         }
         Step::Unload(adapter) => {
             let kind = OrderKind::Unload;
-            shelves.order(&PlacementOrder { kind, ..order(4, adapter) });
+            let order = PlacementOrder { kind, ..order(4, adapter) };
+            shelves.order(&order, now);
+        }
+        Step::UnloadModel => {
+            let kind = OrderKind::Unload;
+            let order = PlacementOrder { kind, adapter: None, ..order(4, "") };
+            shelves.order(&order, now);
         }
         Step::Unloading(adapter) => {
             let kind = OrderKind::Unload;
@@ -221,9 +240,9 @@
         Step::Reborn => shelves.adopt([facts(2)].iter(), now),
         Step::Holds(adapters, idle) => {
             let held: Vec<String> = shelves
-                .held()
-                .flat_map(|(_, models)| models.iter())
-                .flat_map(|model| model.adapters.clone())
+                .usable()
+                .flat_map(|(_, models)| models)
+                .flat_map(|model| model.adapters)
                 .collect();
             assert_eq!(held, *adapters, "{label}");
             assert_eq!(shelves.idle().count() == 1, *idle, "{label}");
--- a/crates/celerylead/src/relay/backend.rs
+++ b/crates/celerylead/src/relay/backend.rs
@@ -25,6 +25,10 @@
 /// Age from which what another host told of its calls isn't believed.
 const PEER_LOAD_AGE: Duration = Duration::from_millis(1_500);
 
+/// Age from which the word of the host that orders gives way to the roster;
+/// it tells at least once a second.
+const HELD_AGE: Duration = Duration::from_millis(3_000);
+
 /// How a call at a runner ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -63,8 +67,9 @@
 #[derive(Clone, Debug)]
 pub(super) struct RelayBackend {
     pub(super) facts: RunnerFacts,
-    /// Adapters that were loaded since the runner's last entry, by order.
-    pub(super) adapters: Vec<ModelName>,
+    /// What it holds by the word of the host that orders, sorted.
+    pub(super) told_held: Vec<ModelName>,
+    pub(super) told_held_at: Option<EpochMillis>,
     pub(super) calls: u32,
     pub(super) tokens: u64,
     pub(super) peers: SortedTable<String, PeerLoad>,
@@ -86,7 +91,8 @@
     pub(super) fn new(facts: RunnerFacts) -> RelayBackend {
         RelayBackend {
             facts,
-            adapters: Vec::new(),
+            told_held: Vec::new(),
+            told_held_at: None,
             calls: 0,
             tokens: 0,
             peers: SortedTable::default(),
@@ -149,10 +155,15 @@
     }
 
     /// Tells whether the runner holds a model and its adapter.
-    pub(super) fn holds(&self, name: &ModelName) -> bool {
+    pub(super) fn holds(&self, name: &ModelName, now: EpochMillis) -> bool {
+        let told =
+            self.told_held_at.is_some_and(|at| now < at.after(HELD_AGE));
+        if told {
+            return self.told_held.binary_search(name).is_ok();
+        }
         let Some(held) = self.facts.model(&name.model) else { return false };
         let Some(adapter) = &name.adapter else { return true };
-        held.adapters.contains(adapter) || self.adapters.contains(name)
+        held.adapters.contains(adapter) || self.told_held.contains(name)
     }
 
     /// Books the end of a call of `tokens` for `model`; `heard` tells whether
--- a/crates/celerylead/src/relay/table.rs
+++ b/crates/celerylead/src/relay/table.rs
@@ -113,10 +113,18 @@
         }
     }
 
-    /// Notes the adapters that a runner holds by order.
-    pub fn adapters(&mut self, runner: &str, adapters: &[ModelName]) {
+    /// Notes what a runner holds by the word of the host that orders. It is
+    /// newer than the roster, and goes before it while it is fresh.
+    pub fn told_held(
+        &mut self,
+        runner: &str,
+        names: &[ModelName],
+        now: EpochMillis,
+    ) {
         if let Some(backend) = self.backends.get_mut(runner) {
-            backend.adapters = adapters.to_vec();
+            backend.told_held = names.to_vec();
+            backend.told_held.sort();
+            backend.told_held_at = Some(now);
         }
     }
 
@@ -257,10 +265,10 @@
         return Err(PickFault::NoRunner);
     }
     if let Some(name) = &ask.model
-        && !backend.holds(name)
+        && !backend.holds(name, now)
     {
         let plain = ModelName { adapter: None, ..name.clone() };
-        return Err(if backend.holds(&plain) {
+        return Err(if backend.holds(&plain, now) {
             PickFault::NoAdapter
         } else {
             PickFault::NoModel
--- a/crates/celerylead/src/tasks/node/desk.rs
+++ b/crates/celerylead/src/tasks/node/desk.rs
@@ -68,8 +68,8 @@
     Expect(String),
     /// A host is gone for good.
     Forget(String),
-    /// The adapters that runners hold by order.
-    Adapters(Vec<(String, Vec<ModelName>)>),
+    /// What runners hold, from the host that orders.
+    Held(Vec<(String, Vec<ModelName>)>),
     /// Fill in the digest of this host.
     Digest(oneshot::Sender<HostDigest>),
 }
@@ -267,9 +267,9 @@
             DeskEvent::Told { digest, at } => self.told(&digest, at),
             DeskEvent::Expect(host) => self.hearing.expect(&host),
             DeskEvent::Forget(host) => self.hearing.forget(&host),
-            DeskEvent::Adapters(held) => {
-                for (runner, adapters) in held {
-                    self.table.adapters(&runner, &adapters);
+            DeskEvent::Held(held) => {
+                for (runner, names) in held {
+                    self.table.told_held(&runner, &names, now);
                 }
                 self.pump();
             }
--- a/crates/celerylead/src/tasks/node/herald.rs
+++ b/crates/celerylead/src/tasks/node/herald.rs
@@ -103,7 +103,7 @@
     desk: DeskPort,
     placer: mpsc::Sender<Heard>,
     hosts: SortedTable<String, KnownHost>,
-    /// Host that last told of adapters: the one that orders.
+    /// Host that last told what runners hold: the one that orders.
     orderer: Option<String>,
     round: u32,
 }
@@ -180,9 +180,9 @@
                 let all: Vec<SocketAddr> =
                     self.hosts.values().map(|host| host.address).collect();
                 self.send(&message, &all).await;
-                if let HostMessage::Adapters { lease, held, .. } = message {
+                if let HostMessage::Held { lease, held, .. } = message {
                     self.orderer = Some(lease.holder);
-                    let event = DeskEvent::Adapters(held);
+                    let event = DeskEvent::Held(held);
                     let _ = self.desk.sender.send(event).await;
                 }
             }
@@ -240,10 +240,10 @@
                 let event = DeskEvent::Told { digest, at };
                 let _ = self.desk.sender.send(event).await;
             }
-            HostMessage::Adapters { lease, version, held } => {
+            HostMessage::Held { lease, version, held } => {
                 self.orderer = Some(lease.holder.clone());
                 let _ = self.placer.try_send(Heard::Holder(lease, version));
-                let event = DeskEvent::Adapters(held);
+                let event = DeskEvent::Held(held);
                 let _ = self.desk.sender.send(event).await;
             }
             HostMessage::Released { fencing } => {
--- a/crates/celerylead/src/tasks/node/placer.rs
+++ b/crates/celerylead/src/tasks/node/placer.rs
@@ -1,8 +1,7 @@
 //! The task that gives orders to the runners, on the host that may.
 //!
 //! Every host runs it; one holds the lease on orders. The holder is heard by
-//! the others, as it tells them which adapters runners hold; only when it
-//! falls silent do they read the lease's row. Orders and reports are sent by
+//! the others, as it tells them what runners hold; only when it falls silent do they read the lease's row. Orders and reports are sent by
 //! futures of their own, which tell the task how they ended.
 
 use std::time::Duration;
@@ -33,7 +32,7 @@
         EdgeCodec, EngineReport, HttpLink, OrderVerdict, PlacementOrder,
         RowChange, RowKey, RowPut, SendFault, StorePort, StoreTable,
     },
-    roster::RunnerFacts,
+    roster::{HeldModel, RunnerFacts},
     runner::OrderKind,
     sorted::SortedTable,
 };
@@ -47,8 +46,8 @@
 /// Time for which a new process moves no models: at a start the runners
 /// enter the registry over some seconds, and what seems to be nowhere may
 /// be at one that isn't listed yet.
-const SETTLE: Duration = Duration::from_millis(4_000);
-/// Time between two tellings of adapters that haven't changed.
+const SETTLE: Duration = Duration::from_millis(6_000);
+/// Time between two tellings of what runners hold while that stays.
 const TELL_PERIOD: Duration = Duration::from_millis(1_000);
 /// Silence of the holder after which the lease's row is read.
 const HOLDER_SILENCE: Duration = Duration::from_millis(2_500);
@@ -305,8 +304,19 @@
         let models = catalog.iter().flat_map(|catalog| catalog.services());
         let engines = models.filter_map(|service| service.engine.as_ref());
         let model = engines.filter_map(|engine| engine.model(&order.model));
-        let load_ms = model.map(|model| model.load_ms).max().unwrap_or(0);
-        Duration::from_millis(load_ms)
+        let Some(model) = model.last() else { return Duration::ZERO };
+        let copied = self.setup.roster.borrow().iter().any(|roster| {
+            roster.iter().any(|facts| {
+                facts.id == order.runner && facts.copies.contains(&order.model)
+            })
+        });
+        let millis = match order.kind {
+            OrderKind::Load if copied => model.warm_ms,
+            OrderKind::Load => model.load_ms,
+            // It waits for the runs that use the model.
+            OrderKind::Unload | OrderKind::Fence => 0,
+        };
+        Duration::from_millis(millis)
     }
 
     /// Gives the orders that are due, each to a runner that takes one.
@@ -345,7 +355,7 @@
                 continue;
             }
             let name = ModelName { model: step.model, adapter: None };
-            self.give(&step.runner, step.kind, &name, fencing);
+            self.give(&step.runner, step.kind, &name, fencing, now);
         }
     }
 
@@ -362,7 +372,7 @@
             if step.kind == OrderKind::Load {
                 self.book.loaded(&step.name, now);
             }
-            self.give(&step.runner, step.kind, &step.name, fencing);
+            self.give(&step.runner, step.kind, &step.name, fencing, now);
         }
     }
 
@@ -372,6 +382,7 @@
         kind: OrderKind,
         name: &ModelName,
         fencing: u64,
+        now: EpochMillis,
     ) {
         let shelf = self.shelves.idle().find(|shelf| shelf.facts.id == runner);
         let Some(shelf) = shelf else { return };
@@ -384,7 +395,7 @@
             holder: self.setup.row.host.clone(),
             fencing,
         };
-        if let Some(step) = self.shelves.order(&order) {
+        if let Some(step) = self.shelves.order(&order, now) {
             self.send(step);
         }
     }
@@ -440,21 +451,13 @@
         });
     }
 
-    /// Tells the hosts which adapters runners hold, when that has changed
-    /// and at least once a period; they hear by it that the holder lives.
+    /// Tells the hosts what runners hold, when that has changed and at least
+    /// once a period; they hear by it that the holder lives.
     async fn tell(&mut self) {
         let held: Vec<(String, Vec<ModelName>)> = self
             .shelves
-            .held()
-            .map(|(facts, models)| {
-                let names = models.iter().flat_map(|held| {
-                    held.adapters.iter().map(|adapter| ModelName {
-                        model: held.name.clone(),
-                        adapter: Some(adapter.clone()),
-                    })
-                });
-                (facts.id.clone(), names.collect())
-            })
+            .usable()
+            .map(|(facts, models)| (facts.id.clone(), names(&models)))
             .collect();
         let due = self.told_at + TELL_PERIOD <= Instant::now();
         if held != self.told || due {
@@ -462,12 +465,24 @@
             self.told_at = Instant::now();
             self.told.clone_from(&held);
             let lease = lease.clone();
-            let message = HostMessage::Adapters { lease, version, held };
+            let message = HostMessage::Held { lease, version, held };
             self.setup.herald.announce(message).await;
         }
     }
 }
 
+/// Names of models, and of the adapters they have.
+fn names(models: &[HeldModel]) -> Vec<ModelName> {
+    let mut names = Vec::new();
+    for held in models {
+        let name = |adapter| ModelName { model: held.name.clone(), adapter };
+        names.push(name(None));
+        let adapters = held.adapters.iter();
+        names.extend(adapters.map(|adapter| name(Some(adapter.clone()))));
+    }
+    names
+}
+
 fn log_order(order: &PlacementOrder, verdict: Option<OrderVerdict>) {
     tracing::info!(
         event = "order_ended",
