Plan copies into free room at any demand, swaps from a sixteenth

Change: free room is filled at any demand, a swap asks for a sixteenth; the balance by load is gone.

--- a/crates/celerylead/src/placement/adapters.rs
+++ b/crates/celerylead/src/placement/adapters.rs
@@ -15,7 +15,7 @@
     model::ModelName,
     placement::{
         ModelDemand,
-        shelf::{Idle, RunnerShelf, ShelfTable},
+        shelf::{Idle, RunnerShelf, ShelfTable, holds},
     },
     roster::HeldModel,
     runner::OrderKind,
@@ -184,6 +184,7 @@
     ) -> Option<(u64, &str, ModelName)> {
         let held = self.holders(name).flat_map(|shelf| {
             let held = held_adapters(&shelf.models);
+            let held = held.filter(|name| !shelf.going.contains(name));
             held.map(|held| (self.loss(&held), shelf.facts.id.as_str(), held))
         });
         held.filter(|(.., name)| !self.is_fresh(name)).min()
@@ -232,13 +233,6 @@
     }
 }
 
-fn holds(models: &[HeldModel], name: &ModelName) -> bool {
-    let Some(adapter) = &name.adapter else { return true };
-    models
-        .iter()
-        .any(|held| held.name == name.model && held.adapters.contains(adapter))
-}
-
 fn adapter_count(models: &[HeldModel]) -> usize {
     models.iter().map(|held| held.adapters.len()).sum()
 }
--- a/crates/celerylead/src/placement/fleet.rs
+++ b/crates/celerylead/src/placement/fleet.rs
@@ -3,8 +3,8 @@
 use crate::{
     catalog::{EngineTraits, ServiceTraits},
     placement::{
-        AdapterNeeds, ModelDemand, ModelNeed, PlacementPlan, PlanBalance,
-        RunnerRoom, next_plan,
+        ModelDemand, ModelNeed, PlacementPlan, PlanPace, RunnerRoom,
+        next_plan,
         shelf::{Idle, RunnerShelf, ShelfTable},
     },
     roster::HeldModel,
@@ -12,12 +12,12 @@
     sorted::SortedTable,
 };
 
-/// Changes of the plan in one turn.
+/// Copies that one turn may add to the plan.
 const CHANGES: usize = 2;
 /// Part of a runner's memory for tokens that is asked for in a second from
-/// which it counts as busy. Calls last about two seconds, so its memory is
-/// filled to a quarter then.
-const BUSY_SHARE: f64 = 1.0 / 8.0;
+/// which a model takes the place of another's copy. Calls last about two
+/// seconds, so a copy at this demand is filled to an eighth.
+const SWAP_SHARE: f64 = 1.0 / 16.0;
 
 /// The plans of all services.
 #[derive(Clone, Debug, Default)]
@@ -79,15 +79,11 @@
             })
             .collect();
         let plan = self.services.entry(name.to_owned(), Default::default);
-        *plan = next_plan(plan, &rooms, &needs, 0);
-        let busy = engine.token_capacity as f64 * BUSY_SHARE;
-        let adapters = adapter_needs(engine, demand);
-        let balance = PlanBalance::new(&rooms, &needs, &adapters, busy);
-        for _ in 0..CHANGES {
-            if !balance.improve(plan) {
-                break;
-            }
-        }
+        let pace = PlanPace {
+            changes: CHANGES,
+            swap_demand: engine.token_capacity as f64 * SWAP_SHARE,
+        };
+        *plan = next_plan(plan, &rooms, &needs, pace);
         Some(ServicePlan { plan, engine, service: name })
     }
 }
@@ -165,17 +161,6 @@
     }
 }
 
-/// Counts the adapters in demand by model.
-fn adapter_needs(engine: &EngineTraits, demand: &ModelDemand) -> AdapterNeeds {
-    let mut asked = SortedTable::default();
-    for text in demand.keys() {
-        if let Some((model, _)) = text.split_once(':') {
-            *asked.entry(model.to_owned(), || 0) += 1;
-        }
-    }
-    AdapterNeeds { places: engine.adapter_places, asked }
-}
-
 /// Memory kept free for adapters: all places, at the largest size.
 fn adapter_reserve(engine: &EngineTraits) -> f64 {
     let sizes = engine.models.iter().filter(|model| 0 < model.adapters);
--- a/crates/celerylead/src/placement/mod.rs
+++ b/crates/celerylead/src/placement/mod.rs
@@ -16,13 +16,11 @@
 //!
 //! Behind an adapter one host plans for all zones and gives all orders. A
 //! [`RunnerShelf`] is what it knows of a runner and of the order under way
-//! there, a [`FleetPlan`] what it wants
-//! (evened out by [`PlanBalance`]), an [`AdapterBook`] which adapters
+//! there, a [`FleetPlan`] what it wants, an [`AdapterBook`] which adapters
 //! are missing, and a [`LoadAllowance`] bounds the loads from the weight
 //! store over all runners.
 
 mod adapters;
-mod balance;
 mod demand;
 mod fleet;
 mod loads;
@@ -35,12 +33,11 @@
 
 pub use self::{
     adapters::{AdapterBook, AdapterStep},
-    balance::{AdapterNeeds, PlanBalance},
     demand::{DemandMeter, ModelDemand},
     fleet::{FleetPlan, ModelStep, ServicePlan},
     loads::LoadAllowance,
     order::{OrderDraft, OwnedRunner},
-    plan::{ModelNeed, PlacementPlan, RunnerRoom, next_plan},
+    plan::{ModelNeed, PlacementPlan, PlanPace, RunnerRoom, next_plan},
     shelf::{
         Doubtful, Idle, OrderStep, Ordered, RunnerShelf, ShelfTable, Unread,
     },
--- a/crates/celerylead/src/placement/plan.rs
+++ b/crates/celerylead/src/placement/plan.rs
@@ -11,6 +11,25 @@
 /// second.
 const COPY_DEMAND: f64 = 1.0;
 
+/// How fast a plan follows demand.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct PlanPace {
+    /// Copies that one turn may add, besides those that keep models
+    /// reachable.
+    pub changes: usize,
+    /// Demand for each copy from which a model takes the place of another's
+    /// copy, in tokens a second.
+    pub swap_demand: f64,
+}
+
+impl PlanPace {
+    /// Makes a pace of so many copies a turn, for any demand.
+    pub fn of_changes(changes: usize) -> PlanPace {
+        PlanPace { changes, swap_demand: COPY_DEMAND }
+    }
+}
+
 /// Models that should be resident on each runner of a zone.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -47,15 +66,14 @@
     pub elsewhere: bool,
 }
 
-/// Returns the plan that follows `current`, with at most `changes` copies
-/// more, besides those that keep models reachable. `needs` are sorted by
+/// Returns the plan that follows `current` at a pace. `needs` are sorted by
 /// name.
 ///
 /// # Examples
 ///
 /// ```
 /// use celerylead::placement::{
-///     ModelNeed, PlacementPlan, RunnerRoom, next_plan,
+///     ModelNeed, PlacementPlan, PlanPace, RunnerRoom, next_plan,
 /// };
 ///
 /// let room = RunnerRoom {
@@ -71,25 +89,27 @@
 ///     demand: 0,
 ///     elsewhere: false,
 /// };
-/// let plan = next_plan(&PlacementPlan::default(), &[room], &[need], 1);
+/// let pace = PlanPace::of_changes(1);
+/// let plan = next_plan(&PlacementPlan::default(), &[room], &[need], pace);
 /// assert_eq!(plan.targets.get("r-1").unwrap(), &["outline"]);
 /// ```
 pub fn next_plan(
     current: &PlacementPlan,
     rooms: &[RunnerRoom],
     needs: &[ModelNeed],
-    changes: usize,
+    pace: PlanPace,
 ) -> PlacementPlan {
     let mut draft = PlanDraft {
         rooms,
         needs,
+        swap_demand: pace.swap_demand,
         plan: PlacementPlan::default(),
         copies: SortedTable::default(),
         used: SortedTable::default(),
     };
     draft.carry_over(current);
     draft.reach_all();
-    for _ in 0..changes {
+    for _ in 0..pace.changes {
         if !draft.add_copy() && !draft.swap_copy() {
             break;
         }
@@ -100,6 +120,7 @@
 struct PlanDraft<'a> {
     rooms: &'a [RunnerRoom],
     needs: &'a [ModelNeed],
+    swap_demand: f64,
     plan: PlacementPlan,
     /// Copies planned by model, and memory planned by runner in MB: counted
     /// along, since they are asked for far more often than they change.
@@ -175,7 +196,7 @@
         });
         let Some(hot) = hottest else { return false };
         let limit = self.demand_per_copy(hot) / SWAP_FACTOR;
-        if self.demand_per_copy(hot) < COPY_DEMAND {
+        if self.demand_per_copy(hot) < self.swap_demand {
             return false;
         }
         let mut best: Option<(f64, String, String)> = None;
--- a/crates/celerylead/src/placement/shelf.rs
+++ b/crates/celerylead/src/placement/shelf.rs
@@ -10,6 +10,7 @@
 
 use crate::{
     clock::EpochMillis,
+    model::ModelName,
     port::{EngineReport, OrderVerdict, PlacementOrder},
     roster::{HeldModel, RunnerFacts},
     runner::OrderKind,
@@ -39,8 +40,8 @@
 /// State: takes an order.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Idle {
-    /// Orders that it has accepted.
-    orders: u64,
+    /// Point at which its report is to be read, where something is going.
+    look_at: Option<EpochMillis>,
 }
 
 /// State: hosts are told not to use what an order will unload.
@@ -74,12 +75,22 @@
     pub facts: RunnerFacts,
     /// Models and adapters that it holds.
     pub models: Vec<HeldModel>,
+    /// Adapters among them that go once no run uses them.
+    pub going: Vec<ModelName>,
+    /// Orders that it has surely accepted.
+    known: u64,
     state: S,
 }
 
 impl<S> RunnerShelf<S> {
     fn into_state<T>(self, state: T) -> RunnerShelf<T> {
-        RunnerShelf { facts: self.facts, models: self.models, state }
+        RunnerShelf {
+            facts: self.facts,
+            models: self.models,
+            going: self.going,
+            known: self.known,
+            state,
+        }
     }
 
     fn unread(self, read_at: EpochMillis) -> RunnerShelf<Unread> {
@@ -92,23 +103,34 @@
         RunnerShelf {
             models: facts.models.clone(),
             facts: facts.clone(),
+            going: Vec::new(),
+            known: 0,
             state: Unread { read_at },
         }
     }
 
-    fn read(mut self, report: EngineReport) -> RunnerShelf<Idle> {
+    /// Takes over a report that isn't older than what is known.
+    fn read(
+        mut self,
+        report: EngineReport,
+        now: EpochMillis,
+    ) -> RunnerShelf<Idle> {
         self.models = report.models;
         for (model, adapter) in report.incoming {
             note_adapter(&mut self.models, &model, &adapter);
         }
-        self.into_state(Idle { orders: report.orders })
+        let models = &self.models;
+        self.going.retain(|name| holds(models, name));
+        self.known = report.orders;
+        let look_at = (!self.going.is_empty()).then(|| now.after(LOOK_AGAIN));
+        self.into_state(Idle { look_at })
     }
 }
 
 impl RunnerShelf<Idle> {
     /// Returns the number of orders that the runner has accepted.
     pub fn orders(&self) -> u64 {
-        self.state.orders
+        self.known
     }
 
     fn order(self, order: PlacementOrder) -> RunnerShelf<Ordered> {
@@ -142,8 +164,26 @@
     fn done(mut self, accepted: bool) -> RunnerShelf<Idle> {
         let order = self.state.order.clone();
         note_order(&mut self.models, &order);
-        let orders = order.expected + u64::from(accepted);
-        self.into_state(Idle { orders })
+        self.counted(accepted)
+    }
+
+    /// Takes an unload for accepted that waits for the runs of its adapter.
+    fn waits(mut self, now: EpochMillis) -> RunnerShelf<Idle> {
+        let order = &self.state.order;
+        self.going.push(ModelName {
+            model: order.model.clone(),
+            adapter: order.adapter.clone(),
+        });
+        let mut shelf = self.counted(true);
+        shelf.state.look_at = Some(now.after(LOOK_AGAIN));
+        shelf
+    }
+
+    fn counted(mut self, accepted: bool) -> RunnerShelf<Idle> {
+        self.known = self.state.order.expected + u64::from(accepted);
+        // Something may still be going: its turn comes with the next look.
+        let look_at = (!self.going.is_empty()).then(EpochMillis::default);
+        self.into_state(Idle { look_at })
     }
 }
 
@@ -162,6 +202,20 @@
     }
 }
 
+fn drop_adapter(models: &mut [HeldModel], name: &ModelName) {
+    for held in models.iter_mut().filter(|held| held.name == name.model) {
+        held.adapters.retain(|held| Some(held) != name.adapter.as_ref());
+    }
+}
+
+/// Tells whether an adapter is among what is held.
+pub(super) fn holds(models: &[HeldModel], name: &ModelName) -> bool {
+    let Some(adapter) = &name.adapter else { return true };
+    models
+        .iter()
+        .any(|held| held.name == name.model && held.adapters.contains(adapter))
+}
+
 fn note_order(models: &mut Vec<HeldModel>, order: &PlacementOrder) {
     match (order.kind, &order.adapter) {
         (OrderKind::Load, Some(adapter)) => {
@@ -173,12 +227,12 @@
                 models.push(HeldModel { name, adapters: Vec::new() });
             }
         }
-        (OrderKind::Unload, Some(adapter)) => {
-            for held in models.iter_mut() {
-                if held.name == order.model {
-                    held.adapters.retain(|name| name != adapter);
-                }
-            }
+        (OrderKind::Unload, Some(_)) => {
+            let name = ModelName {
+                model: order.model.clone(),
+                adapter: order.adapter.clone(),
+            };
+            drop_adapter(models, &name);
         }
         (OrderKind::Unload, None) => {
             models.retain(|held| held.name != order.model);
@@ -281,8 +335,13 @@
     pub fn usable(
         &self,
     ) -> impl Iterator<Item = (&RunnerFacts, Vec<HeldModel>)> {
-        let idle = self.idle.values();
-        let idle = idle.map(|shelf| (&shelf.facts, shelf.models.clone()));
+        let idle = self.idle.values().map(|shelf| {
+            let mut models = shelf.models.clone();
+            for name in &shelf.going {
+                drop_adapter(&mut models, name);
+            }
+            (&shelf.facts, models)
+        });
         let under_way = self.under_way().map(|(facts, models, order)| {
             let mut models = models.to_vec();
             if order.kind == OrderKind::Unload {
@@ -337,6 +396,19 @@
     /// returned once, until its end is told.
     pub fn due(&mut self, now: EpochMillis) -> Vec<OrderStep> {
         let mut steps = Vec::new();
+        let look: Vec<String> = self
+            .idle
+            .iter()
+            .filter(|(_, shelf)| {
+                shelf.state.look_at.is_some_and(|at| at <= now)
+            })
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in look {
+            if let Some(shelf) = self.idle.remove(&id) {
+                self.unread.insert(id, shelf.unread(now));
+            }
+        }
         for (_, shelf) in self.unread.iter_mut() {
             if shelf.state.read_at <= now {
                 // Put off until its answer, or its loss, is told.
@@ -413,8 +485,9 @@
     ) {
         let Some(shelf) = self.unread.remove(id) else { return };
         match report {
-            Some(report) if !report.busy => {
-                self.idle.insert(id.to_owned(), shelf.read(report));
+            // Reports lag: one that lacks an order is older than it.
+            Some(report) if !report.busy && shelf.known <= report.orders => {
+                self.idle.insert(id.to_owned(), shelf.read(report, now));
             }
             _ => {
                 let shelf = shelf.unread(now.after(LOOK_AGAIN));
@@ -449,8 +522,7 @@
             {
                 // It is still in use: its place counts until a report says
                 // that it is gone.
-                let shelf = shelf.unread(now.after(LOOK_AGAIN));
-                self.unread.insert(id, shelf);
+                self.idle.insert(id, shelf.waits(now));
             }
             Some(OrderVerdict::Accepted) => {
                 let wait = match order.adapter {
--- a/crates/celerylead/src/placement/tests.rs
+++ b/crates/celerylead/src/placement/tests.rs
@@ -1,6 +1,6 @@
 mod shelf;
 
-use super::{ModelNeed, PlacementPlan, RunnerRoom, next_plan};
+use super::{ModelNeed, PlacementPlan, PlanPace, RunnerRoom, next_plan};
 
 struct PlanCase {
     name: &'static str,
@@ -99,7 +99,7 @@
             .collect();
         let mut plan = PlacementPlan::default();
         for _ in 0..case.turns {
-            plan = next_plan(&plan, &rooms, &needs, 1);
+            plan = next_plan(&plan, &rooms, &needs, PlanPace::of_changes(1));
         }
         let planned: Vec<Vec<String>> =
             plan.targets.values().cloned().collect();
--- a/crates/celerylead/src/tasks/owner.rs
+++ b/crates/celerylead/src/tasks/owner.rs
@@ -24,7 +24,8 @@
     customer::share::ZoneLeases,
     membership::{HeldLease, HostLease, best_host},
     placement::{
-        OrderDraft, OwnedRunner, PlacementPlan, RunnerRoom, next_plan,
+        OrderDraft, OwnedRunner, PlacementPlan, PlanPace, RunnerRoom,
+        next_plan,
     },
     platform::{
         CommitAsk, PLACEMENT_PREFIX, ReadAsk, TableClient, host_key,
@@ -459,7 +460,8 @@
         let rooms = self.rooms(view, now);
         let needs = needs(view)?;
         let loads = usize::try_from(view.tree.defaults.loads_at_once)?;
-        let plan = next_plan(view.plan, &rooms, &needs, loads);
+        let plan =
+            next_plan(view.plan, &rooms, &needs, PlanPace::of_changes(loads));
         if plan == *view.plan {
             return Ok(());
         }
