Take over the level of a rate from other hosts, remove rows of gone hosts

Ruled out: the rates themselves (1.8 times the demand). Change: digests tell levels; a bucket that hears none in 800 ms is filled to a half; a row goes after 30 s of silence, by a host that hears others.

--- a/crates/celerylead/src/customer/fleet.rs
+++ b/crates/celerylead/src/customer/fleet.rs
@@ -11,8 +11,9 @@
 //! is heard again, what it spent beyond its booked share is booked too; a
 //! share that it didn't use stays lost.
 //!
-//! A bucket starts empty: hosts that were restarted together can't spend a
-//! second burst.
+//! A bucket starts empty and takes over the level that the first host tells.
+//! Where nobody tells one, all hosts were started together; it is then filled
+//! to a half, as what was spent before isn't known.
 
 use std::time::Duration;
 
@@ -24,6 +25,10 @@
 /// tellings may be lost.
 const SILENCE: Duration = Duration::from_millis(700);
 
+/// Time after which a new bucket that no host told a level of is filled to a
+/// half; two tellings across zones.
+const LONE: Duration = Duration::from_millis(800);
+
 /// What a host has told of its spending for a customer.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -43,6 +48,9 @@
     /// Units that may be spent; below zero after others spent.
     level: f64,
     refilled: EpochMillis,
+    /// Point from which a level that nobody told is assumed; none once the
+    /// level is known.
+    assume_at: Option<EpochMillis>,
     /// Units that this host spent since its start.
     spent: i64,
     told: SortedTable<String, ToldTotal>,
@@ -55,6 +63,7 @@
             rate,
             level: 0.0,
             refilled: now,
+            assume_at: Some(now.after(LONE)),
             spent: 0,
             told: SortedTable::default(),
         }
@@ -104,8 +113,20 @@
         self.spent -= cost as i64;
     }
 
-    /// Books the total that another host told.
-    pub fn told(&mut self, host: &str, incarnation: u64, total: i64) {
+    /// Books the total that another host told, and takes over its level
+    /// where this host knows none.
+    pub fn told(
+        &mut self,
+        host: &str,
+        incarnation: u64,
+        total: i64,
+        level: Option<i64>,
+    ) {
+        if let Some(level) = level
+            && self.assume_at.take().is_some()
+        {
+            self.level = level as f64;
+        }
         let fresh = ToldTotal { incarnation, total, assumed: 0.0 };
         let Some(last) = self.told.get_mut(host) else {
             // What it spent before it was first heard is in its own past.
@@ -125,7 +146,16 @@
         self.level as i64
     }
 
+    /// Returns the level for other hosts, once it is known.
+    pub fn known_level(&self) -> Option<i64> {
+        self.assume_at.is_none().then_some(self.level as i64)
+    }
+
     fn refill(&mut self, hosts: &HostHearing, now: EpochMillis) {
+        if self.assume_at.is_some_and(|at| at <= now) {
+            self.assume_at = None;
+            self.level = self.level.max(self.rate.burst as f64 / 2.0);
+        }
         let seconds = self.refilled.until(now).as_secs_f64();
         if seconds <= 0.0 {
             return;
--- a/crates/celerylead/src/customer/tests/fleet.rs
+++ b/crates/celerylead/src/customer/tests/fleet.rs
@@ -31,12 +31,22 @@
         Case {
             name: "starts empty and fills up to the burst",
             steps: &[
+                (0, Step::Told(1, 0)),
                 (0, Step::Take(1, false)),
                 (100, Step::Told(1, 0)),
                 (500, Step::Take(500, true)),
                 (500, Step::Take(1, false)),
             ],
         },
+        Case {
+            name: "a level that nobody tells is assumed",
+            steps: &[
+                (0, Step::Take(1, false)),
+                (799, Step::Take(401, false)),
+                (800, Step::Take(1_000, true)),
+                (800, Step::Take(1, false)),
+            ],
+        },
         Case {
             name: "what another host spent is owed",
             steps: &[
@@ -122,7 +132,8 @@
                 }
                 Step::Back(cost) => bucket.give_back(*cost),
                 Step::Told(incarnation, total) => {
-                    bucket.told("other", *incarnation, *total);
+                    let level = Some(0);
+                    bucket.told("other", *incarnation, *total, level);
                     hearing.heard("other", now);
                 }
                 Step::Resize(per_second, burst) => {
--- a/crates/celerylead/src/membership/digest.rs
+++ b/crates/celerylead/src/membership/digest.rs
@@ -29,6 +29,8 @@
     pub customer: String,
     /// Units since the start of the host's process.
     pub total: i64,
+    /// What may still be spent, as far as the host knows.
+    pub level: Option<i64>,
 }
 
 /// What a host tells the others.
--- a/crates/celerylead/src/tasks/node/desk.rs
+++ b/crates/celerylead/src/tasks/node/desk.rs
@@ -459,14 +459,15 @@
         }
         for spent in &digest.spent {
             if let Some(bucket) = self.rates.get_mut(&spent.customer) {
-                bucket.told(&digest.host, digest.incarnation, spent.total);
+                let SpentTotal { total, level, .. } = *spent;
+                let incarnation = digest.incarnation;
+                bucket.told(&digest.host, incarnation, total, level);
             }
         }
     }
 
     fn digest(&mut self, now: EpochMillis) -> HostDigest {
         let loads = self.table.views().filter(|view| 0 < view.calls);
-        let spent = self.rates.iter().filter(|(_, b)| b.spent() != 0);
         HostDigest {
             loads: loads
                 .map(|view| RunnerLoad {
@@ -475,10 +476,13 @@
                     tokens: view.tokens,
                 })
                 .collect(),
-            spent: spent
+            spent: self
+                .rates
+                .iter()
                 .map(|(customer, bucket)| SpentTotal {
                     customer: customer.clone(),
                     total: bucket.spent(),
+                    level: bucket.known_level(),
                 })
                 .collect(),
             demand: self.demand.highest(MOST_DEMANDS, now),
--- a/crates/celerylead/src/tasks/node/herald.rs
+++ b/crates/celerylead/src/tasks/node/herald.rs
@@ -32,6 +32,10 @@
 const READ_PERIOD: Duration = Duration::from_millis(10_000);
 /// The same while it was never read, or this host's row is missing.
 const RETRY_PERIOD: Duration = Duration::from_millis(700);
+/// Silence after which a host's row is removed, by a host that hears others.
+const GONE_AFTER: Duration = Duration::from_millis(30_000);
+/// Time within which a host counts as one that is heard.
+const HEARD_WITHIN: Duration = Duration::from_millis(2_000);
 /// Largest datagram; digests are a few hundred bytes.
 const MAX_DATAGRAM_BYTES: usize = 16 << 10;
 
@@ -95,6 +99,10 @@
 struct KnownHost {
     zone: String,
     address: SocketAddr,
+    /// Version of its row.
+    version: u64,
+    /// Point at which it was heard last, or first known.
+    heard_at: Instant,
 }
 
 struct HeraldTask {
@@ -134,7 +142,7 @@
     async fn run(
         mut self,
         mut inbox: mpsc::Receiver<HeraldEvent>,
-        mut rows: mpsc::Receiver<Vec<HostRow>>,
+        mut rows: mpsc::Receiver<Vec<(HostRow, u64)>>,
     ) {
         let mut period = tokio::time::interval(TELL_PERIOD);
         period.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -234,6 +242,9 @@
         };
         match message {
             HostMessage::Digest(digest) => {
+                if let Some(host) = self.hosts.get_mut(&digest.host) {
+                    host.heard_at = Instant::now();
+                }
                 let _ = self.placer.try_send(Heard::Digest(digest.clone()));
                 let at = self.setup.clock.now();
                 let digest = Box::new(digest);
@@ -255,9 +266,9 @@
         }
     }
 
-    async fn adopt(&mut self, rows: Vec<HostRow>) {
+    async fn adopt(&mut self, rows: Vec<(HostRow, u64)>) {
         let mut hosts = SortedTable::default();
-        for row in rows {
+        for (row, version) in rows {
             if row.host == self.setup.row.host {
                 continue;
             }
@@ -275,7 +286,12 @@
                 let event = DeskEvent::Expect(row.host.clone());
                 let _ = self.desk.sender.send(event).await;
             }
-            hosts.insert(row.host, KnownHost { zone: row.zone, address });
+            let known = self.hosts.get(&row.host);
+            let heard_at =
+                known.map_or_else(Instant::now, |host| host.heard_at);
+            let zone = row.zone;
+            let host = KnownHost { zone, address, version, heard_at };
+            hosts.insert(row.host, host);
         }
         for host in self.hosts.keys() {
             if hosts.get(host).is_none() {
@@ -285,12 +301,48 @@
             }
         }
         self.hosts = hosts;
+        self.remove_gone();
+    }
+
+    /// Removes the rows of hosts that were silent for long. A host that
+    /// lives writes its row again; one that hears nobody removes none, as it
+    /// is more likely the one that is cut off.
+    fn remove_gone(&self) {
+        let silent = |host: &KnownHost| host.heard_at.elapsed();
+        let hears = |host: &KnownHost| silent(host) < HEARD_WITHIN;
+        if !self.hosts.values().any(hears) {
+            return;
+        }
+        for (name, host) in self.hosts.iter() {
+            if silent(host) < GONE_AFTER {
+                continue;
+            }
+            tracing::info!(event = "host_removed", peer = name.as_str());
+            let put = RowPut {
+                row: RowKey { table: StoreTable::Hosts, key: name.clone() },
+                expected: host.version,
+                value: None,
+            };
+            let store = self.setup.store.clone();
+            crate::tasks::spawn(async move {
+                if let Err(fault) = store.write(put).await {
+                    tracing::info!(
+                        event = "store_failed",
+                        source = "hosts",
+                        error = %fault,
+                    );
+                }
+            });
+        }
     }
 }
 
 /// Reads the hosts' table at a slow pace, and writes this host's row where
 /// it is missing or of another process.
-async fn keep_row(setup: HeraldSetup, rows: mpsc::Sender<Vec<HostRow>>) {
+async fn keep_row(
+    setup: HeraldSetup,
+    rows: mpsc::Sender<Vec<(HostRow, u64)>>,
+) {
     loop {
         let due = match read_rows(&setup, &rows).await {
             Ok(true) => READ_PERIOD,
@@ -311,7 +363,7 @@
 /// Tells whether this host's row was in place.
 async fn read_rows(
     setup: &HeraldSetup,
-    rows: &mpsc::Sender<Vec<HostRow>>,
+    rows: &mpsc::Sender<Vec<(HostRow, u64)>>,
 ) -> anyhow::Result<bool> {
     let read = setup.store.read(StoreTable::Hosts).await;
     let reading = read.map_err(|fault| anyhow::anyhow!("{fault}"))?;
@@ -324,14 +376,14 @@
                 if host.host == setup.row.host {
                     version = row.version;
                 }
-                known.push(host);
+                known.push((host, row.version));
             }
             Err(error) => {
                 tracing::warn!(event = "host_unreadable", row = row.key, %error);
             }
         }
     }
-    let in_place = known.contains(&setup.row);
+    let in_place = known.iter().any(|(host, _)| *host == setup.row);
     let _ = rows.send(known).await;
     if !in_place {
         let key = setup.row.host.clone();
