Spare the ordering host: no turn for each digest; bound calls by links

Change: digests wait for the next turn; calls in flight at a runner stay below its connections; requests in flight are counted by a guard.

--- a/crates/celerylead/src/membership/tests/orders.rs
+++ b/crates/celerylead/src/membership/tests/orders.rs
@@ -13,14 +13,16 @@
     OrdersRow { holder: holder.to_owned(), incarnation, fencing }
 }
 
+/// Holder, process, number and version.
+type SeenRow = (&'static str, u64, u64, u64);
+
 /// Host `a` in its process 7 looks at the row.
 #[test]
 fn a_lease_is_taken_only_where_nobody_can_order_any_more() {
     struct Case {
         name: &'static str,
-        /// Points at which the row was read: holder, process, number and
-        /// version.
-        readings: &'static [(u64, Option<(&'static str, u64, u64, u64)>)],
+        /// Points at which the row was read, and what it was.
+        readings: &'static [(u64, Option<SeenRow>)],
         at: u64,
         /// Fencing number and expected version of the claim.
         claim: Option<(u64, u64)>,
--- a/crates/celerylead/src/placement/shelf.rs
+++ b/crates/celerylead/src/placement/shelf.rs
@@ -263,14 +263,10 @@
 impl ShelfTable {
     /// Takes over the roster. A runner that is gone, leaves, or started
     /// again is forgotten; a new one has to be read first.
-    pub fn adopt<'a>(
-        &mut self,
-        facts: impl Iterator<Item = &'a RunnerFacts> + Clone,
-        now: EpochMillis,
-    ) {
+    pub fn adopt(&mut self, facts: &[&RunnerFacts], now: EpochMillis) {
         let listed = |held: &RunnerFacts| {
             facts
-                .clone()
+                .iter()
                 .any(|facts| facts.is_same_start(held) && !facts.leaving)
         };
         self.unread.retain(|_, shelf| listed(&shelf.facts));
@@ -278,7 +274,7 @@
         self.clearing.retain(|_, shelf| listed(&shelf.facts));
         self.ordered.retain(|_, shelf| listed(&shelf.facts));
         self.doubtful.retain(|_, shelf| listed(&shelf.facts));
-        for facts in facts.clone().filter(|facts| !facts.leaving) {
+        for facts in facts.iter().filter(|facts| !facts.leaving) {
             self.note(facts, now);
         }
     }
@@ -305,7 +301,7 @@
     pub fn distrust(&mut self, now: EpochMillis) {
         let facts: Vec<RunnerFacts> = self.facts().cloned().collect();
         *self = ShelfTable::default();
-        self.adopt(facts.iter(), now);
+        self.adopt(&facts.iter().collect::<Vec<_>>(), now);
     }
 
     /// Iterates over the runners that take an order now.
--- a/crates/celerylead/src/placement/tests/shelf.rs
+++ b/crates/celerylead/src/placement/tests/shelf.rs
@@ -205,7 +205,7 @@
     ];
     for case in cases {
         let mut shelves = ShelfTable::default();
-        shelves.adopt([facts(1)].iter(), EpochMillis(0));
+        shelves.adopt(&[&facts(1)], EpochMillis(0));
         for (place, (at, step)) in case.steps.iter().enumerate() {
             let label = format!("{}: {place}", case.name);
             play(&mut shelves, step, EpochMillis(*at), &label);
@@ -254,7 +254,7 @@
             let takes = Duration::from_millis(100);
             shelves.answered(&order(4, "a1"), *verdict, takes, now);
         }
-        Step::Reborn => shelves.adopt([facts(2)].iter(), now),
+        Step::Reborn => shelves.adopt(&[&facts(2)], now),
         Step::Holds(adapters, idle) => {
             let held: Vec<String> = shelves
                 .usable()
@@ -340,7 +340,6 @@
             loaded: &[("a2", 9_301)],
             demand: &[("bend:a1", 50), ("bend:a2", 0)],
             step: Some((OrderKind::Unload, "a1")),
-            ..case
         },
         Case {
             name: "full of what was loaded just now",
@@ -395,7 +394,7 @@
     let now = EpochMillis(10_000);
     for case in cases {
         let mut shelves = ShelfTable::default();
-        shelves.adopt([facts(1)].iter(), EpochMillis(0));
+        shelves.adopt(&[&facts(1)], EpochMillis(0));
         shelves.due(EpochMillis(0));
         let mut report = report(0, false);
         for adapter in case.held {
--- a/crates/celerylead/src/relay/table.rs
+++ b/crates/celerylead/src/relay/table.rs
@@ -283,8 +283,10 @@
         Some(_) => ENGINE_QUEUE_SHARE,
         None => PLAIN_QUEUE_SHARE,
     };
+    let load = backend.load(now);
     let room = f64::from(backend.facts.slots) * (1.0 + share);
-    if room <= f64::from(backend.load(now)) {
+    let linked = service.is_some_and(|service| service.max_links <= load);
+    if linked || room <= f64::from(load) {
         return Err(PickFault::Full);
     }
     if let Some(engine) = engine
--- a/crates/celerylead/src/tasks/node/desk.rs
+++ b/crates/celerylead/src/tasks/node/desk.rs
@@ -44,7 +44,7 @@
 /// Models and adapters whose demand a host tells the others.
 const MOST_DEMANDS: usize = 48;
 /// Idle connections kept to one runner.
-const MAX_IDLE_LINKS: usize = 32;
+const MAX_IDLE_LINKS: usize = 8;
 
 /// The platform's allowance of further runs, of each service over all
 /// hosts.
--- a/crates/celerylead/src/tasks/node/gate.rs
+++ b/crates/celerylead/src/tasks/node/gate.rs
@@ -18,13 +18,11 @@
 };
 
 use super::{NodeContext, NodePhase, body::RelayBody, call};
-use crate::{port::EdgeCodec, wire::link};
+use crate::{metrics::HostMetrics, port::EdgeCodec, wire::link};
 
 /// How many times the configured idle time a connection is kept: callers
 /// follow a change of that time sooner than open connections do.
 const IDLE_FACTOR: u32 = 2;
-/// Largest head that is read at all; the configured bound lies below.
-const MAX_HEAD_BYTES: usize = 64 << 10;
 
 /// Accepts callers until the host ends, then waits until each has its
 /// answer.
@@ -74,7 +72,7 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
-        .max_header_size(MAX_HEAD_BYTES)
+        .max_header_size(limits.head_bytes)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let ended = tokio::select! {
@@ -95,12 +93,28 @@
     context: &NodeContext<C>,
     request: Request<Incoming>,
 ) -> Response<RelayBody> {
-    context.metrics.in_flight.inc();
+    let flight = InFlight::begin(&context.metrics);
     let mut response = call::answer(context, request).await;
-    context.metrics.in_flight.dec();
+    drop(flight);
     if *context.phase.borrow() != NodePhase::Serving {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
     response
 }
+
+/// Counts a request until its answer begins, or its caller goes away.
+struct InFlight<'a>(&'a HostMetrics);
+
+impl InFlight<'_> {
+    fn begin(metrics: &HostMetrics) -> InFlight<'_> {
+        metrics.in_flight.inc();
+        InFlight(metrics)
+    }
+}
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        self.0.in_flight.dec();
+    }
+}
--- a/crates/celerylead/src/tasks/node/placer.rs
+++ b/crates/celerylead/src/tasks/node/placer.rs
@@ -154,7 +154,8 @@
             let idle = !self.holding && Instant::now() < self.ask_at;
             tokio::select! {
                 heard = inbox.recv() => match heard {
-                    Some(heard) => self.hear(heard),
+                    Some(heard) if self.hear(&heard) => {}
+                    Some(_) => continue,
                     None => return,
                 },
                 Some(ended) = ends.recv() => self.end(ended),
@@ -165,26 +166,34 @@
         }
     }
 
-    fn hear(&mut self, heard: Heard) {
+    /// Takes something heard into account; tells whether a turn is due for
+    /// it before its time.
+    fn hear(&mut self, heard: &Heard) -> bool {
         let now = self.setup.clock.now();
         match heard {
             Heard::Digest(digest) => {
-                let row = (now, digest.demand);
-                self.demand.insert(digest.host, row);
+                let row = (now, digest.demand.clone());
+                self.demand.insert(digest.host.clone(), row);
+                false
+            }
+            Heard::Want(name) => {
+                self.book.want(name, now);
+                self.holding
             }
-            Heard::Want(name) => self.book.want(&name, now),
             Heard::Holder(row, version) => {
-                self.lease.read(Some(row), version, now);
+                self.lease.read(Some(row.clone()), *version, now);
                 self.ask_at = Instant::now() + HOLDER_SILENCE;
+                false
             }
             Heard::Released(fencing) => {
                 tracing::info!(event = "orders_released", fencing);
-                self.lease.released(fencing, now);
+                self.lease.released(*fencing, now);
                 // The hosts look at different points, so that one succeeds
                 // at its first claim.
                 let jitter = rand::random_range(0..CLAIM_JITTER_MS);
                 let jitter = Duration::from_millis(jitter);
                 self.ask_at = Instant::now() + self.setup.turns + jitter;
+                false
             }
         }
     }
@@ -213,7 +222,8 @@
             let service = catalog.service(&facts.service);
             service.is_some_and(|service| service.engine.is_some())
         });
-        self.shelves.adopt(engines, now);
+        let engines: Vec<&RunnerFacts> = engines.collect();
+        self.shelves.adopt(&engines, now);
         for step in self.shelves.due(now) {
             self.send(step);
         }
