Let the runner stand-in obey orders and tell the truth in its report

Cause: two host tests failed since hosts believe the ordering host over the roster: the stand-in reported no models whatever it held. Ruled out: the hosts, which did as told. Change: the stand-in checks the expected number, keeps adapters and reports its model; linter and doc links. Conclusion: the checks are unchanged.

--- a/crates/celerylead/src/tasks/node/mod.rs
+++ b/crates/celerylead/src/tasks/node/mod.rs
@@ -3,12 +3,12 @@
 //!
 //! | task | owns |
 //! |---|---|
-//! | [`gate`] | the callers' listener; a task for each connection |
-//! | [`desk`] | the relay table, the rates, idle connections to runners |
-//! | [`watcher`] | the positions in the store's feeds |
-//! | [`herald`] | the socket between hosts, what each host last told |
-//! | [`placer`] | the lease on orders, the plan, orders under way |
-//! | [`control`] | the sockets for readiness, metrics and snapshots |
+//! | `gate` | the callers' listener; a task for each connection |
+//! | `desk` | the relay table, the rates, idle connections to runners |
+//! | `watcher` | the positions in the store's feeds |
+//! | `herald` | the socket between hosts, what each host last told |
+//! | `placer` | the lease on orders, the plan, orders under way |
+//! | `control` | the sockets for readiness, metrics and snapshots |
 //!
 //! The newest catalog and roster are immutable values in watch channels, as
 //! every call reads them and only the watcher replaces them.
--- a/crates/stand-ins/src/raw_runner.rs
+++ b/crates/stand-ins/src/raw_runner.rs
@@ -5,6 +5,8 @@
 
 use std::time::Duration;
 
+use serde::Deserialize;
+use serde_json::json;
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{TcpListener, TcpStream},
@@ -16,6 +18,8 @@
 const EVENT_GAP: Duration = Duration::from_millis(15);
 /// Events of a stream.
 const EVENTS: u32 = 4;
+/// Name of the model that it holds.
+const MODEL: &str = "bend";
 
 /// How the runner behaves.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -72,10 +76,47 @@
     fault: RunnerFault,
     runs: Vec<SeenRequest>,
     orders: Vec<SeenRequest>,
+    /// Orders that it accepted.
+    accepted: u64,
+    /// Adapters that it holds, of its only model.
+    adapters: Vec<String>,
     /// Requests that were still running when their caller went away.
     abandoned: u32,
 }
 
+/// An order, as far as it is obeyed.
+#[derive(Deserialize)]
+struct Order {
+    operation: String,
+    adapter: Option<String>,
+    expected: u64,
+}
+
+impl RunnerState {
+    /// Carries an order out at once; returns the status of its answer.
+    fn obey(&mut self, order: Order) -> &'static str {
+        if order.expected != self.accepted {
+            return "409 Conflict";
+        }
+        self.accepted += 1;
+        let Some(adapter) = order.adapter else { return "202 Accepted" };
+        self.adapters.retain(|held| *held != adapter);
+        if order.operation == "load" {
+            self.adapters.push(adapter);
+            return "202 Accepted";
+        }
+        "200 OK"
+    }
+
+    fn report(&self) -> String {
+        let model = json!({
+            "name": MODEL, "version": 1, "adapters": self.adapters,
+        });
+        json!({"models": [model], "busy": false, "seq": self.accepted})
+            .to_string()
+    }
+}
+
 /// A runner, served at an address.
 #[derive(Clone)]
 pub struct RawRunner {
@@ -141,13 +182,13 @@
             if fault == RunnerFault::MuteOrders {
                 std::future::pending::<()>().await;
             }
-            write_plain(&mut stream, "202 Accepted", "", b"").await?;
+            let order: Order = serde_json::from_slice(&request.body)?;
+            let status = state.with(move |state| state.obey(order)).await;
+            write_plain(&mut stream, status, "", b"").await?;
             continue;
         }
         if request.line.starts_with("GET /-/report") {
-            let orders = state.with(|state| state.orders.len()).await;
-            let body =
-                format!("{{\"models\":[],\"busy\":false,\"seq\":{orders}}}");
+            let body = state.with(|state| state.report()).await;
             write_plain(&mut stream, "200 OK", "", body.as_bytes()).await?;
             continue;
         }
