--- a/crates/celerylead/src/relay/backend.rs
+++ b/crates/celerylead/src/relay/backend.rs
@@ -183,9 +183,7 @@
         }
         match end {
             CallEnd::Whole { pace_us } => {
-                let sample = pace_us as f64;
-                let mean = self.pace.entry(model.to_owned(), || sample);
-                *mean += PACE_WEIGHT * (sample - *mean);
+                self.learn_pace(model, pace_us);
                 self.failing -= FAILURE_WEIGHT * self.failing;
                 self.failures_in_row = 0;
                 self.set_aside = 0;
@@ -203,6 +201,13 @@
         }
     }
 
+    /// Takes a pace into the mean for a model.
+    pub(super) fn learn_pace(&mut self, model: &str, pace_us: u64) {
+        let sample = pace_us as f64;
+        let mean = self.pace.entry(model.to_owned(), || sample);
+        *mean += PACE_WEIGHT * (sample - *mean);
+    }
+
     fn put_aside(&mut self, now: EpochMillis) {
         if now < self.set_aside_until {
             // One of several calls that met the same fault.
--- a/crates/celerylead/src/relay/table.rs
+++ b/crates/celerylead/src/relay/table.rs
@@ -167,6 +167,13 @@
         }
     }
 
+    /// Takes the pace of a stream under way into account.
+    pub fn paced(&mut self, runner: &str, model: &str, pace_us: u64) {
+        if let Some(backend) = self.backends.get_mut(runner) {
+            backend.learn_pace(model, pace_us);
+        }
+    }
+
     /// Books the end of a call; `heard` tells whether the head of its answer
     /// was noted.
     pub fn done(
--- a/crates/celerylead/src/relay/tests.rs
+++ b/crates/celerylead/src/relay/tests.rs
@@ -369,3 +369,33 @@
         assert_eq!(found, case.found, "{}", case.name);
     }
 }
+
+#[test]
+fn a_runner_whose_streams_slow_down_is_chosen_less() {
+    struct Case {
+        name: &'static str,
+        /// Paces told of the first runner; the second one's is 100.
+        paces: &'static [u64],
+        found: &'static str,
+    }
+    let cases = [
+        Case { name: "faster", paces: &[80, 80], found: "a" },
+        Case { name: "as fast, then slow", paces: &[90, 800], found: "b" },
+        Case { name: "never heard of", paces: &[], found: "a" },
+    ];
+    for case in cases {
+        let facts = [
+            runner("a", "advisor", &["bend"]),
+            runner("b", "advisor", &["bend"]),
+        ];
+        let ask = ask("advisor", Some("bend"));
+        let mut table = RelayTable::new("boden");
+        table.adopt(facts.iter());
+        table.paced("b", "bend", 100);
+        for pace in case.paces {
+            table.paced("a", "bend", *pace);
+        }
+        let choice = table.pick(&ask, &catalog(), NOW).unwrap();
+        assert_eq!(choice.runner, case.found, "{}", case.name);
+    }
+}
--- a/crates/celerylead/src/tasks/node/body.rs
+++ b/crates/celerylead/src/tasks/node/body.rs
@@ -8,6 +8,7 @@
 use std::{
     pin::Pin,
     task::{Context, Poll},
+    time::Duration,
 };
 
 use bytes::Bytes;
@@ -18,6 +19,10 @@
 use super::{call::CallRecord, desk::RelaySlot};
 use crate::{port::HttpLink, relay::CallEnd};
 
+/// Events of a stream after which its pace so far is told to the desk: a
+/// runner that turned slow shows before its streams end.
+const PACE_EVENTS: u32 = 12;
+
 /// Body of an answer to a caller.
 pub(crate) enum RelayBody {
     /// All there at once.
@@ -35,6 +40,8 @@
     /// Point at which the caller is told that its time is up.
     deadline: Pin<Box<Sleep>>,
     started: Instant,
+    /// Point from which the latest events are counted.
+    paced_at: Instant,
     frames: u32,
 }
 
@@ -55,6 +62,7 @@
             record,
             deadline: Box::pin(tokio::time::sleep_until(deadline)),
             started: Instant::now(),
+            paced_at: Instant::now(),
             frames: 0,
         }
     }
@@ -82,6 +90,7 @@
                     // Trailers don't go on.
                     let Ok(bytes) = frame.into_data() else { continue };
                     self.frames += 1;
+                    self.tell_pace();
                     return Poll::Ready(Some(Ok(Frame::data(bytes))));
                 }
                 Some(Err(error)) => {
@@ -93,10 +102,21 @@
         }
     }
 
+    /// Tells the pace of the latest events, each time there are enough.
+    fn tell_pace(&mut self) {
+        if !self.frames.is_multiple_of(PACE_EVENTS) {
+            return;
+        }
+        let span = self.paced_at.elapsed() / PACE_EVENTS;
+        self.paced_at = Instant::now();
+        if let Some(slot) = &self.slot {
+            slot.paced(micros(span));
+        }
+    }
+
     /// The runner's answer ended by its own framing.
     fn end(&mut self) -> Poll<Option<Result<Frame<Bytes>, anyhow::Error>>> {
-        let span = self.started.elapsed() / self.frames.max(1);
-        let pace_us = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        let pace_us = micros(self.started.elapsed() / self.frames.max(1));
         if let Some(slot) = self.slot.take() {
             slot.finish(CallEnd::Whole { pace_us }, self.link.take());
         }
@@ -124,6 +144,10 @@
     }
 }
 
+fn micros(span: Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
+
 impl Drop for RelayStream {
     fn drop(&mut self) {
         if self.slot.is_some() {
--- a/crates/celerylead/src/tasks/node/call.rs
+++ b/crates/celerylead/src/tasks/node/call.rs
@@ -382,6 +382,8 @@
             Ok(response) => {
                 slot.heard();
                 self.record.first = Some(Instant::now());
+                let seconds = self.record.started.elapsed().as_secs_f64();
+                self.context.metrics.first_byte.observe(seconds);
                 self.judge(request, slot, link, response, sent_at).await
             }
             Err(SendFault::Unsent(proof, error)) => {
--- a/crates/celerylead/src/tasks/node/desk.rs
+++ b/crates/celerylead/src/tasks/node/desk.rs
@@ -62,6 +62,8 @@
     Route(RouteWait),
     /// The head of an answer came from a runner.
     Heard(String),
+    /// A stream that a runner works on has this pace, in microseconds.
+    Paced { runner: String, model: String, pace_us: u64 },
     /// What another host told.
     Told { digest: Box<HostDigest>, at: EpochMillis },
     /// A host exists.
@@ -131,6 +133,16 @@
         self.send(end, link);
     }
 
+    /// Tells the pace of a stream under way; a lost telling is made up for
+    /// by the next.
+    pub(crate) fn paced(&self, pace_us: u64) {
+        let _ = self.sender.try_send(DeskEvent::Paced {
+            runner: self.choice.runner.clone(),
+            model: self.choice.model.clone(),
+            pace_us,
+        });
+    }
+
     fn send(&mut self, end: CallEnd, link: Option<(HttpLink, Instant)>) {
         let Some(permit) = self.permit.take() else { return };
         let (choice, heard) = (self.choice.clone(), self.heard);
@@ -264,6 +276,9 @@
         match event {
             DeskEvent::Route(wait) => self.admit(wait, now),
             DeskEvent::Heard(runner) => self.table.heard(&runner, now),
+            DeskEvent::Paced { runner, model, pace_us } => {
+                self.table.paced(&runner, &model, pace_us);
+            }
             DeskEvent::Told { digest, at } => self.told(&digest, at),
             DeskEvent::Expect(host) => self.hearing.expect(&host),
             DeskEvent::Forget(host) => self.hearing.forget(&host),
