Believe no report that is older than an accepted order for a model

Ruled out: the lease (handed over in 3.2 s). Change: an accepted order counts as known before reports are read.

--- a/crates/celerylead/src/placement/shelf.rs
+++ b/crates/celerylead/src/placement/shelf.rs
@@ -521,6 +521,7 @@
                 self.idle.insert(id, shelf.waits(now));
             }
             Some(OrderVerdict::Accepted) => {
+                shelf.known = order.expected + 1;
                 let wait = match order.adapter {
                     Some(_) => ADAPTER_SETTLE,
                     None => takes + MODEL_SLACK,
--- a/crates/celerylead/src/placement/tests/shelf.rs
+++ b/crates/celerylead/src/placement/tests/shelf.rs
@@ -58,6 +58,8 @@
     Unload(&'static str),
     /// The model is to be unloaded.
     UnloadModel,
+    /// The order to unload it was accepted.
+    ModelUnloading,
     /// The order to unload it was accepted: it is in use.
     Unloading(&'static str),
     /// The report came, with this number of orders and this adapter.
@@ -190,6 +192,21 @@
                 (300, Step::Due(&["order  after 4"])),
             ],
         },
+        Case {
+            name: "a report from before an unload doesn't bring it back",
+            steps: &[
+                (0, Step::Due(&["report"])),
+                (0, Step::ReportedWith(4, "a1")),
+                (0, Step::UnloadModel),
+                (300, Step::Due(&["order  after 4"])),
+                (305, Step::ModelUnloading),
+                (455, Step::Due(&[])),
+                (456, Step::Due(&["report"])),
+                (460, Step::ReportedWith(4, "a1")),
+                (460, Step::Holds(&[], false)),
+                (860, Step::Due(&["report"])),
+            ],
+        },
         Case {
             name: "another start forgets the order",
             steps: &[
@@ -239,6 +256,13 @@
             let order = PlacementOrder { kind, adapter: None, ..order(4, "") };
             shelves.order(&order, now);
         }
+        Step::ModelUnloading => {
+            let kind = OrderKind::Unload;
+            let order = PlacementOrder { kind, adapter: None, ..order(4, "") };
+            let verdict = Some(OrderVerdict::Accepted);
+            let takes = Duration::from_millis(100);
+            shelves.answered(&order, verdict, takes, now);
+        }
         Step::Unloading(adapter) => {
             let kind = OrderKind::Unload;
             let order = PlacementOrder { kind, ..order(4, adapter) };
