Split the call from its tries and the placer from what it sends

Ruled out: nothing. Change: attempt, orders, intake, reply_body; SendFault::into_error in four places; a new rate assumes its level after 450 ms. Conclusion: none.

--- a/crates/celerylead/src/customer/fleet.rs
+++ b/crates/celerylead/src/customer/fleet.rs
@@ -26,8 +26,8 @@
 const SILENCE: Duration = Duration::from_millis(700);
 
 /// Time after which a new bucket that no host told a level of is filled to a
-/// half; two tellings across zones.
-const LONE: Duration = Duration::from_millis(800);
+/// half; a telling across zones takes 400 ms at most.
+const LONE: Duration = Duration::from_millis(450);
 
 /// What a host has told of its spending for a customer.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
--- a/crates/celerylead/src/tasks/call.rs
+++ b/crates/celerylead/src/tasks/call.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt as _, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::{
     HeaderMap, Method, Response, StatusCode,
     body::Incoming,
@@ -15,6 +15,7 @@
 use super::{
     context::{CallerIdentity, HostContext},
     exchange::{self, Errand, Exchange},
+    intake,
     runner::RunnerEvent,
     stream::{AnswerBody, AnswerStream, AnswerTally},
 };
@@ -184,23 +185,8 @@
     limit_kb: u64,
 ) -> Result<Bytes, Refusal> {
     let limit = usize::try_from(limit_kb.saturating_mul(1_024));
-    let body = Limited::new(body, limit.unwrap_or(usize::MAX)).collect();
     let deadline = Instant::now() + BODY_TIMEOUT;
-    match tokio::time::timeout_at(deadline, body).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            let message = format!("the body is larger than {limit_kb} KB");
-            Err(Refusal::not_run(RefusalCode::BodyTooLarge, &message))
-        }
-        Ok(Err(error)) => {
-            let message = format!("the body broke off: {error}");
-            Err(Refusal::not_run(RefusalCode::BadRequest, &message))
-        }
-        Err(_) => Err(Refusal::not_run(
-            RefusalCode::BodyTimeout,
-            "the body didn't come in time",
-        )),
-    }
+    intake::read_body(body, limit.unwrap_or(usize::MAX), deadline).await
 }
 
 /// Makes the answer that goes to the caller.
--- a/crates/celerylead/src/tasks/node/body.rs
+++ b/crates/celerylead/src/tasks/node/body.rs
@@ -11,25 +11,22 @@
     time::Duration,
 };
 
-use bytes::Bytes;
-use http_body_util::Full;
-use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::body::{Body as _, Frame, Incoming};
 use tokio::time::{Instant, Sleep};
 
 use super::{call::CallRecord, desk::RelaySlot};
-use crate::{port::HttpLink, relay::CallEnd};
+use crate::{
+    port::HttpLink,
+    relay::CallEnd,
+    tasks::reply_body::{FramePoll, FrameSource, ReplyBody},
+};
 
 /// Events of a stream after which its pace so far is told to the desk: a
 /// runner that turned slow shows before its streams end.
 const PACE_EVENTS: u32 = 12;
 
 /// Body of an answer to a caller.
-pub(crate) enum RelayBody {
-    /// All there at once.
-    Full(Full<Bytes>),
-    /// Passed on as it comes.
-    Stream(Box<RelayStream>),
-}
+pub(crate) type RelayBody = ReplyBody<RelayStream>;
 
 /// A runner's answer that is passed on as it comes.
 pub(crate) struct RelayStream {
@@ -67,41 +64,6 @@
         }
     }
 
-    fn poll_next(
-        &mut self,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, anyhow::Error>>> {
-        loop {
-            if self.slot.is_none() {
-                return Poll::Ready(None);
-            }
-            let frame = Pin::new(&mut self.upstream).poll_frame(context);
-            let frame = match frame {
-                Poll::Ready(frame) => frame,
-                Poll::Pending => {
-                    if self.deadline.as_mut().poll(context).is_pending() {
-                        return Poll::Pending;
-                    }
-                    return self.cut(CallEnd::Neutral, "deadline", None);
-                }
-            };
-            match frame {
-                Some(Ok(frame)) => {
-                    // Trailers don't go on.
-                    let Ok(bytes) = frame.into_data() else { continue };
-                    self.frames += 1;
-                    self.tell_pace();
-                    return Poll::Ready(Some(Ok(Frame::data(bytes))));
-                }
-                Some(Err(error)) => {
-                    let error = Some(error);
-                    return self.cut(CallEnd::Broken, "answer_cut", error);
-                }
-                None => return self.end(),
-            }
-        }
-    }
-
     /// Tells the pace of the latest events, each time there are enough.
     fn tell_pace(&mut self) {
         if !self.frames.is_multiple_of(PACE_EVENTS) {
@@ -115,7 +77,7 @@
     }
 
     /// The runner's answer ended by its own framing.
-    fn end(&mut self) -> Poll<Option<Result<Frame<Bytes>, anyhow::Error>>> {
+    fn end(&mut self) -> FramePoll {
         let pace_us = micros(self.started.elapsed() / self.frames.max(1));
         if let Some(slot) = self.slot.take() {
             slot.finish(CallEnd::Whole { pace_us }, self.link.take());
@@ -130,7 +92,7 @@
         end: CallEnd,
         code: &str,
         error: Option<hyper::Error>,
-    ) -> Poll<Option<Result<Frame<Bytes>, anyhow::Error>>> {
+    ) -> FramePoll {
         self.link = None;
         if let Some(slot) = self.slot.take() {
             slot.finish(end, None);
@@ -156,33 +118,40 @@
     }
 }
 
-impl Body for RelayBody {
-    type Data = Bytes;
-    type Error = anyhow::Error;
-
-    fn poll_frame(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, anyhow::Error>>> {
-        match self.get_mut() {
-            RelayBody::Full(body) => Pin::new(body)
-                .poll_frame(context)
-                .map_err(|never| match never {}),
-            RelayBody::Stream(stream) => stream.poll_next(context),
-        }
-    }
-
-    fn is_end_stream(&self) -> bool {
-        match self {
-            RelayBody::Full(body) => body.is_end_stream(),
-            RelayBody::Stream(stream) => stream.slot.is_none(),
+impl FrameSource for RelayStream {
+    fn poll_next(&mut self, context: &mut Context<'_>) -> FramePoll {
+        loop {
+            if self.slot.is_none() {
+                return Poll::Ready(None);
+            }
+            let frame = Pin::new(&mut self.upstream).poll_frame(context);
+            let frame = match frame {
+                Poll::Ready(frame) => frame,
+                Poll::Pending => {
+                    if self.deadline.as_mut().poll(context).is_pending() {
+                        return Poll::Pending;
+                    }
+                    return self.cut(CallEnd::Neutral, "deadline", None);
+                }
+            };
+            match frame {
+                Some(Ok(frame)) => {
+                    // Trailers don't go on.
+                    let Ok(bytes) = frame.into_data() else { continue };
+                    self.frames += 1;
+                    self.tell_pace();
+                    return Poll::Ready(Some(Ok(Frame::data(bytes))));
+                }
+                Some(Err(error)) => {
+                    let error = Some(error);
+                    return self.cut(CallEnd::Broken, "answer_cut", error);
+                }
+                None => return self.end(),
+            }
         }
     }
 
-    fn size_hint(&self) -> SizeHint {
-        match self {
-            RelayBody::Full(body) => body.size_hint(),
-            RelayBody::Stream(_) => SizeHint::default(),
-        }
+    fn is_ended(&self) -> bool {
+        self.slot.is_none()
     }
 }
--- a/crates/celerylead/src/tasks/node/control.rs
+++ b/crates/celerylead/src/tasks/node/control.rs
@@ -151,15 +151,10 @@
         .header(hyper::header::HOST, address)
         .body(Full::new(Bytes::new()))?;
     let mut link = HttpLink::open(address, deadline).await?;
-    let response = match link.send(request, deadline).await {
-        Ok(response) => response,
-        Err(SendFault::Unsent(_, error) | SendFault::InDoubt(error)) => {
-            return Err(error);
-        }
-        Err(SendFault::TimedOut) => {
-            anyhow::bail!("no snapshot of {address} in time")
-        }
-    };
+    let sent = link.send(request, deadline).await;
+    let response = sent
+        .map_err(SendFault::into_error)
+        .at(StepName::AwaitHead, address)?;
     if !response.status().is_success() {
         return Ok(None);
     }
--- a/crates/celerylead/src/tasks/node/mod.rs
+++ b/crates/celerylead/src/tasks/node/mod.rs
@@ -13,12 +13,14 @@
 //! The newest catalog and roster are immutable values in watch channels, as
 //! every call reads them and only the watcher replaces them.
 
+mod attempt;
 mod body;
 mod call;
 mod control;
 mod desk;
 mod gate;
 mod herald;
+mod orders;
 mod placer;
 mod run;
 mod watcher;
--- a/crates/celerylead/src/tasks/node/placer.rs
+++ b/crates/celerylead/src/tasks/node/placer.rs
@@ -6,8 +6,6 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt as _, Limited};
 use tokio::{
     sync::{mpsc, watch},
     time::{Instant, MissedTickBehavior},
@@ -16,22 +14,18 @@
 use super::{
     CatalogWatch, NodePhase, RosterWatch,
     herald::{Heard, HeraldPort},
+    orders::{self, LeaseEnd},
 };
 use crate::{
     catalog::{EngineTraits, ServiceCatalog},
     clock::{EpochMillis, HostClock},
-    membership::{
-        HostMessage, HostRow, LeaseClaim, OrdersLease, OrdersRow, RENEW_PERIOD,
-    },
+    membership::{HostMessage, HostRow, OrdersLease, RENEW_PERIOD},
     model::ModelName,
     placement::{
         AdapterBook, FleetPlan, LoadAllowance, ModelDemand, OrderStep,
         ShelfTable,
     },
-    port::{
-        EdgeCodec, EngineReport, HttpLink, OrderVerdict, PlacementOrder,
-        RowChange, RowKey, RowPut, SendFault, StorePort, StoreTable,
-    },
+    port::{EdgeCodec, EngineReport, OrderVerdict, PlacementOrder, StorePort},
     roster::{HeldModel, RunnerFacts},
     runner::OrderKind,
     sorted::SortedTable,
@@ -56,14 +50,8 @@
 const CLAIM_JITTER_MS: u64 = 400;
 /// Time between two readings of the row.
 const READ_PERIOD: Duration = Duration::from_millis(1_000);
-/// Longest wait for an answer of a runner to an order or for a report.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
 /// Age from which a host's digest says nothing of demand.
 const DEMAND_AGE: Duration = Duration::from_millis(2_000);
-/// Largest report of a runner.
-const MAX_REPORT_BYTES: usize = 1 << 20;
-/// Key of the lease's row.
-const LEASE_KEY: &str = "placement";
 
 /// What the task is started with.
 pub(crate) struct PlacerSetup<C> {
@@ -83,12 +71,7 @@
 enum Ended {
     Order(PlacementOrder, Option<OrderVerdict>),
     Report(String, Option<EngineReport>),
-    /// The lease's row was read.
-    Read(Option<OrdersRow>, u64),
-    /// The lease's row was written, or not.
-    Claimed(LeaseClaim, Option<u64>),
-    /// The store didn't answer.
-    StoreFailed,
+    Lease(LeaseEnd),
 }
 
 struct PlacerTask<C> {
@@ -261,10 +244,10 @@
         let ended = self.ended.clone();
         crate::tasks::spawn(async move {
             let end = match claim {
-                Some(claim) => write_claim(&store, claim).await,
-                None => read_lease(&store).await,
+                Some(claim) => orders::write_claim(&store, claim).await,
+                None => orders::read_lease(&store).await,
             };
-            let _ = ended.send(end).await;
+            let _ = ended.send(Ended::Lease(end)).await;
         });
     }
 
@@ -272,15 +255,21 @@
         let now = self.setup.clock.now();
         match ended {
             Ended::Order(order, verdict) => {
-                log_order(&order, verdict);
+                orders::log_order(&order, verdict);
                 let takes = self.model_time(&order);
                 self.shelves.answered(&order, verdict, takes, now);
             }
             Ended::Report(runner, report) => {
                 self.shelves.reported(&runner, report, now);
             }
-            Ended::Read(row, version) => {
-                self.asking = false;
+            Ended::Lease(end) => self.lease_ended(end, now),
+        }
+    }
+
+    fn lease_ended(&mut self, end: LeaseEnd, now: EpochMillis) {
+        self.asking = false;
+        match end {
+            LeaseEnd::Read(row, version) => {
                 self.lease.read(row, version, now);
                 let row = &self.setup.row;
                 let (host, turns) = (&row.host, self.setup.turns);
@@ -290,8 +279,7 @@
                     self.ask_at = Instant::now();
                 }
             }
-            Ended::Claimed(claim, version) => {
-                self.asking = false;
+            LeaseEnd::Claimed(claim, version) => {
                 self.ask_at = Instant::now() + RENEW_PERIOD;
                 match version {
                     Some(version) => {
@@ -302,10 +290,7 @@
                     None => self.lease.in_doubt(),
                 }
             }
-            Ended::StoreFailed => {
-                self.asking = false;
-                self.lease.in_doubt();
-            }
+            LeaseEnd::StoreFailed => self.lease.in_doubt(),
         }
     }
 
@@ -434,7 +419,7 @@
         crate::tasks::spawn(async move {
             let end = match step {
                 OrderStep::Report(facts) => {
-                    let report = fetch_report(&codec, &facts).await;
+                    let report = orders::fetch_report(&codec, &facts).await;
                     let report = report.inspect_err(|error| {
                         tracing::info!(
                             event = "report_failed",
@@ -446,7 +431,8 @@
                 }
                 OrderStep::Send(facts, order) => {
                     let may = || lease.fencing(clock.now()).is_some();
-                    let sent = send_order(&codec, &facts, &order, may).await;
+                    let sent =
+                        orders::send_order(&codec, &facts, &order, may).await;
                     let verdict = sent.inspect_err(|error| {
                         tracing::info!(
                             event = "order_failed",
@@ -492,101 +478,3 @@
     }
     names
 }
-
-fn log_order(order: &PlacementOrder, verdict: Option<OrderVerdict>) {
-    tracing::info!(
-        event = "order_ended",
-        runner = order.runner,
-        kind = ?order.kind,
-        model = order.model,
-        adapter = order.adapter,
-        expected = order.expected,
-        fencing = order.fencing,
-        verdict = ?verdict,
-    );
-}
-
-async fn read_lease(store: &StorePort) -> Ended {
-    let reading = match store.read(StoreTable::Leases).await {
-        Ok(reading) => reading,
-        Err(fault) => {
-            tracing::info!(event = "store_failed", source = "lease", error = %fault);
-            return Ended::StoreFailed;
-        }
-    };
-    let row = reading.rows.iter().find_map(|row| match row {
-        RowChange::Written(row) if row.key == LEASE_KEY => Some(row),
-        _ => None,
-    });
-    let Some(row) = row else { return Ended::Read(None, 0) };
-    match serde_json::from_slice(&row.value) {
-        Ok(held) => Ended::Read(Some(held), row.version),
-        Err(error) => {
-            tracing::warn!(event = "lease_unreadable", %error);
-            Ended::StoreFailed
-        }
-    }
-}
-
-async fn write_claim(store: &StorePort, claim: LeaseClaim) -> Ended {
-    let value = match serde_json::to_vec(&claim.row) {
-        Ok(value) => value,
-        Err(error) => {
-            tracing::error!(event = "lease_unwritable", %error);
-            return Ended::StoreFailed;
-        }
-    };
-    let put = RowPut {
-        row: RowKey { table: StoreTable::Leases, key: LEASE_KEY.to_owned() },
-        expected: claim.expected,
-        value: Some(Bytes::from(value)),
-    };
-    match store.write(put).await {
-        Ok(version) => Ended::Claimed(claim, version),
-        Err(fault) => {
-            tracing::info!(event = "store_failed", source = "lease", error = %fault);
-            Ended::StoreFailed
-        }
-    }
-}
-
-async fn send_order<C: EdgeCodec>(
-    codec: &C,
-    facts: &RunnerFacts,
-    order: &PlacementOrder,
-    may: impl Fn() -> bool,
-) -> anyhow::Result<OrderVerdict> {
-    let request = codec.order(order, &facts.address)?;
-    let deadline = Instant::now() + ORDER_TIMEOUT;
-    let mut link = HttpLink::open(&facts.address, deadline).await?;
-    if !may() {
-        anyhow::bail!("the lease on orders ran out before the order was sent");
-    }
-    let response = answer_of(link.send(request, deadline).await)?;
-    let (head, _) = response.into_parts();
-    Ok(codec.judge_order(&head))
-}
-
-async fn fetch_report<C: EdgeCodec>(
-    codec: &C,
-    facts: &RunnerFacts,
-) -> anyhow::Result<EngineReport> {
-    let request = codec.ask_report(&facts.id, &facts.address)?;
-    let deadline = Instant::now() + ORDER_TIMEOUT;
-    let mut link = HttpLink::open(&facts.address, deadline).await?;
-    let response = answer_of(link.send(request, deadline).await)?;
-    if !response.status().is_success() {
-        anyhow::bail!("the report has status {}", response.status());
-    }
-    let body = Limited::new(response.into_body(), MAX_REPORT_BYTES);
-    let body = tokio::time::timeout_at(deadline, body.collect()).await?;
-    let body = body.map_err(|error| anyhow::anyhow!("{error}"))?;
-    codec.read_report(&body.to_bytes())
-}
-
-fn answer_of<T>(sent: Result<T, SendFault>) -> anyhow::Result<T> {
-    sent.map_err(|fault| match fault {
-        SendFault::Unsent(_, error) | SendFault::InDoubt(error) => error,
-        SendFault::TimedOut => anyhow::anyhow!("no answer in time"),
-    })
-}
--- a/crates/celerylead/src/tasks/runner.rs
+++ b/crates/celerylead/src/tasks/runner.rs
@@ -180,15 +180,9 @@
         .header(header::HOST, peer)
         .body(Full::new(Bytes::new()))?;
     let mut link = HttpLink::open(peer, deadline).await?;
-    let response = match link.send(request, deadline).await {
-        Ok(response) => response,
-        Err(SendFault::Unsent(_, error) | SendFault::InDoubt(error)) => {
-            return Err(error);
-        }
-        Err(SendFault::TimedOut) => {
-            anyhow::bail!("no report of {peer} in time")
-        }
-    };
+    let sent = link.send(request, deadline).await;
+    let response =
+        sent.map_err(SendFault::into_error).at(StepName::AwaitHead, peer)?;
     if !response.status().is_success() {
         anyhow::bail!("report of {peer} has status {}", response.status());
     }
--- a/crates/celerylead/src/tasks/stream.rs
+++ b/crates/celerylead/src/tasks/stream.rs
@@ -12,13 +12,13 @@
 };
 
 use bytes::Bytes;
-use http_body_util::Full;
-use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::body::{Body as _, Frame, Incoming};
 use tokio::time::{Instant, Sleep};
 
 use super::{
     context::{HostContext, KeyWatch},
     dispatch::RouteSlot,
+    reply_body::{FramePoll, FrameSource, ReplyBody},
     runner::RunnerEvent,
     shares::TokenCharge,
     usage::UsageSlot,
@@ -134,12 +134,7 @@
 }
 
 /// Body of an answer to a caller.
-pub(crate) enum AnswerBody {
-    /// All there at once.
-    Full(Full<Bytes>),
-    /// Passed on as it comes.
-    Stream(Box<AnswerStream>),
-}
+pub(crate) type AnswerBody = ReplyBody<AnswerStream>;
 
 /// A runner's answer that is passed on as it comes.
 pub(crate) struct AnswerStream {
@@ -181,73 +176,6 @@
         }
     }
 
-    fn poll_next(
-        &mut self,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, anyhow::Error>>> {
-        loop {
-            if self.ended {
-                return Poll::Ready(None);
-            }
-            if self.key.as_mut().is_some_and(KeyWatch::newly_withdrawn) {
-                let result = RunResult::Neutral;
-                return self.cut(
-                    RefusalCode::KeyWithdrawn,
-                    "the key was withdrawn",
-                    result,
-                );
-            }
-            let frame = Pin::new(&mut self.upstream).poll_frame(context);
-            let frame = match frame {
-                Poll::Pending => {
-                    if !self.poll_idle(context) {
-                        return Poll::Pending;
-                    }
-                    return self.cut(
-                        RefusalCode::RunnerTimeout,
-                        "the answer paused for too long",
-                        RunResult::Failed,
-                    );
-                }
-                Poll::Ready(frame) => frame,
-            };
-            let bytes = match frame {
-                Some(Ok(frame)) => match frame.into_data() {
-                    Ok(bytes) => bytes,
-                    // Trailers don't go on.
-                    Err(_) => continue,
-                },
-                Some(Err(error)) => {
-                    let message = format!("the answer broke off: {error}");
-                    return self.cut(
-                        RefusalCode::AnswerCut,
-                        &message,
-                        RunResult::Failed,
-                    );
-                }
-                None => return self.end(),
-            };
-            self.idle_deadline = Instant::now() + self.idle_timeout;
-            let Some(scanner) = &mut self.scanner else {
-                return Poll::Ready(Some(Ok(Frame::data(bytes))));
-            };
-            match scanner.push(&bytes) {
-                Ok(passed) if passed.is_empty() => {}
-                Ok(passed) => {
-                    return Poll::Ready(Some(Ok(Frame::data(passed))));
-                }
-                Err(error) => {
-                    let message = error.to_string();
-                    return self.cut(
-                        RefusalCode::AnswerCut,
-                        &message,
-                        RunResult::Failed,
-                    );
-                }
-            }
-        }
-    }
-
     /// Tells whether the answer has paused for too long.
     fn poll_idle(&mut self, context: &mut Context<'_>) -> bool {
         while self.idle.as_mut().poll(context).is_ready() {
@@ -260,7 +188,7 @@
     }
 
     /// The runner's answer ended by its own framing.
-    fn end(&mut self) -> Poll<Option<Result<Frame<Bytes>, anyhow::Error>>> {
+    fn end(&mut self) -> FramePoll {
         let whole = self.scanner.as_ref().is_none_or(|scan| scan.whole);
         if !whole {
             return self.cut(
@@ -286,7 +214,7 @@
         code: RefusalCode,
         message: &str,
         result: RunResult,
-    ) -> Poll<Option<Result<Frame<Bytes>, anyhow::Error>>> {
+    ) -> FramePoll {
         self.ended = true;
         self.link = None;
         let seen = self.scanner.as_ref().map(|scan| scan.tokens);
@@ -315,33 +243,72 @@
     }
 }
 
-impl Body for AnswerBody {
-    type Data = Bytes;
-    type Error = anyhow::Error;
-
-    fn poll_frame(
-        self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, anyhow::Error>>> {
-        match self.get_mut() {
-            AnswerBody::Full(body) => Pin::new(body)
-                .poll_frame(context)
-                .map_err(|never| match never {}),
-            AnswerBody::Stream(stream) => stream.poll_next(context),
-        }
-    }
-
-    fn is_end_stream(&self) -> bool {
-        match self {
-            AnswerBody::Full(body) => body.is_end_stream(),
-            AnswerBody::Stream(stream) => stream.ended,
+impl FrameSource for AnswerStream {
+    fn poll_next(&mut self, context: &mut Context<'_>) -> FramePoll {
+        loop {
+            if self.ended {
+                return Poll::Ready(None);
+            }
+            if self.key.as_mut().is_some_and(KeyWatch::newly_withdrawn) {
+                let result = RunResult::Neutral;
+                return self.cut(
+                    RefusalCode::KeyWithdrawn,
+                    "the key was withdrawn",
+                    result,
+                );
+            }
+            let frame = Pin::new(&mut self.upstream).poll_frame(context);
+            let frame = match frame {
+                Poll::Pending => {
+                    if !self.poll_idle(context) {
+                        return Poll::Pending;
+                    }
+                    return self.cut(
+                        RefusalCode::RunnerTimeout,
+                        "the answer paused for too long",
+                        RunResult::Failed,
+                    );
+                }
+                Poll::Ready(frame) => frame,
+            };
+            let bytes = match frame {
+                Some(Ok(frame)) => match frame.into_data() {
+                    Ok(bytes) => bytes,
+                    // Trailers don't go on.
+                    Err(_) => continue,
+                },
+                Some(Err(error)) => {
+                    let message = format!("the answer broke off: {error}");
+                    return self.cut(
+                        RefusalCode::AnswerCut,
+                        &message,
+                        RunResult::Failed,
+                    );
+                }
+                None => return self.end(),
+            };
+            self.idle_deadline = Instant::now() + self.idle_timeout;
+            let Some(scanner) = &mut self.scanner else {
+                return Poll::Ready(Some(Ok(Frame::data(bytes))));
+            };
+            match scanner.push(&bytes) {
+                Ok(passed) if passed.is_empty() => {}
+                Ok(passed) => {
+                    return Poll::Ready(Some(Ok(Frame::data(passed))));
+                }
+                Err(error) => {
+                    let message = error.to_string();
+                    return self.cut(
+                        RefusalCode::AnswerCut,
+                        &message,
+                        RunResult::Failed,
+                    );
+                }
+            }
         }
     }
 
-    fn size_hint(&self) -> SizeHint {
-        match self {
-            AnswerBody::Full(body) => body.size_hint(),
-            AnswerBody::Stream(_) => SizeHint::default(),
-        }
+    fn is_ended(&self) -> bool {
+        self.ended
     }
 }
--- a/crates/celerylead/src/wire/link.rs
+++ b/crates/celerylead/src/wire/link.rs
@@ -59,6 +59,17 @@
     TimedOut,
 }
 
+impl SendFault {
+    /// Returns the error, where it doesn't matter whether bytes were
+    /// written.
+    pub fn into_error(self) -> anyhow::Error {
+        match self {
+            SendFault::Unsent(_, error) | SendFault::InDoubt(error) => error,
+            SendFault::TimedOut => anyhow::anyhow!("no answer in time"),
+        }
+    }
+}
+
 impl HttpLink {
     /// Connects to `peer` before `deadline`.
     ///
--- a/crates/celerylead/src/wire/table.rs
+++ b/crates/celerylead/src/wire/table.rs
@@ -242,11 +242,8 @@
         .header(header::CONTENT_TYPE, "application/json")
         .body(Full::new(Bytes::from(body)))?;
     let mut link = HttpLink::open(peer, deadline).await?;
-    let response =
-        link.send(request, deadline).await.map_err(|fault| match fault {
-            SendFault::Unsent(_, error) | SendFault::InDoubt(error) => error,
-            SendFault::TimedOut => anyhow::anyhow!("no answer in time"),
-        })?;
+    let sent = link.send(request, deadline).await;
+    let response = sent.map_err(SendFault::into_error)?;
     let status = response.status();
     let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
     let bytes = tokio::time::timeout_at(deadline, body.collect())
