Write an order only under the right that stands then; give up only own numbers

Cause: an order looked at a copy of the lease made before it connected, so it could go out up to 0.8 s after its host had said that it stops, and the next host counts the span of turns from that word. Found while testing it: a host that was paused and lost the lease meanwhile announced the number in the row, the new holder's, as given up; a third host could have taken the lease from a holder that still orders.

Ruled out: waiting out the order's timeout after each handover; it keeps models where they are 0.8 s longer at each restart.

Change: the placer shares the right to order, and an order asks it just before it is written; after the word the margin for a lost packet is waited for, too. A host gives up only the number it held, once.

Before/after: the tables of cases fail on the lease as it was (given up twice, another's number).

--- a/crates/celerylead/src/membership/mod.rs
+++ b/crates/celerylead/src/membership/mod.rs
@@ -24,6 +24,6 @@
 pub use self::{
     digest::{HostDigest, HostMessage, HostRow, RunnerLoad, SpentTotal},
     lease::{HeldLease, HostLease, HostTag, LeasePhase, MAX_PAUSE},
-    orders::{LeaseClaim, OrdersLease, OrdersRow, RENEW_PERIOD},
+    orders::{LeaseClaim, OrderRight, OrdersLease, OrdersRow, RENEW_PERIOD},
     rendezvous::{best_host, rank},
 };
--- a/crates/celerylead/src/membership/orders.rs
+++ b/crates/celerylead/src/membership/orders.rs
@@ -5,8 +5,10 @@
 //! the moment *before* the write was sent. Another host takes the lease only
 //! after it has seen no renewal for the lease's span, a margin for slow
 //! answers, and the span in which orders of two hosts would count as taking
-//! turns. A holder that stops says so, and then only that last span is left
-//! to wait for; it doesn't order again under the number it gave up. No clocks
+//! turns. A holder that stops says so, and then only the margin and that last
+//! span are left to wait for; it doesn't order again under the number it gave
+//! up. An order that waits for its connection asks for the right once more
+//! just before it is written, as the right may have ended meanwhile. No clocks
 //! are compared: each host counts by its own.
 
 use std::time::Duration;
@@ -19,7 +21,8 @@
 pub const RENEW_PERIOD: Duration = Duration::from_millis(1_000);
 /// Time after the start of a renewal for which its holder may order.
 const HOLD: Duration = Duration::from_millis(2_200);
-/// Margin for an order that was written at the end of the hold.
+/// Margin for an order that was written at the end of the right to order:
+/// a lost packet is sent again after some 200 ms.
 const SEND_MARGIN: Duration = Duration::from_millis(300);
 
 /// Row of the lease.
@@ -42,13 +45,29 @@
     version: u64,
     /// Point at which this version was first seen.
     seen_at: EpochMillis,
-    /// Point until which this host may order.
-    held_until: EpochMillis,
     read: bool,
-    /// Point at which the holder of this number said that it stops.
-    released: Option<(u64, EpochMillis)>,
+    /// What this host last held and didn't give up; it may have ended.
+    held: Option<OrderRight>,
     /// Number that this host gave up.
     given_up: u64,
+    /// Point at which the holder of this number said that it stops.
+    released: Option<(u64, EpochMillis)>,
+}
+
+/// The right to order under one number.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct OrderRight {
+    /// Fencing number; 0 without a right.
+    fencing: u64,
+    /// Point until which it holds.
+    until: EpochMillis,
+}
+
+impl OrderRight {
+    /// Tells whether an order under this number may be written now.
+    pub fn allows(self, fencing: u64, now: EpochMillis) -> bool {
+        self.fencing == fencing && now < self.until
+    }
 }
 
 /// What a host should write.
@@ -76,6 +95,12 @@
         self.read = true;
         self.seen = row;
         self.version = version;
+        let seen = self.seen.as_ref().map(|row| row.fencing);
+        if let Some(held) = &mut self.held
+            && seen != Some(held.fencing)
+        {
+            held.until = EpochMillis::default();
+        }
     }
 
     /// Returns what this host should write now, if anything. `turns` is the
@@ -109,7 +134,9 @@
     /// Point from which another host's lease may be taken.
     fn free_at(&self, row: &OrdersRow, turns: Duration) -> EpochMillis {
         match self.released {
-            Some((fencing, at)) if fencing == row.fencing => at.after(turns),
+            Some((fencing, at)) if fencing == row.fencing => {
+                at.after(OrdersLease::handover(turns))
+            }
             _ => self.seen_at.after(HOLD + SEND_MARGIN + turns),
         }
     }
@@ -119,12 +146,13 @@
         self.released = Some((fencing, now));
     }
 
-    /// Stops ordering under the number held; returns it, where one was.
+    /// Stops ordering under the number held; returns it, where one was. The
+    /// row may bear another host's number by now, which isn't this host's to
+    /// give up.
     pub fn give_up(&mut self) -> Option<u64> {
-        let row = self.seen.as_ref()?;
-        self.held_until = EpochMillis::default();
-        self.given_up = row.fencing;
-        Some(row.fencing)
+        let held = self.held.take()?;
+        self.given_up = held.fencing;
+        Some(held.fencing)
     }
 
     /// Notes that a claim was written as `version`.
@@ -135,7 +163,9 @@
         now: EpochMillis,
     ) {
         self.read(Some(claim.row.clone()), version, now);
-        self.held_until = claim.since.after(HOLD);
+        let fencing = claim.row.fencing;
+        let until = claim.since.after(HOLD);
+        self.held = Some(OrderRight { fencing, until });
     }
 
     /// Notes that a claim failed or is in doubt: the row has to be read.
@@ -145,8 +175,19 @@
 
     /// Returns the fencing number while this host may order.
     pub fn fencing(&self, now: EpochMillis) -> Option<u64> {
-        let row = self.seen.as_ref()?;
-        (now < self.held_until).then_some(row.fencing)
+        let held = self.held.filter(|held| now < held.until)?;
+        Some(held.fencing)
+    }
+
+    /// Returns the right to order as it stands.
+    pub fn right(&self) -> OrderRight {
+        self.held.unwrap_or_default()
+    }
+
+    /// Returns the time from a holder's word that it stops until its lease
+    /// may be taken.
+    pub fn handover(turns: Duration) -> Duration {
+        SEND_MARGIN + turns
     }
 
     /// Returns the row as last read, with its version.
--- a/crates/celerylead/src/membership/tests/orders.rs
+++ b/crates/celerylead/src/membership/tests/orders.rs
@@ -111,7 +111,7 @@
 }
 
 #[test]
-fn a_lease_that_was_given_up_is_taken_after_the_span_of_turns() {
+fn a_lease_that_was_given_up_is_taken_after_margin_and_turns() {
     struct Case {
         name: &'static str,
         /// Number that was given up.
@@ -120,9 +120,9 @@
         claim: Option<u64>,
     }
     let cases = [
-        Case { name: "too soon", released: 4, at: 4_099, claim: None },
-        Case { name: "in time", released: 4, at: 4_100, claim: Some(5) },
-        Case { name: "an older number", released: 3, at: 4_100, claim: None },
+        Case { name: "too soon", released: 4, at: 4_399, claim: None },
+        Case { name: "in time", released: 4, at: 4_400, claim: Some(5) },
+        Case { name: "an older number", released: 3, at: 4_400, claim: None },
     ];
     for Case { name, released, at, claim } in cases {
         let mut lease = OrdersLease::default();
@@ -145,3 +145,115 @@
     let claim = lease.claim("a", 7, TURNS, EpochMillis(30)).unwrap();
     assert_eq!(claim.row.fencing, 2);
 }
+
+#[test]
+fn an_order_is_written_only_under_the_right_that_stands_then() {
+    struct Case {
+        name: &'static str,
+        /// Whether the holder gave its number up, or took a new one, while
+        /// the order waited for its connection.
+        gives_up: bool,
+        claims_again: bool,
+        /// Number of the order.
+        fencing: u64,
+        at: u64,
+        allowed: bool,
+    }
+    let case = Case {
+        name: "the right stands",
+        gives_up: false,
+        claims_again: false,
+        fencing: 1,
+        at: 800,
+        allowed: true,
+    };
+    let cases = [
+        Case { name: "the hold is over", at: 2_200, allowed: false, ..case },
+        Case { name: "given up", gives_up: true, allowed: false, ..case },
+        Case {
+            name: "held again, the order bears the old number",
+            gives_up: true,
+            claims_again: true,
+            allowed: false,
+            ..case
+        },
+        Case {
+            name: "held again, the order bears the new number",
+            gives_up: true,
+            claims_again: true,
+            fencing: 2,
+            ..case
+        },
+        case,
+    ];
+    for case in cases {
+        let mut lease = OrdersLease::default();
+        lease.read(None, 0, EpochMillis(0));
+        let claim = lease.claim("a", 7, TURNS, EpochMillis(0)).unwrap();
+        lease.claimed(&claim, 5, EpochMillis(10));
+        if case.gives_up {
+            lease.give_up();
+        }
+        if case.claims_again {
+            let claim = lease.claim("a", 7, TURNS, EpochMillis(100)).unwrap();
+            lease.claimed(&claim, 6, EpochMillis(110));
+        }
+        let allowed = lease.right().allows(case.fencing, EpochMillis(case.at));
+        assert_eq!(allowed, case.allowed, "{}", case.name);
+    }
+}
+
+/// Host `a` held number 1; while it was paused host `b` took number 2.
+#[test]
+fn a_host_gives_up_only_what_it_held() {
+    struct Case {
+        name: &'static str,
+        /// Point at which it learns of `b`'s row, if it does.
+        learns: Option<u64>,
+        at: u64,
+        fencing: Option<u64>,
+        given_up: Option<u64>,
+    }
+    let cases = [
+        Case {
+            name: "it holds",
+            learns: None,
+            at: 100,
+            fencing: Some(1),
+            given_up: Some(1),
+        },
+        Case {
+            name: "its hold is over, it knows of no other",
+            learns: None,
+            at: 9_000,
+            fencing: None,
+            given_up: Some(1),
+        },
+        Case {
+            name: "its hold is over and it knows of the other",
+            learns: Some(9_000),
+            at: 9_000,
+            fencing: None,
+            given_up: Some(1),
+        },
+        Case {
+            name: "it learns of the other within its own hold",
+            learns: Some(50),
+            at: 100,
+            fencing: None,
+            given_up: Some(1),
+        },
+    ];
+    for Case { name, learns, at, fencing, given_up } in cases {
+        let mut lease = OrdersLease::default();
+        lease.read(None, 0, EpochMillis(0));
+        let claim = lease.claim("a", 7, TURNS, EpochMillis(0)).unwrap();
+        lease.claimed(&claim, 5, EpochMillis(10));
+        if let Some(learns) = learns {
+            lease.read(Some(row("b", 1, 2)), 6, EpochMillis(learns));
+        }
+        assert_eq!(lease.fencing(EpochMillis(at)), fencing, "{name}");
+        assert_eq!(lease.give_up(), given_up, "{name}");
+        assert_eq!(lease.give_up(), None, "{name}: given up once");
+    }
+}
--- a/crates/celerylead/src/tasks/node/placer.rs
+++ b/crates/celerylead/src/tasks/node/placer.rs
@@ -1,8 +1,10 @@
 //! The task that gives orders to the runners, on the host that may.
 //!
 //! Every host runs it; one holds the lease on orders. The holder is heard by
-//! the others, as it tells them what runners hold; only when it falls silent do they read the lease's row. Orders and reports are sent by
-//! futures of their own, which tell the task how they ended.
+//! the others, as it tells them what runners hold; only when it falls silent
+//! do they read the lease's row. Orders and reports are sent by futures of
+//! their own, which tell the task how they ended and look at the right to
+//! order, as it then stands, before they write.
 
 use std::time::Duration;
 
@@ -19,7 +21,9 @@
 use crate::{
     catalog::{EngineTraits, ServiceCatalog},
     clock::{EpochMillis, HostClock},
-    membership::{HostMessage, HostRow, OrdersLease, RENEW_PERIOD},
+    membership::{
+        HostMessage, HostRow, OrderRight, OrdersLease, RENEW_PERIOD,
+    },
     model::ModelName,
     placement::{
         AdapterBook, FleetPlan, LoadAllowance, ModelDemand, OrderStep,
@@ -77,6 +81,8 @@
 struct PlacerTask<C> {
     setup: PlacerSetup<C>,
     lease: OrdersLease,
+    /// The right to order, as orders under way see it.
+    right: watch::Sender<OrderRight>,
     /// Whether a call of the store is under way.
     asking: bool,
     /// Point from which the store may be asked again.
@@ -106,6 +112,7 @@
     let jitter = Duration::from_millis(rand::random_range(0..400));
     let task = PlacerTask {
         lease: OrdersLease::default(),
+        right: watch::channel(OrderRight::default()).0,
         asking: false,
         ask_at: now + jitter,
         holding: false,
@@ -175,7 +182,8 @@
                 // at its first claim.
                 let jitter = rand::random_range(0..CLAIM_JITTER_MS);
                 let jitter = Duration::from_millis(jitter);
-                self.ask_at = Instant::now() + self.setup.turns + jitter;
+                let handover = OrdersLease::handover(self.setup.turns);
+                self.ask_at = Instant::now() + handover + jitter;
                 false
             }
         }
@@ -192,6 +200,7 @@
             }
             return;
         };
+        self.right.send_replace(self.lease.right());
         if !self.holding {
             self.holding = true;
             self.shelves.distrust(now);
@@ -219,6 +228,7 @@
     /// to lapse then.
     async fn give_up(&mut self) {
         let Some(fencing) = self.lease.give_up() else { return };
+        self.right.send_replace(self.lease.right());
         tracing::info!(event = "orders_lost", fencing);
         let message = HostMessage::Released { fencing };
         self.setup.herald.announce(message).await;
@@ -415,7 +425,7 @@
         let codec = self.setup.codec.clone();
         let ended = self.ended.clone();
         let clock = self.setup.clock.clone();
-        let lease = self.lease.clone();
+        let right = self.right.subscribe();
         crate::tasks::spawn(async move {
             let end = match step {
                 OrderStep::Report(facts) => {
@@ -430,7 +440,8 @@
                     Ended::Report(facts.id, report.ok())
                 }
                 OrderStep::Send(facts, order) => {
-                    let may = || lease.fencing(clock.now()).is_some();
+                    let fencing = order.fencing;
+                    let may = || right.borrow().allows(fencing, clock.now());
                     let sent =
                         orders::send_order(&codec, &facts, &order, may).await;
                     let verdict = sent.inspect_err(|error| {
