Let adapters and models give way before their unload is ordered

Cause: an unload of what calls still use is accepted and then waits for them, and until it is done the runner turns every other order away.

Change: hosts tell which adapters their calls use, and which models that give way; the placer keeps that as UseTable. What is to go is taken off the list for hosts first, hosts that still have calls there answer at once, and the unload goes out when none has. A call that waits for an adapter says so once in 150 ms, not at each look.

--- a/crates/celerylead/src/membership/digest.rs
+++ b/crates/celerylead/src/membership/digest.rs
@@ -19,6 +19,8 @@
     pub calls: u32,
     /// Tokens of these calls.
     pub tokens: u64,
+    /// Adapters that they use, and models among those that give way.
+    pub names: Vec<ModelName>,
 }
 
 /// What a host has spent of a customer's rate.
--- a/crates/celerylead/src/placement/adapters.rs
+++ b/crates/celerylead/src/placement/adapters.rs
@@ -6,19 +6,26 @@
 //! that nobody asked for yet of the models in demand. An adapter gives way
 //! only where another runner has it too, or it is asked for far less than
 //! the one that takes its place.
+//!
+//! An adapter that is to go gives way first: hosts send it no more calls, and
+//! it is unloaded when the last has ended. Those that no call uses go before
+//! all others.
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::{
     catalog::EngineTraits,
     clock::EpochMillis,
     model::ModelName,
     placement::{
         ModelDemand,
-        shelf::{Idle, RunnerShelf, ShelfTable, holds},
+        shelf::{Idle, RunnerShelf, holds},
+        shelves::ShelfTable,
+        uses::UseTable,
     },
     roster::HeldModel,
-    runner::OrderKind,
     sorted::SortedTable,
 };
 
@@ -38,13 +45,25 @@
     loaded: SortedTable<ModelName, EpochMillis>,
 }
 
+/// What is done for an adapter.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum AdapterMove {
+    /// It is loaded.
+    Load,
+    /// It is unloaded to make room.
+    Unload,
+    /// Hosts are told not to use it.
+    GiveWay,
+}
+
 /// What to do for an adapter.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AdapterStep {
     /// Identity of the runner.
     pub runner: String,
-    /// Load, or unload to make room.
-    pub kind: OrderKind,
+    /// What is done.
+    pub kind: AdapterMove,
     /// Model and adapter.
     pub name: ModelName,
 }
@@ -57,6 +76,7 @@
     /// Runners that have an adapter, or will.
     copies: SortedTable<ModelName, usize>,
     book: &'a AdapterBook,
+    uses: &'a UseTable,
     now: EpochMillis,
 }
 
@@ -79,9 +99,13 @@
         shelves: &ShelfTable,
         engine: &EngineTraits,
         demand: &ModelDemand,
+        uses: &UseTable,
         now: EpochMillis,
     ) -> Option<AdapterStep> {
-        let view = AdapterView::new(self, shelves, engine, demand, now);
+        let copies = count_copies(shelves);
+        let book = self;
+        let view =
+            AdapterView { shelves, engine, demand, copies, book, uses, now };
         let waited: Vec<ModelName> = self
             .wanted
             .iter()
@@ -97,7 +121,8 @@
             .iter()
             .chain(asked.clone())
             .find_map(|name| view.place(name))
-            .or_else(|| waited.iter().find_map(|name| view.make_way(name)))
+            .or_else(|| view.finish_yield())
+            .or_else(|| view.make_way(&waited))
             .or_else(|| {
                 asked.clone().find_map(|name| view.make_way_for_more(name))
             })
@@ -106,23 +131,18 @@
     }
 }
 
-impl<'a> AdapterView<'a> {
-    fn new(
-        book: &'a AdapterBook,
-        shelves: &'a ShelfTable,
-        engine: &'a EngineTraits,
-        demand: &'a ModelDemand,
-        now: EpochMillis,
-    ) -> AdapterView<'a> {
-        let mut copies = SortedTable::default();
-        for (_, models) in shelves.expected() {
-            for name in held_adapters(&models) {
-                *copies.entry(name, || 0) += 1;
-            }
+/// Runners that have each adapter, or will.
+fn count_copies(shelves: &ShelfTable) -> SortedTable<ModelName, usize> {
+    let mut copies = SortedTable::default();
+    for (_, models) in shelves.expected() {
+        for name in held_adapters(&models) {
+            *copies.entry(name, || 0) += 1;
         }
-        AdapterView { shelves, engine, demand, copies, book, now }
     }
+    copies
+}
 
+impl<'a> AdapterView<'a> {
     /// Adapters in demand, the highest first.
     fn asked(&self) -> Vec<(ModelName, u64)> {
         let mut asked: Vec<(ModelName, u64)> = self
@@ -155,39 +175,81 @@
             .min_by_key(|shelf| adapter_count(&shelf.models))?;
         Some(AdapterStep {
             runner: runner.facts.id.clone(),
-            kind: OrderKind::Load,
+            kind: AdapterMove::Load,
             name: name.clone(),
         })
     }
 
-    /// Unloads the adapter that is missed least, for one without a place.
-    fn make_way(&self, name: &ModelName) -> Option<AdapterStep> {
-        let (_, runner, given_up) = self.least_missed(name)?;
-        Some(AdapterStep {
-            runner: runner.to_owned(),
-            kind: OrderKind::Unload,
-            name: given_up,
+    /// Unloads an adapter that gave way, once no call uses it.
+    fn finish_yield(&self) -> Option<AdapterStep> {
+        self.shelves.idle().find_map(|shelf| {
+            let runner = shelf.facts.id.as_str();
+            let mut held = held_adapters(&shelf.models);
+            let name = held.find(|name| {
+                let used = self.is_used(runner, name);
+                shelf.is_clear(name, used, self.now)
+            })?;
+            let (runner, kind) = (runner.to_owned(), AdapterMove::Unload);
+            Some(AdapterStep { runner, kind, name })
+        })
+    }
+
+    /// Lets the adapter that is missed least give way for one that a call
+    /// waits for.
+    fn make_way(&self, waited: &[ModelName]) -> Option<AdapterStep> {
+        waited.iter().find_map(|name| {
+            let same = |other: &&ModelName| other.model == name.model;
+            let waiting = waited.iter().filter(same).count();
+            let yielding = self.holders(name).flat_map(yielding_adapters);
+            if waiting <= yielding.count() {
+                return None;
+            }
+            let (.., step) = self.least_missed(name)?;
+            Some(step)
         })
     }
 
-    /// The same, where the one without a place is asked for far more.
+    /// The same for one that is asked for far more, by one without calls.
     fn make_way_for_more(&self, name: &ModelName) -> Option<AdapterStep> {
-        let (loss, ..) = self.least_missed(name)?;
+        let yielding = self.holders(name).flat_map(yielding_adapters);
+        let (used, loss, step) = self.least_missed(name)?;
         let worth = loss * YIELD_FACTOR < self.rate(name);
-        worth.then(|| self.make_way(name)).flatten()
+        (!used && worth && yielding.count() == 0).then_some(step)
     }
 
-    /// The adapter at a holder of the model that would be missed least.
+    /// The adapter at a holder of the model that would be missed least:
+    /// whether it is in use, and the demand for it. One in use gives way only
+    /// where no other does, as its place serves nobody new until then.
     fn least_missed(
         &self,
         name: &ModelName,
-    ) -> Option<(u64, &str, ModelName)> {
-        let held = self.holders(name).flat_map(|shelf| {
-            let held = held_adapters(&shelf.models);
-            let held = held.filter(|name| !shelf.going.contains(name));
-            held.map(|held| (self.loss(&held), shelf.facts.id.as_str(), held))
+    ) -> Option<(bool, u64, AdapterStep)> {
+        let candidates = self.holders(name).flat_map(|shelf| {
+            let alone = yielding_adapters(shelf).next().is_none();
+            self.candidates_at(shelf).filter(move |(used, ..)| alone || !used)
         });
-        held.filter(|(.., name)| !self.is_fresh(name)).min()
+        let (used, loss, runner, name) = candidates.min()?;
+        let (runner, kind) = (runner.to_owned(), AdapterMove::GiveWay);
+        Some((used, loss, AdapterStep { runner, kind, name }))
+    }
+
+    /// Adapters that could give way at a runner, each with whether it is in
+    /// use and what would be missed.
+    fn candidates_at(
+        &self,
+        shelf: &'a RunnerShelf<Idle>,
+    ) -> impl Iterator<Item = (bool, u64, &'a str, ModelName)> {
+        let runner = shelf.facts.id.as_str();
+        held_adapters(&shelf.models)
+            .filter(|name| !shelf.yields(name) && !self.is_fresh(name))
+            .map(move |name| {
+                let used = self.is_used(runner, &name);
+                (used, self.loss(&name), runner, name)
+            })
+    }
+
+    fn is_used(&self, runner: &str, name: &ModelName) -> bool {
+        self.uses.uses(runner, name, self.now)
     }
 
     /// Tells whether an adapter was loaded just now.
@@ -226,13 +288,20 @@
         &self,
         name: &ModelName,
     ) -> impl Iterator<Item = &'a RunnerShelf<Idle>> {
-        let model = name.model.clone();
+        let model = ModelName { adapter: None, ..name.clone() };
         self.shelves.idle().filter(move |shelf| {
-            shelf.models.iter().any(|held| held.name == model)
+            holds(&shelf.models, &model) && !shelf.yields(&model)
         })
     }
 }
 
+/// Adapters that give way at a runner.
+fn yielding_adapters(
+    shelf: &RunnerShelf<Idle>,
+) -> impl Iterator<Item = ModelName> {
+    held_adapters(&shelf.models).filter(|name| shelf.yields(name))
+}
+
 fn adapter_count(models: &[HeldModel]) -> usize {
     models.iter().map(|held| held.adapters.len()).sum()
 }
--- a/crates/celerylead/src/placement/fleet.rs
+++ b/crates/celerylead/src/placement/fleet.rs
@@ -5,7 +5,8 @@
     placement::{
         ModelDemand, ModelNeed, PlacementPlan, PlanPace, RunnerRoom,
         next_plan,
-        shelf::{Idle, RunnerShelf, ShelfTable},
+        shelf::{Idle, RunnerShelf},
+        shelves::ShelfTable,
     },
     roster::HeldModel,
     runner::OrderKind,
@@ -99,6 +100,12 @@
             .collect()
     }
 
+    /// Tells whether a model belongs on a runner.
+    pub fn wants(&self, runner: &str, model: &str) -> bool {
+        let target = self.plan.targets.get(runner);
+        target.is_some_and(|models| models.iter().any(|m| m == model))
+    }
+
     fn step_at(
         &self,
         shelf: &RunnerShelf<Idle>,
--- a/crates/celerylead/src/placement/mod.rs
+++ b/crates/celerylead/src/placement/mod.rs
@@ -17,8 +17,8 @@
 //! Behind an adapter one host plans for all zones and gives all orders. A
 //! [`RunnerShelf`] is what it knows of a runner and of the order under way
 //! there, a [`FleetPlan`] what it wants, an [`AdapterBook`] which adapters
-//! are missing, and a [`LoadAllowance`] bounds the loads from the weight
-//! store over all runners.
+//! are missing, a [`UseTable`] what calls use, and a [`LoadAllowance`] bounds
+//! the loads from the weight store over all runners.
 
 mod adapters;
 mod demand;
@@ -27,18 +27,20 @@
 mod order;
 mod plan;
 mod shelf;
+mod shelves;
+mod uses;
 
 #[cfg(test)]
 mod tests;
 
 pub use self::{
-    adapters::{AdapterBook, AdapterStep},
+    adapters::{AdapterBook, AdapterMove, AdapterStep},
     demand::{DemandMeter, ModelDemand},
     fleet::{FleetPlan, ModelStep, ServicePlan},
     loads::LoadAllowance,
     order::{OrderDraft, OwnedRunner},
     plan::{ModelNeed, PlacementPlan, PlanPace, RunnerRoom, next_plan},
-    shelf::{
-        Doubtful, Idle, OrderStep, Ordered, RunnerShelf, ShelfTable, Unread,
-    },
+    shelf::{Doubtful, Idle, Ordered, RunnerShelf, Unread},
+    shelves::{OrderStep, ShelfTable},
+    uses::UseTable,
 };
--- a/crates/celerylead/src/placement/tests.rs
+++ b/crates/celerylead/src/placement/tests.rs
@@ -1,3 +1,4 @@
+mod adapters;
 mod shelf;
 
 use super::{ModelNeed, PlacementPlan, PlanPace, RunnerRoom, next_plan};
--- /dev/null
+++ b/crates/celerylead/src/placement/tests/adapters.rs
@@ -0,0 +1,218 @@
+//! Steps for adapters at one runner, as a table of cases.
+
+use super::shelf::{facts, report};
+use crate::{
+    EpochMillis,
+    catalog::{EngineModel, EngineTraits},
+    membership::RunnerLoad,
+    model::ModelName,
+    placement::{AdapterBook, AdapterMove, ModelDemand, ShelfTable, UseTable},
+};
+
+#[test]
+fn an_adapter_goes_where_there_is_a_place_or_one_is_made() {
+    struct Case {
+        name: &'static str,
+        /// Adapters that the runner holds.
+        held: &'static [&'static str],
+        /// Adapters that calls found nowhere, and when.
+        wanted: &'static [(&'static str, u64)],
+        /// Adapters that were loaded, and when.
+        loaded: &'static [(&'static str, u64)],
+        /// Adapters that calls use, and those that give way.
+        used: &'static [&'static str],
+        yielding: &'static [&'static str],
+        /// Demand, in tokens a second.
+        demand: &'static [(&'static str, u64)],
+        step: Option<(AdapterMove, &'static str)>,
+    }
+    let case = Case {
+        name: "",
+        held: &[],
+        wanted: &[],
+        loaded: &[],
+        used: &[],
+        yielding: &[],
+        demand: &[],
+        step: None,
+    };
+    let cases = [
+        Case { name: "nothing is asked for", ..case },
+        Case {
+            name: "what a call waits for",
+            wanted: &[("a3", 9_900)],
+            step: Some((AdapterMove::Load, "a3")),
+            ..case
+        },
+        Case {
+            name: "what a call waited for long ago",
+            wanted: &[("a3", 1_000)],
+            ..case
+        },
+        Case {
+            name: "the highest demand first",
+            demand: &[("bend", 90), ("bend:a1", 30), ("bend:a2", 60)],
+            step: Some((AdapterMove::Load, "a2")),
+            ..case
+        },
+        Case {
+            name: "a spare one of a model in demand",
+            held: &["a1"],
+            demand: &[("bend", 90)],
+            step: Some((AdapterMove::Load, "a2")),
+            ..case
+        },
+        Case {
+            name: "full: the one asked for least gives way",
+            held: &["a1", "a2"],
+            wanted: &[("a3", 9_900)],
+            demand: &[("bend:a1", 50), ("bend:a2", 0), ("bend:a3", 9)],
+            step: Some((AdapterMove::GiveWay, "a2")),
+            ..case
+        },
+        Case {
+            name: "full: what was loaded just now stays",
+            held: &["a1", "a2"],
+            wanted: &[("a3", 9_900)],
+            loaded: &[("a2", 9_301)],
+            demand: &[("bend:a1", 50), ("bend:a2", 0)],
+            step: Some((AdapterMove::GiveWay, "a1")),
+            ..case
+        },
+        Case {
+            name: "full of what was loaded just now",
+            held: &["a1", "a2"],
+            wanted: &[("a3", 9_900)],
+            loaded: &[("a1", 9_400), ("a2", 9_301)],
+            ..case
+        },
+        Case {
+            name: "loaded since it was asked for",
+            held: &["a1"],
+            wanted: &[("a3", 9_800)],
+            loaded: &[("a3", 9_900)],
+            ..case
+        },
+        Case {
+            name: "full, and asked for twice as much",
+            held: &["a1", "a2"],
+            demand: &[("bend:a1", 50), ("bend:a2", 45), ("bend:a3", 91)],
+            step: Some((AdapterMove::GiveWay, "a2")),
+            ..case
+        },
+        Case {
+            name: "full of what is asked for as much",
+            held: &["a1", "a2"],
+            demand: &[("bend:a1", 50), ("bend:a2", 50), ("bend:a3", 90)],
+            ..case
+        },
+        Case {
+            name: "full: one without calls goes before one with less demand",
+            held: &["a1", "a2"],
+            wanted: &[("a3", 9_900)],
+            used: &["a2"],
+            demand: &[("bend:a1", 50), ("bend:a2", 0)],
+            step: Some((AdapterMove::GiveWay, "a1")),
+            ..case
+        },
+        Case {
+            name: "full, and all in use: the one asked for least gives way",
+            held: &["a1", "a2"],
+            wanted: &[("a3", 9_900)],
+            used: &["a1", "a2"],
+            demand: &[("bend:a1", 50), ("bend:a2", 0)],
+            step: Some((AdapterMove::GiveWay, "a2")),
+            ..case
+        },
+        Case {
+            name: "one gives way already",
+            held: &["a1", "a2"],
+            wanted: &[("a3", 9_900)],
+            used: &["a1", "a2"],
+            yielding: &["a2"],
+            ..case
+        },
+        Case {
+            name: "one gave way and its last call has ended",
+            held: &["a1", "a2"],
+            wanted: &[("a3", 9_900)],
+            used: &["a1"],
+            yielding: &["a2"],
+            step: Some((AdapterMove::Unload, "a2")),
+            ..case
+        },
+        Case {
+            name: "in use: nothing gives way for what no call waits for",
+            held: &["a1", "a2"],
+            used: &["a1", "a2"],
+            demand: &[("bend:a1", 50), ("bend:a2", 45), ("bend:a3", 91)],
+            ..case
+        },
+        Case {
+            name: "full, and nobody asked",
+            held: &["a1", "a2"],
+            demand: &[("bend", 90)],
+            ..case
+        },
+    ];
+    let engine = EngineTraits {
+        batch: 4,
+        token_capacity: 100,
+        memory_mb: 100.0,
+        adapter_places: 2,
+        loads_per_second: 1.0,
+        models: vec![EngineModel {
+            name: "bend".to_owned(),
+            size_mb: 40.0,
+            load_ms: 10,
+            warm_ms: 10,
+            disk_ms: 10,
+            adapters: 3,
+            adapter_mb: 1.0,
+        }],
+    };
+    let now = EpochMillis(10_000);
+    for case in cases {
+        let mut shelves = ShelfTable::default();
+        shelves.adopt(&[&facts(1)], EpochMillis(0));
+        shelves.due(EpochMillis(0));
+        let mut report = report(0, false);
+        for adapter in case.held {
+            report.models[0].adapters.push((*adapter).to_owned());
+        }
+        shelves.reported("i-1", Some(report), EpochMillis(0));
+        let mut book = AdapterBook::default();
+        for (adapter, at) in case.wanted {
+            let name: ModelName = format!("bend:{adapter}").parse().unwrap();
+            book.want(&name, EpochMillis(*at));
+        }
+        for (adapter, at) in case.loaded {
+            let name: ModelName = format!("bend:{adapter}").parse().unwrap();
+            book.loaded(&name, EpochMillis(*at));
+        }
+        let demand = case.demand.iter();
+        let demand: ModelDemand =
+            demand.map(|(name, rate)| ((*name).to_owned(), *rate)).collect();
+        for adapter in case.yielding {
+            let name: ModelName = format!("bend:{adapter}").parse().unwrap();
+            shelves.give_way("i-1", &name, true, EpochMillis(9_000));
+        }
+        let names = case.used.iter().map(|adapter| {
+            let name: ModelName = format!("bend:{adapter}").parse().unwrap();
+            name
+        });
+        let load = RunnerLoad {
+            runner: "i-1".to_owned(),
+            calls: 1,
+            tokens: 1,
+            names: names.collect(),
+        };
+        let mut uses = UseTable::default();
+        uses.told("front-1", &[load], EpochMillis(9_800));
+        let step = book.next_step(&shelves, &engine, &demand, &uses, now);
+        let step = step.map(|step| (step.kind, step.name.adapter.unwrap()));
+        let expected =
+            case.step.map(|(kind, adapter)| (kind, adapter.to_owned()));
+        assert_eq!(step, expected, "{}", case.name);
+    }
+}
--- /dev/null
+++ b/crates/celerylead/src/placement/uses.rs
@@ -0,0 +1,82 @@
+//! Which models and adapters calls use at runners, as the hosts tell.
+
+use std::time::Duration;
+
+use crate::{
+    clock::EpochMillis, membership::RunnerLoad, model::ModelName,
+    sorted::SortedTable,
+};
+
+/// Age from which what a host told says nothing any more: several times the
+/// longest time between two tellings.
+const TOLD_AGE: Duration = Duration::from_millis(1_500);
+
+/// What calls use, by host and runner.
+///
+/// # Examples
+///
+/// ```
+/// use celerylead::{
+///     EpochMillis, membership::RunnerLoad, placement::UseTable,
+/// };
+///
+/// let mut uses = UseTable::default();
+/// let load = RunnerLoad {
+///     runner: "r-1".to_owned(),
+///     calls: 1,
+///     tokens: 700,
+///     names: vec!["outline:court".parse().unwrap()],
+/// };
+/// uses.told("front-1", &[load], EpochMillis(0));
+/// let name = "outline:court".parse().unwrap();
+/// assert!(uses.uses("r-1", &name, EpochMillis(1_000)));
+/// assert!(!uses.uses("r-1", &name, EpochMillis(2_000)));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct UseTable {
+    hosts: SortedTable<String, ToldUse>,
+}
+
+/// What one host told last.
+#[derive(Clone, Debug)]
+struct ToldUse {
+    told_at: EpochMillis,
+    /// Names in use by runner.
+    runners: SortedTable<String, Vec<ModelName>>,
+}
+
+impl UseTable {
+    /// Takes over what a host tells of its calls.
+    pub fn told(
+        &mut self,
+        host: &str,
+        loads: &[RunnerLoad],
+        now: EpochMillis,
+    ) {
+        let loads = loads.iter().filter(|load| !load.names.is_empty());
+        let runners =
+            loads.map(|load| (load.runner.clone(), load.names.clone()));
+        let told = ToldUse { told_at: now, runners: runners.collect() };
+        self.hosts.retain(|_, told| now < told.told_at.after(TOLD_AGE));
+        self.hosts.insert(host.to_owned(), told);
+    }
+
+    /// Tells whether a call uses a model at a runner, with or without an
+    /// adapter, or this adapter of it.
+    pub fn uses(
+        &self,
+        runner: &str,
+        name: &ModelName,
+        now: EpochMillis,
+    ) -> bool {
+        let is_it = |used: &ModelName| {
+            used.model == name.model
+                && (name.adapter.is_none() || used.adapter == name.adapter)
+        };
+        self.hosts
+            .values()
+            .filter(|told| now < told.told_at.after(TOLD_AGE))
+            .filter_map(|told| told.runners.get(runner))
+            .any(|names| names.iter().any(is_it))
+    }
+}
--- a/crates/celerylead/src/relay/backend.rs
+++ b/crates/celerylead/src/relay/backend.rs
@@ -4,6 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::{call::RelayAsk, table::RelayChoice};
 use crate::{
     clock::EpochMillis, model::ModelName, roster::RunnerFacts,
     sorted::SortedTable,
@@ -72,6 +73,8 @@
     pub(super) told_held_at: Option<EpochMillis>,
     pub(super) calls: u32,
     pub(super) tokens: u64,
+    /// Calls of this host in flight by model and adapter.
+    in_use: SortedTable<ModelName, u32>,
     pub(super) peers: SortedTable<String, PeerLoad>,
     /// Mean pace by model in microseconds; the empty name is a plain call.
     pace: SortedTable<String, f64>,
@@ -95,6 +98,7 @@
             told_held_at: None,
             calls: 0,
             tokens: 0,
+            in_use: SortedTable::default(),
             peers: SortedTable::default(),
             pace: SortedTable::default(),
             failing: 0.0,
@@ -138,14 +142,28 @@
         (0 < self.unheard && (silent || probed)) || now < self.set_aside_until
     }
 
+    /// Returns the adapters that calls of this host use, and models that
+    /// the host that orders doesn't list any more.
+    pub(super) fn names_in_use(&self) -> Vec<ModelName> {
+        let told = self.told_held_at.is_some();
+        let listed = |name| self.told_held.binary_search(name).is_ok();
+        let names = self.in_use.keys();
+        let names = names
+            .filter(|name| name.adapter.is_some() || (told && !listed(name)));
+        names.cloned().collect()
+    }
+
     /// Books a call.
-    pub(super) fn begin(&mut self, tokens: u64, now: EpochMillis) {
+    pub(super) fn begin(&mut self, ask: &RelayAsk, now: EpochMillis) {
         if self.unheard == 0 {
             self.quiet_since = now;
         }
         self.unheard += 1;
         self.calls += 1;
-        self.tokens += tokens;
+        self.tokens += ask.tokens;
+        if let Some(name) = &ask.model {
+            *self.in_use.entry(name.clone(), || 0) += 1;
+        }
     }
 
     /// Notes that the head of an answer came.
@@ -166,24 +184,24 @@
         held.adapters.contains(adapter) || self.told_held.contains(name)
     }
 
-    /// Books the end of a call of `tokens` for `model`; `heard` tells whether
-    /// the head of its answer was noted.
+    /// Books the end of a call; `heard` tells whether the head of its answer
+    /// was noted.
     pub(super) fn end(
         &mut self,
-        model: &str,
-        tokens: u64,
+        choice: &RelayChoice,
         heard: bool,
         end: CallEnd,
         now: EpochMillis,
     ) {
         self.calls = self.calls.saturating_sub(1);
-        self.tokens = self.tokens.saturating_sub(tokens);
+        self.tokens = self.tokens.saturating_sub(choice.tokens);
+        self.end_use(choice);
         if !heard {
             self.unheard = self.unheard.saturating_sub(1);
         }
         match end {
             CallEnd::Whole { pace_us } => {
-                self.learn_pace(model, pace_us);
+                self.learn_pace(choice.model(), pace_us);
                 self.failing -= FAILURE_WEIGHT * self.failing;
                 self.failures_in_row = 0;
                 self.set_aside = 0;
@@ -201,6 +219,15 @@
         }
     }
 
+    fn end_use(&mut self, choice: &RelayChoice) {
+        let Some(name) = &choice.name else { return };
+        let Some(calls) = self.in_use.get_mut(name) else { return };
+        *calls -= 1;
+        if *calls == 0 {
+            self.in_use.remove(name);
+        }
+    }
+
     /// Takes a pace into the mean for a model.
     pub(super) fn learn_pace(&mut self, model: &str, pace_us: u64) {
         let sample = pace_us as f64;
--- a/crates/celerylead/src/relay/table.rs
+++ b/crates/celerylead/src/relay/table.rs
@@ -34,12 +34,19 @@
     pub runner: String,
     /// Its address, as `IP:PORT`.
     pub address: String,
-    /// Name of the model, empty for a plain call.
-    pub model: String,
+    /// Model and adapter; none for a plain call.
+    pub name: Option<ModelName>,
     /// Tokens booked.
     pub tokens: u64,
 }
 
+impl RelayChoice {
+    /// Returns the name of the model, empty for a plain call.
+    pub fn model(&self) -> &str {
+        self.name.as_ref().map_or("", |name| &name.model)
+    }
+}
+
 /// Why no runner was chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -79,6 +86,8 @@
     pub calls: u32,
     /// Tokens of these calls.
     pub tokens: u64,
+    /// Adapters that they use, and models among those that give way.
+    pub names: Vec<ModelName>,
     /// Share of calls that failed lately.
     pub failing: f64,
 }
@@ -147,15 +156,14 @@
         now: EpochMillis,
     ) -> Result<RelayChoice, PickFault> {
         let best = self.best(ask, catalog, now)?;
-        let model = ask.model.as_ref().map_or("", |name| &name.model);
         let Some(backend) = self.backends.get_mut(&best) else {
             return Err(PickFault::NoRunner);
         };
-        backend.begin(ask.tokens, now);
+        backend.begin(ask, now);
         Ok(RelayChoice {
             runner: best,
             address: backend.facts.address.clone(),
-            model: model.to_owned(),
+            name: ask.model.clone(),
             tokens: ask.tokens,
         })
     }
@@ -184,7 +192,7 @@
         now: EpochMillis,
     ) {
         if let Some(backend) = self.backends.get_mut(&choice.runner) {
-            backend.end(&choice.model, choice.tokens, heard, end, now);
+            backend.end(choice, heard, end, now);
         }
     }
 
@@ -200,6 +208,7 @@
             id: id.clone(),
             calls: backend.calls,
             tokens: backend.tokens,
+            names: backend.names_in_use(),
             failing: backend.failing,
         })
     }
--- a/crates/celerylead/src/relay/tests.rs
+++ b/crates/celerylead/src/relay/tests.rs
@@ -1,6 +1,6 @@
 //! Choice of runners, as tables of cases.
 
-use super::{CallEnd, PeerLoad, PickFault, RelayAsk, RelayTable};
+use super::{CallEnd, PeerLoad, PickFault, RelayAsk, RelayChoice, RelayTable};
 use crate::{
     catalog::{CallLimits, EngineTraits, ServiceCatalog, ServiceTraits},
     clock::EpochMillis,
@@ -399,3 +399,69 @@
         assert_eq!(choice.runner, case.found, "{}", case.name);
     }
 }
+
+#[test]
+fn a_host_tells_which_adapters_and_yielding_models_it_uses() {
+    struct Case {
+        name: &'static str,
+        /// Calls in flight, and those that have ended.
+        begun: &'static [&'static str],
+        ended: &'static [&'static str],
+        /// What the host that orders lists, if it was heard.
+        told: Option<&'static [&'static str]>,
+        used: &'static [&'static str],
+    }
+    let case = Case {
+        name: "",
+        begun: &["bend", "weld:x", "weld:x"],
+        ended: &[],
+        told: None,
+        used: &["weld:x"],
+    };
+    let cases = [
+        Case { name: "never told", ..case },
+        Case {
+            name: "all are listed",
+            told: Some(&["bend", "weld", "weld:x"]),
+            ..case
+        },
+        Case {
+            name: "the model gives way",
+            told: Some(&["weld", "weld:x"]),
+            used: &["bend", "weld:x"],
+            ..case
+        },
+        Case { name: "one of two has ended", ended: &["weld:x"], ..case },
+        Case {
+            name: "both have ended",
+            ended: &["weld:x", "weld:x"],
+            used: &[],
+            ..case
+        },
+    ];
+    for case in cases {
+        let facts = [runner("a", "advisor", &["bend", "weld:x"])];
+        let mut table = RelayTable::new("boden");
+        table.adopt(facts.iter());
+        let mut choices = Vec::new();
+        for name in case.begun {
+            let ask = ask("advisor", Some(name));
+            choices.push(table.pick(&ask, &catalog(), NOW).unwrap());
+        }
+        for name in case.ended {
+            let is_it = |choice: &RelayChoice| {
+                choice.name.as_ref().unwrap().to_string() == *name
+            };
+            let place = choices.iter().position(is_it).unwrap();
+            let choice = choices.remove(place);
+            table.done(&choice, false, CallEnd::Neutral, NOW);
+        }
+        if let Some(told) = case.told {
+            let names = told.iter().map(|name| name.parse().unwrap());
+            table.told_held("a", &names.collect::<Vec<_>>(), NOW);
+        }
+        let names = table.views().flat_map(|view| view.names);
+        let names: Vec<String> = names.map(|name| name.to_string()).collect();
+        assert_eq!(names, case.used, "{}", case.name);
+    }
+}
--- a/crates/celerylead/src/tasks/node/call.rs
+++ b/crates/celerylead/src/tasks/node/call.rs
@@ -79,20 +79,23 @@
     };
     match relay(context, &call, &parts, body, started).await {
         Ok(response) => response,
-        Err(refusal) => refuse(context, Some(&call.id), &refusal, started),
+        Err(refusal) => refuse(context, Some(&call), &refusal, started),
     }
 }
 
 fn refuse<C: EdgeCodec>(
     context: &NodeContext<C>,
-    id: Option<&RequestId>,
+    call: Option<&CallHead>,
     refusal: &Refusal,
     started: Instant,
 ) -> Response<RelayBody> {
     context.metrics.count_answer("", refusal.code.text());
+    let id = call.map(|call| &call.id);
+    let model = call.and_then(|call| call.model.as_ref());
     tracing::info!(
         event = "request_refused",
         request_id = id.map(RequestId::as_str),
+        model = model.map(ToString::to_string),
         code = refusal.code.text(),
         outcome = %refusal.outcome,
         reason = refusal.message,
--- a/crates/celerylead/src/tasks/node/desk.rs
+++ b/crates/celerylead/src/tasks/node/desk.rs
@@ -43,6 +43,8 @@
 const DEMAND_HALF_LIFE: Duration = Duration::from_millis(3_000);
 /// Models and adapters whose demand a host tells the others.
 const MOST_DEMANDS: usize = 48;
+/// Time between two messages that an adapter is missing; one may be lost.
+const WANT_PERIOD: Duration = Duration::from_millis(150);
 /// Idle connections kept to one runner.
 const MAX_IDLE_LINKS: usize = 8;
 
@@ -138,7 +140,7 @@
     pub(crate) fn paced(&self, pace_us: u64) {
         let _ = self.sender.try_send(DeskEvent::Paced {
             runner: self.choice.runner.clone(),
-            model: self.choice.model.clone(),
+            model: self.choice.model().to_owned(),
             pace_us,
         });
     }
@@ -207,6 +209,8 @@
     demand: DemandMeter,
     links: SortedTable<String, Vec<(Instant, HttpLink)>>,
     waiting: Vec<RouteWait>,
+    /// Adapters that were said to be missing, and when.
+    wanted: SortedTable<ModelName, EpochMillis>,
 }
 
 /// Makes the port and the mailboxes of the task.
@@ -233,6 +237,7 @@
         demand: DemandMeter::new(DEMAND_HALF_LIFE),
         links: SortedTable::default(),
         waiting: Vec::new(),
+        wanted: SortedTable::default(),
         setup,
     };
     crate::tasks::spawn(task.run(inbox));
@@ -399,7 +404,7 @@
         if fault == PickFault::NoAdapter
             && let Some(name) = &wait.ask.model
         {
-            self.setup.herald.want(name);
+            self.want(name, now);
         }
         if fault == PickFault::AllTried || wait.until <= now {
             let code = RefusalCode::NoRunner;
@@ -410,6 +415,18 @@
         self.setup.metrics.waiting.set(self.waiting.len() as i64);
     }
 
+    /// Tells the host that orders that an adapter is missing, though not for
+    /// each call that waits for it.
+    fn want(&mut self, name: &ModelName, now: EpochMillis) {
+        let again = |at: &EpochMillis| now < at.after(WANT_PERIOD);
+        if self.wanted.get(name).is_some_and(again) {
+            return;
+        }
+        self.wanted.retain(|_, at| again(at));
+        self.wanted.insert(name.clone(), now);
+        self.setup.herald.want(name);
+    }
+
     fn refuse(
         &mut self,
         wait: RouteWait,
@@ -489,6 +506,7 @@
                     runner: view.id,
                     calls: view.calls,
                     tokens: view.tokens,
+                    names: view.names,
                 })
                 .collect(),
             spent: self
--- a/crates/celerylead/src/tasks/node/herald.rs
+++ b/crates/celerylead/src/tasks/node/herald.rs
@@ -190,21 +190,48 @@
                 self.send(&message, &all).await;
                 if let HostMessage::Held { lease, held, .. } = message {
                     self.orderer = Some(lease.holder);
-                    let event = DeskEvent::Held(held);
-                    let _ = self.desk.sender.send(event).await;
+                    if let Some(digest) = self.take_held(held).await {
+                        let _ = self.placer.try_send(Heard::Digest(digest));
+                    }
                 }
             }
         }
     }
 
+    /// Takes over what runners hold. Where this host has calls on what isn't
+    /// listed, it returns a digest for the host that orders, which waits for
+    /// such calls before it unloads.
+    async fn take_held(
+        &mut self,
+        held: Vec<(String, Vec<ModelName>)>,
+    ) -> Option<HostDigest> {
+        let listed: SortedTable<String, Vec<ModelName>> =
+            held.iter().cloned().collect();
+        let _ = self.desk.sender.send(DeskEvent::Held(held)).await;
+        let digest = self.digest().await?;
+        let unlisted = digest.loads.iter().any(|load| {
+            let listed = listed.get(&load.runner);
+            listed.is_some_and(|listed| {
+                load.names.iter().any(|name| !listed.contains(name))
+            })
+        });
+        unlisted.then_some(digest)
+    }
+
+    /// Returns what this host carries.
+    async fn digest(&self) -> Option<HostDigest> {
+        let asked =
+            crate::tasks::ask(&self.desk.sender, DeskEvent::Digest).await;
+        let digest = asked?;
+        let row = &self.setup.row;
+        let (host, incarnation) = (row.host.clone(), row.incarnation);
+        Some(HostDigest { host, incarnation, ..digest })
+    }
+
     /// Tells the other hosts what this one carries.
     async fn tell(&mut self) {
         self.round = self.round.wrapping_add(1);
-        let asked =
-            crate::tasks::ask(&self.desk.sender, DeskEvent::Digest).await;
-        let Some(mut digest) = asked else { return };
-        digest.host = self.setup.row.host.clone();
-        digest.incarnation = self.setup.row.incarnation;
+        let Some(digest) = self.digest().await else { return };
         let _ = self.placer.try_send(Heard::Digest(digest.clone()));
         let far = self.round.is_multiple_of(FAR_SHARE);
         let zone = self.setup.row.zone.as_str();
@@ -252,10 +279,15 @@
                 let _ = self.desk.sender.send(event).await;
             }
             HostMessage::Held { lease, version, held } => {
+                let known = self.hosts.get(&lease.holder);
+                let address = known.map(|host| host.address);
                 self.orderer = Some(lease.holder.clone());
                 let _ = self.placer.try_send(Heard::Holder(lease, version));
-                let event = DeskEvent::Held(held);
-                let _ = self.desk.sender.send(event).await;
+                let digest = self.take_held(held).await;
+                if let (Some(digest), Some(address)) = (digest, address) {
+                    let message = HostMessage::Digest(digest);
+                    self.send(&message, &[address]).await;
+                }
             }
             HostMessage::Released { fencing } => {
                 let _ = self.placer.try_send(Heard::Released(fencing));
--- a/crates/celerylead/src/tasks/node/placer.rs
+++ b/crates/celerylead/src/tasks/node/placer.rs
@@ -26,8 +26,8 @@
     },
     model::ModelName,
     placement::{
-        AdapterBook, FleetPlan, LoadAllowance, ModelDemand, OrderStep,
-        ShelfTable,
+        AdapterBook, AdapterMove, FleetPlan, LoadAllowance, ModelDemand,
+        OrderStep, ShelfTable, UseTable,
     },
     port::{EdgeCodec, EngineReport, OrderVerdict, PlacementOrder, StorePort},
     roster::{HeldModel, RunnerFacts},
@@ -94,6 +94,7 @@
     shelves: ShelfTable,
     plan: FleetPlan,
     book: AdapterBook,
+    uses: UseTable,
     loads: LoadAllowance,
     demand: SortedTable<String, (EpochMillis, ModelDemand)>,
     told: Vec<(String, Vec<ModelName>)>,
@@ -120,6 +121,7 @@
         shelves: ShelfTable::default(),
         plan: FleetPlan::default(),
         book: AdapterBook::default(),
+        uses: UseTable::default(),
         loads: LoadAllowance::empty(setup.clock.now()),
         demand: SortedTable::default(),
         told: Vec::new(),
@@ -150,18 +152,28 @@
                 },
                 Some(ended) = ends.recv() => self.end(ended),
                 () = tokio::time::sleep_until(self.ask_at), if idle => {}
+                () = self.until_due(), if self.holding => {}
                 _ = period.tick(), if !idle => {}
             }
             self.turn().await;
         }
     }
 
+    /// Waits until something is due at a runner.
+    async fn until_due(&self) {
+        let Some(due) = self.shelves.next_due() else {
+            return std::future::pending().await;
+        };
+        tokio::time::sleep(self.setup.clock.now().until(due)).await;
+    }
+
     /// Takes something heard into account; tells whether a turn is due for
     /// it before its time.
     fn hear(&mut self, heard: &Heard) -> bool {
         let now = self.setup.clock.now();
         match heard {
             Heard::Digest(digest) => {
+                self.uses.told(&digest.host, &digest.loads, now);
                 let row = (now, digest.demand.clone());
                 self.demand.insert(digest.host.clone(), row);
                 false
@@ -352,6 +364,7 @@
     ) {
         let plan = self.plan.turn(service, &self.shelves, demand);
         let Some(plan) = plan else { return };
+        self.shelves.keep(|runner, model| plan.wants(runner, model));
         for step in plan.next_steps(&self.shelves) {
             if step.kind == OrderKind::Load
                 && step.from_store
@@ -372,15 +385,27 @@
         now: EpochMillis,
     ) {
         while let Some(step) =
-            self.book.next_step(&self.shelves, engine, demand, now)
+            self.book.next_step(&self.shelves, engine, demand, &self.uses, now)
         {
-            if step.kind == OrderKind::Load {
-                self.book.loaded(&step.name, now);
+            let kind = match step.kind {
+                AdapterMove::Load => {
+                    self.book.loaded(&step.name, now);
+                    OrderKind::Load
+                }
+                AdapterMove::Unload => OrderKind::Unload,
+                AdapterMove::GiveWay => {
+                    self.shelves.give_way(&step.runner, &step.name, true, now);
+                    continue;
+                }
+            };
+            if !self.give(&step.runner, kind, &step.name, fencing, now) {
+                return;
             }
-            self.give(&step.runner, step.kind, &step.name, fencing, now);
         }
     }
 
+    /// Gives an order, unless what it unloads is in use; tells whether it
+    /// went out.
     fn give(
         &mut self,
         runner: &str,
@@ -388,9 +413,15 @@
         name: &ModelName,
         fencing: u64,
         now: EpochMillis,
-    ) {
+    ) -> bool {
+        if kind == OrderKind::Unload {
+            let used = self.uses.uses(runner, name, now);
+            if !self.shelves.give_way(runner, name, used, now) {
+                return false;
+            }
+        }
         let shelf = self.shelves.idle().find(|shelf| shelf.facts.id == runner);
-        let Some(shelf) = shelf else { return };
+        let Some(shelf) = shelf else { return false };
         let order = PlacementOrder {
             runner: runner.to_owned(),
             kind,
@@ -400,18 +431,17 @@
             holder: self.setup.row.host.clone(),
             fencing,
         };
-        if let Some(step) = self.shelves.order(&order, now) {
-            self.send(step);
-        }
+        let step = self.shelves.order(&order, now);
+        let ordered = step.is_some();
+        step.into_iter().for_each(|step| self.send(step));
+        ordered
     }
 
     /// Demand over all hosts that were heard lately.
-    fn total_demand(&self, now: EpochMillis) -> ModelDemand {
+    fn total_demand(&mut self, now: EpochMillis) -> ModelDemand {
         let mut total = ModelDemand::default();
-        for (told_at, demand) in self.demand.values() {
-            if told_at.after(DEMAND_AGE) < now {
-                continue;
-            }
+        self.demand.retain(|_, (told_at, _)| now <= told_at.after(DEMAND_AGE));
+        for (_, demand) in self.demand.values() {
             for (model, rate) in demand.iter() {
                 *total.entry(model.clone(), || 0) += rate;
             }
--- a/crates/stand-ins/src/raw_runner.rs
+++ b/crates/stand-ins/src/raw_runner.rs
@@ -16,6 +16,8 @@
 
 /// Time between two events of a stream.
 const EVENT_GAP: Duration = Duration::from_millis(15);
+/// The same where it is slow.
+const SLOW_GAP: Duration = Duration::from_millis(120);
 /// Events of a stream.
 const EVENTS: u32 = 4;
 /// Name of the model that it holds.
@@ -47,6 +49,8 @@
     BareRefusal,
     /// Runs the call and answers that it failed.
     Failure,
+    /// Takes long between two events.
+    Slow,
     /// Does what an order says, but doesn't answer it.
     MuteOrders,
 }
@@ -80,6 +84,12 @@
     accepted: u64,
     /// Adapters that it holds, of its only model.
     adapters: Vec<String>,
+    /// Adapters of the calls that run.
+    running: Vec<String>,
+    /// Adapter that goes once no call uses it; no order is taken meanwhile.
+    going: Option<String>,
+    /// Unloads that had to wait for calls.
+    waits: u32,
     /// Requests that were still running when their caller went away.
     abandoned: u32,
 }
@@ -95,11 +105,16 @@
 impl RunnerState {
     /// Carries an order out at once; returns the status of its answer.
     fn obey(&mut self, order: Order) -> &'static str {
-        if order.expected != self.accepted {
+        if order.expected != self.accepted || self.going.is_some() {
             return "409 Conflict";
         }
         self.accepted += 1;
         let Some(adapter) = order.adapter else { return "202 Accepted" };
+        if order.operation == "unload" && self.running.contains(&adapter) {
+            self.going = Some(adapter);
+            self.waits += 1;
+            return "202 Accepted";
+        }
         self.adapters.retain(|held| *held != adapter);
         if order.operation == "load" {
             self.adapters.push(adapter);
@@ -108,11 +123,37 @@
         "200 OK"
     }
 
+    /// Begins a call; tells whether its adapter is there.
+    fn begin(&mut self, adapter: Option<&str>) -> bool {
+        let Some(adapter) = adapter else { return true };
+        let held = self.adapters.iter().any(|held| held == adapter);
+        if held && self.going.as_deref() != Some(adapter) {
+            self.running.push(adapter.to_owned());
+            return true;
+        }
+        false
+    }
+
+    fn end(&mut self, adapter: Option<&str>) {
+        let place =
+            self.running.iter().position(|a| Some(a.as_str()) == adapter);
+        if let Some(place) = place {
+            self.running.remove(place);
+        }
+        if let Some(going) = &self.going
+            && !self.running.contains(going)
+        {
+            self.adapters.retain(|held| held != going);
+            self.going = None;
+        }
+    }
+
     fn report(&self) -> String {
         let model = json!({
             "name": MODEL, "version": 1, "adapters": self.adapters,
         });
-        json!({"models": [model], "busy": false, "seq": self.accepted})
+        let busy = self.going.is_some();
+        json!({"models": [model], "busy": busy, "seq": self.accepted})
             .to_string()
     }
 }
@@ -162,6 +203,11 @@
         self.state.with(|state| state.orders.clone()).await
     }
 
+    /// Returns how many unloads had to wait for calls.
+    pub async fn waits(&self) -> u32 {
+        self.state.with(|state| state.waits).await
+    }
+
     /// Returns how many calls' callers went away before the answer's end.
     pub async fn abandoned(&self) -> u32 {
         self.state.with(|state| state.abandoned).await
@@ -218,18 +264,39 @@
         }
         _ => {}
     }
-    let is_stream = request.header("x-model").is_some();
+    let model = request.header("x-model").map(str::to_owned);
+    let adapter = model.as_ref().and_then(|model| model.split_once('/'));
+    let adapter = adapter.map(|(_, adapter)| adapter.to_owned());
+    let wanted = adapter.clone();
+    if !state.with(move |state| state.begin(wanted.as_deref())).await {
+        let status = "421 Misdirected Request";
+        return write_plain(stream, status, &signed, b"").await;
+    }
     state.with(move |state| state.runs.push(request)).await;
+    let told = run(stream, &id, &signed, model.is_some(), fault, state).await;
+    state.with(move |state| state.end(adapter.as_deref())).await;
+    told
+}
+
+/// Runs a call and writes its answer as the fault asks for.
+async fn run(
+    stream: &mut TcpStream,
+    id: &str,
+    signed: &str,
+    is_stream: bool,
+    fault: RunnerFault,
+    state: &StatePort<RunnerState>,
+) -> anyhow::Result<()> {
     match fault {
         RunnerFault::ResetAfterRun => anyhow::bail!("reset"),
         RunnerFault::Mute => std::future::pending().await,
         RunnerFault::BareRefusal => {
             let status = "503 Service Unavailable";
-            return write_plain(stream, status, &signed, b"").await;
+            return write_plain(stream, status, signed, b"").await;
         }
         RunnerFault::Failure => {
             let status = "500 Internal Server Error";
-            return write_plain(stream, status, &signed, b"failed").await;
+            return write_plain(stream, status, signed, b"failed").await;
         }
         RunnerFault::CutBody if !is_stream => {
             let head = "HTTP/1.1 200 OK\r\ncontent-length: 90\r\n";
@@ -240,7 +307,7 @@
         _ => {}
     }
     if is_stream {
-        let told = write_stream(stream, &signed, fault).await;
+        let told = write_stream(stream, signed, fault).await;
         if told.is_err() {
             state.with(|state| state.abandoned += 1).await;
         }
@@ -251,7 +318,7 @@
             "x-request-id: other\r\nx-response-signature: s\r\n".to_owned()
         }
         RunnerFault::Unsigned => format!("x-request-id: {id}\r\n"),
-        _ => signed,
+        _ => signed.to_owned(),
     };
     write_plain(stream, "200 OK", &headers, b"{\"done\":true}").await?;
     if fault == RunnerFault::ExtraAnswer {
@@ -286,6 +353,8 @@
          transfer-encoding: chunked\r\n{headers}\r\n"
     );
     stream.write_all(head.as_bytes()).await?;
+    let slow = fault == RunnerFault::Slow;
+    let gap = if slow { SLOW_GAP } else { EVENT_GAP };
     for number in 1..=EVENTS {
         let event = format!("id: {number}\ndata: x\n\n");
         let chunk = format!("{:x}\r\n{event}\r\n", event.len());
@@ -299,7 +368,7 @@
             read = stream.read(&mut byte) => {
                 anyhow::ensure!(0 < read?, "the caller went away");
             }
-            () = tokio::time::sleep(EVENT_GAP) => {}
+            () = tokio::time::sleep(gap) => {}
         }
     }
     stream.write_all(b"0\r\n\r\n").await?;
