--- a/crates/celerylead/src/membership/digest.rs
+++ b/crates/celerylead/src/membership/digest.rs
@@ -43,6 +43,9 @@
     pub host: String,
     /// Random number of its process.
     pub incarnation: u64,
+    /// Time for which the registry has answered it without a gap, in
+    /// milliseconds; 0 where there is one.
+    pub registry_steady_ms: u64,
     /// Runners at which it has calls.
     pub loads: Vec<RunnerLoad>,
     /// Its spending by customer.
--- a/crates/celerylead/src/membership/mod.rs
+++ b/crates/celerylead/src/membership/mod.rs
@@ -13,6 +13,7 @@
 //! other a [`HostDigest`] several times a second, and one of them gives the
 //! orders to runners under the [`OrdersLease`].
 
+mod contact;
 mod digest;
 mod lease;
 mod orders;
@@ -22,6 +23,7 @@
 mod tests;
 
 pub use self::{
+    contact::{PeerContact, RegistryContact},
     digest::{HostDigest, HostMessage, HostRow, RunnerLoad, SpentTotal},
     lease::{HeldLease, HostLease, HostTag, LeasePhase, MAX_PAUSE},
     orders::{LeaseClaim, OrderRight, OrdersLease, OrdersRow, RENEW_PERIOD},
--- a/crates/celerylead/src/roster/list.rs
+++ b/crates/celerylead/src/roster/list.rs
@@ -42,6 +42,15 @@
         self.trusted_from = now.after(LAPSE_HOLD);
     }
 
+    /// Notes that the registry wasn't away after all, only this host was: a
+    /// missing entry is gone. Tells whether one was held as lapsed.
+    pub fn registry_was_steady(&mut self) -> bool {
+        self.trusted_from = EpochMillis::default();
+        let held = !self.lapsed.is_empty();
+        self.lapsed = SortedTable::default();
+        held
+    }
+
     /// Takes one change into account.
     pub fn change(&mut self, change: RosterChange, now: EpochMillis) {
         match change {
--- a/crates/celerylead/src/roster/tests.rs
+++ b/crates/celerylead/src/roster/tests.rs
@@ -24,6 +24,7 @@
     Withdrawn(&'static str),
     Whole(&'static [&'static str]),
     Returned,
+    Steady,
 }
 
 #[test]
@@ -51,6 +52,28 @@
             at: 2_099,
             left: &["a"],
         },
+        Case {
+            name: "withdrawn while only this host was cut off",
+            steps: &[
+                (0, Step::Listed("a")),
+                (100, Step::Returned),
+                (150, Step::Withdrawn("a")),
+                (160, Step::Steady),
+            ],
+            at: 160,
+            left: &[],
+        },
+        Case {
+            name: "the same, known before the entry is missing",
+            steps: &[
+                (0, Step::Listed("a")),
+                (100, Step::Returned),
+                (110, Step::Steady),
+                (150, Step::Withdrawn("a")),
+            ],
+            at: 150,
+            left: &[],
+        },
         Case {
             name: "lapsed in an outage, not back in time",
             steps: &[
@@ -115,6 +138,9 @@
                     roster.replace(facts.collect(), now);
                 }
                 Step::Returned => roster.registry_returned(now),
+                Step::Steady => {
+                    roster.registry_was_steady();
+                }
             }
         }
         roster.expire(EpochMillis(case.at));
--- a/crates/celerylead/src/tasks/node/herald.rs
+++ b/crates/celerylead/src/tasks/node/herald.rs
@@ -10,14 +10,17 @@
 use bytes::Bytes;
 use tokio::{
     net::UdpSocket,
-    sync::mpsc,
+    sync::{mpsc, watch},
     time::{Instant, MissedTickBehavior},
 };
 
 use super::desk::{DeskEvent, DeskPort};
 use crate::{
     clock::HostClock,
-    membership::{HostDigest, HostMessage, HostRow, OrdersRow},
+    membership::{
+        HostDigest, HostMessage, HostRow, OrdersRow, PeerContact,
+        RegistryContact,
+    },
     model::ModelName,
     port::{RowChange, RowKey, RowPut, StorePort, StoreTable},
     sorted::SortedTable,
@@ -39,12 +42,16 @@
 /// Largest datagram; digests are a few hundred bytes.
 const MAX_DATAGRAM_BYTES: usize = 16 << 10;
 
-/// Who this host is, for the others.
+/// What the task is started with.
 #[derive(Clone, Debug)]
 pub(crate) struct HeraldSetup {
     pub(crate) row: HostRow,
     pub(crate) store: StorePort,
     pub(crate) clock: HostClock,
+    /// This host's contact with the registry.
+    pub(crate) contact: watch::Receiver<RegistryContact>,
+    /// What the other hosts tell of theirs.
+    pub(crate) peers: watch::Sender<PeerContact>,
 }
 
 /// Message to the task.
@@ -225,7 +232,9 @@
         let digest = asked?;
         let row = &self.setup.row;
         let (host, incarnation) = (row.host.clone(), row.incarnation);
-        Some(HostDigest { host, incarnation, ..digest })
+        let contact = *self.setup.contact.borrow();
+        let registry_steady_ms = contact.steady_ms(self.setup.clock.now());
+        Some(HostDigest { host, incarnation, registry_steady_ms, ..digest })
     }
 
     /// Tells the other hosts what this one carries.
@@ -274,6 +283,10 @@
                 }
                 let _ = self.placer.try_send(Heard::Digest(digest.clone()));
                 let at = self.setup.clock.now();
+                let steady_ms = digest.registry_steady_ms;
+                self.setup.peers.send_modify(|peers| {
+                    peers.told(steady_ms, at);
+                });
                 let digest = Box::new(digest);
                 let event = DeskEvent::Told { digest, at };
                 let _ = self.desk.sender.send(event).await;
--- a/crates/celerylead/src/tasks/node/run.rs
+++ b/crates/celerylead/src/tasks/node/run.rs
@@ -16,11 +16,11 @@
     gate, herald,
     herald::HeraldSetup,
     placer::{self, PlacerSetup},
-    watcher::{self, WatcherSetup},
+    watcher::{self, WatcherSetup, WatcherViews},
 };
 use crate::{
     clock::HostClock,
-    membership::HostRow,
+    membership::{HostRow, PeerContact},
     metrics::HostMetrics,
     port::{EdgeCodec, StorePort},
     step::{StepContext as _, StepName},
@@ -98,13 +98,16 @@
         .at(StepName::Listen, &options.peers)?;
     let clock = HostClock::default();
     let metrics = HostMetrics::default();
-    let (catalog, roster) = watcher::start(&WatcherSetup {
-        codec: codec.clone(),
-        store: store.clone(),
-        clock: clock.clone(),
-        metrics: metrics.clone(),
-        seeds: options.seeds.clone(),
-    });
+    let (peers_told, peers_seen) = watch::channel(PeerContact::default());
+    let WatcherViews { catalog, roster, contact } =
+        watcher::start(&WatcherSetup {
+            codec: codec.clone(),
+            store: store.clone(),
+            clock: clock.clone(),
+            metrics: metrics.clone(),
+            seeds: options.seeds.clone(),
+            peers: peers_seen,
+        });
     let (phase, phases) = watch::channel(NodePhase::Serving);
     let (herald_port, herald_inbox) = herald::mailbox();
     let (desk_port, desk_inbox) = desk::mailbox();
@@ -140,7 +143,13 @@
         turns: options.order_turns,
     };
     placer::start(setup, hearing);
-    let setup = HeraldSetup { row, store, clock: clock.clone() };
+    let setup = HeraldSetup {
+        row,
+        store,
+        clock: clock.clone(),
+        contact,
+        peers: peers_told,
+    };
     herald::start(setup, peers, desk_port.clone(), herald_inbox, heard);
     let context = NodeContext {
         codec,
--- a/crates/celerylead/src/tasks/node/watcher.rs
+++ b/crates/celerylead/src/tasks/node/watcher.rs
@@ -8,12 +8,13 @@
 
 use std::{sync::Arc, time::Duration};
 
-use tokio::{sync::watch, time::Instant};
+use tokio::sync::watch;
 
 use super::{CatalogWatch, RosterWatch, control};
 use crate::{
     catalog::ServiceCatalog,
-    clock::HostClock,
+    clock::{EpochMillis, HostClock},
+    membership::{PeerContact, RegistryContact},
     metrics::HostMetrics,
     port::{
         EdgeCodec, RowChange, StoreFault, StorePort, StoreReading, StoreTable,
@@ -31,8 +32,6 @@
 const FIRST_BACKOFF: Duration = Duration::from_millis(100);
 /// Longest wait after a failed call.
 const LONGEST_BACKOFF: Duration = Duration::from_millis(800);
-/// Time without an answer after which the store counts as having been away.
-const AWAY: Duration = Duration::from_millis(1_500);
 
 /// What the tasks are started with.
 #[derive(Clone)]
@@ -43,14 +42,22 @@
     pub(crate) metrics: HostMetrics,
     /// Control addresses to ask while the store is silent.
     pub(crate) seeds: Vec<String>,
+    /// What other hosts tell of their contact with the registry.
+    pub(crate) peers: watch::Receiver<PeerContact>,
+}
+
+/// What the tasks show to others.
+pub(crate) struct WatcherViews {
+    pub(crate) catalog: CatalogWatch,
+    pub(crate) roster: RosterWatch,
+    pub(crate) contact: watch::Receiver<RegistryContact>,
 }
 
 /// Starts both tasks.
-pub(crate) fn start<C: EdgeCodec>(
-    setup: &WatcherSetup<C>,
-) -> (CatalogWatch, RosterWatch) {
+pub(crate) fn start<C: EdgeCodec>(setup: &WatcherSetup<C>) -> WatcherViews {
     let (catalog, catalog_seen) = watch::channel(None);
     let (roster, roster_seen) = watch::channel(None);
+    let (contact, contact_seen) = watch::channel(RegistryContact::default());
     let configuration = ConfigurationTask {
         feed: FeedPosition::new(StoreTable::Configuration),
         setup: setup.clone(),
@@ -60,12 +67,17 @@
         feed: FeedPosition::new(StoreTable::Registry),
         setup: setup.clone(),
         list: RunnerRoster::default(),
-        answered: Instant::now(),
+        contact,
+        gap_began: None,
         roster,
     };
     crate::tasks::spawn(configuration.run());
     crate::tasks::spawn(registry.run());
-    (catalog_seen, roster_seen)
+    WatcherViews {
+        catalog: catalog_seen,
+        roster: roster_seen,
+        contact: contact_seen,
+    }
 }
 
 /// A position in the feed of a table.
@@ -204,15 +216,16 @@
     setup: WatcherSetup<C>,
     feed: FeedPosition,
     list: RunnerRoster,
-    /// Point of the last answer of the store.
-    answered: Instant,
+    contact: watch::Sender<RegistryContact>,
+    /// Last answer before a gap, while entries may only have lapsed in it.
+    gap_began: Option<EpochMillis>,
     roster: watch::Sender<Option<Arc<Vec<RunnerFacts>>>>,
 }
 
 impl<C: EdgeCodec> RegistryTask<C> {
     async fn run(mut self) {
         loop {
-            let began = Instant::now();
+            let began = self.setup.clock.now();
             let store = self.setup.store.clone();
             let wait = self.until_expiry().min(REGISTRY_WAIT);
             let step = self.feed.step(&store, wait).await;
@@ -246,20 +259,34 @@
     }
 
     fn expire(&mut self) {
-        if self.list.expire(self.setup.clock.now()) {
+        let now = self.setup.clock.now();
+        let covered = self
+            .gap_began
+            .is_some_and(|began| self.setup.peers.borrow().covers(began, now));
+        let mut changed = self.list.expire(now);
+        if covered {
+            self.gap_began = None;
+            tracing::info!(event = "registry_was_steady");
+            changed |= self.list.registry_was_steady();
+        }
+        if changed {
             self.show();
         }
     }
 
     /// Notes that the store answered a call that began at `began`; where it
     /// was silent before, entries that are missing now may have lapsed.
-    fn note_answer(&mut self, began: Instant) {
-        if self.answered + AWAY < began && 0 < self.list.facts().count() {
-            let away_ms = self.answered.elapsed().as_millis() as u64;
-            tracing::info!(event = "registry_returned", away_ms);
-            self.list.registry_returned(self.setup.clock.now());
-        }
-        self.answered = Instant::now();
+    fn note_answer(&mut self, began: EpochMillis) {
+        let now = self.setup.clock.now();
+        let mut gap = None;
+        self.contact.send_modify(|contact| {
+            gap = contact.answered(began, now);
+        });
+        let Some(last) = gap else { return };
+        let away_ms = last.until(now).as_millis() as u64;
+        tracing::info!(event = "registry_returned", away_ms);
+        self.list.registry_returned(now);
+        self.gap_began = Some(last);
     }
 
     fn adopt(&mut self, step: FeedStep) {
--- /dev/null
+++ b/crates/rounds/src/pairs.rs
@@ -0,0 +1,132 @@
+//! One day at several seeds, with two builds.
+
+use std::path::{Path, PathBuf};
+
+use anyhow::Context as _;
+use plotters::prelude::{
+    BLACK, BLUE, ChartBuilder, Circle, Color as _, IntoDrawingArea as _,
+    IntoFont as _, PathElement, SVGBackend, WHITE,
+};
+
+use crate::{BenchPlay, DayReport, PlayBench, play_all};
+
+/// Distance between two seeds.
+const SEED_STEP: u64 = 77;
+/// First seed.
+const FIRST_SEED: u64 = 1_077;
+/// Size of the plot, in pixels.
+const PLOT_SIZE: (u32, u32) = (640, 400);
+
+/// A round of pairs.
+#[derive(Clone, Debug)]
+pub struct PairRound {
+    /// The bench.
+    pub bench: PlayBench,
+    /// Directory of the build to compare with.
+    pub base: PathBuf,
+    /// Directory of the build on trial.
+    pub trial: PathBuf,
+    /// Name of the day, or its file.
+    pub day: String,
+    /// Number of seeds.
+    pub seeds: u64,
+    /// Plays at once.
+    pub jobs: usize,
+}
+
+/// Figures of a round of pairs.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct PairFigures {
+    /// Worth with the two builds, by seed.
+    pub worth: Vec<(f64, f64)>,
+    /// Days on which a rule was broken, with either build.
+    pub broken: Vec<String>,
+}
+
+impl PairRound {
+    /// Plays the round.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where a play fails.
+    pub async fn play(&self) -> anyhow::Result<PairFigures> {
+        let mut plays = Vec::new();
+        for number in 0..self.seeds {
+            for (name, system) in
+                [("base", &self.base), ("trial", &self.trial)]
+            {
+                plays.push(BenchPlay {
+                    label: format!("pair-{number}-{name}"),
+                    day: self.day.clone(),
+                    system: system.clone(),
+                    seed: Some(FIRST_SEED + SEED_STEP * number),
+                });
+            }
+        }
+        let reports = play_all(&self.bench, &plays, self.jobs).await?;
+        Ok(PairFigures::of(&plays, &reports))
+    }
+}
+
+impl PairFigures {
+    fn of(plays: &[BenchPlay], reports: &[DayReport]) -> PairFigures {
+        let worth = reports.chunks_exact(2);
+        let worth = worth.map(|pair| (pair[0].worth, pair[1].worth));
+        let broken = plays.iter().zip(reports).filter_map(|(play, report)| {
+            let held = report.broken.is_empty() && report.fault.is_none();
+            let seed = play.seed.unwrap_or_default();
+            let verdict = report.verdict();
+            (!held).then(|| format!("{} seed {seed}: {verdict}", play.label))
+        });
+        PairFigures { worth: worth.collect(), broken: broken.collect() }
+    }
+
+    /// Returns the mean worth with each build, the mean of the differences
+    /// and their standard error.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celerylead_rounds::PairFigures;
+    ///
+    /// let worth = vec![(0.5, 0.6), (0.7, 0.8)];
+    /// let figures = PairFigures { worth, broken: Vec::new() };
+    /// let [base, trial, gain, error] = figures.means();
+    /// assert!((base - 0.6).abs() < 1e-9 && (trial - 0.7).abs() < 1e-9);
+    /// assert!((gain - 0.1).abs() < 1e-9 && error < 1e-9);
+    /// ```
+    pub fn means(&self) -> [f64; 4] {
+        let count = self.worth.len().max(1) as f64;
+        let mean = |values: &dyn Fn(&(f64, f64)) -> f64| {
+            self.worth.iter().map(values).sum::<f64>() / count
+        };
+        let gain = mean(&|(base, trial)| trial - base);
+        let spread = mean(&|(base, trial)| (trial - base - gain).powi(2));
+        let error = (spread / (count - 1.0).max(1.0)).sqrt();
+        [mean(&|pair| pair.0), mean(&|pair| pair.1), gain, error]
+    }
+
+    /// Draws each seed as a point, the build on trial over the other.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the file can't be written.
+    pub fn plot(&self, file: &Path) -> anyhow::Result<()> {
+        let area = SVGBackend::new(file, PLOT_SIZE).into_drawing_area();
+        area.fill(&WHITE)?;
+        let mut chart = ChartBuilder::on(&area)
+            .margin(12)
+            .caption("worth by seed", ("sans-serif", 18).into_font())
+            .x_label_area_size(36)
+            .y_label_area_size(44)
+            .build_cartesian_2d(0.0..1.0, 0.0..1.0)?;
+        chart.configure_mesh().x_desc("base").y_desc("trial").draw()?;
+        let even = [(0.0, 0.0), (1.0, 1.0)];
+        chart.draw_series([PathElement::new(even, BLACK)])?;
+        let points = self.worth.iter();
+        chart.draw_series(
+            points.map(|point| Circle::new(*point, 4, BLUE.filled())),
+        )?;
+        area.present().context("write the plot")
+    }
+}
--- /dev/null
+++ b/crates/rounds/src/play.rs
@@ -0,0 +1,138 @@
+//! One play of a day, and many at once.
+
+use std::{collections::BTreeMap, path::PathBuf, process::Stdio, sync::Arc};
+
+use anyhow::Context as _;
+use serde::Deserialize;
+use tokio::{process::Command, sync::Semaphore, task::JoinSet};
+
+/// Figures of a day, as far as rounds need them.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+pub struct DayReport {
+    /// Worth of the day, after prices.
+    #[serde(rename = "G")]
+    pub worth: f64,
+    /// Share of the credit that was earned, before prices.
+    pub served: f64,
+    /// Rules that were broken, and how often.
+    #[serde(rename = "breaks")]
+    pub broken: BTreeMap<String, serde_json::Value>,
+    /// Why the day counts for nothing, if it does.
+    pub fault: Option<String>,
+}
+
+impl DayReport {
+    /// Reads a report.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where a figure is missing.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celerylead_rounds::DayReport;
+    ///
+    /// let text = r#"{"G": 0.7, "served": 0.8, "breaks": {}, "fault": null}"#;
+    /// assert_eq!(DayReport::read(text).unwrap().worth, 0.7);
+    /// ```
+    pub fn read(text: &str) -> anyhow::Result<DayReport> {
+        serde_json::from_str(text).context("the report can't be read")
+    }
+
+    /// Returns `held`, or what was broken.
+    pub fn verdict(&self) -> String {
+        if let Some(fault) = &self.fault {
+            return format!("fault: {fault}");
+        }
+        if self.broken.is_empty() {
+            return "held".to_owned();
+        }
+        let rules: Vec<&str> =
+            self.broken.keys().map(String::as_str).collect();
+        format!("broken: {}", rules.join(", "))
+    }
+}
+
+/// The bench, and what all plays of a round share.
+#[derive(Clone, Debug)]
+pub struct PlayBench {
+    /// Its program.
+    pub program: PathBuf,
+    /// File of the deployment.
+    pub site: PathBuf,
+    /// Why the round is played; the bench notes it.
+    pub why: String,
+    /// Directory for reports.
+    pub reports: PathBuf,
+}
+
+/// A day to play.
+#[derive(Clone, Debug)]
+pub struct BenchPlay {
+    /// Label, unique in its round; names the report.
+    pub label: String,
+    /// Name of the day, or its file.
+    pub day: String,
+    /// Directory of the system.
+    pub system: PathBuf,
+    /// Seed, if it isn't the day's own.
+    pub seed: Option<u64>,
+}
+
+impl PlayBench {
+    /// Plays a day.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the bench fails or writes no report.
+    pub async fn play(&self, play: &BenchPlay) -> anyhow::Result<DayReport> {
+        let report = self.reports.join(format!("{}.json", play.label));
+        let mut command = Command::new(&self.program);
+        command.current_dir(&play.system).arg("run");
+        command.arg(&self.site).arg(&play.day);
+        command.arg("--why").arg(&self.why);
+        command.arg("--report").arg(&report);
+        if let Some(seed) = play.seed {
+            command.arg("--seed").arg(seed.to_string());
+        }
+        command.stdin(Stdio::null()).kill_on_drop(true);
+        let output = command.output().await.context("start the bench")?;
+        let text = tokio::fs::read_to_string(&report).await;
+        let text = text.with_context(|| {
+            let said = String::from_utf8_lossy(&output.stderr);
+            format!("day {}: no report; it said: {said}", play.label)
+        })?;
+        DayReport::read(&text)
+    }
+}
+
+/// Plays days, so many at once; returns the reports in the order of the days.
+///
+/// # Errors
+///
+/// Returns the first error of a play.
+pub async fn play_all(
+    bench: &PlayBench,
+    plays: &[BenchPlay],
+    jobs: usize,
+) -> anyhow::Result<Vec<DayReport>> {
+    let room = Arc::new(Semaphore::new(jobs.max(1)));
+    let mut running = JoinSet::new();
+    for (place, play) in plays.iter().enumerate() {
+        let (bench, play) = (bench.clone(), play.clone());
+        let room = Arc::clone(&room);
+        running.spawn(async move {
+            let permit = room.acquire().await?;
+            let report = bench.play(&play).await;
+            drop(permit);
+            report.map(|report| (place, report))
+        });
+    }
+    let mut reports = BTreeMap::new();
+    while let Some(ended) = running.join_next().await {
+        let (place, report) = ended??;
+        reports.insert(place, report);
+    }
+    Ok(reports.into_values().collect())
+}
--- /dev/null
+++ b/crates/rounds/src/troubles.rs
@@ -0,0 +1,129 @@
+//! Each trouble of a deployment by itself.
+
+use std::path::{Path, PathBuf};
+
+use anyhow::Context as _;
+
+use crate::{BenchPlay, DayReport, PlayBench, play_all};
+
+/// Points at which a trouble comes, in seconds from the start of traffic.
+const COMES_AT: [f64; 2] = [6.0, 20.0];
+/// Length of the day, in seconds: the second one has time to end.
+const LENGTH_S: f64 = 36.0;
+/// Troubles that are planned work, by the bench's file format.
+const PLANNED: [&str; 10] = [
+    "add_nodes",
+    "config_change",
+    "config_storm",
+    "hup",
+    "model_shift",
+    "release",
+    "revoke",
+    "roll_term",
+    "scale_in",
+    "scale_out",
+];
+
+/// A round of days with one trouble each.
+#[derive(Clone, Debug)]
+pub struct TroubleRound {
+    /// The bench.
+    pub bench: PlayBench,
+    /// Directory of the system.
+    pub system: PathBuf,
+    /// Files with lists of troubles: deployments, or lists of our own.
+    pub lists: Vec<PathBuf>,
+    /// Plays at once.
+    pub jobs: usize,
+}
+
+/// A trouble, and how its day went.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TroubleRow {
+    /// The trouble, as it stands in its list.
+    pub trouble: String,
+    /// The day.
+    pub report: DayReport,
+}
+
+impl TroubleRound {
+    /// Plays the round.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where a list can't be read or a play fails.
+    pub async fn play(&self) -> anyhow::Result<Vec<TroubleRow>> {
+        let mut troubles = Vec::new();
+        for list in &self.lists {
+            troubles.extend(read_troubles(list)?);
+        }
+        let mut plays = Vec::new();
+        for (place, trouble) in troubles.iter().enumerate() {
+            let label = format!("trouble-{place}");
+            let day = self.bench.reports.join(format!("{label}.toml"));
+            std::fs::write(&day, day_text(trouble))?;
+            plays.push(BenchPlay {
+                label,
+                day: day.display().to_string(),
+                system: self.system.clone(),
+                seed: None,
+            });
+        }
+        let reports = play_all(&self.bench, &plays, self.jobs).await?;
+        let rows = troubles.iter().zip(reports).map(|(trouble, report)| {
+            TroubleRow { trouble: line(trouble), report }
+        });
+        Ok(rows.collect())
+    }
+}
+
+/// Reads the list `troubles` of a file.
+fn read_troubles(file: &Path) -> anyhow::Result<Vec<toml::Table>> {
+    let text = std::fs::read_to_string(file)
+        .with_context(|| format!("read {}", file.display()))?;
+    let table: toml::Table = toml::from_str(&text)
+        .with_context(|| format!("read {}", file.display()))?;
+    let list = table.get("troubles").and_then(toml::Value::as_array);
+    let list = list.context("the file has no list `troubles`")?;
+    let entries = list.iter().map(|entry| {
+        entry.as_table().cloned().context("a trouble isn't a table")
+    });
+    entries.collect()
+}
+
+/// Returns the text of a day on which a trouble comes twice.
+///
+/// # Examples
+///
+/// ```
+/// use celerylead_rounds::day_text;
+///
+/// let trouble = toml::from_str("kind = \"hup\"\nshare = 0.5").unwrap();
+/// let day = day_text(&trouble);
+/// assert!(day.contains("[[plan]]"));
+/// assert_eq!(day.matches("kind = \"hup\"").count(), 2);
+/// ```
+pub fn day_text(trouble: &toml::Table) -> String {
+    let kind = trouble.get("kind").and_then(toml::Value::as_str);
+    let planned = kind.is_some_and(|kind| PLANNED.contains(&kind));
+    let entries = COMES_AT.map(|at| {
+        let mut entry = trouble.clone();
+        entry.insert("at".to_owned(), at.into());
+        toml::Value::Table(entry)
+    });
+    let mut day = toml::Table::new();
+    day.insert("name".to_owned(), "alone".into());
+    day.insert("length_s".to_owned(), LENGTH_S.into());
+    let place = if planned { "plan" } else { "faults" };
+    day.insert(place.to_owned(), entries.to_vec().into());
+    day.to_string()
+}
+
+/// A trouble on one line: its kind, then the rest.
+fn line(trouble: &toml::Table) -> String {
+    let kind = trouble.get("kind").and_then(toml::Value::as_str);
+    let rest = trouble.iter().filter(|(name, _)| *name != "kind");
+    let rest: Vec<String> =
+        rest.map(|(name, value)| format!("{name} {value}")).collect();
+    format!("{} {}", kind.unwrap_or("?"), rest.join(", "))
+}
