Trial: tell calls beyond a rate to come back one after the other

Each refused call was told the point of the bare refill, so all came back within 0.3 s, and calls past their objective took what fresh ones could still use in time.

Ruled out: a rate that isn't used to the full (charges logged: 137,000 a second of 139,510, and the burst).

--- a/crates/celerylead/src/customer/tests/fleet.rs
+++ b/crates/celerylead/src/customer/tests/fleet.rs
@@ -144,3 +144,61 @@
         }
     }
 }
+
+/// A rate of 1,000 a second with a burst of 1,000, of two hosts; the other
+/// one's level of 0 is known.
+#[test]
+fn calls_that_are_turned_away_come_back_one_after_the_other() {
+    struct Case {
+        name: &'static str,
+        /// Costs that were turned away, and when.
+        before: &'static [(u64, u64)],
+        cost: u64,
+        at: u64,
+        /// Point to come back at.
+        again: u64,
+    }
+    let case = Case { name: "", before: &[], cost: 100, at: 0, again: 100 };
+    let cases = [
+        Case { name: "the first", ..case },
+        Case {
+            name: "behind another",
+            before: &[(100, 0)],
+            again: 300,
+            ..case
+        },
+        Case {
+            name: "the other's turn has half come",
+            before: &[(100, 0)],
+            at: 100,
+            cost: 300,
+            again: 400,
+            ..case
+        },
+        Case {
+            name: "the other's turn has come",
+            before: &[(100, 0)],
+            at: 200,
+            cost: 500,
+            again: 500,
+            ..case
+        },
+    ];
+    let rate = TokenRate {
+        per_second: 1_000,
+        burst: 1_000,
+        unit: RateUnit::Tokens { plain: 1 },
+    };
+    for case in cases {
+        let mut hosts = HostHearing::default();
+        hosts.heard("b", EpochMillis(0));
+        let mut bucket = FleetBucket::empty(rate, EpochMillis(0));
+        bucket.told("b", 1, 0, Some(0));
+        for (cost, at) in case.before {
+            let turned = bucket.take(*cost, &hosts, EpochMillis(*at));
+            assert!(turned.is_err(), "{}", case.name);
+        }
+        let again = bucket.take(case.cost, &hosts, EpochMillis(case.at));
+        assert_eq!(again, Err(EpochMillis(case.again)), "{}", case.name);
+    }
+}
