Take back the queue of calls beyond a rate

Change: the point of the bare refill is told again, as before.

Conclusion: a call that comes back at once and late still earns a part; one that is sent far off finds its time used up.

--- a/crates/celerylead/src/customer/fleet.rs
+++ b/crates/celerylead/src/customer/fleet.rs
@@ -11,10 +11,6 @@
 //! is heard again, what it spent beyond its booked share is booked too; a
 //! share that it didn't use stays lost.
 //!
-//! A call that is turned away is told to come back when those that were turned
-//! away before it have had their turn. At the bare refill all would come back
-//! at once, and take what calls that just arrive could still use in time.
-//!
 //! A bucket starts empty and takes over the level that the first host tells.
 //! Where nobody tells one, all hosts were started together; it is then filled
 //! to a half, as what was spent before isn't known.
@@ -57,8 +53,6 @@
     assume_at: Option<EpochMillis>,
     /// Units that this host spent since its start.
     spent: i64,
-    /// Units of calls that this host turned away and whose turn hasn't come.
-    turned_away: f64,
     told: SortedTable<String, ToldTotal>,
 }
 
@@ -71,7 +65,6 @@
             refilled: now,
             assume_at: Some(now.after(LONE)),
             spent: 0,
-            turned_away: 0.0,
             told: SortedTable::default(),
         }
     }
@@ -94,8 +87,7 @@
     ///
     /// # Errors
     ///
-    /// Returns the point at which the bucket will hold enough, behind the
-    /// calls that were turned away before.
+    /// Returns the point at which the bucket will hold enough.
     pub fn take(
         &mut self,
         cost: u64,
@@ -111,10 +103,7 @@
             return Ok(());
         }
         let per_second = (self.rate.per_second as f64).max(1.0);
-        let share = per_second / hosts.count() as f64;
-        let seconds =
-            (needed - self.level) / per_second + self.turned_away / share;
-        self.turned_away += cost;
+        let seconds = (needed - self.level) / per_second;
         Err(now.after(Duration::from_secs_f64(seconds.min(60.0))))
     }
 
@@ -174,7 +163,6 @@
         self.refilled = now;
         let gained = self.rate.per_second as f64 * seconds;
         let share = gained / hosts.count() as f64;
-        self.turned_away = (self.turned_away - share).max(0.0);
         let mut silent = 0.0;
         for host in hosts.silent(now) {
             silent += share;
