--- a/crates/stand-ins/src/raw_runner.rs
+++ b/crates/stand-ins/src/raw_runner.rs
@@ -18,6 +18,8 @@
 const EVENT_GAP: Duration = Duration::from_millis(15);
 /// The same where it is slow.
 const SLOW_GAP: Duration = Duration::from_millis(120);
+/// The same where it crawls.
+const CRAWL_GAP: Duration = Duration::from_millis(900);
 /// Events of a stream.
 const EVENTS: u32 = 4;
 /// Name of the model that it holds.
@@ -51,6 +53,9 @@
     Failure,
     /// Takes long between two events.
     Slow,
+    /// Takes so long that a stream outlasts the time for which a leaving host
+    /// takes callers.
+    Crawl,
     /// Does what an order says, but doesn't answer it.
     MuteOrders,
 }
@@ -353,8 +358,11 @@
          transfer-encoding: chunked\r\n{headers}\r\n"
     );
     stream.write_all(head.as_bytes()).await?;
-    let slow = fault == RunnerFault::Slow;
-    let gap = if slow { SLOW_GAP } else { EVENT_GAP };
+    let gap = match fault {
+        RunnerFault::Slow => SLOW_GAP,
+        RunnerFault::Crawl => CRAWL_GAP,
+        _ => EVENT_GAP,
+    };
     for number in 1..=EVENTS {
         let event = format!("id: {number}\ndata: x\n\n");
         let chunk = format!("{:x}\r\n{event}\r\n", event.len());
