Give the charge back where a call's time ran out between two runners

Cause: a call that a runner turned away, and whose time was then over, was refused by its own task, which can't reach the customer's bucket.

Ruled out: refunding from the try: the desk owns the rates.

Change: the desk refuses what comes after its deadline, with the refund of any refusal that didn't run.

--- a/crates/celerylead/src/request/tests.rs
+++ b/crates/celerylead/src/request/tests.rs
@@ -172,3 +172,39 @@
     assert_eq!(queue.expire(EpochMillis(100)).len(), 99);
     assert!(queue.is_empty());
 }
+
+#[test]
+fn a_refusal_promises_only_where_nothing_ran() {
+    struct Case {
+        code: RefusalCode,
+        outcome: RunOutcome,
+        status: u16,
+    }
+    let cases = [
+        Case {
+            code: RefusalCode::NoRunner,
+            outcome: RunOutcome::NotRun,
+            status: 503,
+        },
+        Case {
+            code: RefusalCode::NoRunner,
+            outcome: RunOutcome::OutcomeUnknown,
+            status: 502,
+        },
+        Case {
+            code: RefusalCode::RateLimited,
+            outcome: RunOutcome::OutcomeUnknown,
+            status: 502,
+        },
+        Case {
+            code: RefusalCode::RunnerTimeout,
+            outcome: RunOutcome::OutcomeUnknown,
+            status: 504,
+        },
+    ];
+    for Case { code, outcome, status } in cases {
+        let refusal =
+            Refusal { code, outcome, message: String::new(), retry_at: None };
+        assert_eq!(refusal.status(), status, "{code:?} {outcome:?}");
+    }
+}
--- a/crates/celerylead/src/tasks/node/attempt.rs
+++ b/crates/celerylead/src/tasks/node/attempt.rs
@@ -166,7 +166,7 @@
             Err(error) => {
                 self.note_failure(&slot, "connect", &error);
                 slot.finish(CallEnd::Unreachable, None);
-                return self.again(request);
+                return TryEnd::Again(request);
             }
         };
         let left = self.deadline.saturating_duration_since(Instant::now());
@@ -206,7 +206,7 @@
             Err(SendFault::Unsent(proof, error)) => {
                 self.note_failure(&slot, "send", &error);
                 slot.finish(CallEnd::Broken, None);
-                self.again(request.taken_back(proof))
+                TryEnd::Again(request.taken_back(proof))
             }
             Err(SendFault::InDoubt(error)) => {
                 self.note_failure(&slot, "await_head", &error);
@@ -229,18 +229,6 @@
         HttpLink::open(&slot.choice.address, limit.min(self.deadline)).await
     }
 
-    /// Lets a call that ran nowhere look for another runner, while there is
-    /// time.
-    fn again(&self, request: Request<Admitted>) -> TryEnd {
-        if Instant::now() < self.deadline {
-            return TryEnd::Again(request);
-        }
-        TryEnd::Failed(request.refused(Refusal::not_run(
-            RefusalCode::NoRunner,
-            "no runner took the call in time",
-        )))
-    }
-
     async fn judge(
         &mut self,
         request: Request<Sent>,
@@ -260,7 +248,7 @@
                 self.note_failure(&slot, "turned_away", &error);
                 let link = drained(upstream, link).await;
                 slot.finish(CallEnd::TurnedAway, link);
-                self.again(request.turned_away(proof))
+                TryEnd::Again(request.turned_away(proof))
             }
             AnswerVerdict::Unusable(reason) => {
                 let error = anyhow::anyhow!(reason);
--- a/crates/celerylead/src/tasks/node/desk.rs
+++ b/crates/celerylead/src/tasks/node/desk.rs
@@ -327,6 +327,11 @@
     /// Charges a call, unless it was charged before, and looks for its
     /// runner.
     fn admit(&mut self, mut wait: RouteWait, now: EpochMillis) {
+        if wait.ask.deadline <= now {
+            let code = RefusalCode::NoRunner;
+            self.refuse(wait, code, "no runner took the call in time", now);
+            return;
+        }
         let (share, slack) =
             (self.setup.allowance.share, self.setup.allowance.slack);
         let hosts = self.hearing.count() as f64;
