Split the lease's timing from the placer and the idle links from the desk

The example of RegistryContact failed: a first answer was taken for one without a gap before it where the clock shows less than 1.5 s, which only an example's does.

Ruled out: a fault on a running host: its clock shows the time of day.

Change: tasks/node/lease.rs keeps the lease in time, tasks/node/links.rs the idle connections; behaviour as before. RegistryContact knows that it never answered.

--- a/crates/celerylead/src/membership/contact.rs
+++ b/crates/celerylead/src/membership/contact.rs
@@ -37,7 +37,8 @@
 pub struct RegistryContact {
     /// Point since which there was no gap.
     since: EpochMillis,
-    answered_at: EpochMillis,
+    /// Last answer, if there was one.
+    answered_at: Option<EpochMillis>,
 }
 
 impl RegistryContact {
@@ -48,21 +49,23 @@
         began: EpochMillis,
         now: EpochMillis,
     ) -> Option<EpochMillis> {
-        let last = std::mem::replace(&mut self.answered_at, now);
-        let away = last.after(AWAY) < began;
-        if away {
-            self.since = began;
+        let last = self.answered_at.replace(now);
+        if last.is_some_and(|last| began <= last.after(AWAY)) {
+            return None;
         }
-        (away && last != EpochMillis::default()).then_some(last)
+        self.since = began;
+        last
     }
 
     /// Returns for how long there was no gap, in milliseconds; 0 where there
     /// is one now.
     pub fn steady_ms(self, now: EpochMillis) -> u64 {
-        if self.answered_at.after(AWAY) < now {
-            return 0;
+        match self.answered_at {
+            Some(last) if now <= last.after(AWAY) => {
+                self.since.until(now).as_millis() as u64
+            }
+            _ => 0,
         }
-        self.since.until(now).as_millis() as u64
     }
 }
 
--- a/crates/celerylead/src/tasks/node/desk.rs
+++ b/crates/celerylead/src/tasks/node/desk.rs
@@ -12,7 +12,7 @@
     time::Instant,
 };
 
-use super::{CatalogWatch, RosterWatch, herald::HeraldPort};
+use super::{CatalogWatch, RosterWatch, herald::HeraldPort, links::IdleLinks};
 use crate::{
     catalog::ServiceCatalog,
     clock::{EpochMillis, HostClock},
@@ -45,8 +45,6 @@
 const MOST_DEMANDS: usize = 48;
 /// Time between two messages that an adapter is missing; one may be lost.
 const WANT_PERIOD: Duration = Duration::from_millis(150);
-/// Idle connections kept to one runner.
-const MAX_IDLE_LINKS: usize = 8;
 
 /// The platform's allowance of further runs, of each service over all
 /// hosts.
@@ -207,7 +205,7 @@
     hearing: HostHearing,
     budgets: SortedTable<String, RetryBudget>,
     demand: DemandMeter,
-    links: SortedTable<String, Vec<(Instant, HttpLink)>>,
+    links: IdleLinks,
     waiting: Vec<RouteWait>,
     /// Adapters that were said to be missing, and when.
     wanted: SortedTable<ModelName, EpochMillis>,
@@ -235,7 +233,7 @@
         hearing: HostHearing::default(),
         budgets: SortedTable::default(),
         demand: DemandMeter::new(DEMAND_HALF_LIFE),
-        links: SortedTable::default(),
+        links: IdleLinks::default(),
         waiting: Vec::new(),
         wanted: SortedTable::default(),
         setup,
@@ -320,7 +318,7 @@
     fn adopt_roster(&mut self, roster: &[crate::roster::RunnerFacts]) {
         self.table.adopt(roster.iter());
         let table = &self.table;
-        self.links.retain(|runner, _| table.takes_calls(runner));
+        self.links.retain(|runner| table.takes_calls(runner));
         self.pump();
     }
 
@@ -396,7 +394,7 @@
         choice: RelayChoice,
         now: EpochMillis,
     ) {
-        let link = self.idle_link(&choice.runner);
+        let link = self.links.take(&choice.runner);
         let routed = RoutedCall { choice, link };
         if let Err(Ok(unheard)) = wait.reply.send(Ok(routed)) {
             // The caller went away while its call waited.
@@ -467,23 +465,11 @@
         if let Some((link, until)) = done.link
             && self.table.takes_calls(&done.choice.runner)
         {
-            let links = self.links.entry(done.choice.runner.clone(), Vec::new);
-            if MAX_IDLE_LINKS <= links.len() {
-                links.remove(0);
-            }
-            links.push((until, link));
+            self.links.keep(&done.choice.runner, link, until);
         }
         self.pump();
     }
 
-    /// Returns the connection that was used last, if it may be used again.
-    fn idle_link(&mut self, runner: &str) -> Option<HttpLink> {
-        let links = self.links.get_mut(runner)?;
-        let now = Instant::now();
-        links.retain(|(until, link)| now < *until && link.is_ready());
-        links.pop().map(|(_, link)| link)
-    }
-
     fn told(&mut self, digest: &HostDigest, at: EpochMillis) {
         self.hearing.heard(&digest.host, at);
         for load in &digest.loads {
--- a/crates/celerylead/src/tasks/node/mod.rs
+++ b/crates/celerylead/src/tasks/node/mod.rs
@@ -20,6 +20,8 @@
 mod desk;
 mod gate;
 mod herald;
+mod lease;
+mod links;
 mod orders;
 mod placer;
 mod run;
--- a/crates/celerylead/src/tasks/node/placer.rs
+++ b/crates/celerylead/src/tasks/node/placer.rs
@@ -16,14 +16,13 @@
 use super::{
     CatalogWatch, NodePhase, RosterWatch,
     herald::{Heard, HeraldPort},
+    lease::{LeaseCall, LeaseKeeper},
     orders::{self, LeaseEnd},
 };
 use crate::{
     catalog::{EngineTraits, ServiceCatalog},
     clock::{EpochMillis, HostClock},
-    membership::{
-        HostMessage, HostRow, OrderRight, OrdersLease, RENEW_PERIOD,
-    },
+    membership::{HostMessage, HostRow},
     model::ModelName,
     placement::{
         AdapterBook, AdapterMove, FleetPlan, LoadAllowance, ModelDemand,
@@ -47,13 +46,6 @@
 const SETTLE: Duration = Duration::from_millis(6_000);
 /// Time between two tellings of what runners hold while that stays.
 const TELL_PERIOD: Duration = Duration::from_millis(1_000);
-/// Silence of the holder after which the lease's row is read.
-const HOLDER_SILENCE: Duration = Duration::from_millis(2_500);
-/// Hosts that hear of a free lease look at it within this time after it may
-/// be taken, in milliseconds.
-const CLAIM_JITTER_MS: u64 = 400;
-/// Time between two readings of the row.
-const READ_PERIOD: Duration = Duration::from_millis(1_000);
 /// Age from which a host's digest says nothing of demand.
 const DEMAND_AGE: Duration = Duration::from_millis(2_000);
 
@@ -80,13 +72,7 @@
 
 struct PlacerTask<C> {
     setup: PlacerSetup<C>,
-    lease: OrdersLease,
-    /// The right to order, as orders under way see it.
-    right: watch::Sender<OrderRight>,
-    /// Whether a call of the store is under way.
-    asking: bool,
-    /// Point from which the store may be asked again.
-    ask_at: Instant,
+    lease: LeaseKeeper,
     /// Whether this host held the lease at its last turn.
     holding: bool,
     /// Point at which the process started.
@@ -110,12 +96,8 @@
 ) {
     let (ended, ends) = mpsc::channel(MAILBOX);
     let now = Instant::now();
-    let jitter = Duration::from_millis(rand::random_range(0..400));
     let task = PlacerTask {
-        lease: OrdersLease::default(),
-        right: watch::channel(OrderRight::default()).0,
-        asking: false,
-        ask_at: now + jitter,
+        lease: LeaseKeeper::new(setup.row.clone(), setup.turns),
         holding: false,
         started: now,
         shelves: ShelfTable::default(),
@@ -143,7 +125,8 @@
         period.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             // Hosts that don't hold the lease have nothing to do each turn.
-            let idle = !self.holding && Instant::now() < self.ask_at;
+            let ask_at = self.lease.ask_at();
+            let idle = !self.holding && Instant::now() < ask_at;
             tokio::select! {
                 heard = inbox.recv() => match heard {
                     Some(heard) if self.hear(&heard) => {}
@@ -151,7 +134,7 @@
                     None => return,
                 },
                 Some(ended) = ends.recv() => self.end(ended),
-                () = tokio::time::sleep_until(self.ask_at), if idle => {}
+                () = tokio::time::sleep_until(ask_at), if idle => {}
                 () = self.until_due(), if self.holding => {}
                 _ = period.tick(), if !idle => {}
             }
@@ -183,19 +166,12 @@
                 self.holding
             }
             Heard::Holder(row, version) => {
-                self.lease.read(Some(row.clone()), *version, now);
-                self.ask_at = Instant::now() + HOLDER_SILENCE;
+                self.lease.holder_heard(row, *version, now);
                 false
             }
             Heard::Released(fencing) => {
                 tracing::info!(event = "orders_released", fencing);
                 self.lease.released(*fencing, now);
-                // The hosts look at different points, so that one succeeds
-                // at its first claim.
-                let jitter = rand::random_range(0..CLAIM_JITTER_MS);
-                let jitter = Duration::from_millis(jitter);
-                let handover = OrdersLease::handover(self.setup.turns);
-                self.ask_at = Instant::now() + handover + jitter;
                 false
             }
         }
@@ -212,7 +188,6 @@
             }
             return;
         };
-        self.right.send_replace(self.lease.right());
         if !self.holding {
             self.holding = true;
             self.shelves.distrust(now);
@@ -240,7 +215,6 @@
     /// to lapse then.
     async fn give_up(&mut self) {
         let Some(fencing) = self.lease.give_up() else { return };
-        self.right.send_replace(self.lease.right());
         tracing::info!(event = "orders_lost", fencing);
         let message = HostMessage::Released { fencing };
         self.setup.herald.announce(message).await;
@@ -249,25 +223,19 @@
     /// Renews the lease, or looks whether it is free.
     fn keep_lease(&mut self) {
         let leaving = *self.setup.phase.borrow() != NodePhase::Serving;
-        if self.asking || leaving || Instant::now() < self.ask_at {
+        if leaving {
             return;
         }
-        self.asking = true;
-        self.ask_at = Instant::now() + READ_PERIOD;
         let now = self.setup.clock.now();
-        let row = &self.setup.row;
-        let claim = self.lease.claim(
-            &row.host,
-            row.incarnation,
-            self.setup.turns,
-            now,
-        );
+        let Some(call) = self.lease.next_call(now) else { return };
         let store = self.setup.store.clone();
         let ended = self.ended.clone();
         crate::tasks::spawn(async move {
-            let end = match claim {
-                Some(claim) => orders::write_claim(&store, claim).await,
-                None => orders::read_lease(&store).await,
+            let end = match call {
+                LeaseCall::Write(claim) => {
+                    orders::write_claim(&store, claim).await
+                }
+                LeaseCall::Read => orders::read_lease(&store).await,
             };
             let _ = ended.send(Ended::Lease(end)).await;
         });
@@ -284,35 +252,12 @@
             Ended::Report(runner, report) => {
                 self.shelves.reported(&runner, report, now);
             }
-            Ended::Lease(end) => self.lease_ended(end, now),
-        }
-    }
-
-    fn lease_ended(&mut self, end: LeaseEnd, now: EpochMillis) {
-        self.asking = false;
-        match end {
-            LeaseEnd::Read(row, version) => {
-                self.lease.read(row, version, now);
-                let row = &self.setup.row;
-                let (host, turns) = (&row.host, self.setup.turns);
-                let claim =
-                    self.lease.claim(host, row.incarnation, turns, now);
-                if claim.is_some() {
-                    self.ask_at = Instant::now();
-                }
-            }
-            LeaseEnd::Claimed(claim, version) => {
-                self.ask_at = Instant::now() + RENEW_PERIOD;
-                match version {
-                    Some(version) => {
-                        self.lease.claimed(&claim, version, now);
-                        // Told at once, so that the others know the version.
-                        self.told_at = Instant::now() - TELL_PERIOD;
-                    }
-                    None => self.lease.in_doubt(),
+            Ended::Lease(end) => {
+                if self.lease.ended(end, now) {
+                    // Told at once, so that the others know the version.
+                    self.told_at = Instant::now() - TELL_PERIOD;
                 }
             }
-            LeaseEnd::StoreFailed => self.lease.in_doubt(),
         }
     }
 
@@ -455,7 +400,7 @@
         let codec = self.setup.codec.clone();
         let ended = self.ended.clone();
         let clock = self.setup.clock.clone();
-        let right = self.right.subscribe();
+        let right = self.lease.right();
         crate::tasks::spawn(async move {
             let end = match step {
                 OrderStep::Report(facts) => {
