--- a/crates/celerylead/src/tasks/node/herald.rs
+++ b/crates/celerylead/src/tasks/node/herald.rs
@@ -81,8 +81,8 @@
 }
 
 impl HeraldPort {
-    /// Tells the placer that an adapter is missing. The call asks again
-    /// when it is looked at next, so a lost message costs time only.
+    /// Tells the placer that an adapter is missing. The desk tells again
+    /// while calls wait for it, so a lost message costs time only.
     pub(crate) fn want(&self, name: &ModelName) {
         let event = HeraldEvent::Want(name.clone());
         if self.sender.try_send(event).is_err() {
