--- a/crates/celerylead/src/metrics.rs
+++ b/crates/celerylead/src/metrics.rs
@@ -16,6 +16,8 @@
     registry::Registry,
 };
 
+use crate::clock::EpochMillis;
+
 /// Labels of a counter of answers.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct AnswerLabels {
@@ -30,6 +32,12 @@
     pub(crate) kind: &'static str,
 }
 
+/// Labels of what is known of one of the platform's tables.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct TableLabels {
+    pub(crate) table: &'static str,
+}
+
 /// The metrics of one host; clones count into the same series.
 #[derive(Clone)]
 pub(crate) struct HostMetrics {
@@ -41,6 +49,8 @@
     pub(crate) revision: Gauge,
     pub(crate) lease_live: Gauge,
     pub(crate) platform_errors: Counter,
+    pub(crate) readings: Family<TableLabels, Gauge>,
+    pub(crate) peer_bytes: Counter,
     pub(crate) usage_waiting: Gauge,
     pub(crate) first_byte: Histogram,
 }
@@ -55,6 +65,8 @@
         let revision = Gauge::default();
         let lease_live = Gauge::default();
         let platform_errors = Counter::default();
+        let readings = Family::default();
+        let peer_bytes = Counter::default();
         let usage_waiting = Gauge::default();
         let buckets = exponential_buckets(0.001, 2.0, 16);
         let first_byte = Histogram::new(buckets);
@@ -93,6 +105,16 @@
             "Failed calls of the platform's services",
             platform_errors.clone(),
         );
+        registry.register(
+            "reading_answered_seconds",
+            "Point of the last answered reading, by table, since the epoch",
+            readings.clone(),
+        );
+        registry.register(
+            "peer_bytes",
+            "Bytes sent to other hosts, of a host behind an adapter",
+            peer_bytes.clone(),
+        );
         registry.register(
             "usage_waiting_records",
             "Usage records that are not confirmed yet",
@@ -112,6 +134,8 @@
             revision,
             lease_live,
             platform_errors,
+            readings,
+            peer_bytes,
             usage_waiting,
             first_byte,
         }
@@ -128,6 +152,12 @@
         self.answers.get_or_create(&labels).inc();
     }
 
+    /// Notes that a reading of a table was answered.
+    pub(crate) fn note_reading(&self, table: &'static str, at: EpochMillis) {
+        let seconds = i64::try_from(at.0 / 1_000).unwrap_or(i64::MAX);
+        self.readings.get_or_create(&TableLabels { table }).set(seconds);
+    }
+
     /// Counts tokens.
     pub(crate) fn count_tokens(
         &self,
--- a/crates/celerylead/src/placement/fleet.rs
+++ b/crates/celerylead/src/placement/fleet.rs
@@ -3,8 +3,8 @@
 use crate::{
     catalog::{EngineTraits, ServiceTraits},
     placement::{
-        ModelDemand, ModelNeed, PlacementPlan, PlanPace, RunnerRoom,
-        next_plan,
+        LoadSource, ModelDemand, ModelNeed, PlacementPlan, PlanPace,
+        RunnerRoom, next_plan,
         shelf::{Idle, RunnerShelf},
         shelves::ShelfTable,
     },
@@ -43,8 +43,8 @@
     pub kind: OrderKind,
     /// Name of the model.
     pub model: String,
-    /// Whether it comes from the weight store, not from a copy.
-    pub from_store: bool,
+    /// Where the weights come from, for a load.
+    pub source: Option<LoadSource>,
 }
 
 impl FleetPlan {
@@ -122,7 +122,11 @@
                 runner,
                 kind: OrderKind::Load,
                 model: missing.clone(),
-                from_store: !shelf.facts.copies.contains(missing),
+                source: Some(if shelf.facts.copies.contains(missing) {
+                    LoadSource::Copy
+                } else {
+                    LoadSource::Store
+                }),
             });
         }
         let unwanted = shelf.models.iter().find(|held| {
@@ -133,7 +137,7 @@
             runner,
             kind: OrderKind::Unload,
             model: unwanted.name.clone(),
-            from_store: false,
+            source: None,
         })
     }
 
--- a/crates/celerylead/src/placement/loads.rs
+++ b/crates/celerylead/src/placement/loads.rs
@@ -4,6 +4,16 @@
 
 use crate::clock::EpochMillis;
 
+/// Where the weights of a load come from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LoadSource {
+    /// The weight store.
+    Store,
+    /// A copy that the runner keeps.
+    Copy,
+}
+
 /// Loads that may begin at once after a pause; the platform bounds the
 /// loads of a window by its rate and three more.
 const BURST: f64 = 2.0;
--- a/crates/celerylead/src/placement/mod.rs
+++ b/crates/celerylead/src/placement/mod.rs
@@ -37,10 +37,10 @@
     adapters::{AdapterBook, AdapterMove, AdapterStep},
     demand::{DemandMeter, ModelDemand},
     fleet::{FleetPlan, ModelStep, ServicePlan},
-    loads::LoadAllowance,
+    loads::{LoadAllowance, LoadSource},
     order::{OrderDraft, OwnedRunner},
     plan::{ModelNeed, PlacementPlan, PlanPace, RunnerRoom, next_plan},
-    shelf::{Doubtful, Idle, Ordered, RunnerShelf, Unread},
+    shelf::{Doubtful, Idle, OrderTry, Ordered, RunnerShelf, Unread},
     shelves::{OrderStep, ShelfTable},
     uses::UseTable,
 };
--- a/crates/celerylead/src/placement/shelf.rs
+++ b/crates/celerylead/src/placement/shelf.rs
@@ -13,6 +13,7 @@
 
 use std::time::Duration;
 
+use super::loads::LoadSource;
 use crate::{
     clock::EpochMillis,
     model::ModelName,
@@ -26,6 +27,19 @@
 /// their way arrive, and hosts that have calls there tell.
 const CLEAR_WAIT: Duration = Duration::from_millis(100);
 
+/// An order as it goes out, perhaps not for the first time.
+#[derive(Clone, Debug, PartialEq)]
+pub struct OrderTry {
+    /// The order.
+    pub order: PlacementOrder,
+    /// Where the weights come from, where it loads a model.
+    pub source: Option<LoadSource>,
+    /// Point at which it was given.
+    pub given_at: EpochMillis,
+    /// How often it went out, this time included.
+    pub attempt: u32,
+}
+
 /// State: its report has to be read before it takes an order.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Unread {
@@ -40,7 +54,7 @@
 /// State: an order is on its way, or was accepted and isn't carried out.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Ordered {
-    pub(super) order: PlacementOrder,
+    pub(super) sent: OrderTry,
     /// Point at which it should hold; none while it isn't answered.
     pub(super) holds_at: Option<EpochMillis>,
 }
@@ -48,7 +62,7 @@
 /// State: an order was not answered.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Doubtful {
-    pub(super) order: PlacementOrder,
+    pub(super) sent: OrderTry,
     /// Point from which it is repeated.
     pub(super) repeat_at: EpochMillis,
 }
@@ -152,12 +166,14 @@
     pub(super) fn order(
         mut self,
         order: PlacementOrder,
+        source: Option<LoadSource>,
         now: EpochMillis,
     ) -> RunnerShelf<Ordered> {
         if order.kind == OrderKind::Unload {
             self.give_way(&ordered_name(&order), now);
         }
-        self.into_state(Ordered { order, holds_at: None })
+        let sent = OrderTry { order, source, given_at: now, attempt: 1 };
+        self.into_state(Ordered { sent, holds_at: None })
     }
 }
 
@@ -166,14 +182,14 @@
         self,
         repeat_at: EpochMillis,
     ) -> RunnerShelf<Doubtful> {
-        let order = self.state.order.clone();
-        self.into_state(Doubtful { order, repeat_at })
+        let sent = self.state.sent.clone();
+        self.into_state(Doubtful { sent, repeat_at })
     }
 
     /// Takes what was ordered for done. `accepted` tells whether the order
     /// counted.
     pub(super) fn done(mut self, accepted: bool) -> RunnerShelf<Idle> {
-        let order = &self.state.order;
+        let order = &self.state.sent.order;
         self.known = order.expected + u64::from(accepted);
         note_order(&mut self.models, order);
         let models = &self.models;
@@ -187,15 +203,16 @@
         mut self,
         read_at: EpochMillis,
     ) -> RunnerShelf<Unread> {
-        self.known = self.state.order.expected + 1;
+        self.known = self.state.sent.order.expected + 1;
         self.unread(read_at)
     }
 }
 
 impl RunnerShelf<Doubtful> {
     pub(super) fn repeat(self) -> RunnerShelf<Ordered> {
-        let order = self.state.order.clone();
-        self.into_state(Ordered { order, holds_at: None })
+        let mut sent = self.state.sent.clone();
+        sent.attempt += 1;
+        self.into_state(Ordered { sent, holds_at: None })
     }
 }
 
--- a/crates/celerylead/src/placement/shelves.rs
+++ b/crates/celerylead/src/placement/shelves.rs
@@ -6,7 +6,12 @@
 
 use std::time::Duration;
 
-use super::shelf::{Doubtful, Idle, Ordered, RunnerShelf, Unread, note_order};
+use super::{
+    loads::LoadSource,
+    shelf::{
+        Doubtful, Idle, OrderTry, Ordered, RunnerShelf, Unread, note_order,
+    },
+};
 use crate::{
     clock::EpochMillis,
     model::ModelName,
@@ -32,7 +37,7 @@
     /// Read its report.
     Report(RunnerFacts),
     /// Send, or repeat, an order.
-    Send(RunnerFacts, PlacementOrder),
+    Send(RunnerFacts, OrderTry),
 }
 
 /// The runners that take orders, by state.
@@ -126,14 +131,12 @@
         &self,
     ) -> impl Iterator<Item = (&RunnerFacts, Vec<HeldModel>, &PlacementOrder)>
     {
-        let ordered = self
-            .ordered
-            .values()
-            .map(|shelf| (&shelf.facts, shelf.kept(), &shelf.state.order));
-        let doubtful = self
-            .doubtful
-            .values()
-            .map(|shelf| (&shelf.facts, shelf.kept(), &shelf.state.order));
+        let ordered = self.ordered.values().map(|shelf| {
+            (&shelf.facts, shelf.kept(), &shelf.state.sent.order)
+        });
+        let doubtful = self.doubtful.values().map(|shelf| {
+            (&shelf.facts, shelf.kept(), &shelf.state.sent.order)
+        });
         ordered.chain(doubtful)
     }
 
@@ -165,14 +168,17 @@
     }
 
     /// Books an order to an idle runner; returns what is to be sent.
+    /// `source` is where the weights of a model come from.
     pub fn order(
         &mut self,
         order: &PlacementOrder,
+        source: Option<LoadSource>,
         now: EpochMillis,
     ) -> Option<OrderStep> {
         let shelf = self.idle.remove(&order.runner)?;
-        let step = OrderStep::Send(shelf.facts.clone(), order.clone());
-        let shelf = shelf.order(order.clone(), now);
+        let shelf = shelf.order(order.clone(), source, now);
+        let sent = shelf.state.sent.clone();
+        let step = OrderStep::Send(shelf.facts.clone(), sent);
         self.ordered.insert(order.runner.clone(), shelf);
         Some(step)
     }
@@ -207,8 +213,8 @@
         for id in repeat {
             let Some(shelf) = self.doubtful.remove(&id) else { continue };
             let shelf = shelf.repeat();
-            let order = shelf.state.order.clone();
-            steps.push(OrderStep::Send(shelf.facts.clone(), order));
+            let sent = shelf.state.sent.clone();
+            steps.push(OrderStep::Send(shelf.facts.clone(), sent));
             self.ordered.insert(id, shelf);
         }
         self.settle_due(now);
@@ -229,7 +235,7 @@
             let adapter = self
                 .ordered
                 .get(&id)
-                .is_some_and(|shelf| shelf.state.order.adapter.is_some());
+                .is_some_and(|shelf| shelf.state.sent.order.adapter.is_some());
             if adapter {
                 self.settle(&id);
             } else if let Some(shelf) = self.ordered.remove(&id) {
@@ -278,7 +284,7 @@
         let under_way = self
             .ordered
             .get(id)
-            .is_some_and(|shelf| shelf.state.order == *order);
+            .is_some_and(|shelf| shelf.state.sent.order == *order);
         if !under_way {
             return;
         }
--- a/crates/celerylead/src/placement/tests/shelf.rs
+++ b/crates/celerylead/src/placement/tests/shelf.rs
@@ -5,7 +5,7 @@
 use crate::{
     EpochMillis,
     model::ModelName,
-    placement::{OrderStep, ShelfTable},
+    placement::{OrderStep, OrderTry, ShelfTable},
     port::{EngineReport, OrderVerdict, PlacementOrder},
     roster::{HeldModel, RunnerFacts},
     runner::OrderKind,
@@ -288,17 +288,17 @@
         Step::Order(adapter) => {
             // Refused where the runner takes none; cases look at what
             // goes out.
-            shelves.order(&order(4, adapter), now);
+            shelves.order(&order(4, adapter), None, now);
         }
         Step::Unload(adapter) => {
             let kind = OrderKind::Unload;
             let order = PlacementOrder { kind, ..order(4, adapter) };
-            shelves.order(&order, now);
+            shelves.order(&order, None, now);
         }
         Step::UnloadModel => {
             let kind = OrderKind::Unload;
             let order = PlacementOrder { kind, adapter: None, ..order(4, "") };
-            shelves.order(&order, now);
+            shelves.order(&order, None, now);
         }
         Step::ModelUnloading => {
             let kind = OrderKind::Unload;
@@ -354,7 +354,7 @@
 fn text(step: &OrderStep) -> String {
     match step {
         OrderStep::Report(_) => "report".to_owned(),
-        OrderStep::Send(_, order) => {
+        OrderStep::Send(_, OrderTry { order, .. }) => {
             let adapter = order.adapter.as_deref().unwrap_or("");
             format!("order {adapter} after {}", order.expected)
         }
--- a/crates/celerylead/src/tasks/node/herald.rs
+++ b/crates/celerylead/src/tasks/node/herald.rs
@@ -21,6 +21,7 @@
         HostDigest, HostMessage, HostRow, OrdersRow, PeerContact,
         RegistryContact,
     },
+    metrics::HostMetrics,
     model::ModelName,
     port::{RowChange, RowKey, RowPut, StorePort, StoreTable},
     sorted::SortedTable,
@@ -43,11 +44,12 @@
 const MAX_DATAGRAM_BYTES: usize = 16 << 10;
 
 /// What the task is started with.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub(crate) struct HeraldSetup {
     pub(crate) row: HostRow,
     pub(crate) store: StorePort,
     pub(crate) clock: HostClock,
+    pub(crate) metrics: HostMetrics,
     /// This host's contact with the registry.
     pub(crate) contact: watch::Receiver<RegistryContact>,
     /// What the other hosts tell of theirs.
@@ -261,6 +263,8 @@
                 return;
             }
         };
+        let sent = bytes.len() as u64 * listeners.len() as u64;
+        self.setup.metrics.peer_bytes.inc_by(sent);
         for address in listeners {
             if let Err(error) = self.socket.send_to(&bytes, address).await {
                 tracing::debug!(event = "send_failed", %address, %error);
@@ -272,7 +276,8 @@
         let message = match postcard::from_bytes(bytes) {
             Ok(message) => message,
             Err(error) => {
-                tracing::debug!(event = "message_unreadable", %error);
+                let bytes = bytes.len();
+                tracing::info!(event = "message_unreadable", bytes, %error);
                 return;
             }
         };
--- a/crates/celerylead/src/tasks/node/lease.rs
+++ b/crates/celerylead/src/tasks/node/lease.rs
@@ -40,6 +40,8 @@
     asking: bool,
     /// Point from which the store may be asked again.
     ask_at: Instant,
+    /// Point at which the last claim that succeeded was made.
+    renewed_at: EpochMillis,
     /// Who this host is.
     row: HostRow,
     /// Span in which orders of two hosts count as taking turns.
@@ -53,6 +55,7 @@
             right: watch::channel(OrderRight::default()).0,
             asking: false,
             ask_at: Instant::now() + jitter(),
+            renewed_at: EpochMillis::default(),
             row,
             turns,
         }
@@ -73,6 +76,11 @@
         self.lease.fencing(now)
     }
 
+    /// Returns the time since the last renewal that succeeded began.
+    pub(super) fn renewal_age(&self, now: EpochMillis) -> Duration {
+        self.renewed_at.until(now)
+    }
+
     /// Returns the row as last read, with its version.
     pub(super) fn row(&self) -> Option<(&OrdersRow, u64)> {
         self.lease.row()
@@ -133,6 +141,7 @@
                 self.ask_at = Instant::now() + RENEW_PERIOD;
                 match version {
                     Some(version) => {
+                        self.renewed_at = claim.since;
                         self.lease.claimed(&claim, version, now);
                         renewed = true;
                     }
--- a/crates/celerylead/src/tasks/node/orders.rs
+++ b/crates/celerylead/src/tasks/node/orders.rs
@@ -9,7 +9,9 @@
 use tokio::time::Instant;
 
 use crate::{
+    clock::EpochMillis,
     membership::{LeaseClaim, OrdersRow},
+    placement::{LoadSource, OrderTry},
     port::{
         EdgeCodec, EngineReport, HttpLink, OrderVerdict, PlacementOrder,
         RowChange, RowKey, RowPut, SendFault, StorePort, StoreTable,
@@ -35,10 +37,32 @@
     StoreFailed,
 }
 
-pub(super) fn log_order(
-    order: &PlacementOrder,
+/// Logs that an order goes out, with what it was decided on.
+pub(super) fn log_send(sent: &OrderTry, facts: &RunnerFacts) {
+    let order = &sent.order;
+    tracing::info!(
+        event = "order_sent",
+        runner = order.runner,
+        kind = ?order.kind,
+        model = order.model,
+        adapter = order.adapter,
+        expected = order.expected,
+        fencing = order.fencing,
+        source = sent.source.map(|source| match source {
+            LoadSource::Store => "store",
+            LoadSource::Copy => "copy",
+        }),
+        entry_orders = facts.orders,
+        attempt = sent.attempt,
+    );
+}
+
+pub(super) fn log_end(
+    sent: &OrderTry,
     verdict: Option<OrderVerdict>,
+    now: EpochMillis,
 ) {
+    let order = &sent.order;
     tracing::info!(
         event = "order_ended",
         runner = order.runner,
@@ -47,6 +71,8 @@
         adapter = order.adapter,
         expected = order.expected,
         fencing = order.fencing,
+        attempt = sent.attempt,
+        given_ms = sent.given_at.until(now).as_millis() as u64,
         verdict = ?verdict,
     );
 }
--- a/crates/celerylead/src/tasks/node/placer.rs
+++ b/crates/celerylead/src/tasks/node/placer.rs
@@ -25,8 +25,8 @@
     membership::{HostMessage, HostRow},
     model::ModelName,
     placement::{
-        AdapterBook, AdapterMove, FleetPlan, LoadAllowance, ModelDemand,
-        OrderStep, ShelfTable, UseTable,
+        AdapterBook, AdapterMove, FleetPlan, LoadAllowance, LoadSource,
+        ModelDemand, OrderStep, OrderTry, ShelfTable, UseTable,
     },
     port::{EdgeCodec, EngineReport, OrderVerdict, PlacementOrder, StorePort},
     roster::{HeldModel, RunnerFacts},
@@ -65,7 +65,7 @@
 
 /// How something that was sent ended.
 enum Ended {
-    Order(PlacementOrder, Option<OrderVerdict>),
+    Order(OrderTry, Option<OrderVerdict>),
     Report(String, Option<EngineReport>),
     Lease(LeaseEnd),
 }
@@ -215,7 +215,14 @@
     /// to lapse then.
     async fn give_up(&mut self) {
         let Some(fencing) = self.lease.give_up() else { return };
-        tracing::info!(event = "orders_lost", fencing);
+        let now = self.setup.clock.now();
+        let leaving = *self.setup.phase.borrow() != NodePhase::Serving;
+        tracing::info!(
+            event = "orders_lost",
+            fencing,
+            leaving,
+            renewal_ms = self.lease.renewal_age(now).as_millis() as u64,
+        );
         let message = HostMessage::Released { fencing };
         self.setup.herald.announce(message).await;
     }
@@ -244,10 +251,10 @@
     fn end(&mut self, ended: Ended) {
         let now = self.setup.clock.now();
         match ended {
-            Ended::Order(order, verdict) => {
-                orders::log_order(&order, verdict);
-                let takes = self.model_time(&order);
-                self.shelves.answered(&order, verdict, takes, now);
+            Ended::Order(sent, verdict) => {
+                orders::log_end(&sent, verdict, now);
+                let takes = self.model_time(&sent.order);
+                self.shelves.answered(&sent.order, verdict, takes, now);
             }
             Ended::Report(runner, report) => {
                 self.shelves.reported(&runner, report, now);
@@ -311,14 +318,14 @@
         let Some(plan) = plan else { return };
         self.shelves.keep(|runner, model| plan.wants(runner, model));
         for step in plan.next_steps(&self.shelves) {
-            if step.kind == OrderKind::Load
-                && step.from_store
+            if step.source == Some(LoadSource::Store)
                 && !self.loads.take(engine.loads_per_second, now)
             {
                 continue;
             }
             let name = ModelName { model: step.model, adapter: None };
-            self.give(&step.runner, step.kind, &name, fencing, now);
+            let order = (step.kind, step.source);
+            self.give(&step.runner, order, &name, fencing, now);
         }
     }
 
@@ -343,7 +350,8 @@
                     continue;
                 }
             };
-            if !self.give(&step.runner, kind, &step.name, fencing, now) {
+            let order = (kind, None);
+            if !self.give(&step.runner, order, &step.name, fencing, now) {
                 return;
             }
         }
@@ -354,7 +362,7 @@
     fn give(
         &mut self,
         runner: &str,
-        kind: OrderKind,
+        (kind, source): (OrderKind, Option<LoadSource>),
         name: &ModelName,
         fencing: u64,
         now: EpochMillis,
@@ -376,7 +384,7 @@
             holder: self.setup.row.host.clone(),
             fencing,
         };
-        let step = self.shelves.order(&order, now);
+        let step = self.shelves.order(&order, source, now);
         let ordered = step.is_some();
         step.into_iter().for_each(|step| self.send(step));
         ordered
@@ -414,19 +422,21 @@
                     });
                     Ended::Report(facts.id, report.ok())
                 }
-                OrderStep::Send(facts, order) => {
+                OrderStep::Send(facts, sent) => {
+                    orders::log_send(&sent, &facts);
+                    let order = &sent.order;
                     let fencing = order.fencing;
                     let may = || right.borrow().allows(fencing, clock.now());
-                    let sent =
-                        orders::send_order(&codec, &facts, &order, may).await;
-                    let verdict = sent.inspect_err(|error| {
+                    let answer =
+                        orders::send_order(&codec, &facts, order, may).await;
+                    let verdict = answer.inspect_err(|error| {
                         tracing::info!(
                             event = "order_failed",
                             runner = facts.id,
                             error = format!("{error:#}"),
                         );
                     });
-                    Ended::Order(order, verdict.ok())
+                    Ended::Order(sent, verdict.ok())
                 }
             };
             let _ = ended.send(end).await;
--- a/crates/celerylead/src/tasks/node/run.rs
+++ b/crates/celerylead/src/tasks/node/run.rs
@@ -147,6 +147,7 @@
         row,
         store,
         clock: clock.clone(),
+        metrics: metrics.clone(),
         contact,
         peers: peers_told,
     };
--- a/crates/celerylead/src/tasks/node/watcher.rs
+++ b/crates/celerylead/src/tasks/node/watcher.rs
@@ -87,6 +87,8 @@
     /// whole reading.
     after: Option<u64>,
     failures: u32,
+    /// Point at which the last answered step was begun.
+    read_at: Option<EpochMillis>,
 }
 
 /// What a step along a feed gave.
@@ -99,15 +101,16 @@
 
 impl FeedPosition {
     fn new(table: StoreTable) -> FeedPosition {
-        FeedPosition { table, after: None, failures: 0 }
+        FeedPosition { table, after: None, failures: 0, read_at: None }
     }
 
     /// Reads on, or the whole table where the position is lost.
-    async fn step(
+    async fn step<C>(
         &mut self,
-        store: &StorePort,
+        setup: &WatcherSetup<C>,
         wait: Duration,
     ) -> Result<FeedStep, StoreFault> {
+        let (store, began) = (&setup.store, setup.clock.now());
         let step = match self.after {
             None => store.read(self.table).await.map(FeedStep::Whole),
             Some(after) => {
@@ -115,17 +118,45 @@
                 read.map(FeedStep::Changes)
             }
         };
+        let now = setup.clock.now();
         match &step {
             Ok(FeedStep::Whole(reading) | FeedStep::Changes(reading)) => {
+                setup.metrics.note_reading(self.name(), now);
+                self.read_at = Some(began);
                 self.after = Some(reading.version);
                 self.failures = 0;
             }
-            Err(StoreFault::HistoryDropped) => self.after = None,
-            Err(_) => self.failures += 1,
+            Err(fault) => {
+                setup.metrics.platform_errors.inc();
+                let age = self.read_at.map(|at| at.until(now));
+                tracing::info!(
+                    event = "store_failed",
+                    source = self.name(),
+                    took_ms = began.until(now).as_millis() as u64,
+                    reading_ms = age.map(|age| age.as_millis() as u64),
+                    after = self.after,
+                    error = %fault,
+                );
+                if matches!(fault, StoreFault::HistoryDropped) {
+                    self.after = None;
+                } else {
+                    self.failures += 1;
+                }
+            }
         }
         step
     }
 
+    /// Name of the table in logs and metrics.
+    fn name(&self) -> &'static str {
+        match self.table {
+            StoreTable::Configuration => "configuration",
+            StoreTable::Registry => "registry",
+            StoreTable::Hosts => "hosts",
+            StoreTable::Leases => "leases",
+        }
+    }
+
     /// Wait before the next step after a failed one.
     fn backoff(&self) -> Duration {
         let doubled = FIRST_BACKOFF * 2_u32.pow(self.failures.min(8));
@@ -142,8 +173,7 @@
 impl<C: EdgeCodec> ConfigurationTask<C> {
     async fn run(mut self) {
         loop {
-            let store = self.setup.store.clone();
-            let step = self.feed.step(&store, CONFIGURATION_WAIT).await;
+            let step = self.feed.step(&self.setup, CONFIGURATION_WAIT).await;
             match step {
                 Ok(FeedStep::Whole(reading) | FeedStep::Changes(reading)) => {
                     reading.rows.iter().for_each(|row| self.adopt(row));
@@ -151,12 +181,10 @@
                         tokio::time::sleep(FIRST_BACKOFF).await;
                     }
                 }
-                Err(fault) => {
-                    note_fault(&self.setup.metrics, "configuration", &fault);
-                    if !matches!(fault, StoreFault::HistoryDropped) {
-                        self.ask_seed().await;
-                        tokio::time::sleep(self.feed.backoff()).await;
-                    }
+                Err(StoreFault::HistoryDropped) => {}
+                Err(_) => {
+                    self.ask_seed().await;
+                    tokio::time::sleep(self.feed.backoff()).await;
                 }
             }
             if self.catalog.is_closed() {
@@ -226,9 +254,8 @@
     async fn run(mut self) {
         loop {
             let began = self.setup.clock.now();
-            let store = self.setup.store.clone();
             let wait = self.until_expiry().min(REGISTRY_WAIT);
-            let step = self.feed.step(&store, wait).await;
+            let step = self.feed.step(&self.setup, wait).await;
             let pause = match step {
                 Ok(step) => {
                     self.note_answer(began);
@@ -236,8 +263,7 @@
                     REGISTRY_PAUSE
                 }
                 Err(StoreFault::HistoryDropped) => Duration::ZERO,
-                Err(fault) => {
-                    note_fault(&self.setup.metrics, "registry", &fault);
+                Err(_) => {
                     self.ask_seed().await;
                     self.feed.backoff()
                 }
@@ -389,8 +415,3 @@
     }
     seeds.get(rand::random_range(0..seeds.len()))
 }
-
-fn note_fault(metrics: &HostMetrics, source: &str, fault: &StoreFault) {
-    metrics.platform_errors.inc();
-    tracing::info!(event = "store_failed", source, error = %fault);
-}
