--- a/crates/stand-ins/src/raw_runner.rs
+++ b/crates/stand-ins/src/raw_runner.rs
@@ -10,6 +10,7 @@
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{TcpListener, TcpStream},
+    time::Instant,
 };
 
 use crate::serve::StatePort;
@@ -22,7 +23,9 @@
 const CRAWL_GAP: Duration = Duration::from_millis(900);
 /// Events of a stream.
 const EVENTS: u32 = 4;
-/// Name of the model that it holds.
+/// Time between two looks of an order that waits to be carried out.
+const LOOK: Duration = Duration::from_millis(10);
+/// Name of the model that it holds at its start.
 const MODEL: &str = "bend";
 
 /// How the runner behaves.
@@ -58,6 +61,8 @@
     Crawl,
     /// Does what an order says, but doesn't answer it.
     MuteOrders,
+    /// Doesn't answer orders, and carries them out once the fault is over.
+    LateOrders,
 }
 
 /// A request as the runner read it.
@@ -80,14 +85,18 @@
     }
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct RunnerState {
     fault: RunnerFault,
     runs: Vec<SeenRequest>,
     orders: Vec<SeenRequest>,
     /// Orders that it accepted.
     accepted: u64,
-    /// Adapters that it holds, of its only model.
+    /// Models that it holds.
+    models: Vec<String>,
+    /// Points at which it began to load a model.
+    loads: Vec<Instant>,
+    /// Adapters that it holds, of its first model.
     adapters: Vec<String>,
     /// Adapters of the calls that run.
     running: Vec<String>,
@@ -99,10 +108,29 @@
     abandoned: u32,
 }
 
+impl Default for RunnerState {
+    fn default() -> Self {
+        RunnerState {
+            fault: RunnerFault::None,
+            runs: Vec::new(),
+            orders: Vec::new(),
+            accepted: 0,
+            models: vec![MODEL.to_owned()],
+            loads: Vec::new(),
+            adapters: Vec::new(),
+            running: Vec::new(),
+            going: None,
+            waits: 0,
+            abandoned: 0,
+        }
+    }
+}
+
 /// An order, as far as it is obeyed.
 #[derive(Deserialize)]
 struct Order {
     operation: String,
+    model: String,
     adapter: Option<String>,
     expected: u64,
 }
@@ -114,7 +142,14 @@
             return "409 Conflict";
         }
         self.accepted += 1;
-        let Some(adapter) = order.adapter else { return "202 Accepted" };
+        let Some(adapter) = order.adapter else {
+            self.models.retain(|held| *held != order.model);
+            if order.operation == "load" {
+                self.models.push(order.model);
+                self.loads.push(Instant::now());
+            }
+            return "202 Accepted";
+        };
         if order.operation == "unload" && self.running.contains(&adapter) {
             self.going = Some(adapter);
             self.waits += 1;
@@ -154,11 +189,14 @@
     }
 
     fn report(&self) -> String {
-        let model = json!({
-            "name": MODEL, "version": 1, "adapters": self.adapters,
+        let models = self.models.iter().map(|name| {
+            let adapters =
+                if name == MODEL { &self.adapters[..] } else { &[] };
+            json!({"name": name, "version": 1, "adapters": adapters})
         });
+        let models: Vec<_> = models.collect();
         let busy = self.going.is_some();
-        json!({"models": [model], "busy": busy, "seq": self.accepted})
+        json!({"models": models, "busy": busy, "seq": self.accepted})
             .to_string()
     }
 }
@@ -208,6 +246,11 @@
         self.state.with(|state| state.orders.clone()).await
     }
 
+    /// Returns the points at which it began to load a model.
+    pub async fn loads(&self) -> Vec<Instant> {
+        self.state.with(|state| state.loads.clone()).await
+    }
+
     /// Returns how many unloads had to wait for calls.
     pub async fn waits(&self) -> u32 {
         self.state.with(|state| state.waits).await
@@ -234,6 +277,10 @@
                 std::future::pending::<()>().await;
             }
             let order: Order = serde_json::from_slice(&request.body)?;
+            if fault == RunnerFault::LateOrders {
+                tokio::spawn(obey_late(state.clone(), order));
+                return std::future::pending().await;
+            }
             let status = state.with(move |state| state.obey(order)).await;
             write_plain(&mut stream, status, "", b"").await?;
             continue;
@@ -248,6 +295,14 @@
     Ok(())
 }
 
+/// Carries an order out once the fault is over.
+async fn obey_late(state: StatePort<RunnerState>, order: Order) {
+    while state.with(|state| state.fault).await == RunnerFault::LateOrders {
+        tokio::time::sleep(LOOK).await;
+    }
+    state.with(move |state| state.obey(order)).await;
+}
+
 /// Answers a call as the fault asks for; an error ends the connection.
 async fn answer(
     stream: &mut TcpStream,
