Give a poll of the store up in time to read anew within the bounds

What callers saw: after a silence of the store, a key that the operator had confirmed was refused, and a route led to the old service, for up to 9.5 s.

Cause: a host hears of changes by polls of 8 s (configuration) and 5 s (registry), each with 1.5 s more for its answer. A poll that the store never answers, on a connection that stays open, was sat out; the platform counts on a host contact_ms after a disturbance. Afterwards the next call could be given another connection from before, and a seed was asked for up to a second before the pause began.

Ruled out: a configuration that can't be read (no such line in any log); polls begun before the silence (answered at its end, trial of 3 s).

The same for the registry, where the fault would break DRAIN.

Cost: one more call of the store a second and host at most.

--- a/crates/celerylead/src/port/mod.rs
+++ b/crates/celerylead/src/port/mod.rs
@@ -18,8 +18,8 @@
         OrderVerdict, PlacementOrder,
     },
     store::{
-        RowChange, RowKey, RowPut, StoreAsk, StoreFault, StorePort,
-        StoreReading, StoreRow, StoreTable,
+        ANSWER_TIMEOUT, RowChange, RowKey, RowPut, StoreAsk, StoreFault,
+        StorePort, StoreReading, StoreRow, StoreTable,
     },
 };
 pub use crate::wire::link::{HttpLink, SendFault};
--- a/crates/celerylead/src/port/store.rs
+++ b/crates/celerylead/src/port/store.rs
@@ -9,6 +9,11 @@
 /// Asks that wait for the client before senders wait too.
 const MAILBOX: usize = 64;
 
+/// Longest time that a client waits for an answer beyond what the call itself
+/// may wait. Stores answer within milliseconds, and within some hundred when
+/// they are slow.
+pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(1_500);
+
 /// A table, by what it is for.
 #[derive(
     Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize,
@@ -155,7 +160,8 @@
         self.ask(|reply| StoreAsk::Read { table, reply }).await
     }
 
-    /// Waits for changes of a table.
+    /// Waits for changes of a table: for `wait` at the store, and up to
+    /// [`ANSWER_TIMEOUT`] more for its answer.
     ///
     /// # Errors
     ///
--- a/crates/celerylead/src/tasks/node/run.rs
+++ b/crates/celerylead/src/tasks/node/run.rs
@@ -51,6 +51,9 @@
     pub seeds: Vec<String>,
     /// Time from SIGTERM after which the process is killed.
     pub grace: Duration,
+    /// Time after a disturbance of store or network from which the platform
+    /// counts on this host to keep its bounds.
+    pub contact: Duration,
     /// Span in which orders of two hosts count as taking turns.
     pub order_turns: Duration,
     /// Further sends of a service for each call, over all hosts.
@@ -107,6 +110,7 @@
             metrics: metrics.clone(),
             seeds: options.seeds.clone(),
             peers: peers_seen,
+            contact: options.contact,
         });
     let (phase, phases) = watch::channel(NodePhase::Serving);
     let (herald_port, herald_inbox) = herald::mailbox();
--- a/crates/celerylead/src/tasks/node/watcher.rs
+++ b/crates/celerylead/src/tasks/node/watcher.rs
@@ -5,10 +5,14 @@
 //! as it changes rarely; the registry's is read at a steady pace, since many
 //! runners write there and each answer costs. While the store is silent, and
 //! nothing is known, a host asks its seeds.
+//!
+//! An answer may never come though its connection stays open. A poll is
+//! therefore given up early enough that its table is read anew within the
+//! time after a disturbance from which the platform counts on this host.
 
 use std::{sync::Arc, time::Duration};
 
-use tokio::sync::watch;
+use tokio::{sync::watch, time::Instant};
 
 use super::{CatalogWatch, RosterWatch, control};
 use crate::{
@@ -17,17 +21,18 @@
     membership::{PeerContact, RegistryContact},
     metrics::HostMetrics,
     port::{
-        EdgeCodec, RowChange, StoreFault, StorePort, StoreReading, StoreTable,
+        ANSWER_TIMEOUT, EdgeCodec, RowChange, StoreFault, StorePort,
+        StoreReading, StoreTable,
     },
     roster::{RosterChange, RunnerFacts, RunnerRoster},
 };
 
-/// Longest wait of one poll of the configuration's feed.
-const CONFIGURATION_WAIT: Duration = Duration::from_millis(8_000);
+/// Time kept free to connect and read again after a poll without an answer.
+const RECONNECT_TIME: Duration = Duration::from_millis(500);
+/// Shortest wait of a poll, whatever the platform's bound: each costs a call.
+const SHORTEST_POLL: Duration = Duration::from_millis(500);
 /// Pause between two readings of the registry's feed.
 const REGISTRY_PAUSE: Duration = Duration::from_millis(600);
-/// Longest wait of one reading of the registry's feed.
-const REGISTRY_WAIT: Duration = Duration::from_millis(5_000);
 /// First wait after a failed call, doubled up to the longest.
 const FIRST_BACKOFF: Duration = Duration::from_millis(100);
 /// Longest wait after a failed call.
@@ -44,6 +49,16 @@
     pub(crate) seeds: Vec<String>,
     /// What other hosts tell of their contact with the registry.
     pub(crate) peers: watch::Receiver<PeerContact>,
+    /// Time after a disturbance from which the platform counts on this host.
+    pub(crate) contact: Duration,
+}
+
+impl<C> WatcherSetup<C> {
+    /// Longest wait of a poll that is given up in time.
+    fn poll_wait(&self) -> Duration {
+        let spent = ANSWER_TIMEOUT + RECONNECT_TIME;
+        self.contact.saturating_sub(spent).max(SHORTEST_POLL)
+    }
 }
 
 /// What the tasks show to others.
@@ -104,13 +119,16 @@
         FeedPosition { table, after: None, failures: 0, read_at: None }
     }
 
-    /// Reads on, or the whole table where the position is lost.
+    /// Reads on, or the whole table where the position is lost. After a
+    /// failed step it doesn't wait for changes: the next answer tells at once
+    /// that the store is back.
     async fn step<C>(
         &mut self,
         setup: &WatcherSetup<C>,
         wait: Duration,
     ) -> Result<FeedStep, StoreFault> {
         let (store, began) = (&setup.store, setup.clock.now());
+        let wait = if 0 < self.failures { Duration::ZERO } else { wait };
         let step = match self.after {
             None => store.read(self.table).await.map(FeedStep::Whole),
             Some(after) => {
@@ -173,7 +191,8 @@
 impl<C: EdgeCodec> ConfigurationTask<C> {
     async fn run(mut self) {
         loop {
-            let step = self.feed.step(&self.setup, CONFIGURATION_WAIT).await;
+            let wait = self.setup.poll_wait();
+            let step = self.feed.step(&self.setup, wait).await;
             match step {
                 Ok(FeedStep::Whole(reading) | FeedStep::Changes(reading)) => {
                     reading.rows.iter().for_each(|row| self.adopt(row));
@@ -183,8 +202,8 @@
                 }
                 Err(StoreFault::HistoryDropped) => {}
                 Err(_) => {
-                    self.ask_seed().await;
-                    tokio::time::sleep(self.feed.backoff()).await;
+                    let pause = tokio::time::sleep(self.feed.backoff());
+                    tokio::join!(self.ask_seed(), pause);
                 }
             }
             if self.catalog.is_closed() {
@@ -254,7 +273,7 @@
     async fn run(mut self) {
         loop {
             let began = self.setup.clock.now();
-            let wait = self.until_expiry().min(REGISTRY_WAIT);
+            let wait = self.until_expiry().min(self.setup.poll_wait());
             let step = self.feed.step(&self.setup, wait).await;
             let pause = match step {
                 Ok(step) => {
@@ -264,8 +283,9 @@
                 }
                 Err(StoreFault::HistoryDropped) => Duration::ZERO,
                 Err(_) => {
+                    let again = Instant::now() + self.feed.backoff();
                     self.ask_seed().await;
-                    self.feed.backoff()
+                    again.saturating_duration_since(Instant::now())
                 }
             };
             self.expire();
