Count a load until it can no longer begin in the window

What the operators saw: the weight store was asked for more loads than its ceiling allows, when runners left orders unanswered and carried them out seconds later.

Cause: the allowance was spent when an order was first given. A load of an unanswered order begins up to 12 s later, beside those that the allowance has given since; a host that takes over knew nothing of the ones that the host before it had left open, and a host that held the lease again forgot its own.

Ruled out as needed for it: the handover; one host ordered all the while.

Change: a load counts from its order until a window has passed since the latest point at which it can have begun; answers, reports and orders that were never written settle it. The lease's row carries the number of open loads; after a handover none begins until the last holder's are out of the window. An order of which not a byte was written is given up, not repeated.

--- a/crates/celerylead/src/membership/orders.rs
+++ b/crates/celerylead/src/membership/orders.rs
@@ -26,8 +26,8 @@
 const SEND_MARGIN: Duration = Duration::from_millis(300);
 
 /// Row of the lease.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", default)]
 pub struct OrdersRow {
     /// Name of the host that holds it.
     pub holder: String,
@@ -35,6 +35,9 @@
     pub incarnation: u64,
     /// Number that grows with each holder.
     pub fencing: u64,
+    /// Loads from the weight store that it had ordered when it wrote the row
+    /// and that may still begin.
+    pub open_loads: u32,
 }
 
 /// What a host knows of the lease.
@@ -127,7 +130,8 @@
             Some(row) => row.fencing + 1,
             None => 1,
         };
-        let row = OrdersRow { holder: host.to_owned(), incarnation, fencing };
+        let holder = host.to_owned();
+        let row = OrdersRow { holder, incarnation, fencing, open_loads: 0 };
         Some(LeaseClaim { row, expected: self.version, since: now })
     }
 
--- a/crates/celerylead/src/membership/tests/orders.rs
+++ b/crates/celerylead/src/membership/tests/orders.rs
@@ -10,7 +10,8 @@
 const TURNS: Duration = Duration::from_millis(3_000);
 
 fn row(holder: &str, incarnation: u64, fencing: u64) -> OrdersRow {
-    OrdersRow { holder: holder.to_owned(), incarnation, fencing }
+    let holder = holder.to_owned();
+    OrdersRow { holder, incarnation, fencing, open_loads: 0 }
 }
 
 /// Holder, process, number and version.
--- a/crates/celerylead/src/placement/mod.rs
+++ b/crates/celerylead/src/placement/mod.rs
@@ -37,10 +37,10 @@
     adapters::{AdapterBook, AdapterMove, AdapterStep},
     demand::{DemandMeter, ModelDemand},
     fleet::{FleetPlan, ModelStep, ServicePlan},
-    loads::{LoadAllowance, LoadSource},
+    loads::{LoadAllowance, LoadFate, LoadSource},
     order::{OrderDraft, OwnedRunner},
     plan::{ModelNeed, PlacementPlan, PlanPace, RunnerRoom, next_plan},
     shelf::{Doubtful, Idle, OrderTry, Ordered, RunnerShelf, Unread},
-    shelves::{OrderStep, ShelfTable},
+    shelves::{OrderEnd, OrderStep, ShelfTable},
     uses::UseTable,
 };
--- a/crates/celerylead/src/placement/shelf.rs
+++ b/crates/celerylead/src/placement/shelf.rs
@@ -13,11 +13,14 @@
 
 use std::time::Duration;
 
-use super::loads::LoadSource;
+use super::{
+    loads::{LoadFate, LoadSource},
+    shelves::OrderEnd,
+};
 use crate::{
     clock::EpochMillis,
     model::ModelName,
-    port::{EngineReport, PlacementOrder},
+    port::{EngineReport, OrderVerdict, PlacementOrder},
     roster::{HeldModel, RunnerFacts},
     runner::OrderKind,
     sorted::SortedTable,
@@ -40,6 +43,32 @@
     pub attempt: u32,
 }
 
+impl OrderTry {
+    /// Tells whether it is a load from the weight store.
+    pub fn is_store_load(&self) -> bool {
+        self.source == Some(LoadSource::Store)
+    }
+
+    /// Tells what `end` says of the load that it orders. An earlier sending
+    /// that wasn't answered may have taken effect; once the runner answers
+    /// under the same number, none still can.
+    pub fn fate(&self, end: OrderEnd) -> LoadFate {
+        let first = self.attempt == 1;
+        match end {
+            OrderEnd::Answered(
+                OrderVerdict::Conflict | OrderVerdict::Refused,
+            )
+            | OrderEnd::Unsent
+                if first =>
+            {
+                LoadFate::Averted
+            }
+            OrderEnd::Answered(_) => LoadFate::Begun,
+            OrderEnd::Unsent | OrderEnd::Lost => LoadFate::Open,
+        }
+    }
+}
+
 /// State: its report has to be read before it takes an order.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Unread {
--- a/crates/celerylead/src/placement/shelves.rs
+++ b/crates/celerylead/src/placement/shelves.rs
@@ -40,6 +40,17 @@
     Send(RunnerFacts, OrderTry),
 }
 
+/// How the sending of an order ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderEnd {
+    /// The runner answered.
+    Answered(OrderVerdict),
+    /// Not a byte of it was written.
+    Unsent,
+    /// It may have been received, and may be carried out late.
+    Lost,
+}
+
 /// The runners that take orders, by state.
 #[derive(Clone, Debug, Default)]
 pub struct ShelfTable {
@@ -271,12 +282,12 @@
         }
     }
 
-    /// Takes the answer to an order, or its loss, into account. `takes` is
-    /// the time that the model is said to take.
+    /// Takes the end of a sending into account. `takes` is the time that the
+    /// model is said to take.
     pub fn answered(
         &mut self,
         order: &PlacementOrder,
-        verdict: Option<OrderVerdict>,
+        end: OrderEnd,
         takes: Duration,
         now: EpochMillis,
     ) {
@@ -290,8 +301,22 @@
         }
         let Some(mut shelf) = self.ordered.remove(id) else { return };
         let id = id.to_owned();
+        let verdict = match end {
+            OrderEnd::Answered(verdict) => verdict,
+            // No order was given: what the runner holds is looked at anew.
+            OrderEnd::Unsent if shelf.state.sent.attempt == 1 => {
+                let shelf = shelf.unread(now.after(LOOK_AGAIN));
+                self.unread.insert(id, shelf);
+                return;
+            }
+            OrderEnd::Unsent | OrderEnd::Lost => {
+                let shelf = shelf.doubt(now.after(LOOK_AGAIN));
+                self.doubtful.insert(id, shelf);
+                return;
+            }
+        };
         match verdict {
-            Some(OrderVerdict::Accepted)
+            OrderVerdict::Accepted
                 if order.kind == OrderKind::Unload
                     && order.adapter.is_some() =>
             {
@@ -299,7 +324,7 @@
                 let shelf = shelf.waits(now.after(LOOK_AGAIN));
                 self.unread.insert(id, shelf);
             }
-            Some(OrderVerdict::Accepted) => {
+            OrderVerdict::Accepted => {
                 shelf.known = order.expected + 1;
                 let wait = match order.adapter {
                     Some(_) => ADAPTER_SETTLE,
@@ -308,7 +333,7 @@
                 shelf.state.holds_at = Some(now.after(wait));
                 self.ordered.insert(id, shelf);
             }
-            Some(OrderVerdict::Holds) => {
+            OrderVerdict::Holds => {
                 // Whether it counted isn't said, so the number is read.
                 let unload = order.kind == OrderKind::Unload;
                 let shelf = shelf.done(unload);
@@ -318,14 +343,10 @@
                     self.unread.insert(id, shelf.unread(now));
                 }
             }
-            Some(OrderVerdict::Conflict | OrderVerdict::Refused) => {
+            OrderVerdict::Conflict | OrderVerdict::Refused => {
                 let shelf = shelf.unread(now.after(LOOK_AGAIN));
                 self.unread.insert(id, shelf);
             }
-            None => {
-                let shelf = shelf.doubt(now.after(LOOK_AGAIN));
-                self.doubtful.insert(id, shelf);
-            }
         }
     }
 }
--- a/crates/celerylead/src/placement/tests.rs
+++ b/crates/celerylead/src/placement/tests.rs
@@ -1,4 +1,5 @@
 mod adapters;
+mod loads;
 mod shelf;
 
 use super::{ModelNeed, PlacementPlan, PlanPace, RunnerRoom, next_plan};
--- /dev/null
+++ b/crates/celerylead/src/placement/tests/loads.rs
@@ -0,0 +1,263 @@
+//! Loads from the weight store, as tables of cases and at random.
+
+use std::time::Duration;
+
+use rand::{RngExt as _, SeedableRng as _, rngs::SmallRng};
+
+use crate::{
+    EpochMillis,
+    placement::{LoadAllowance, LoadFate, LoadSource, OrderEnd, OrderTry},
+    port::{OrderVerdict, PlacementOrder},
+    runner::OrderKind,
+};
+
+const WINDOW: Duration = Duration::from_millis(5_000);
+/// Loads a second; eight in a window.
+const RATE: f64 = 1.6;
+
+/// What happens to an allowance, each at its point.
+enum Step {
+    /// So many loads are allowed at once, and are ordered.
+    Order(&'static [u64]),
+    /// None is allowed.
+    Full,
+    /// The order under this number goes out again.
+    Repeat(u64),
+    /// The sending under this number ended.
+    End(u64, LoadFate),
+    /// The runner says that it has accepted so many orders.
+    Settled(u64),
+    /// Another host left so many open; its last order lies so far back.
+    Inherit(u32, u64),
+}
+
+#[test]
+fn a_load_counts_until_it_can_no_longer_begin_in_the_window() {
+    use LoadFate::{Averted, Begun, Open};
+    use Step::{End, Full, Inherit, Order, Repeat, Settled};
+    struct Case {
+        name: &'static str,
+        steps: &'static [(u64, Step)],
+    }
+    let cases = [
+        Case {
+            name: "two at once after a pause, then by the rate",
+            steps: &[
+                (0, Full),
+                (2_000, Order(&[1, 2])),
+                (2_000, Full),
+                (2_624, Full),
+                (2_625, Order(&[3])),
+            ],
+        },
+        Case {
+            name: "eight that aren't answered leave none",
+            steps: &[
+                (2_000, Order(&[1, 2])),
+                (4_000, Order(&[3, 4])),
+                (6_000, Order(&[5, 6])),
+                (8_000, Order(&[7, 8])),
+                (10_000, Full),
+                (19_999, Full),
+                (20_000, Order(&[9, 10])),
+            ],
+        },
+        Case {
+            name: "one that goes out again may begin later still",
+            steps: &[
+                (2_000, Order(&[1, 2])),
+                (4_000, Order(&[3, 4])),
+                (6_000, Order(&[5, 6])),
+                (8_000, Order(&[7, 8])),
+                (9_000, Repeat(1)),
+                (9_000, Repeat(2)),
+                (20_000, Full),
+                (22_000, Order(&[9, 10])),
+            ],
+        },
+        Case {
+            name: "one that has begun counts for a window",
+            steps: &[
+                (2_000, Order(&[1, 2])),
+                (4_000, Order(&[3, 4])),
+                (6_000, Order(&[5, 6])),
+                (8_000, Order(&[7, 8])),
+                (9_000, End(1, Begun)),
+                (9_000, End(2, Open)),
+                (13_999, Full),
+                (14_000, Order(&[9])),
+                (14_000, Full),
+            ],
+        },
+        Case {
+            name: "one that never went out doesn't count",
+            steps: &[
+                (2_000, Order(&[1, 2])),
+                (4_000, Order(&[3, 4])),
+                (6_000, Order(&[5, 6])),
+                (8_000, Order(&[7, 8])),
+                (9_000, End(8, Averted)),
+                (9_000, Order(&[9])),
+                (9_000, Full),
+            ],
+        },
+        Case {
+            name: "a report settles what was ordered under lower numbers",
+            steps: &[
+                (2_000, Order(&[1, 2])),
+                (4_000, Order(&[3, 4])),
+                (6_000, Order(&[5, 6])),
+                (8_000, Order(&[7, 8])),
+                (8_500, Settled(3)),
+                (13_499, Full),
+                (13_500, Order(&[9, 10])),
+                (13_500, Full),
+            ],
+        },
+        Case {
+            name: "what another host left open counts here",
+            steps: &[
+                (10_000, Inherit(7, 3_000)),
+                (11_999, Full),
+                (12_000, Order(&[1])),
+                (27_999, Full),
+                (28_000, Order(&[2, 3])),
+            ],
+        },
+    ];
+    for Case { name, steps } in cases {
+        let mut allowance = LoadAllowance::new(WINDOW, EpochMillis(0));
+        for (at, step) in steps {
+            let now = EpochMillis(*at);
+            let label = format!("{name} at {at}");
+            match step {
+                Order(numbers) => {
+                    for number in *numbers {
+                        assert!(allowance.allows(RATE, now), "{label}");
+                        allowance.ordered("i-1", *number, now);
+                    }
+                }
+                Full => assert!(!allowance.allows(RATE, now), "{label}"),
+                Repeat(number) => allowance.repeated("i-1", *number, now),
+                End(number, fate) => {
+                    allowance.ended("i-1", *number, *fate, now);
+                }
+                Settled(orders) => allowance.settled("i-1", *orders, now),
+                Inherit(open, back) => {
+                    let last = now.before(Duration::from_millis(*back));
+                    allowance.inherit(*open, last, now);
+                }
+            }
+        }
+    }
+}
+
+/// A load that was ordered and whose order wasn't answered yet.
+struct OpenLoad {
+    number: u64,
+    /// Point at which a sending that was lost takes effect.
+    late_at: u64,
+    /// End of the sending under way, or point of the next one.
+    due: u64,
+    under_way: bool,
+}
+
+/// Orders are answered or lost and carried out up to twelve seconds later;
+/// lost ones go out again, and two hosts take the orders by turns.
+#[test]
+fn no_window_has_more_loads_than_the_rate_gives() {
+    const HANDOVER_MS: u64 = 3_000;
+    for seed in 0..300 {
+        let mut random = SmallRng::seed_from_u64(seed);
+        let mut begun: Vec<u64> = Vec::new();
+        let mut open: Vec<OpenLoad> = Vec::new();
+        let mut allowance = LoadAllowance::new(WINDOW, EpochMillis(0));
+        let mut number = 0;
+        let mut at = 0;
+        while at < 120_000 {
+            at += random.random_range(1..100);
+            if random.random_range(0..1_200) == 0 {
+                let last = EpochMillis(at);
+                let inherited = allowance.open_count() as u32;
+                at += HANDOVER_MS;
+                allowance = LoadAllowance::new(WINDOW, EpochMillis(at));
+                allowance.inherit(inherited, last, EpochMillis(at));
+                begun.extend(open.drain(..).map(|load| load.late_at));
+            }
+            let now = EpochMillis(at);
+            for load in open.iter_mut().filter(|load| load.due <= at) {
+                let answered = random.random_bool(0.5);
+                if !load.under_way {
+                    allowance.repeated("i-1", load.number, now);
+                    load.due = at + random.random_range(1..800);
+                    load.under_way = true;
+                } else if answered {
+                    allowance.ended("i-1", load.number, LoadFate::Begun, now);
+                    begun.push(load.late_at.min(at));
+                    load.number = 0;
+                } else {
+                    let late = at + random.random_range(0..11_000);
+                    load.late_at = load.late_at.min(late);
+                    load.due = at + 400;
+                    load.under_way = false;
+                }
+            }
+            open.retain(|load| load.number != 0);
+            if allowance.allows(RATE, now) {
+                number += 1;
+                allowance.ordered("i-1", number, now);
+                open.push(OpenLoad {
+                    number,
+                    late_at: at + 12_000,
+                    due: at + random.random_range(1..800),
+                    under_way: true,
+                });
+            }
+        }
+        begun.sort_unstable();
+        let most = begun.iter().map(|first| {
+            let end = first + WINDOW.as_millis() as u64;
+            begun.iter().filter(|load| (*first..end).contains(load)).count()
+        });
+        let most = most.max().unwrap_or(0);
+        assert!(most <= 8, "seed {seed}: {most} loads in a window");
+        // Under a quarter of what the rate gives would be of little use.
+        assert!(48 <= begun.len(), "seed {seed}: {} loads", begun.len());
+    }
+}
+
+#[test]
+fn an_end_tells_whether_a_load_can_still_begin() {
+    use LoadFate::{Averted, Begun, Open};
+    use OrderVerdict::{Accepted, Conflict, Holds, Refused};
+    struct Case {
+        end: OrderEnd,
+        /// For the first sending, and for a later one.
+        fates: [LoadFate; 2],
+    }
+    let cases = [
+        Case { end: OrderEnd::Answered(Accepted), fates: [Begun, Begun] },
+        Case { end: OrderEnd::Answered(Holds), fates: [Begun, Begun] },
+        Case { end: OrderEnd::Answered(Conflict), fates: [Averted, Begun] },
+        Case { end: OrderEnd::Answered(Refused), fates: [Averted, Begun] },
+        Case { end: OrderEnd::Unsent, fates: [Averted, Open] },
+        Case { end: OrderEnd::Lost, fates: [Open, Open] },
+    ];
+    for Case { end, fates } in cases {
+        for (attempt, fate) in (1..).zip(fates) {
+            let order = PlacementOrder {
+                runner: "i-1".to_owned(),
+                kind: OrderKind::Load,
+                model: "bend".to_owned(),
+                adapter: None,
+                expected: 4,
+                holder: "front-1".to_owned(),
+                fencing: 3,
+            };
+            let source = Some(LoadSource::Store);
+            let given_at = EpochMillis(0);
+            let sent = OrderTry { order, source, given_at, attempt };
+            assert_eq!(sent.fate(end), fate, "{end:?} at sending {attempt}");
+        }
+    }
+}
--- a/crates/celerylead/src/placement/tests/shelf.rs
+++ b/crates/celerylead/src/placement/tests/shelf.rs
@@ -5,7 +5,7 @@
 use crate::{
     EpochMillis,
     model::ModelName,
-    placement::{OrderStep, OrderTry, ShelfTable},
+    placement::{OrderEnd, OrderStep, OrderTry, ShelfTable},
     port::{EngineReport, OrderVerdict, PlacementOrder},
     roster::{HeldModel, RunnerFacts},
     runner::OrderKind,
@@ -303,15 +303,15 @@
         Step::ModelUnloading => {
             let kind = OrderKind::Unload;
             let order = PlacementOrder { kind, adapter: None, ..order(4, "") };
-            let verdict = Some(OrderVerdict::Accepted);
+            let end = OrderEnd::Answered(OrderVerdict::Accepted);
             let takes = Duration::from_millis(100);
-            shelves.answered(&order, verdict, takes, now);
+            shelves.answered(&order, end, takes, now);
         }
         Step::Unloading(adapter) => {
             let kind = OrderKind::Unload;
             let order = PlacementOrder { kind, ..order(4, adapter) };
-            let verdict = Some(OrderVerdict::Accepted);
-            shelves.answered(&order, verdict, Duration::ZERO, now);
+            let end = OrderEnd::Answered(OrderVerdict::Accepted);
+            shelves.answered(&order, end, Duration::ZERO, now);
         }
         Step::ReportedWith(orders, adapter) => {
             let mut report = report(*orders, false);
@@ -348,7 +348,8 @@
     now: EpochMillis,
 ) {
     let takes = Duration::from_millis(100);
-    shelves.answered(&order(4, adapter), verdict, takes, now);
+    let end = verdict.map_or(OrderEnd::Lost, OrderEnd::Answered);
+    shelves.answered(&order(4, adapter), end, takes, now);
 }
 
 fn text(step: &OrderStep) -> String {
--- a/crates/celerylead/src/tasks/node/lease.rs
+++ b/crates/celerylead/src/tasks/node/lease.rs
@@ -42,6 +42,8 @@
     ask_at: Instant,
     /// Point at which the last claim that succeeded was made.
     renewed_at: EpochMillis,
+    /// Row of the host, or process, that ordered before this one took over.
+    former: Option<OrdersRow>,
     /// Who this host is.
     row: HostRow,
     /// Span in which orders of two hosts count as taking turns.
@@ -56,6 +58,7 @@
             asking: false,
             ask_at: Instant::now() + jitter(),
             renewed_at: EpochMillis::default(),
+            former: None,
             row,
             turns,
         }
@@ -113,15 +116,28 @@
         fencing
     }
 
+    /// Returns the row of the host, or process, that ordered before this one
+    /// took over, once after each taking over.
+    pub(super) fn take_former(&mut self) -> Option<OrdersRow> {
+        self.former.take()
+    }
+
     /// Returns the call that is due, if one is: a renewal, or a look whether
-    /// the lease is free.
-    pub(super) fn next_call(&mut self, now: EpochMillis) -> Option<LeaseCall> {
+    /// the lease is free. A claim says how many loads are open.
+    pub(super) fn next_call(
+        &mut self,
+        open_loads: u32,
+        now: EpochMillis,
+    ) -> Option<LeaseCall> {
         if self.asking || Instant::now() < self.ask_at {
             return None;
         }
         self.asking = true;
         self.ask_at = Instant::now() + READ_PERIOD;
-        let claim = self.claim(now);
+        let claim = self.claim(now).map(|mut claim| {
+            claim.row.open_loads = open_loads;
+            claim
+        });
         Some(claim.map_or(LeaseCall::Read, LeaseCall::Write))
     }
 
@@ -142,6 +158,14 @@
                 match version {
                     Some(version) => {
                         self.renewed_at = claim.since;
+                        let own = (&self.row.host, self.row.incarnation);
+                        let former = self.lease.row().map(|(row, _)| row);
+                        let former = former.filter(|row| {
+                            (&row.holder, row.incarnation) != own
+                        });
+                        if let Some(former) = former {
+                            self.former = Some(former.clone());
+                        }
                         self.lease.claimed(&claim, version, now);
                         renewed = true;
                     }
--- a/crates/celerylead/src/tasks/node/orders.rs
+++ b/crates/celerylead/src/tasks/node/orders.rs
@@ -11,10 +11,10 @@
 use crate::{
     clock::EpochMillis,
     membership::{LeaseClaim, OrdersRow},
-    placement::{LoadSource, OrderTry},
+    placement::{LoadSource, OrderEnd, OrderTry},
     port::{
-        EdgeCodec, EngineReport, HttpLink, OrderVerdict, PlacementOrder,
-        RowChange, RowKey, RowPut, SendFault, StorePort, StoreTable,
+        EdgeCodec, EngineReport, HttpLink, PlacementOrder, RowChange, RowKey,
+        RowPut, SendFault, StorePort, StoreTable,
     },
     roster::RunnerFacts,
     step::{StepContext as _, StepName},
@@ -57,11 +57,7 @@
     );
 }
 
-pub(super) fn log_end(
-    sent: &OrderTry,
-    verdict: Option<OrderVerdict>,
-    now: EpochMillis,
-) {
+pub(super) fn log_end(sent: &OrderTry, end: OrderEnd, now: EpochMillis) {
     let order = &sent.order;
     tracing::info!(
         event = "order_ended",
@@ -73,7 +69,7 @@
         fencing = order.fencing,
         attempt = sent.attempt,
         given_ms = sent.given_at.until(now).as_millis() as u64,
-        verdict = ?verdict,
+        verdict = ?end,
     );
 }
 
@@ -124,21 +120,31 @@
     }
 }
 
+/// Sends an order and waits for its answer; an error says whether it may
+/// have been received.
 pub(super) async fn send_order<C: EdgeCodec>(
     codec: &C,
     facts: &RunnerFacts,
     order: &PlacementOrder,
     may: impl Fn() -> bool,
-) -> anyhow::Result<OrderVerdict> {
-    let request = codec.order(order, &facts.address)?;
+) -> Result<OrderEnd, (OrderEnd, anyhow::Error)> {
+    let unsent = |error| (OrderEnd::Unsent, error);
+    let request = codec.order(order, &facts.address).map_err(unsent)?;
     let deadline = Instant::now() + ORDER_TIMEOUT;
-    let mut link = HttpLink::open(&facts.address, deadline).await?;
+    let link = HttpLink::open(&facts.address, deadline).await;
+    let mut link = link.map_err(unsent)?;
     if !may() {
-        anyhow::bail!("the lease on orders ran out before the order was sent");
+        let reason = "the lease on orders ran out before the order was sent";
+        return Err(unsent(anyhow::anyhow!(reason)));
+    }
+    match link.send(request, deadline).await {
+        Ok(response) => {
+            let (head, _) = response.into_parts();
+            Ok(OrderEnd::Answered(codec.judge_order(&head)))
+        }
+        Err(SendFault::Unsent(_, error)) => Err(unsent(error)),
+        Err(fault) => Err((OrderEnd::Lost, fault.into_error())),
     }
-    let response = sent(link.send(request, deadline).await, facts)?;
-    let (head, _) = response.into_parts();
-    Ok(codec.judge_order(&head))
 }
 
 pub(super) async fn fetch_report<C: EdgeCodec>(
--- a/crates/celerylead/src/tasks/node/placer.rs
+++ b/crates/celerylead/src/tasks/node/placer.rs
@@ -26,9 +26,9 @@
     model::ModelName,
     placement::{
         AdapterBook, AdapterMove, FleetPlan, LoadAllowance, LoadSource,
-        ModelDemand, OrderStep, OrderTry, ShelfTable, UseTable,
+        ModelDemand, OrderEnd, OrderStep, OrderTry, ShelfTable, UseTable,
     },
-    port::{EdgeCodec, EngineReport, OrderVerdict, PlacementOrder, StorePort},
+    port::{EdgeCodec, EngineReport, PlacementOrder, StorePort},
     roster::{HeldModel, RunnerFacts},
     runner::OrderKind,
     sorted::SortedTable,
@@ -61,11 +61,13 @@
     pub(crate) phase: watch::Receiver<NodePhase>,
     /// Span in which orders of two hosts count as taking turns.
     pub(crate) turns: Duration,
+    /// Span in which the platform counts loads from the weight store.
+    pub(crate) load_window: Duration,
 }
 
 /// How something that was sent ended.
 enum Ended {
-    Order(OrderTry, Option<OrderVerdict>),
+    Order(OrderTry, OrderEnd),
     Report(String, Option<EngineReport>),
     Lease(LeaseEnd),
 }
@@ -104,7 +106,7 @@
         plan: FleetPlan::default(),
         book: AdapterBook::default(),
         uses: UseTable::default(),
-        loads: LoadAllowance::empty(setup.clock.now()),
+        loads: LoadAllowance::new(setup.load_window, setup.clock.now()),
         demand: SortedTable::default(),
         told: Vec::new(),
         told_at: now,
@@ -191,8 +193,13 @@
         if !self.holding {
             self.holding = true;
             self.shelves.distrust(now);
-            self.loads = LoadAllowance::empty(now);
-            tracing::info!(event = "orders_held", fencing);
+            let inherited = self.inherit_loads(now);
+            tracing::info!(
+                event = "orders_held",
+                fencing,
+                inherited_loads = inherited,
+                open_loads = self.loads.open_count(),
+            );
         }
         let roster = self.setup.roster.borrow().clone();
         let catalog = self.setup.catalog.borrow().clone();
@@ -204,6 +211,10 @@
         let engines: Vec<&RunnerFacts> = engines.collect();
         self.shelves.adopt(&engines, now);
         for step in self.shelves.due(now) {
+            if let OrderStep::Send(_, sent) = &step {
+                let order = &sent.order;
+                self.loads.repeated(&order.runner, order.expected, now);
+            }
             self.send(step);
         }
         self.turn = self.turn.wrapping_add(1);
@@ -211,6 +222,21 @@
         self.tell().await;
     }
 
+    /// Takes over the loads that the host before this one left open; returns
+    /// how many, if another host gave orders since.
+    fn inherit_loads(&mut self, now: EpochMillis) -> Option<u32> {
+        let former = self.lease.take_former()?;
+        // Another host's last order lies a turn back at least; an earlier
+        // process of this host may have ordered until its end.
+        let last_order = if former.holder == self.setup.row.host {
+            now
+        } else {
+            now.before(self.setup.turns)
+        };
+        self.loads.inherit(former.open_loads, last_order, now);
+        Some(former.open_loads)
+    }
+
     /// Stops ordering and tells the others, who needn't wait for the lease
     /// to lapse then.
     async fn give_up(&mut self) {
@@ -234,7 +260,9 @@
             return;
         }
         let now = self.setup.clock.now();
-        let Some(call) = self.lease.next_call(now) else { return };
+        let open_loads = self.loads.open_count() as u32;
+        let call = self.lease.next_call(open_loads, now);
+        let Some(call) = call else { return };
         let store = self.setup.store.clone();
         let ended = self.ended.clone();
         crate::tasks::spawn(async move {
@@ -251,12 +279,18 @@
     fn end(&mut self, ended: Ended) {
         let now = self.setup.clock.now();
         match ended {
-            Ended::Order(sent, verdict) => {
-                orders::log_end(&sent, verdict, now);
-                let takes = self.model_time(&sent.order);
-                self.shelves.answered(&sent.order, verdict, takes, now);
+            Ended::Order(sent, end) => {
+                orders::log_end(&sent, end, now);
+                let order = &sent.order;
+                let fate = sent.fate(end);
+                self.loads.ended(&order.runner, order.expected, fate, now);
+                let takes = self.model_time(order);
+                self.shelves.answered(order, end, takes, now);
             }
             Ended::Report(runner, report) => {
+                if let Some(report) = &report {
+                    self.loads.settled(&runner, report.orders, now);
+                }
                 self.shelves.reported(&runner, report, now);
             }
             Ended::Lease(end) => {
@@ -319,7 +353,7 @@
         self.shelves.keep(|runner, model| plan.wants(runner, model));
         for step in plan.next_steps(&self.shelves) {
             if step.source == Some(LoadSource::Store)
-                && !self.loads.take(engine.loads_per_second, now)
+                && !self.loads.allows(engine.loads_per_second, now)
             {
                 continue;
             }
@@ -386,6 +420,9 @@
         };
         let step = self.shelves.order(&order, source, now);
         let ordered = step.is_some();
+        if ordered && source == Some(LoadSource::Store) {
+            self.loads.ordered(runner, order.expected, now);
+        }
         step.into_iter().for_each(|step| self.send(step));
         ordered
     }
@@ -429,14 +466,16 @@
                     let may = || right.borrow().allows(fencing, clock.now());
                     let answer =
                         orders::send_order(&codec, &facts, order, may).await;
-                    let verdict = answer.inspect_err(|error| {
+                    let end = answer.unwrap_or_else(|(end, error)| {
                         tracing::info!(
                             event = "order_failed",
                             runner = facts.id,
+                            ?end,
                             error = format!("{error:#}"),
                         );
+                        end
                     });
-                    Ended::Order(sent, verdict.ok())
+                    Ended::Order(sent, end)
                 }
             };
             let _ = ended.send(end).await;
--- a/crates/celerylead/src/tasks/node/run.rs
+++ b/crates/celerylead/src/tasks/node/run.rs
@@ -56,6 +56,8 @@
     pub contact: Duration,
     /// Span in which orders of two hosts count as taking turns.
     pub order_turns: Duration,
+    /// Span in which the platform counts loads from the weight store.
+    pub load_window: Duration,
     /// Further sends of a service for each call, over all hosts.
     pub retry_share: f64,
     /// Further sends of a service beyond that.
@@ -145,6 +147,7 @@
         herald: herald_port,
         phase: phases.clone(),
         turns: options.order_turns,
+        load_window: options.load_window,
     };
     placer::start(setup, hearing);
     let setup = HeraldSetup {
