Take a load for one from a copy only where the copy is surely there

Whether a load passes the allowance by was decided by the registry's entry, some seconds old; a load may have pushed the copy out since, and a runner that started again under its name knows nothing of before.

Change: the runner's own report, read after each load, says what it keeps; the entry counts only while it knows every order. Everything else counts against the allowance. The new test is red with the entry alone.

--- a/crates/celerylead/src/placement/fleet.rs
+++ b/crates/celerylead/src/placement/fleet.rs
@@ -122,11 +122,7 @@
                 runner,
                 kind: OrderKind::Load,
                 model: missing.clone(),
-                source: Some(if shelf.facts.copies.contains(missing) {
-                    LoadSource::Copy
-                } else {
-                    LoadSource::Store
-                }),
+                source: Some(shelf.source(missing)),
             });
         }
         let unwanted = shelf.models.iter().find(|held| {
--- a/crates/celerylead/src/placement/shelf.rs
+++ b/crates/celerylead/src/placement/shelf.rs
@@ -103,6 +103,9 @@
     pub facts: RunnerFacts,
     /// Models and adapters that it holds.
     pub models: Vec<HeldModel>,
+    /// Models of which it keeps a copy, by its own word as of its last order
+    /// for a model.
+    pub(super) copies: Option<Vec<String>>,
     /// What hosts are told not to use, and since when.
     pub(super) yielding: SortedTable<ModelName, EpochMillis>,
     /// Whether what it holds is by its own word, not by the roster's.
@@ -117,6 +120,7 @@
         RunnerShelf {
             facts: self.facts,
             models: self.models,
+            copies: self.copies,
             yielding: self.yielding,
             read: self.read,
             known: self.known,
@@ -148,6 +152,7 @@
         RunnerShelf {
             models: facts.models.clone(),
             facts: facts.clone(),
+            copies: None,
             yielding: SortedTable::default(),
             read: false,
             known: 0,
@@ -158,6 +163,7 @@
     /// Takes over a report that isn't older than what is known.
     pub(super) fn read(mut self, report: EngineReport) -> RunnerShelf<Idle> {
         self.models = report.models;
+        self.copies = report.copies;
         for (model, adapter) in report.incoming {
             note_adapter(&mut self.models, &model, &adapter);
         }
@@ -175,6 +181,23 @@
         self.known
     }
 
+    /// Returns where the weights of a model come from. A load may push out
+    /// other copies, and a runner that started again may have none: the
+    /// registry's entry counts only while it knows every order.
+    pub fn source(&self, model: &str) -> LoadSource {
+        let entry = &self.facts;
+        let copies = match &self.copies {
+            Some(copies) => copies.as_slice(),
+            None if entry.orders == self.known => entry.copies.as_slice(),
+            None => &[],
+        };
+        if copies.iter().any(|copy| copy == model) {
+            LoadSource::Copy
+        } else {
+            LoadSource::Store
+        }
+    }
+
     /// Lets a model or adapter give way.
     pub(super) fn give_way(&mut self, name: &ModelName, now: EpochMillis) {
         self.yielding.entry(name.clone(), || now);
--- a/crates/celerylead/src/placement/tests/shelf.rs
+++ b/crates/celerylead/src/placement/tests/shelf.rs
@@ -5,7 +5,7 @@
 use crate::{
     EpochMillis,
     model::ModelName,
-    placement::{OrderEnd, OrderStep, OrderTry, ShelfTable},
+    placement::{LoadSource, OrderEnd, OrderStep, OrderTry, ShelfTable},
     port::{EngineReport, OrderVerdict, PlacementOrder},
     roster::{HeldModel, RunnerFacts},
     runner::OrderKind,
@@ -28,7 +28,12 @@
 
 pub(super) fn report(orders: u64, busy: bool) -> EngineReport {
     let held = HeldModel { name: "bend".to_owned(), adapters: Vec::new() };
-    EngineReport { models: vec![held], incoming: Vec::new(), busy, orders }
+    EngineReport {
+        models: vec![held],
+        busy,
+        orders,
+        ..EngineReport::default()
+    }
 }
 
 fn order(expected: u64, adapter: &str) -> PlacementOrder {
@@ -361,3 +366,57 @@
         }
     }
 }
+
+/// Guards against loads from the weight store that are taken for loads from a
+/// copy, and so aren't counted.
+#[test]
+fn only_a_copy_that_is_surely_there_counts() {
+    struct Case {
+        name: &'static str,
+        /// Copies by the registry's entry, and orders that it knows.
+        entry: (&'static [&'static str], u64),
+        /// Copies by the report, which knows four orders.
+        report: Option<&'static [&'static str]>,
+        source: LoadSource,
+    }
+    let cases = [
+        Case {
+            name: "the report names it",
+            entry: (&[], 0),
+            report: Some(&["bend", "fold"]),
+            source: LoadSource::Copy,
+        },
+        Case {
+            name: "it was pushed out since the entry",
+            entry: (&["fold"], 3),
+            report: Some(&["bend"]),
+            source: LoadSource::Store,
+        },
+        Case {
+            name: "the report is silent, the entry knows every order",
+            entry: (&["fold"], 4),
+            report: None,
+            source: LoadSource::Copy,
+        },
+        Case {
+            name: "the report is silent, the entry is older",
+            entry: (&["fold"], 3),
+            report: None,
+            source: LoadSource::Store,
+        },
+    ];
+    for Case { name, entry: (copies, orders), report: told, source } in cases {
+        let owned = |names: &[&str]| -> Vec<String> {
+            names.iter().map(|name| (*name).to_owned()).collect()
+        };
+        let facts = RunnerFacts { copies: owned(copies), orders, ..facts(1) };
+        let now = EpochMillis(0);
+        let mut shelves = ShelfTable::default();
+        shelves.adopt(&[&facts], now);
+        let copies = told.map(owned);
+        let report = EngineReport { copies, ..report(4, false) };
+        shelves.reported("i-1", Some(report), now);
+        let found = shelves.idle().map(|shelf| shelf.source("fold"));
+        assert_eq!(found.collect::<Vec<_>>(), [source], "{name}");
+    }
+}
--- a/crates/celerylead/src/port/codec.rs
+++ b/crates/celerylead/src/port/codec.rs
@@ -100,6 +100,9 @@
     pub busy: bool,
     /// Orders accepted since its start.
     pub orders: u64,
+    /// Models of which it keeps a copy outside the accelerator, where it
+    /// says so.
+    pub copies: Option<Vec<String>>,
 }
 
 /// Encodings of a platform. All functions are pure.
