Look at a call's deadline before each part of its answer

A stream looked at its deadline only when the runner had nothing to read, so one that always has something could go on past it.

--- a/crates/celerylead/src/tasks/node/body.rs
+++ b/crates/celerylead/src/tasks/node/body.rs
@@ -124,16 +124,12 @@
             if self.slot.is_none() {
                 return Poll::Ready(None);
             }
+            // Looked at first: a body without end may always have a frame.
+            if self.deadline.as_mut().poll(context).is_ready() {
+                return self.cut(CallEnd::Neutral, "deadline", None);
+            }
             let frame = Pin::new(&mut self.upstream).poll_frame(context);
-            let frame = match frame {
-                Poll::Ready(frame) => frame,
-                Poll::Pending => {
-                    if self.deadline.as_mut().poll(context).is_pending() {
-                        return Poll::Pending;
-                    }
-                    return self.cut(CallEnd::Neutral, "deadline", None);
-                }
-            };
+            let Poll::Ready(frame) = frame else { return Poll::Pending };
             match frame {
                 Some(Ok(frame)) => {
                     // Trailers don't go on.
--- a/crates/stand-ins/src/raw_runner.rs
+++ b/crates/stand-ins/src/raw_runner.rs
@@ -61,6 +61,10 @@
     Crawl,
     /// Does what an order says, but doesn't answer it.
     MuteOrders,
+    /// Runs the call and sends header lines until the caller closes.
+    EndlessHead,
+    /// Runs the call and sends a body until the caller closes.
+    EndlessBody,
     /// Doesn't answer orders, and carries them out once the fault is over.
     LateOrders,
 }
@@ -350,6 +354,19 @@
     match fault {
         RunnerFault::ResetAfterRun => anyhow::bail!("reset"),
         RunnerFault::Mute => std::future::pending().await,
+        RunnerFault::EndlessHead => {
+            let told =
+                write_endless(stream, "", b"x-more: and more\r\n").await;
+            state.with(|state| state.abandoned += 1).await;
+            return told;
+        }
+        RunnerFault::EndlessBody => {
+            let begin = format!("{signed}\r\n");
+            let bytes = [b'x'; 1_024];
+            let told = write_endless(stream, &begin, &bytes).await;
+            state.with(|state| state.abandoned += 1).await;
+            return told;
+        }
         RunnerFault::BareRefusal => {
             let status = "503 Service Unavailable";
             return write_plain(stream, status, signed, b"").await;
@@ -403,6 +420,21 @@
     Ok(())
 }
 
+/// Writes the begin of an answer and then the same bytes again and again.
+async fn write_endless(
+    stream: &mut TcpStream,
+    begin: &str,
+    bytes: &[u8],
+) -> anyhow::Result<()> {
+    let head = format!("HTTP/1.1 200 OK\r\n{begin}");
+    stream.write_all(head.as_bytes()).await?;
+    loop {
+        stream.write_all(bytes).await?;
+        // Other tasks of the test have their turn.
+        tokio::task::yield_now().await;
+    }
+}
+
 async fn write_stream(
     stream: &mut TcpStream,
     headers: &str,
