--- a/crates/celerylead/src/tasks/node/body.rs
+++ b/crates/celerylead/src/tasks/node/body.rs
@@ -25,6 +25,10 @@
 /// runner that turned slow shows before its streams end.
 const PACE_EVENTS: u32 = 12;
 
+/// Time after a call's deadline in which parts of its answer that are there
+/// already still go on; the platform allows half a second.
+const READY_GRACE: Duration = Duration::from_millis(200);
+
 /// Body of an answer to a caller.
 pub(crate) type RelayBody = ReplyBody<RelayStream>;
 
@@ -124,12 +128,20 @@
             if self.slot.is_none() {
                 return Poll::Ready(None);
             }
-            // Looked at first: a body without end may always have a frame.
-            if self.deadline.as_mut().poll(context).is_ready() {
+            let frame = Pin::new(&mut self.upstream).poll_frame(context);
+            let frame = match frame {
+                Poll::Ready(frame) => frame,
+                Poll::Pending => {
+                    if self.deadline.as_mut().poll(context).is_pending() {
+                        return Poll::Pending;
+                    }
+                    return self.cut(CallEnd::Neutral, "deadline", None);
+                }
+            };
+            // A body without end may have a frame at each look.
+            if self.deadline.deadline() + READY_GRACE <= Instant::now() {
                 return self.cut(CallEnd::Neutral, "deadline", None);
             }
-            let frame = Pin::new(&mut self.upstream).poll_frame(context);
-            let Poll::Ready(frame) = frame else { return Poll::Pending };
             match frame {
                 Some(Ok(frame)) => {
                     // Trailers don't go on.
