Tell only what has changed at runners, and no more than the link bears

What the ordering host does to itself: at each change it told all hosts everything that all runners hold, at most twenty times a second. At 90 runners and 74 hosts that is some 0.85 MB a telling.

Change: a telling names the runners that have changed, each three times in a row, then those told longest ago, within one frame; its cost in bytes and hosts puts off the next one. Tellings are numbered, so a host that may have missed a change goes by the registry. An unload waits until its giving way was told. Tests: a random one on what a listener believes under loss, one on the part of the link.

--- a/crates/celerylead/src/membership/digest.rs
+++ b/crates/celerylead/src/membership/digest.rs
@@ -7,7 +7,10 @@
 use serde::{Deserialize, Serialize};
 
 use super::orders::OrdersRow;
-use crate::{model::ModelName, placement::ModelDemand};
+use crate::{
+    model::ModelName,
+    placement::{HeldList, ModelDemand},
+};
 
 /// Calls of a host in flight at a runner.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -60,14 +63,16 @@
 pub enum HostMessage {
     /// What the sender carries.
     Digest(HostDigest),
-    /// What runners hold, from the host that orders.
+    /// What some runners hold, from the host that orders.
     Held {
         /// The lease by which it does.
         lease: OrdersRow,
         /// Version of the lease's row.
         version: u64,
+        /// Number of the telling among those under the lease's number.
+        round: u64,
         /// Models and adapters that may be used, by the runner's identity.
-        held: Vec<(String, Vec<ModelName>)>,
+        held: HeldList,
     },
     /// The host that ordered under this number has stopped.
     Released {
--- a/crates/celerylead/src/placement/mod.rs
+++ b/crates/celerylead/src/placement/mod.rs
@@ -18,7 +18,8 @@
 //! [`RunnerShelf`] is what it knows of a runner and of the order under way
 //! there, a [`FleetPlan`] what it wants, an [`AdapterBook`] which adapters
 //! are missing, a [`UseTable`] what calls use, and a [`LoadAllowance`] bounds
-//! the loads from the weight store over all runners.
+//! the loads from the weight store over all runners; a [`HeldTelling`] is
+//! what the other hosts are told of it.
 
 mod adapters;
 mod demand;
@@ -28,6 +29,7 @@
 mod plan;
 mod shelf;
 mod shelves;
+mod telling;
 mod uses;
 
 #[cfg(test)]
@@ -42,5 +44,6 @@
     plan::{ModelNeed, PlacementPlan, PlanPace, RunnerRoom, next_plan},
     shelf::{Doubtful, Idle, OrderTry, Ordered, RunnerShelf, Unread},
     shelves::{OrderEnd, OrderStep, ShelfTable},
+    telling::{HeldHearing, HeldList, HeldTelling, HeldWord},
     uses::UseTable,
 };
--- a/crates/celerylead/src/placement/tests.rs
+++ b/crates/celerylead/src/placement/tests.rs
@@ -1,6 +1,7 @@
 mod adapters;
 mod loads;
 mod shelf;
+mod telling;
 
 use super::{ModelNeed, PlacementPlan, PlanPace, RunnerRoom, next_plan};
 
--- a/crates/celerylead/src/relay/backend.rs
+++ b/crates/celerylead/src/relay/backend.rs
@@ -172,6 +172,14 @@
         self.quiet_since = now;
     }
 
+    /// Notes that what was told of it lately still holds.
+    pub(super) fn told_again(&mut self, now: EpochMillis) {
+        let lately = |at: &EpochMillis| now < at.after(HELD_AGE);
+        if self.told_held_at.as_ref().is_some_and(lately) {
+            self.told_held_at = Some(now);
+        }
+    }
+
     /// Tells whether the runner holds a model and its adapter.
     pub(super) fn holds(&self, name: &ModelName, now: EpochMillis) -> bool {
         let told =
--- a/crates/celerylead/src/relay/table.rs
+++ b/crates/celerylead/src/relay/table.rs
@@ -137,6 +137,21 @@
         }
     }
 
+    /// Notes that what the host that orders told before still holds.
+    pub fn told_again(&mut self, now: EpochMillis) {
+        for (_, backend) in self.backends.iter_mut() {
+            backend.told_again(now);
+        }
+    }
+
+    /// Notes that some word of the host that orders was missed: what runners
+    /// hold is the roster's to say, until it is told anew.
+    pub fn missed_told(&mut self) {
+        for (_, backend) in self.backends.iter_mut() {
+            backend.told_held_at = None;
+        }
+    }
+
     /// Notes what another host has in flight at a runner.
     pub fn peer_load(&mut self, host: &str, runner: &str, load: PeerLoad) {
         if let Some(backend) = self.backends.get_mut(runner) {
--- a/crates/celerylead/src/tasks/node/desk.rs
+++ b/crates/celerylead/src/tasks/node/desk.rs
@@ -70,8 +70,9 @@
     Expect(String),
     /// A host is gone for good.
     Forget(String),
-    /// What runners hold, from the host that orders.
-    Held(Vec<(String, Vec<ModelName>)>),
+    /// What some runners hold, from the host that orders, and whether what it
+    /// told of the others before still holds.
+    Held { held: Vec<(String, Vec<ModelName>)>, others_hold: bool },
     /// Fill in the digest of this host.
     Digest(oneshot::Sender<HostDigest>),
 }
@@ -285,7 +286,12 @@
             DeskEvent::Told { digest, at } => self.told(&digest, at),
             DeskEvent::Expect(host) => self.hearing.expect(&host),
             DeskEvent::Forget(host) => self.hearing.forget(&host),
-            DeskEvent::Held(held) => {
+            DeskEvent::Held { held, others_hold } => {
+                if others_hold {
+                    self.table.told_again(now);
+                } else {
+                    self.table.missed_told();
+                }
                 for (runner, names) in held {
                     self.table.told_held(&runner, &names, now);
                 }
--- a/crates/celerylead/src/tasks/node/herald.rs
+++ b/crates/celerylead/src/tasks/node/herald.rs
@@ -23,7 +23,9 @@
     },
     metrics::HostMetrics,
     model::ModelName,
+    placement::{HeldHearing, HeldList, HeldWord},
     port::{RowChange, RowKey, RowPut, StorePort, StoreTable},
+    roster::HeldModel,
     sorted::SortedTable,
     tasks::MAILBOX,
 };
@@ -122,6 +124,8 @@
     hosts: SortedTable<String, KnownHost>,
     /// Host that last told what runners hold: the one that orders.
     orderer: Option<String>,
+    /// Which of its words were heard.
+    hearing: HeldHearing,
     round: u32,
 }
 
@@ -142,6 +146,7 @@
         placer,
         hosts: SortedTable::default(),
         orderer: None,
+        hearing: HeldHearing::default(),
         round: 0,
     };
     crate::tasks::spawn(task.run(inbox, read));
@@ -197,9 +202,10 @@
                 let all: Vec<SocketAddr> =
                     self.hosts.values().map(|host| host.address).collect();
                 self.send(&message, &all).await;
-                if let HostMessage::Held { lease, held, .. } = message {
+                if let HostMessage::Held { lease, round, held, .. } = message {
+                    let number = (lease.fencing, round);
                     self.orderer = Some(lease.holder);
-                    if let Some(digest) = self.take_held(held).await {
+                    if let Some(digest) = self.take_held(number, held).await {
                         let _ = self.placer.try_send(Heard::Digest(digest));
                     }
                 }
@@ -212,11 +218,25 @@
     /// such calls before it unloads.
     async fn take_held(
         &mut self,
-        held: Vec<(String, Vec<ModelName>)>,
+        (fencing, round): (u64, u64),
+        held: HeldList,
     ) -> Option<HostDigest> {
+        let others_hold = match self.hearing.heard(fencing, round) {
+            HeldWord::Older => return None,
+            HeldWord::Next => true,
+            HeldWord::Gap => {
+                tracing::info!(event = "held_missed", fencing, round);
+                false
+            }
+        };
+        let held: Vec<(String, Vec<ModelName>)> = held
+            .into_iter()
+            .map(|(runner, models)| (runner, names(&models)))
+            .collect();
         let listed: SortedTable<String, Vec<ModelName>> =
             held.iter().cloned().collect();
-        let _ = self.desk.sender.send(DeskEvent::Held(held)).await;
+        let event = DeskEvent::Held { held, others_hold };
+        let _ = self.desk.sender.send(event).await;
         let digest = self.digest().await?;
         let unlisted = digest.loads.iter().any(|load| {
             let listed = listed.get(&load.runner);
@@ -296,12 +316,13 @@
                 let event = DeskEvent::Told { digest, at };
                 let _ = self.desk.sender.send(event).await;
             }
-            HostMessage::Held { lease, version, held } => {
+            HostMessage::Held { lease, version, round, held } => {
+                let number = (lease.fencing, round);
                 let known = self.hosts.get(&lease.holder);
                 let address = known.map(|host| host.address);
                 self.orderer = Some(lease.holder.clone());
                 let _ = self.placer.try_send(Heard::Holder(lease, version));
-                let digest = self.take_held(held).await;
+                let digest = self.take_held(number, held).await;
                 if let (Some(digest), Some(address)) = (digest, address) {
                     let message = HostMessage::Digest(digest);
                     self.send(&message, &[address]).await;
@@ -448,3 +469,15 @@
     }
     Ok(in_place)
 }
+
+/// Names of models, and of the adapters they have.
+fn names(models: &[HeldModel]) -> Vec<ModelName> {
+    let mut names = Vec::new();
+    for held in models {
+        let name = |adapter| ModelName { model: held.name.clone(), adapter };
+        names.push(name(None));
+        let adapters = held.adapters.iter();
+        names.extend(adapters.map(|adapter| name(Some(adapter.clone()))));
+    }
+    names
+}
--- a/crates/celerylead/src/tasks/node/placer.rs
+++ b/crates/celerylead/src/tasks/node/placer.rs
@@ -25,11 +25,12 @@
     membership::{HostMessage, HostRow},
     model::ModelName,
     placement::{
-        AdapterBook, AdapterMove, FleetPlan, LoadAllowance, LoadSource,
-        ModelDemand, OrderEnd, OrderStep, OrderTry, ShelfTable, UseTable,
+        AdapterBook, AdapterMove, FleetPlan, HeldTelling, LoadAllowance,
+        LoadSource, ModelDemand, OrderEnd, OrderStep, OrderTry, ShelfTable,
+        UseTable,
     },
     port::{EdgeCodec, EngineReport, PlacementOrder, StorePort},
-    roster::{HeldModel, RunnerFacts},
+    roster::RunnerFacts,
     runner::OrderKind,
     sorted::SortedTable,
 };
@@ -44,8 +45,6 @@
 /// enter the registry over some seconds, and what seems to be nowhere may
 /// be at one that isn't listed yet.
 const SETTLE: Duration = Duration::from_millis(6_000);
-/// Time between two tellings of what runners hold while that stays.
-const TELL_PERIOD: Duration = Duration::from_millis(1_000);
 /// Age from which a host's digest says nothing of demand.
 const DEMAND_AGE: Duration = Duration::from_millis(2_000);
 
@@ -85,8 +84,7 @@
     uses: UseTable,
     loads: LoadAllowance,
     demand: SortedTable<String, (EpochMillis, ModelDemand)>,
-    told: Vec<(String, Vec<ModelName>)>,
-    told_at: Instant,
+    telling: HeldTelling,
     turn: u32,
     ended: mpsc::Sender<Ended>,
 }
@@ -108,8 +106,7 @@
         uses: UseTable::default(),
         loads: LoadAllowance::new(setup.load_window, setup.clock.now()),
         demand: SortedTable::default(),
-        told: Vec::new(),
-        told_at: now,
+        telling: HeldTelling::default(),
         turn: 0,
         ended,
         setup,
@@ -192,6 +189,7 @@
         };
         if !self.holding {
             self.holding = true;
+            self.telling.restart();
             self.shelves.distrust(now);
             let inherited = self.inherit_loads(now);
             tracing::info!(
@@ -219,7 +217,7 @@
         }
         self.turn = self.turn.wrapping_add(1);
         self.order(&catalog, fencing, now);
-        self.tell().await;
+        self.tell(now).await;
     }
 
     /// Takes over the loads that the host before this one left open; returns
@@ -295,8 +293,8 @@
             }
             Ended::Lease(end) => {
                 if self.lease.ended(end, now) {
-                    // Told at once, so that the others know the version.
-                    self.told_at = Instant::now() - TELL_PERIOD;
+                    // Told soon, so that the others know the version.
+                    self.telling.hurry();
                 }
             }
         }
@@ -403,7 +401,8 @@
     ) -> bool {
         if kind == OrderKind::Unload {
             let used = self.uses.uses(runner, name, now);
-            if !self.shelves.give_way(runner, name, used, now) {
+            let clear = self.shelves.give_way(runner, name, used, now);
+            if !clear || !self.telling.is_told(runner) {
                 return false;
             }
         }
@@ -482,34 +481,20 @@
         });
     }
 
-    /// Tells the hosts what runners hold, when that has changed and at least
-    /// once a period; they hear by it that the holder lives.
-    async fn tell(&mut self) {
-        let held: Vec<(String, Vec<ModelName>)> = self
-            .shelves
-            .usable()
-            .map(|(facts, models)| (facts.id.clone(), names(&models)))
-            .collect();
-        let due = self.told_at + TELL_PERIOD <= Instant::now();
-        if held != self.told || due {
-            let Some((lease, version)) = self.lease.row() else { return };
-            self.told_at = Instant::now();
-            self.told.clone_from(&held);
-            let lease = lease.clone();
-            let message = HostMessage::Held { lease, version, held };
-            self.setup.herald.announce(message).await;
-        }
-    }
-}
-
-/// Names of models, and of the adapters they have.
-fn names(models: &[HeldModel]) -> Vec<ModelName> {
-    let mut names = Vec::new();
-    for held in models {
-        let name = |adapter| ModelName { model: held.name.clone(), adapter };
-        names.push(name(None));
-        let adapters = held.adapters.iter();
-        names.extend(adapters.map(|adapter| name(Some(adapter.clone()))));
+    /// Tells the hosts what runners hold; they hear by it that the holder
+    /// lives.
+    async fn tell(&mut self, now: EpochMillis) {
+        let usable = self.shelves.usable();
+        let held = usable.map(|(facts, held)| (facts.id.clone(), held));
+        self.telling.note(held.collect());
+        let Some((lease, version)) = self.lease.row() else { return };
+        let lease = lease.clone();
+        // Hosts whose digests were heard lately, this one too.
+        let listeners = self.demand.len();
+        let Some((round, held)) = self.telling.next(listeners, now) else {
+            return;
+        };
+        let message = HostMessage::Held { lease, version, round, held };
+        self.setup.herald.announce(message).await;
     }
-    names
 }
