Give no right by a renewal that was under way when its number was given up

Cause: a holder whose renewals are late says that it stops, and the others count the turn from that word. A renewal still under way then could succeed and bring the same number back in force, for up to 2.2 s of orders more.

The new test was red: the number was back in force.

Change: a claim under a number that was given up gives no right, and the next one, under a new number, is made at once.

--- a/crates/celerylead/src/membership/orders.rs
+++ b/crates/celerylead/src/membership/orders.rs
@@ -168,6 +168,10 @@
     ) {
         self.read(Some(claim.row.clone()), version, now);
         let fencing = claim.row.fencing;
+        if fencing == self.given_up {
+            // The others may count on it already that no order follows.
+            return;
+        }
         let until = claim.since.after(HOLD);
         self.held = Some(OrderRight { fencing, until });
     }
--- a/crates/celerylead/src/membership/tests/orders.rs
+++ b/crates/celerylead/src/membership/tests/orders.rs
@@ -147,6 +147,23 @@
     assert_eq!(claim.row.fencing, 2);
 }
 
+/// Guards against two hosts' orders within a turn: the others count from the
+/// word that a number was given up, so a renewal that was under way then must
+/// give no right under it.
+#[test]
+fn a_renewal_under_way_revives_no_number_that_was_given_up() {
+    let mut lease = OrdersLease::default();
+    lease.read(None, 0, EpochMillis(0));
+    let claim = lease.claim("a", 7, TURNS, EpochMillis(0)).unwrap();
+    lease.claimed(&claim, 5, EpochMillis(10));
+    let renewal = lease.claim("a", 7, TURNS, EpochMillis(1_000)).unwrap();
+    assert_eq!(lease.give_up(), Some(1));
+    lease.claimed(&renewal, 6, EpochMillis(2_300));
+    assert_eq!(lease.fencing(EpochMillis(2_400)), None);
+    let claim = lease.claim("a", 7, TURNS, EpochMillis(2_400)).unwrap();
+    assert_eq!((claim.row.fencing, claim.expected), (2, 6));
+}
+
 #[test]
 fn an_order_is_written_only_under_the_right_that_stands_then() {
     struct Case {
--- a/crates/celerylead/src/tasks/node/lease.rs
+++ b/crates/celerylead/src/tasks/node/lease.rs
@@ -168,6 +168,10 @@
                         }
                         self.lease.claimed(&claim, version, now);
                         renewed = true;
+                        if self.lease.fencing(now).is_none() {
+                            // It gave no right: too late, or given up.
+                            self.ask_at = Instant::now();
+                        }
                     }
                     None => self.lease.in_doubt(),
                 }
