Rest between the turns of the host that orders

Each ended order and each want ran a whole turn of the placer: shelves brought in line with the roster, demand of all hosts summed up, what adapters to move, what to tell.

Change: what arrives is taken into account at once, and a turn follows after a rest of four times the last one's length, 50 ms at most; shelves are brought in line only with a roster that has changed.

--- a/crates/celerylead/src/tasks/node/placer.rs
+++ b/crates/celerylead/src/tasks/node/placer.rs
@@ -6,7 +6,7 @@
 //! their own, which tell the task how they ended and look at the right to
 //! order, as it then stands, before they write.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use tokio::{
     sync::{mpsc, watch},
@@ -39,6 +39,10 @@
 pub(crate) const MAILBOX: usize = 256;
 /// Time between two turns of the task.
 const TURN: Duration = Duration::from_millis(50);
+/// Rest after a turn, in times that it took, up to the time between two:
+/// many orders end at once in a large fleet, and the lease, callers and
+/// answers of the host need the processor too.
+const TURN_REST: u32 = 4;
 /// Turns between two changes of the plan.
 const PLAN_TURNS: u32 = 8;
 /// Time for which a new process moves no models: at a start the runners
@@ -86,6 +90,11 @@
     demand: SortedTable<String, (EpochMillis, ModelDemand)>,
     telling: HeldTelling,
     turn: u32,
+    /// Whether a turn is due, after the rest.
+    wanted: bool,
+    rest_until: Instant,
+    /// Roster that the shelves were last brought in line with.
+    adopted: Option<Arc<Vec<RunnerFacts>>>,
     ended: mpsc::Sender<Ended>,
 }
 
@@ -108,6 +117,9 @@
         demand: SortedTable::default(),
         telling: HeldTelling::default(),
         turn: 0,
+        wanted: false,
+        rest_until: now,
+        adopted: None,
         ended,
         setup,
     };
@@ -126,18 +138,31 @@
             // Hosts that don't hold the lease have nothing to do each turn.
             let ask_at = self.lease.ask_at();
             let idle = !self.holding && Instant::now() < ask_at;
+            let (wanted, rest) = (self.wanted, self.rest_until);
             tokio::select! {
                 heard = inbox.recv() => match heard {
-                    Some(heard) if self.hear(&heard) => {}
-                    Some(_) => continue,
+                    Some(heard) => self.wanted |= self.hear(&heard),
                     None => return,
                 },
-                Some(ended) = ends.recv() => self.end(ended),
-                () = tokio::time::sleep_until(ask_at), if idle => {}
-                () = self.until_due(), if self.holding => {}
-                _ = period.tick(), if !idle => {}
+                Some(ended) = ends.recv() => {
+                    self.end(ended);
+                    self.wanted = true;
+                }
+                () = tokio::time::sleep_until(ask_at), if idle && !wanted => {
+                    self.wanted = true;
+                }
+                () = self.until_due(), if self.holding && !wanted => {
+                    self.wanted = true;
+                }
+                _ = period.tick(), if !idle && !wanted => self.wanted = true,
+                () = tokio::time::sleep_until(rest), if wanted => {
+                    self.wanted = false;
+                    let began = Instant::now();
+                    self.turn().await;
+                    let rest = (began.elapsed() * TURN_REST).min(TURN);
+                    self.rest_until = Instant::now() + rest;
+                }
             }
-            self.turn().await;
         }
     }
 
@@ -191,6 +216,7 @@
             self.holding = true;
             self.telling.restart();
             self.shelves.distrust(now);
+            self.adopted = None;
             let inherited = self.inherit_loads(now);
             tracing::info!(
                 event = "orders_held",
@@ -202,12 +228,7 @@
         let roster = self.setup.roster.borrow().clone();
         let catalog = self.setup.catalog.borrow().clone();
         let (Some(roster), Some(catalog)) = (roster, catalog) else { return };
-        let engines = roster.iter().filter(|facts| {
-            let service = catalog.service(&facts.service);
-            service.is_some_and(|service| service.engine.is_some())
-        });
-        let engines: Vec<&RunnerFacts> = engines.collect();
-        self.shelves.adopt(&engines, now);
+        self.adopt(&roster, &catalog, now);
         for step in self.shelves.due(now) {
             if let OrderStep::Send(_, sent) = &step {
                 let order = &sent.order;
@@ -220,6 +241,26 @@
         self.tell(now).await;
     }
 
+    /// Brings the shelves in line with a roster, unless they are.
+    fn adopt(
+        &mut self,
+        roster: &Arc<Vec<RunnerFacts>>,
+        catalog: &ServiceCatalog,
+        now: EpochMillis,
+    ) {
+        let held = self.adopted.as_ref();
+        if held.is_some_and(|held| Arc::ptr_eq(held, roster)) {
+            return;
+        }
+        let engines = roster.iter().filter(|facts| {
+            let service = catalog.service(&facts.service);
+            service.is_some_and(|service| service.engine.is_some())
+        });
+        let engines: Vec<&RunnerFacts> = engines.collect();
+        self.shelves.adopt(&engines, now);
+        self.adopted = Some(Arc::clone(roster));
+    }
+
     /// Takes over the loads that the host before this one left open; returns
     /// how many, if another host gave orders since.
     fn inherit_loads(&mut self, now: EpochMillis) -> Option<u32> {
