Count demand for a model whoever asks for it

Found by the soak that is being written: models that only customers without a rate ask for were never given a further copy. The demand was counted with the charge, and a call without a rate has none.

Change: a call counts once, when it is first admitted.

--- a/crates/celerylead/src/tasks/node/desk.rs
+++ b/crates/celerylead/src/tasks/node/desk.rs
@@ -372,17 +372,22 @@
                 return;
             }
             wait.refundable = Some((customer, cost));
-            if let Some(name) = &wait.ask.model {
-                self.demand.note(&name.model, wait.ask.tokens, now);
-                if name.adapter.is_some() {
-                    let name = name.to_string();
-                    self.demand.note(&name, wait.ask.tokens, now);
-                }
-            }
+        }
+        if wait.ask.tried.is_empty() {
+            self.note_demand(&wait.ask, now);
         }
         self.place(wait, now);
     }
 
+    /// Counts what a call that is within its customer's rate asks for.
+    fn note_demand(&mut self, ask: &RelayAsk, now: EpochMillis) {
+        let Some(name) = &ask.model else { return };
+        self.demand.note(&name.model, ask.tokens, now);
+        if name.adapter.is_some() {
+            self.demand.note(&name.to_string(), ask.tokens, now);
+        }
+    }
+
     /// Sends a call to its runner, or keeps it waiting for one.
     fn place(&mut self, wait: RouteWait, now: EpochMillis) {
         if wait.reply.is_closed() {
--- a/crates/stand-ins/src/raw_runner.rs
+++ b/crates/stand-ins/src/raw_runner.rs
@@ -94,6 +94,8 @@
     fault: RunnerFault,
     runs: Vec<SeenRequest>,
     orders: Vec<SeenRequest>,
+    /// Points at which they came.
+    order_points: Vec<Instant>,
     /// Orders that it accepted.
     accepted: u64,
     /// Models that it holds.
@@ -118,6 +120,7 @@
             fault: RunnerFault::None,
             runs: Vec::new(),
             orders: Vec::new(),
+            order_points: Vec::new(),
             accepted: 0,
             models: vec![MODEL.to_owned()],
             loads: Vec::new(),
@@ -167,8 +170,12 @@
         "200 OK"
     }
 
-    /// Begins a call; tells whether its adapter is there.
-    fn begin(&mut self, adapter: Option<&str>) -> bool {
+    /// Begins a call; tells whether its model and its adapter are there.
+    fn begin(&mut self, model: Option<&str>, adapter: Option<&str>) -> bool {
+        let model = model.map(|name| name.split('/').next().unwrap_or(name));
+        if model.is_some_and(|name| !self.models.iter().any(|m| m == name)) {
+            return false;
+        }
         let Some(adapter) = adapter else { return true };
         let held = self.adapters.iter().any(|held| held == adapter);
         if held && self.going.as_deref() != Some(adapter) {
@@ -250,6 +257,11 @@
         self.state.with(|state| state.orders.clone()).await
     }
 
+    /// Returns the points at which its orders came.
+    pub async fn order_points(&self) -> Vec<Instant> {
+        self.state.with(|state| state.order_points.clone()).await
+    }
+
     /// Returns the points at which it began to load a model.
     pub async fn loads(&self) -> Vec<Instant> {
         self.state.with(|state| state.loads.clone()).await
@@ -276,7 +288,12 @@
         let fault = state.with(|state| state.fault).await;
         if request.line.starts_with("POST /-/order") {
             let seen = request.clone();
-            state.with(move |state| state.orders.push(seen)).await;
+            state
+                .with(move |state| {
+                    state.orders.push(seen);
+                    state.order_points.push(Instant::now());
+                })
+                .await;
             if fault == RunnerFault::MuteOrders {
                 std::future::pending::<()>().await;
             }
@@ -331,8 +348,11 @@
     let model = request.header("x-model").map(str::to_owned);
     let adapter = model.as_ref().and_then(|model| model.split_once('/'));
     let adapter = adapter.map(|(_, adapter)| adapter.to_owned());
-    let wanted = adapter.clone();
-    if !state.with(move |state| state.begin(wanted.as_deref())).await {
+    let wanted = (model.clone(), adapter.clone());
+    let begun = move |state: &mut RunnerState| {
+        state.begin(wanted.0.as_deref(), wanted.1.as_deref())
+    };
+    if !state.with(begun).await {
         let status = "421 Misdirected Request";
         return write_plain(stream, status, &signed, b"").await;
     }
