--- a/crates/celerylead/src/placement/shelf.rs
+++ b/crates/celerylead/src/placement/shelf.rs
@@ -44,11 +44,6 @@
 }
 
 impl OrderTry {
-    /// Tells whether it is a load from the weight store.
-    pub fn is_store_load(&self) -> bool {
-        self.source == Some(LoadSource::Store)
-    }
-
     /// Tells what `end` says of the load that it orders. An earlier sending
     /// that wasn't answered may have taken effect; once the runner answers
     /// under the same number, none still can.
