Tell hosts under test ports that nothing else takes

Cause: the port was drawn by opening and closing a listener on any port, and until the host opened it another test's stand-in was given the same one. The soak met the same fault before. Both take ports from below the system's own range now, from one place. Not a fault of the product; no check is changed.

--- a/crates/stand-ins/src/lib.rs
+++ b/crates/stand-ins/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod datagram;
 pub mod engine;
 pub mod objects;
+pub mod ports;
 pub mod proxy;
 pub mod raw_runner;
 pub mod rows;
