Log the load by which a runner was chosen or a call refused, and who is heard

Nothing in the logs told what a host believed of a runner as it chose, nor how old that was, nor which hosts it hears.

request_ended now carries the calls of this host and those told by others at the chosen runner, and the age of the oldest figure; a refusal as full carries the same over all runners of the service; a refusal for the rate names the rate; hosts_heard counts known and silent hosts by zone at each reading of their table. No decision changes.

--- a/crates/celerylead/src/customer/fleet.rs
+++ b/crates/celerylead/src/customer/fleet.rs
@@ -146,6 +146,11 @@
         self.level as i64
     }
 
+    /// Returns the rate, in units a second.
+    pub fn per_second(&self) -> u64 {
+        self.rate.per_second
+    }
+
     /// Returns the level for other hosts, once it is known.
     pub fn known_level(&self) -> Option<i64> {
         self.assume_at.is_none().then_some(self.level as i64)
--- a/crates/celerylead/src/relay/backend.rs
+++ b/crates/celerylead/src/relay/backend.rs
@@ -4,7 +4,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{call::RelayAsk, table::RelayChoice};
+use super::{
+    call::RelayAsk,
+    table::{LoadBasis, RelayChoice},
+};
 use crate::{
     clock::EpochMillis, model::ModelName, roster::RunnerFacts,
     sorted::SortedTable,
@@ -116,6 +119,17 @@
         self.calls + told.sum::<u32>()
     }
 
+    /// Returns the load by which the runner is judged.
+    pub(super) fn basis(&self, now: EpochMillis) -> LoadBasis {
+        let mut basis = LoadBasis { own: self.calls, ..LoadBasis::default() };
+        for load in self.fresh_peers(now).filter(|load| 0 < load.calls) {
+            basis.told += load.calls;
+            let age = load.told_at.until(now).as_millis() as u64;
+            basis.oldest_ms = basis.oldest_ms.max(age);
+        }
+        basis
+    }
+
     /// Tokens of the calls in flight.
     pub(super) fn tokens(&self, now: EpochMillis) -> u64 {
         let told = self.fresh_peers(now).map(|load| load.tokens);
--- a/crates/celerylead/src/relay/mod.rs
+++ b/crates/celerylead/src/relay/mod.rs
@@ -21,5 +21,8 @@
 pub use self::{
     backend::{CallEnd, PeerLoad},
     call::{CallHead, PromptPart, RelayAsk},
-    table::{PickFault, RelayChoice, RelayTable, RunnerView},
+    table::{
+        LoadBasis, PickFault, RelayChoice, RelayTable, RunnerView,
+        ServiceCrowd,
+    },
 };
--- a/crates/celerylead/src/relay/table.rs
+++ b/crates/celerylead/src/relay/table.rs
@@ -38,6 +38,39 @@
     pub name: Option<ModelName>,
     /// Tokens booked.
     pub tokens: u64,
+    /// What was known of the runner's load.
+    pub basis: LoadBasis,
+}
+
+/// The load by which a runner was judged.
+///
+/// What other hosts told is older than what this host knows of itself, and
+/// wrong by what began and ended since.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
+pub struct LoadBasis {
+    /// Calls of this host in flight.
+    pub own: u32,
+    /// Calls that other hosts told of.
+    pub told: u32,
+    /// Age of the oldest figure among those, in milliseconds.
+    pub oldest_ms: u64,
+}
+
+/// The load of a service's runners, as one host sees it.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
+pub struct ServiceCrowd {
+    /// Runners that take calls.
+    pub runners: u32,
+    /// Calls that they run at a time.
+    pub slots: u32,
+    /// Calls there.
+    pub basis: LoadBasis,
 }
 
 impl RelayChoice {
@@ -174,15 +207,34 @@
         let Some(backend) = self.backends.get_mut(&best) else {
             return Err(PickFault::NoRunner);
         };
+        let basis = backend.basis(now);
         backend.begin(ask, now);
         Ok(RelayChoice {
             runner: best,
             address: backend.facts.address.clone(),
             name: ask.model.clone(),
             tokens: ask.tokens,
+            basis,
         })
     }
 
+    /// Returns the load of a service's runners.
+    pub fn crowd(&self, service: &str, now: EpochMillis) -> ServiceCrowd {
+        let mut crowd = ServiceCrowd::default();
+        for backend in self.backends.values() {
+            if backend.facts.service != service || backend.facts.leaving {
+                continue;
+            }
+            let basis = backend.basis(now);
+            crowd.runners += 1;
+            crowd.slots += backend.facts.slots;
+            crowd.basis.own += basis.own;
+            crowd.basis.told += basis.told;
+            crowd.basis.oldest_ms = crowd.basis.oldest_ms.max(basis.oldest_ms);
+        }
+        crowd
+    }
+
     /// Notes that the head of an answer came from a runner.
     pub fn heard(&mut self, runner: &str, now: EpochMillis) {
         if let Some(backend) = self.backends.get_mut(runner) {
--- a/crates/celerylead/src/tasks/node/attempt.rs
+++ b/crates/celerylead/src/tasks/node/attempt.rs
@@ -100,6 +100,7 @@
                 Ok(slot) => slot,
                 Err(refusal) => return last_word(fallback, request, refusal),
             };
+            self.record.basis = slot.choice.basis;
             ask.charge = None;
             ask.tried.push(slot.choice.runner.clone());
             let end = self.try_once(slot, request).await;
--- a/crates/celerylead/src/tasks/node/call.rs
+++ b/crates/celerylead/src/tasks/node/call.rs
@@ -14,7 +14,7 @@
     catalog::{BilledCustomer, CallRoute, ServiceCatalog},
     metrics::HostMetrics,
     port::EdgeCodec,
-    relay::CallHead,
+    relay::{CallHead, LoadBasis},
     request::{Refusal, RefusalCode, RequestId},
     tasks::intake,
 };
@@ -35,6 +35,8 @@
     pub(super) status: u16,
     /// Time spent waiting for a runner, in milliseconds.
     pub(super) held_ms: u64,
+    /// Load by which the runner was chosen.
+    pub(super) basis: LoadBasis,
     pub(super) started: Instant,
     pub(super) first: Option<Instant>,
     pub(super) metrics: HostMetrics,
@@ -53,6 +55,9 @@
             model = self.model,
             runner = self.runner,
             held_ms = self.held_ms,
+            own_calls = self.basis.own,
+            told_calls = self.basis.told,
+            told_age_ms = self.basis.oldest_ms,
             revision = self.revision,
             sends = self.sends,
             status = self.status,
@@ -134,6 +139,7 @@
             .map_or_else(String::new, ToString::to_string),
         runner: String::new(),
         held_ms: 0,
+        basis: LoadBasis::default(),
         revision: catalog.revision,
         sends: 0,
         status: 0,
--- a/crates/celerylead/src/tasks/node/desk.rs
+++ b/crates/celerylead/src/tasks/node/desk.rs
@@ -22,7 +22,10 @@
     model::ModelName,
     placement::DemandMeter,
     port::HttpLink,
-    relay::{CallEnd, PeerLoad, PickFault, RelayAsk, RelayChoice, RelayTable},
+    relay::{
+        CallEnd, LoadBasis, PeerLoad, PickFault, RelayAsk, RelayChoice,
+        RelayTable,
+    },
     request::{Refusal, RefusalCode, RetryBudget},
     sorted::SortedTable,
     tasks::{MAILBOX, MAX_IN_FLIGHT},
@@ -361,8 +364,9 @@
             {
                 let message = format!(
                     "customer {customer} is over its rate: cost {cost}, \
-                     level {}, {} of {} hosts silent",
+                     level {}, {} a second, {} of {} hosts silent",
                     bucket.level(),
+                    bucket.per_second(),
                     self.hearing.silent(now).count(),
                     self.hearing.count(),
                 );
@@ -422,13 +426,34 @@
         }
         if fault == PickFault::AllTried || wait.until <= now {
             let code = RefusalCode::NoRunner;
-            self.refuse(wait, code, fault.text(), now);
+            let reason = self.reason(&wait.ask, fault, now);
+            self.refuse(wait, code, &reason, now);
             return;
         }
         self.waiting.push(wait);
         self.setup.metrics.waiting.set(self.waiting.len() as i64);
     }
 
+    /// Returns why no runner was chosen, with the load that decided it.
+    fn reason(
+        &self,
+        ask: &RelayAsk,
+        fault: PickFault,
+        now: EpochMillis,
+    ) -> String {
+        let text = fault.text();
+        if fault != PickFault::Full {
+            return text.to_owned();
+        }
+        let crowd = self.table.crowd(&ask.service, now);
+        let LoadBasis { own, told, oldest_ms } = crowd.basis;
+        format!(
+            "{text}: {} runners with {} slots, {own} calls of this host, \
+             {told} told by others up to {oldest_ms} ms ago",
+            crowd.runners, crowd.slots,
+        )
+    }
+
     /// Tells the host that orders that an adapter is missing, though not for
     /// each call that waits for it.
     fn want(&mut self, name: &ModelName, now: EpochMillis) {
--- a/crates/celerylead/src/tasks/node/herald.rs
+++ b/crates/celerylead/src/tasks/node/herald.rs
@@ -372,9 +372,26 @@
             }
         }
         self.hosts = hosts;
+        self.log_hearing();
         self.remove_gone();
     }
 
+    /// Writes how many hosts are heard, at each reading of their table.
+    fn log_hearing(&self) {
+        let silent =
+            |host: &&KnownHost| HEARD_WITHIN <= host.heard_at.elapsed();
+        let mut heard_zones: SortedTable<String, (u32, u32)> =
+            SortedTable::default();
+        for host in self.hosts.values() {
+            let zone = heard_zones.entry(host.zone.clone(), || (0, 0));
+            zone.0 += 1;
+            zone.1 += u32::from(silent(&host));
+        }
+        for (peer_zone, (known, silent)) in heard_zones.iter() {
+            tracing::info!(event = "hosts_heard", peer_zone, known, silent);
+        }
+    }
+
     /// Removes the rows of hosts that were silent for long. A host that
     /// lives writes its row again; one that hears nobody removes none, as it
     /// is more likely the one that is cut off.
