--- a/crates/celerylead/src/relay/backend.rs
+++ b/crates/celerylead/src/relay/backend.rs
@@ -56,15 +56,14 @@
 }
 
 /// Calls of another host at a runner.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub struct PeerLoad {
+#[derive(Clone, Copy, Debug)]
+pub(super) struct PeerLoad {
     /// Calls in flight.
-    pub calls: u32,
+    pub(super) calls: u32,
     /// Tokens of these calls.
-    pub tokens: u64,
+    pub(super) tokens: u64,
     /// Point at which it was told.
-    pub told_at: EpochMillis,
+    pub(super) told_at: EpochMillis,
 }
 
 /// A runner in the relay table.
--- a/crates/celerylead/src/relay/mod.rs
+++ b/crates/celerylead/src/relay/mod.rs
@@ -19,7 +19,7 @@
 mod tests;
 
 pub use self::{
-    backend::{CallEnd, PeerLoad},
+    backend::CallEnd,
     call::{CallHead, PromptPart, RelayAsk},
     table::{
         LoadBasis, PickFault, RelayChoice, RelayTable, RunnerView,
--- a/crates/celerylead/src/relay/table.rs
+++ b/crates/celerylead/src/relay/table.rs
@@ -7,8 +7,8 @@
     call::RelayAsk,
 };
 use crate::{
-    catalog::ServiceCatalog, clock::EpochMillis, model::ModelName,
-    roster::RunnerFacts, sorted::SortedTable,
+    catalog::ServiceCatalog, clock::EpochMillis, membership::RunnerLoad,
+    model::ModelName, roster::RunnerFacts, sorted::SortedTable,
 };
 
 /// Pace assumed where no runner has answered yet, in microseconds.
@@ -185,13 +185,30 @@
         }
     }
 
-    /// Notes what another host has in flight at a runner.
-    pub fn peer_load(&mut self, host: &str, runner: &str, load: PeerLoad) {
-        if let Some(backend) = self.backends.get_mut(runner) {
-            backend.peers.insert(host.to_owned(), load);
+    /// Takes over what another host has in flight.
+    pub fn told(&mut self, host: &str, loads: &[RunnerLoad], at: EpochMillis) {
+        for load in loads {
+            let RunnerLoad { calls, tokens, .. } = *load;
+            if let Some(backend) = self.backends.get_mut(&load.runner) {
+                let load = PeerLoad { calls, tokens, told_at: at };
+                backend.peers.insert(host.to_owned(), load);
+            }
         }
     }
 
+    /// Returns what this host has in flight, for the others.
+    pub fn loads(&self) -> Vec<RunnerLoad> {
+        let views = self.views().filter(|view| 0 < view.calls);
+        views
+            .map(|view| RunnerLoad {
+                runner: view.id,
+                calls: view.calls,
+                tokens: view.tokens,
+                names: view.names,
+            })
+            .collect()
+    }
+
     /// Chooses the runner for a call and books it there.
     ///
     /// # Errors
--- a/crates/celerylead/src/relay/tests.rs
+++ b/crates/celerylead/src/relay/tests.rs
@@ -1,9 +1,12 @@
 //! Choice of runners, as tables of cases.
 
-use super::{CallEnd, PeerLoad, PickFault, RelayAsk, RelayChoice, RelayTable};
+mod fleet;
+
+use super::{CallEnd, PickFault, RelayAsk, RelayChoice, RelayTable};
 use crate::{
     catalog::{CallLimits, EngineTraits, ServiceCatalog, ServiceTraits},
     clock::EpochMillis,
+    membership::RunnerLoad,
     model::ModelName,
     request::RequestId,
     roster::{HeldModel, RunnerFacts},
@@ -68,10 +71,21 @@
         charge: None,
         tried: Vec::new(),
         sent: false,
+        draw: 0.0,
         deadline: EpochMillis(110_000),
     }
 }
 
+/// What another host tells of a runner at which it has three calls.
+fn busy(runner: &str) -> RunnerLoad {
+    RunnerLoad {
+        runner: runner.to_owned(),
+        calls: 3,
+        tokens: 10,
+        names: Vec::new(),
+    }
+}
+
 #[test]
 fn a_runner_is_chosen_only_where_it_may_run_the_call() {
     struct Case {
@@ -180,8 +194,7 @@
         let mut table = RelayTable::new("boden");
         table.adopt(facts.iter());
         let told_at = EpochMillis(told_at);
-        let load = PeerLoad { calls: 3, tokens: 10, told_at };
-        table.peer_load("front-2", "a", load);
+        table.told("front-2", &[busy("a")], told_at);
         let ask = ask("advisor", Some("bend"));
         let choice = table.pick(&ask, &catalog(), NOW).unwrap();
         assert_eq!(choice.runner, found, "told at {told_at}");
@@ -298,8 +311,7 @@
         table.adopt(facts.iter());
         // The second one is busier, so only silence speaks for it.
         let told_at = EpochMillis(case.at);
-        let load = PeerLoad { calls: 3, tokens: 10, told_at };
-        table.peer_load("front-2", "b", load);
+        table.told("front-2", &[busy("b")], told_at);
         let choice = table.pick(&ask, &catalog(), EpochMillis(case.at));
         assert_eq!(choice.unwrap().runner, case.found, "{}", case.name);
     }
@@ -360,8 +372,7 @@
         table.adopt(facts.iter());
         let now = EpochMillis(case.at);
         // The second one is busier, so only the probe speaks for it.
-        let load = PeerLoad { calls: 3, tokens: 10, told_at: now };
-        table.peer_load("front-2", "b", load);
+        table.told("front-2", &[busy("b")], now);
         let found = [(); 2].map(|()| {
             let choice = table.pick(&ask, &catalog(), now);
             choice.unwrap().runner
--- /dev/null
+++ b/crates/celerylead/src/relay/tests/fleet.rs
@@ -0,0 +1,322 @@
+//! Many hosts before the runners of one service, played in steps of time.
+//!
+//! Each host has a table of its own and knows of the others what their
+//! digests tell, at the herald's pace. What the hosts serve in time is
+//! compared with what the same runners serve where one place knows all.
+
+use std::collections::VecDeque;
+
+use rand::{RngExt as _, SeedableRng as _, rngs::StdRng};
+
+use super::{
+    super::{CallEnd, RelayChoice, RelayTable},
+    ask, catalog, runner,
+};
+use crate::{clock::EpochMillis, membership::RunnerLoad, roster::RunnerFacts};
+
+/// Milliseconds played.
+const SPAN_MS: u64 = 12_000;
+/// Start, in which nothing is counted.
+const WARM_UP_MS: u64 = 2_000;
+/// Milliseconds between two digests to the own availability zone; others get
+/// each second one.
+const TELL_MS: u64 = 200;
+/// Calls that a runner lets wait beyond its slots.
+const QUEUE: usize = 24;
+/// Availability zones.
+const ZONES: usize = 3;
+
+/// A service before many hosts.
+#[derive(Clone, Copy)]
+struct Case {
+    name: &'static str,
+    hosts: usize,
+    /// How many times as long each runner takes.
+    paces: &'static [f64],
+    model: Option<&'static str>,
+    slots: usize,
+    per_second: f64,
+    work_ms: f64,
+    /// Milliseconds within which an answer is in time.
+    objective_ms: u64,
+}
+
+/// A call at a runner, or on its way.
+struct Run {
+    begun: u64,
+    work: u64,
+    /// Host that sent it, and its booking there.
+    booked: Option<(usize, RelayChoice)>,
+}
+
+/// A runner that runs so many calls at a time and lets a few wait.
+#[derive(Default)]
+struct Machine {
+    running: Vec<(u64, Run)>,
+    waiting: VecDeque<Run>,
+}
+
+impl Machine {
+    fn load(&self) -> usize {
+        self.running.len() + self.waiting.len()
+    }
+
+    /// Starts what may start and returns what has ended.
+    fn step(&mut self, slots: usize, now: u64) -> Vec<Run> {
+        let mut ended = Vec::new();
+        let mut place = 0;
+        while place < self.running.len() {
+            if self.running[place].0 <= now {
+                ended.push(self.running.swap_remove(place).1);
+            } else {
+                place += 1;
+            }
+        }
+        while self.running.len() < slots
+            && let Some(run) = self.waiting.pop_front()
+        {
+            self.running.push((now + run.work, run));
+        }
+        ended
+    }
+}
+
+/// What came of the calls.
+#[derive(Debug, Default)]
+struct Tally {
+    asked: u32,
+    in_time: u32,
+    full: u32,
+    turned_away: u32,
+}
+
+impl Tally {
+    fn share(&self) -> f64 {
+        f64::from(self.in_time) / f64::from(self.asked.max(1))
+    }
+}
+
+struct Fleet {
+    case: Case,
+    tables: Vec<RelayTable>,
+    machines: Vec<Machine>,
+    tally: Tally,
+}
+
+fn zone(place: usize) -> String {
+    format!("zone-{}", place % ZONES)
+}
+
+impl Fleet {
+    fn new(case: Case) -> Fleet {
+        let service = if case.model.is_some() { "advisor" } else { "ledger" };
+        let models: Vec<&str> = case.model.into_iter().collect();
+        let facts = (0..case.paces.len()).map(|place| RunnerFacts {
+            zone: zone(place),
+            slots: case.slots as u32,
+            ..runner(&format!("runner-{place}"), service, &models)
+        });
+        let facts: Vec<RunnerFacts> = facts.collect();
+        let tables = (0..case.hosts).map(|host| {
+            let mut table = RelayTable::new(&zone(host));
+            table.adopt(facts.iter());
+            table
+        });
+        let machines = case.paces.iter().map(|_| Machine::default());
+        Fleet {
+            case,
+            tables: tables.collect(),
+            machines: machines.collect(),
+            tally: Tally::default(),
+        }
+    }
+
+    /// Plays the calls of a seed; without hosts each call goes to the runner
+    /// that really has the fewest for its pace.
+    fn play(mut self, seed: u64, by_hosts: bool) -> Tally {
+        let mut random = StdRng::seed_from_u64(seed);
+        let chance = self.case.per_second / 1_000.0;
+        for now in 0..SPAN_MS {
+            for place in 0..self.machines.len() {
+                let ended = self.machines[place].step(self.case.slots, now);
+                for run in ended {
+                    self.end(run, now);
+                }
+            }
+            if by_hosts {
+                self.tell(now);
+            }
+            if random.random_bool(chance) {
+                let host = random.random_range(0..self.case.hosts);
+                let draw: f64 = random.random();
+                let part = random.random_range(0.5..1.5);
+                let counted = self.is_counted(now);
+                self.tally.asked += u32::from(counted);
+                let work = self.case.work_ms * part;
+                if by_hosts {
+                    self.call(host, work, draw, now, counted);
+                } else {
+                    self.call_at_best(work, now);
+                }
+            }
+        }
+        self.tally
+    }
+
+    fn call(
+        &mut self,
+        host: usize,
+        work: f64,
+        draw: f64,
+        now: u64,
+        counted: bool,
+    ) {
+        let service =
+            if self.case.model.is_some() { "advisor" } else { "ledger" };
+        let mut ask = ask(service, self.case.model);
+        ask.draw = draw;
+        ask.tokens = 1;
+        let at = EpochMillis(now);
+        let table = &mut self.tables[host];
+        let Ok(choice) = table.pick(&ask, &catalog(), at) else {
+            self.tally.full += u32::from(counted);
+            return;
+        };
+        let (_, place) = choice.runner.split_once('-').unwrap();
+        let place: usize = place.parse().unwrap();
+        if self.case.slots + QUEUE <= self.machines[place].load() {
+            table.done(&choice, false, CallEnd::TurnedAway, at);
+            self.tally.turned_away += u32::from(counted);
+            return;
+        }
+        let work = (work * self.case.paces[place]) as u64;
+        let booked = Some((host, choice));
+        let run = Run { begun: now, work, booked };
+        self.machines[place].waiting.push_back(run);
+    }
+
+    fn call_at_best(&mut self, work: f64, now: u64) {
+        let cost = |place: usize| {
+            self.case.paces[place] * (self.machines[place].load() + 1) as f64
+        };
+        let best = (0..self.machines.len())
+            .min_by(|one, other| cost(*one).total_cmp(&cost(*other)));
+        let place = best.unwrap();
+        let work = (work * self.case.paces[place]) as u64;
+        let run = Run { begun: now, work, booked: None };
+        self.machines[place].waiting.push_back(run);
+    }
+
+    fn end(&mut self, run: Run, now: u64) {
+        let took = now - run.begun;
+        let counted = self.is_counted(run.begun);
+        let in_time = took <= self.case.objective_ms;
+        self.tally.in_time += u32::from(counted && in_time);
+        if let Some((host, choice)) = run.booked {
+            let end = CallEnd::Whole { pace_us: took * 1_000 };
+            let at = EpochMillis(now);
+            self.tables[host].done(&choice, false, end, at);
+        }
+    }
+
+    /// Tells whether a call of this point is counted: neither of the start
+    /// nor so late that it can't end in time.
+    fn is_counted(&self, begun: u64) -> bool {
+        let last = SPAN_MS - self.case.objective_ms;
+        (WARM_UP_MS..last).contains(&begun)
+    }
+
+    /// Hands the digests out that are due.
+    fn tell(&mut self, now: u64) {
+        for host in 0..self.case.hosts {
+            let due = now + host as u64 * 7;
+            if !due.is_multiple_of(TELL_MS) {
+                continue;
+            }
+            let far = due.is_multiple_of(2 * TELL_MS);
+            let at = EpochMillis(now);
+            let loads: Vec<RunnerLoad> = self.tables[host].loads();
+            let name = format!("host-{host}");
+            for (place, table) in self.tables.iter_mut().enumerate() {
+                if place != host && (far || place % ZONES == host % ZONES) {
+                    table.told(&name, &loads, at);
+                }
+            }
+        }
+    }
+}
+
+/// Guards against plain calls that earn half of what their runners could
+/// serve, as soon as many hosts stand before few runners.
+#[test]
+fn many_hosts_serve_what_their_runners_can() {
+    /// Least part of what one place that knows all would serve in time.
+    const LEAST: f64 = 0.95;
+    let few = Case {
+        name: "few hosts",
+        hosts: 8,
+        paces: &[1.0; 3],
+        model: None,
+        slots: 6,
+        per_second: 140.0,
+        work_ms: 60.0,
+        objective_ms: 300,
+    };
+    let many = Case {
+        name: "many hosts",
+        hosts: 87,
+        paces: &[1.0; 5],
+        per_second: 231.0,
+        ..few
+    };
+    let cases = [
+        few,
+        many,
+        Case {
+            name: "shorter calls",
+            hosts: 74,
+            per_second: 268.0,
+            work_ms: 30.0,
+            objective_ms: 150,
+            ..many
+        },
+        Case { name: "a runner is gone", paces: &[1.0; 4], ..many },
+        Case {
+            name: "runners differ",
+            paces: &[0.6, 1.0, 1.0, 1.0, 1.6],
+            ..many
+        },
+        Case {
+            name: "a runner is slow",
+            paces: &[4.0, 1.0, 1.0, 1.0, 1.0],
+            ..many
+        },
+        Case { name: "a rush", per_second: 350.0, ..many },
+        Case {
+            name: "long calls",
+            model: Some("bend"),
+            paces: &[1.0; 4],
+            slots: 24,
+            per_second: 60.0,
+            work_ms: 1_000.0,
+            objective_ms: 2_000,
+            ..many
+        },
+    ];
+    let mut short = Vec::new();
+    for case in cases {
+        for seed in 1..=3 {
+            let best = Fleet::new(case).play(seed, false);
+            let found = Fleet::new(case).play(seed, true);
+            if found.share() < LEAST * best.share() {
+                short.push(format!(
+                    "{}, seed {seed}: {:.2} in time of {:.2}, {found:?}",
+                    case.name,
+                    found.share(),
+                    best.share(),
+                ));
+            }
+        }
+    }
+    assert!(short.is_empty(), "{short:#?}");
+}
--- a/crates/celerylead/src/tasks/node/attempt.rs
+++ b/crates/celerylead/src/tasks/node/attempt.rs
@@ -149,6 +149,7 @@
             charge,
             tried: Vec::new(),
             sent: false,
+            draw: rand::random(),
             deadline: now.after(left),
         })
     }
--- a/crates/celerylead/src/tasks/node/desk.rs
+++ b/crates/celerylead/src/tasks/node/desk.rs
@@ -17,14 +17,13 @@
     catalog::ServiceCatalog,
     clock::{EpochMillis, HostClock},
     customer::{FleetBucket, HostHearing},
-    membership::{HostDigest, RunnerLoad, SpentTotal},
+    membership::{HostDigest, SpentTotal},
     metrics::HostMetrics,
     model::ModelName,
     placement::DemandMeter,
     port::HttpLink,
     relay::{
-        CallEnd, LoadBasis, PeerLoad, PickFault, RelayAsk, RelayChoice,
-        RelayTable,
+        CallEnd, LoadBasis, PickFault, RelayAsk, RelayChoice, RelayTable,
     },
     request::{Refusal, RefusalCode, RetryBudget},
     sorted::SortedTable,
@@ -508,14 +507,7 @@
 
     fn told(&mut self, digest: &HostDigest, at: EpochMillis) {
         self.hearing.heard(&digest.host, at);
-        for load in &digest.loads {
-            let told = PeerLoad {
-                calls: load.calls,
-                tokens: load.tokens,
-                told_at: at,
-            };
-            self.table.peer_load(&digest.host, &load.runner, told);
-        }
+        self.table.told(&digest.host, &digest.loads, at);
         for spent in &digest.spent {
             if let Some(bucket) = self.rates.get_mut(&spent.customer) {
                 let SpentTotal { total, level, .. } = *spent;
@@ -526,16 +518,8 @@
     }
 
     fn digest(&mut self, now: EpochMillis) -> HostDigest {
-        let loads = self.table.views().filter(|view| 0 < view.calls);
         HostDigest {
-            loads: loads
-                .map(|view| RunnerLoad {
-                    runner: view.id,
-                    calls: view.calls,
-                    tokens: view.tokens,
-                    names: view.names,
-                })
-                .collect(),
+            loads: self.table.loads(),
             spent: self
                 .rates
                 .iter()
