Take a runner that a digest doesn't name for one without calls of its host

Cause: a digest names the runners at which its host has calls. The table kept the last figure of a runner that wasn't named any more for 1.5 s. A plain call takes 60 ms, so each one seen counted some twenty times over; the error grows with the number of hosts, not with the load.

A digest replaces the one before from the same host, whole. Its catalog allowed ten connections to a runner, which alone made the case of long calls red; it allows 500 now, as the runners of the test take any number.

--- a/crates/celerylead/src/relay/table.rs
+++ b/crates/celerylead/src/relay/table.rs
@@ -185,13 +185,20 @@
         }
     }
 
-    /// Takes over what another host has in flight.
+    /// Takes over what another host has in flight, in order of the runners.
+    /// It has nothing at a runner that it doesn't name.
     pub fn told(&mut self, host: &str, loads: &[RunnerLoad], at: EpochMillis) {
-        for load in loads {
-            let RunnerLoad { calls, tokens, .. } = *load;
-            if let Some(backend) = self.backends.get_mut(&load.runner) {
-                let load = PeerLoad { calls, tokens, told_at: at };
-                backend.peers.insert(host.to_owned(), load);
+        for (id, backend) in self.backends.iter_mut() {
+            let found = loads.binary_search_by(|load| load.runner.cmp(id));
+            match found {
+                Ok(place) => {
+                    let RunnerLoad { calls, tokens, .. } = loads[place];
+                    let load = PeerLoad { calls, tokens, told_at: at };
+                    backend.peers.insert(host.to_owned(), load);
+                }
+                Err(_) => {
+                    backend.peers.remove(host);
+                }
             }
         }
     }
--- a/crates/celerylead/src/relay/tests.rs
+++ b/crates/celerylead/src/relay/tests.rs
@@ -15,6 +15,11 @@
 const NOW: EpochMillis = EpochMillis(100_000);
 
 fn catalog() -> ServiceCatalog {
+    catalog_with(10)
+}
+
+/// Returns a catalog in which a runner takes so many connections.
+fn catalog_with(max_links: u32) -> ServiceCatalog {
     let engine = EngineTraits {
         batch: 4,
         token_capacity: 10_000,
@@ -26,14 +31,10 @@
     let services = vec![
         ServiceTraits {
             name: "advisor".to_owned(),
-            max_links: 10,
+            max_links,
             engine: Some(engine),
         },
-        ServiceTraits {
-            name: "ledger".to_owned(),
-            max_links: 10,
-            engine: None,
-        },
+        ServiceTraits { name: "ledger".to_owned(), max_links, engine: None },
     ];
     let limits = CallLimits::default();
     ServiceCatalog::new(1, limits, Vec::new(), services, Vec::new())
--- a/crates/celerylead/src/relay/tests/fleet.rs
+++ b/crates/celerylead/src/relay/tests/fleet.rs
@@ -10,9 +10,12 @@
 
 use super::{
     super::{CallEnd, RelayChoice, RelayTable},
-    ask, catalog, runner,
+    ask, catalog_with, runner,
+};
+use crate::{
+    catalog::ServiceCatalog, clock::EpochMillis, membership::RunnerLoad,
+    roster::RunnerFacts,
 };
-use crate::{clock::EpochMillis, membership::RunnerLoad, roster::RunnerFacts};
 
 /// Milliseconds played.
 const SPAN_MS: u64 = 12_000;
@@ -23,6 +26,8 @@
 const TELL_MS: u64 = 200;
 /// Calls that a runner lets wait beyond its slots.
 const QUEUE: usize = 24;
+/// Connections that a runner takes, more than it ever has here.
+const MAX_LINKS: u32 = 500;
 /// Availability zones.
 const ZONES: usize = 3;
 
@@ -98,6 +103,7 @@
 
 struct Fleet {
     case: Case,
+    catalog: ServiceCatalog,
     tables: Vec<RelayTable>,
     machines: Vec<Machine>,
     tally: Tally,
@@ -125,6 +131,7 @@
         let machines = case.paces.iter().map(|_| Machine::default());
         Fleet {
             case,
+            catalog: catalog_with(MAX_LINKS),
             tables: tables.collect(),
             machines: machines.collect(),
             tally: Tally::default(),
@@ -178,7 +185,7 @@
         ask.tokens = 1;
         let at = EpochMillis(now);
         let table = &mut self.tables[host];
-        let Ok(choice) = table.pick(&ask, &catalog(), at) else {
+        let Ok(choice) = table.pick(&ask, &self.catalog, at) else {
             self.tally.full += u32::from(counted);
             return;
         };
