Spread digests over the turns of a round, and tell the demand where it is needed

Cause: each host wrote its digest of about 1 kB to all others in one burst, in the order of their names. 86 of them take 70 ms of a link of 10 Mbit/s, which sixty of the hosts have; its queue is shorter, and drops the end of the burst, each time the same listeners.

Listeners have places in the turns of a round now, five of 40 ms each, so that a turn reaches some twelve of 86 and the pace of tellings stays. The demand by model, most of the bytes, goes to the host that orders each time and to the others every 800 ms, in time for a successor. The test is red with the listeners in one slot.

--- a/crates/celerylead/src/membership/digest.rs
+++ b/crates/celerylead/src/membership/digest.rs
@@ -53,8 +53,9 @@
     pub loads: Vec<RunnerLoad>,
     /// Its spending by customer.
     pub spent: Vec<SpentTotal>,
-    /// What it is asked for, in tokens a second by model.
-    pub demand: ModelDemand,
+    /// What it is asked for, in tokens a second by model; none where it was
+    /// told lately.
+    pub demand: Option<ModelDemand>,
 }
 
 /// Message from one host to another.
--- a/crates/celerylead/src/membership/mod.rs
+++ b/crates/celerylead/src/membership/mod.rs
@@ -18,6 +18,7 @@
 mod lease;
 mod orders;
 mod rendezvous;
+mod turns;
 
 #[cfg(test)]
 mod tests;
@@ -28,4 +29,5 @@
     lease::{HeldLease, HostLease, HostTag, LeasePhase, MAX_PAUSE},
     orders::{LeaseClaim, OrderRight, OrdersLease, OrdersRow, RENEW_PERIOD},
     rendezvous::{best_host, rank},
+    turns::{TELL_TURN, TellTurn},
 };
--- a/crates/celerylead/src/membership/tests.rs
+++ b/crates/celerylead/src/membership/tests.rs
@@ -1,4 +1,5 @@
 mod orders;
+mod turns;
 
 use super::{HeldLease, HostLease, HostTag, LeasePhase, best_host};
 use crate::clock::{ClockBound, EpochMillis};
--- a/crates/celerylead/src/tasks/node/desk.rs
+++ b/crates/celerylead/src/tasks/node/desk.rs
@@ -529,7 +529,7 @@
                     level: bucket.known_level(),
                 })
                 .collect(),
-            demand: self.demand.highest(MOST_DEMANDS, now),
+            demand: Some(self.demand.highest(MOST_DEMANDS, now)),
             ..HostDigest::default()
         }
     }
--- a/crates/celerylead/src/tasks/node/herald.rs
+++ b/crates/celerylead/src/tasks/node/herald.rs
@@ -1,7 +1,7 @@
 //! The task that owns the socket between hosts.
 //!
-//! It tells the other hosts what this one carries, more often within the
-//! availability zone than across, and hands what they tell to the desk and
+//! It tells the other hosts what this one carries, each in its turn and more
+//! often within the availability zone than across, and hands what they tell to the desk and
 //! the placer. Who the others are it reads from the hosts' table; each host
 //! writes its own row when it is missing there.
 
@@ -19,7 +19,7 @@
     clock::HostClock,
     membership::{
         HostDigest, HostMessage, HostRow, OrdersRow, PeerContact,
-        RegistryContact,
+        RegistryContact, TELL_TURN, TellTurn,
     },
     metrics::HostMetrics,
     model::ModelName,
@@ -30,10 +30,6 @@
     tasks::MAILBOX,
 };
 
-/// Time between two digests to the hosts of the availability zone.
-const TELL_PERIOD: Duration = Duration::from_millis(200);
-/// Digests within the zone for each one to other zones.
-const FAR_SHARE: u32 = 2;
 /// Time between two readings of the hosts' table once it was read.
 const READ_PERIOD: Duration = Duration::from_millis(10_000);
 /// The same while it was never read, or this host's row is missing.
@@ -126,7 +122,8 @@
     orderer: Option<String>,
     /// Which of its words were heard.
     hearing: HeldHearing,
-    round: u32,
+    /// Number of the next turn of digests.
+    turn: usize,
 }
 
 /// Starts the task.
@@ -147,7 +144,7 @@
         hosts: SortedTable::default(),
         orderer: None,
         hearing: HeldHearing::default(),
-        round: 0,
+        turn: 0,
     };
     crate::tasks::spawn(task.run(inbox, read));
 }
@@ -158,7 +155,7 @@
         mut inbox: mpsc::Receiver<HeraldEvent>,
         mut rows: mpsc::Receiver<Vec<(HostRow, u64)>>,
     ) {
-        let mut period = tokio::time::interval(TELL_PERIOD);
+        let mut period = tokio::time::interval(TELL_TURN);
         period.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
         loop {
@@ -259,23 +256,40 @@
         Some(HostDigest { host, incarnation, registry_steady_ms, ..digest })
     }
 
-    /// Tells the other hosts what this one carries.
+    /// Tells the hosts whose turn it is what this one carries.
     async fn tell(&mut self) {
-        self.round = self.round.wrapping_add(1);
-        let Some(digest) = self.digest().await else { return };
-        let _ = self.placer.try_send(Heard::Digest(digest.clone()));
-        let far = self.round.is_multiple_of(FAR_SHARE);
-        let zone = self.setup.row.zone.as_str();
-        let listeners: Vec<SocketAddr> = self
-            .hosts
-            .values()
-            .filter(|host| far || host.zone == zone)
-            .map(|host| host.address)
-            .collect();
-        self.send(&HostMessage::Digest(digest), &listeners).await;
+        let turn = TellTurn::new(self.turn, self.hosts.len());
+        self.turn = self.turn.wrapping_add(1);
+        let (mut told, mut told_demand) = (Vec::new(), Vec::new());
+        for (place, (name, host)) in self.hosts.iter().enumerate() {
+            if !turn.tells(place, host.zone == self.setup.row.zone) {
+                continue;
+            }
+            if turn.tells_demand(place) || self.orderer.as_ref() == Some(name)
+            {
+                told_demand.push(host.address);
+            } else {
+                told.push(host.address);
+            }
+        }
+        let is_idle = told.is_empty() && told_demand.is_empty();
+        if is_idle && !turn.begins_round() {
+            return;
+        }
+        let Some(mut digest) = self.digest().await else { return };
+        if turn.begins_round() {
+            let _ = self.placer.try_send(Heard::Digest(digest.clone()));
+        }
+        let demand = digest.demand.take();
+        self.send(&HostMessage::Digest(digest.clone()), &told).await;
+        digest.demand = demand;
+        self.send(&HostMessage::Digest(digest), &told_demand).await;
     }
 
     async fn send(&self, message: &HostMessage, listeners: &[SocketAddr]) {
+        if listeners.is_empty() {
+            return;
+        }
         let bytes = match postcard::to_stdvec(message) {
             Ok(bytes) => bytes,
             Err(error) => {
--- a/crates/celerylead/src/tasks/node/placer.rs
+++ b/crates/celerylead/src/tasks/node/placer.rs
@@ -181,8 +181,9 @@
         match heard {
             Heard::Digest(digest) => {
                 self.uses.told(&digest.host, &digest.loads, now);
-                let row = (now, digest.demand.clone());
-                self.demand.insert(digest.host.clone(), row);
+                if let Some(demand) = digest.demand.clone() {
+                    self.demand.insert(digest.host.clone(), (now, demand));
+                }
                 false
             }
             Heard::Want(name) => {
