Look at waiting calls when another host's digest shows a free place

Cause: the desk looked again when a call of its own ended, or something changed in the registry. A host with two plain calls a second has hardly any end.

A digest that tells of fewer calls at some runner has the desk look 20 ms later, once for all digests of that time.

--- a/crates/celerylead/src/relay/table.rs
+++ b/crates/celerylead/src/relay/table.rs
@@ -186,21 +186,29 @@
     }
 
     /// Takes over what another host has in flight, in order of the runners.
-    /// It has nothing at a runner that it doesn't name.
-    pub fn told(&mut self, host: &str, loads: &[RunnerLoad], at: EpochMillis) {
+    /// It has nothing at a runner that it doesn't name. Tells whether it has
+    /// less at some runner than before.
+    pub fn told(
+        &mut self,
+        host: &str,
+        loads: &[RunnerLoad],
+        at: EpochMillis,
+    ) -> bool {
+        let mut fell = false;
         for (id, backend) in self.backends.iter_mut() {
             let found = loads.binary_search_by(|load| load.runner.cmp(id));
-            match found {
+            let former = match found {
                 Ok(place) => {
                     let RunnerLoad { calls, tokens, .. } = loads[place];
                     let load = PeerLoad { calls, tokens, told_at: at };
-                    backend.peers.insert(host.to_owned(), load);
-                }
-                Err(_) => {
-                    backend.peers.remove(host);
+                    backend.peers.insert(host.to_owned(), load)
                 }
-            }
+                Err(_) => backend.peers.remove(host),
+            };
+            let calls = found.map_or(0, |place| loads[place].calls);
+            fell |= former.is_some_and(|former| calls < former.calls);
         }
+        fell
     }
 
     /// Returns what this host has in flight, for the others.
--- a/crates/celerylead/src/tasks/node/desk.rs
+++ b/crates/celerylead/src/tasks/node/desk.rs
@@ -38,6 +38,9 @@
 const RETRY_WAIT: Duration = Duration::from_millis(150);
 /// Part of the platform's allowance of further runs that the hosts use.
 const BUDGET_SHARE: f64 = 0.8;
+/// Time from a digest that shows a free place to a look at the calls that
+/// wait; hundreds of digests come in a second.
+const LOOK_PAUSE: Duration = Duration::from_millis(20);
 /// Wake-up of the task when nothing is due.
 const IDLE_WAIT: Duration = Duration::from_secs(60);
 /// Time in which past demand for a model counts for half; demand moves
@@ -210,6 +213,9 @@
     demand: DemandMeter,
     links: IdleLinks,
     waiting: Vec<RouteWait>,
+    /// Point at which those are looked at, after a digest that told of a
+    /// free place.
+    look_at: Option<EpochMillis>,
     /// Adapters that were said to be missing, and when.
     wanted: SortedTable<ModelName, EpochMillis>,
 }
@@ -238,6 +244,7 @@
         demand: DemandMeter::new(DEMAND_HALF_LIFE),
         links: IdleLinks::default(),
         waiting: Vec::new(),
+        look_at: None,
         wanted: SortedTable::default(),
         setup,
     };
@@ -273,7 +280,8 @@
 
     fn wake(&self) -> Instant {
         let now = self.setup.clock.now();
-        let next = self.waiting.iter().map(|wait| wait.until).min();
+        let ends = self.waiting.iter().map(|wait| wait.until);
+        let next = ends.chain(self.look_at).min();
         Instant::now() + next.map_or(IDLE_WAIT, |at| now.until(at))
     }
 
@@ -484,6 +492,7 @@
 
     /// Looks again at the calls that wait, the oldest first.
     fn pump(&mut self) {
+        self.look_at = None;
         if self.waiting.is_empty() {
             return;
         }
@@ -507,7 +516,10 @@
 
     fn told(&mut self, digest: &HostDigest, at: EpochMillis) {
         self.hearing.heard(&digest.host, at);
-        self.table.told(&digest.host, &digest.loads, at);
+        let fell = self.table.told(&digest.host, &digest.loads, at);
+        if fell && !self.waiting.is_empty() {
+            self.look_at.get_or_insert(at.after(LOOK_PAUSE));
+        }
         for spent in &digest.spent {
             if let Some(bucket) = self.rates.get_mut(&spent.customer) {
                 let SpentTotal { total, level, .. } = *spent;
--- a/crates/celerylead/src/tasks/node/mod.rs
+++ b/crates/celerylead/src/tasks/node/mod.rs
@@ -25,6 +25,8 @@
 mod orders;
 mod placer;
 mod run;
+#[cfg(test)]
+mod tests;
 mod watcher;
 
 pub use self::run::{NodeOptions, RunningNode, start};
