--- a/crates/celerylead/src/relay/mod.rs
+++ b/crates/celerylead/src/relay/mod.rs
@@ -22,7 +22,6 @@
     backend::CallEnd,
     call::{CallHead, PromptPart, RelayAsk},
     table::{
-        LoadBasis, PickFault, RelayChoice, RelayTable, RunnerView,
-        ServiceCrowd,
+        LoadBasis, PickFault, RelayChoice, RelayTable, RunnerCrowd, RunnerView,
     },
 };
--- a/crates/celerylead/src/relay/table.rs
+++ b/crates/celerylead/src/relay/table.rs
@@ -59,16 +59,18 @@
     pub oldest_ms: u64,
 }
 
-/// The load of a service's runners, as one host sees it.
+/// The load of the runners that could run a call, as one host sees it.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize,
 )]
 #[serde(rename_all = "snake_case")]
-pub struct ServiceCrowd {
-    /// Runners that take calls.
+pub struct RunnerCrowd {
+    /// Runners that take calls and hold what it needs.
     pub runners: u32,
     /// Calls that they run at a time.
     pub slots: u32,
+    /// Tokens of the calls there.
+    pub tokens: u64,
     /// Calls there.
     pub basis: LoadBasis,
 }
@@ -250,16 +252,17 @@
         })
     }
 
-    /// Returns the load of a service's runners.
-    pub fn crowd(&self, service: &str, now: EpochMillis) -> ServiceCrowd {
-        let mut crowd = ServiceCrowd::default();
+    /// Returns the load of the runners that hold what a call needs.
+    pub fn crowd(&self, ask: &RelayAsk, now: EpochMillis) -> RunnerCrowd {
+        let mut crowd = RunnerCrowd::default();
         for backend in self.backends.values() {
-            if backend.facts.service != service || backend.facts.leaving {
+            if !serves(backend, ask) || !holds(backend, ask, now) {
                 continue;
             }
             let basis = backend.basis(now);
             crowd.runners += 1;
             crowd.slots += backend.facts.slots;
+            crowd.tokens += backend.tokens(now);
             crowd.basis.own += basis.own;
             crowd.basis.told += basis.told;
             crowd.basis.oldest_ms = crowd.basis.oldest_ms.max(basis.oldest_ms);
@@ -369,6 +372,16 @@
     }
 }
 
+/// Tells whether a runner takes calls of a service.
+fn serves(backend: &RelayBackend, ask: &RelayAsk) -> bool {
+    backend.facts.service == ask.service && !backend.facts.leaving
+}
+
+/// Tells whether a runner holds what a call needs.
+fn holds(backend: &RelayBackend, ask: &RelayAsk, now: EpochMillis) -> bool {
+    ask.model.as_ref().is_none_or(|name| backend.holds(name, now))
+}
+
 /// Tells whether a runner may get a call, or what speaks against it.
 fn is_candidate(
     backend: &RelayBackend,
@@ -376,11 +389,11 @@
     catalog: &ServiceCatalog,
     now: EpochMillis,
 ) -> Result<(), PickFault> {
-    if backend.facts.service != ask.service || backend.facts.leaving {
+    if !serves(backend, ask) {
         return Err(PickFault::NoRunner);
     }
     if let Some(name) = &ask.model
-        && !backend.holds(name, now)
+        && !holds(backend, ask, now)
     {
         let plain = ModelName { adapter: None, ..name.clone() };
         return Err(if backend.holds(&plain, now) {
--- a/crates/celerylead/src/tasks/node/desk.rs
+++ b/crates/celerylead/src/tasks/node/desk.rs
@@ -452,12 +452,12 @@
         if fault != PickFault::Full {
             return text.to_owned();
         }
-        let crowd = self.table.crowd(&ask.service, now);
+        let crowd = self.table.crowd(ask, now);
         let LoadBasis { own, told, oldest_ms } = crowd.basis;
         format!(
-            "{text}: {} runners with {} slots, {own} calls of this host, \
-             {told} told by others up to {oldest_ms} ms ago",
-            crowd.runners, crowd.slots,
+            "{text}: {} runners with {} slots, {} tokens, {own} calls of \
+             this host, {told} told by others up to {oldest_ms} ms ago",
+            crowd.runners, crowd.slots, crowd.tokens,
         )
     }
 
