--- a/crates/celerylead/src/relay/call.rs
+++ b/crates/celerylead/src/relay/call.rs
@@ -63,8 +63,6 @@
     /// Whether it was sent to one of them: a further send draws on the
     /// budget, a connection that failed doesn't.
     pub sent: bool,
-    /// Random number from 0 up to 1, which spreads calls over runners.
-    pub draw: f64,
     /// Point from which an answer is of no use.
     pub deadline: EpochMillis,
 }
--- a/crates/celerylead/src/relay/tests.rs
+++ b/crates/celerylead/src/relay/tests.rs
@@ -72,7 +72,6 @@
         charge: None,
         tried: Vec::new(),
         sent: false,
-        draw: 0.0,
         deadline: EpochMillis(110_000),
     }
 }
--- a/crates/celerylead/src/relay/tests/fleet.rs
+++ b/crates/celerylead/src/relay/tests/fleet.rs
@@ -155,13 +155,12 @@
             }
             if random.random_bool(chance) {
                 let host = random.random_range(0..self.case.hosts);
-                let draw: f64 = random.random();
                 let part = random.random_range(0.5..1.5);
                 let counted = self.is_counted(now);
                 self.tally.asked += u32::from(counted);
                 let work = self.case.work_ms * part;
                 if by_hosts {
-                    self.call(host, work, draw, now, counted);
+                    self.call(host, work, now, counted);
                 } else {
                     self.call_at_best(work, now);
                 }
@@ -170,18 +169,10 @@
         self.tally
     }
 
-    fn call(
-        &mut self,
-        host: usize,
-        work: f64,
-        draw: f64,
-        now: u64,
-        counted: bool,
-    ) {
+    fn call(&mut self, host: usize, work: f64, now: u64, counted: bool) {
         let service =
             if self.case.model.is_some() { "advisor" } else { "ledger" };
         let mut ask = ask(service, self.case.model);
-        ask.draw = draw;
         ask.tokens = 1;
         let at = EpochMillis(now);
         let table = &mut self.tables[host];
--- a/crates/celerylead/src/tasks/node/attempt.rs
+++ b/crates/celerylead/src/tasks/node/attempt.rs
@@ -149,7 +149,6 @@
             charge,
             tried: Vec::new(),
             sent: false,
-            draw: rand::random(),
             deadline: now.after(left),
         })
     }
--- a/crates/celerylead/src/tasks/node/tests.rs
+++ b/crates/celerylead/src/tasks/node/tests.rs
@@ -106,7 +106,6 @@
             charge: None,
             tried: Vec::new(),
             sent: false,
-            draw: 0.0,
             deadline: now.after(patience),
         };
         let began = Instant::now();
