Grant further sends by what the window allows, not by a small reserve

Cause: a host saved two further sends at most, its part of the slack, and forfeited the rest of what its requests had earned. Where 74 hosts stand before a service, a fault asks each for a dozen at once. The part was also fixed at the host's first call, when a new host knows of none beside it.

Each host counts requests and further sends in the platform's own window now and grants what these allow, the slack divided by the hosts known at that moment. The sum over hosts keeps to the window's figure as before. The test is red with the reserve: in a fault of two seconds it grants 5 of the 18 that the window allows.

--- a/crates/celerylead/src/request/mod.rs
+++ b/crates/celerylead/src/request/mod.rs
@@ -6,6 +6,7 @@
 //! again, and a failure says `outcome-unknown`. The states are types, so a
 //! retry of a sent request that isn't idempotent doesn't compile.
 
+mod allowance;
 mod budget;
 mod life;
 mod queue;
@@ -16,6 +17,7 @@
 mod tests;
 
 pub use self::{
+    allowance::SendWindow,
     budget::{RetryBudget, backoff},
     life::{
         Admitted, Answered, Received, Request, RequestId, Sent,
--- a/crates/celerylead/src/request/tests.rs
+++ b/crates/celerylead/src/request/tests.rs
@@ -1,6 +1,8 @@
+use std::time::Duration;
+
 use super::{
     FairQueue, Refusal, RefusalCode, Request, RequestId, RouteAsk, RouteTable,
-    RunOutcome, RunResult, UnsentProof,
+    RunOutcome, RunResult, SendWindow, UnsentProof,
 };
 use crate::{
     clock::EpochMillis,
@@ -208,3 +210,62 @@
         assert_eq!(refusal.status(), status, "{code:?} {outcome:?}");
     }
 }
+
+/// Guards against further sends that are refused in a fault though the
+/// requests of the window allow them.
+#[test]
+fn a_fault_may_spend_what_the_window_allows_and_no_window_more() {
+    const WINDOW: Duration = Duration::from_secs(10);
+    const SHARE: f64 = 0.16;
+    const SLACK: f64 = 2.0;
+    struct Case {
+        name: &'static str,
+        /// Requests a second, each of which wants a further send from `from`
+        /// to `to` seconds.
+        per_second: u64,
+        from: u64,
+        to: u64,
+        /// Least number of further sends granted.
+        granted: usize,
+    }
+    let cases = [
+        // 16 for the hundred requests of ten seconds, and two beyond.
+        Case {
+            name: "at once",
+            per_second: 10,
+            from: 20,
+            to: 22,
+            granted: 18,
+        },
+        Case { name: "seldom", per_second: 1, from: 20, to: 30, granted: 3 },
+        // Three windows' worth.
+        Case { name: "long", per_second: 10, from: 20, to: 50, granted: 48 },
+        Case {
+            name: "at the start",
+            per_second: 10,
+            from: 0,
+            to: 1,
+            granted: 3,
+        },
+    ];
+    for Case { name, per_second, from, to, granted } in cases {
+        let mut window = SendWindow::new(WINDOW);
+        let mut spent = Vec::new();
+        for tick in 0..60 * per_second {
+            let at = EpochMillis(tick * 1_000 / per_second);
+            window.note_request(at);
+            let wanted = (from * 1_000..to * 1_000).contains(&at.0);
+            if wanted && window.spend(SHARE, SLACK, at) {
+                spent.push(at);
+            }
+        }
+        assert!(granted <= spent.len(), "{name}: {}", spent.len());
+        // The platform's own figure: a fifth, and the slack.
+        let allowed = 0.2 * 10.0 * per_second as f64 + SLACK;
+        for first in &spent {
+            let until = first.after(WINDOW);
+            let within = spent.iter().filter(|at| first <= at && **at < until);
+            assert!(within.count() as f64 <= allowed, "{name}");
+        }
+    }
+}
--- a/crates/celerylead/src/tasks/node/desk.rs
+++ b/crates/celerylead/src/tasks/node/desk.rs
@@ -25,7 +25,7 @@
     relay::{
         CallEnd, LoadBasis, PickFault, RelayAsk, RelayChoice, RelayTable,
     },
-    request::{Refusal, RefusalCode, RetryBudget},
+    request::{Refusal, RefusalCode, SendWindow},
     sorted::SortedTable,
     tasks::{MAILBOX, MAX_IN_FLIGHT},
 };
@@ -59,6 +59,8 @@
     pub(crate) share: f64,
     /// Further runs beyond that in the window.
     pub(crate) slack: f64,
+    /// Span in which both are counted.
+    pub(crate) window: Duration,
 }
 
 /// Message to the task.
@@ -209,7 +211,7 @@
     table: RelayTable,
     rates: SortedTable<String, FleetBucket>,
     hearing: HostHearing,
-    budgets: SortedTable<String, RetryBudget>,
+    budgets: SortedTable<String, SendWindow>,
     demand: DemandMeter,
     links: IdleLinks,
     waiting: Vec<RouteWait>,
@@ -346,16 +348,15 @@
             self.refuse(wait, code, "no runner took the call in time", now);
             return;
         }
-        let (share, slack) =
-            (self.setup.allowance.share, self.setup.allowance.slack);
-        let hosts = self.hearing.count() as f64;
-        let budget = self.budgets.entry(wait.ask.service.clone(), || {
-            let reserve = slack * BUDGET_SHARE / hosts;
-            RetryBudget::new(share * BUDGET_SHARE, reserve)
-        });
+        let RetryAllowance { share, slack, window } = self.setup.allowance;
+        let share = share * BUDGET_SHARE;
+        let slack = slack * BUDGET_SHARE / self.hearing.count() as f64;
+        let budget = self
+            .budgets
+            .entry(wait.ask.service.clone(), || SendWindow::new(window));
         if wait.ask.tried.is_empty() {
-            budget.earn();
-        } else if wait.ask.sent && !budget.spend() {
+            budget.note_request(now);
+        } else if wait.ask.sent && !budget.spend(share, slack, now) {
             let code = RefusalCode::NoRunner;
             self.refuse(
                 wait,
--- a/crates/celerylead/src/tasks/node/run.rs
+++ b/crates/celerylead/src/tasks/node/run.rs
@@ -62,6 +62,8 @@
     pub retry_share: f64,
     /// Further sends of a service beyond that.
     pub retry_slack: f64,
+    /// Span in which the platform counts both.
+    pub retry_window: Duration,
 }
 
 /// A host whose sockets are open and whose tasks run.
@@ -126,6 +128,7 @@
         allowance: RetryAllowance {
             share: options.retry_share,
             slack: options.retry_slack,
+            window: options.retry_window,
         },
         metrics: metrics.clone(),
     };
--- a/crates/celerylead/src/tasks/node/tests.rs
+++ b/crates/celerylead/src/tasks/node/tests.rs
@@ -66,7 +66,11 @@
             catalog: catalog_seen,
             roster: roster_seen,
             herald: herald::mailbox().0,
-            allowance: RetryAllowance { share: 0.2, slack: 50.0 },
+            allowance: RetryAllowance {
+                share: 0.2,
+                slack: 50.0,
+                window: Duration::from_secs(10),
+            },
             metrics: HostMetrics::default(),
         };
         desk::start(setup, inbox);
