Read the hosts' table as soon as a host is heard that isn't in it

A host that joins a running fleet heard nobody for up to ten seconds: it took all others for silent, booked their shares of each customer's rate and chose runners without their load.

Cause: the others tell those in the hosts' table, which each reads every ten seconds. The new host's own digests reached them and were passed over.

A digest of a host that isn't known has the table read at once, 0.7 s after the last reading at the earliest, and again after 2 s while the row is missing.

--- a/crates/celerylead/src/tasks/node/herald.rs
+++ b/crates/celerylead/src/tasks/node/herald.rs
@@ -5,12 +5,12 @@
 //! the placer. Who the others are it reads from the hosts' table; each host
 //! writes its own row when it is missing there.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use tokio::{
     net::UdpSocket,
-    sync::{mpsc, watch},
+    sync::{Notify, mpsc, watch},
     time::{Instant, MissedTickBehavior},
 };
 
@@ -32,8 +32,13 @@
 
 /// Time between two readings of the hosts' table once it was read.
 const READ_PERIOD: Duration = Duration::from_millis(10_000);
-/// The same while it was never read, or this host's row is missing.
+/// The same while it was never read, this host's row is missing, or a host
+/// was heard that isn't in it; the least time between two readings.
 const RETRY_PERIOD: Duration = Duration::from_millis(700);
+/// Time between two readings for a host that is heard and has no row yet.
+const STRANGER_PERIOD: Duration = Duration::from_millis(2_000);
+/// Such hosts that are remembered.
+const MAX_STRANGERS: usize = 64;
 /// Silence after which a host's row is removed, by a host that hears others.
 const GONE_AFTER: Duration = Duration::from_millis(30_000);
 /// Time within which a host counts as one that is heard.
@@ -124,6 +129,11 @@
     hearing: HeldHearing,
     /// Number of the next turn of digests.
     turn: usize,
+    /// Hosts that were heard and aren't in the table, with the point from
+    /// which it is read for them once more.
+    strangers: SortedTable<String, Instant>,
+    /// Has the table read before its time.
+    newcomer: Arc<Notify>,
 }
 
 /// Starts the task.
@@ -135,7 +145,9 @@
     placer: mpsc::Sender<Heard>,
 ) {
     let (rows, read) = mpsc::channel(1);
-    crate::tasks::spawn(keep_row(setup.clone(), rows));
+    let newcomer = Arc::new(Notify::new());
+    let keeping = keep_row(setup.clone(), rows, newcomer.clone());
+    crate::tasks::spawn(keeping);
     let task = HeraldTask {
         setup,
         socket,
@@ -145,6 +157,8 @@
         orderer: None,
         hearing: HeldHearing::default(),
         turn: 0,
+        strangers: SortedTable::default(),
+        newcomer,
     };
     crate::tasks::spawn(task.run(inbox, read));
 }
@@ -317,8 +331,9 @@
         };
         match message {
             HostMessage::Digest(digest) => {
-                if let Some(host) = self.hosts.get_mut(&digest.host) {
-                    host.heard_at = Instant::now();
+                match self.hosts.get_mut(&digest.host) {
+                    Some(host) => host.heard_at = Instant::now(),
+                    None => self.note_stranger(&digest.host),
                 }
                 let _ = self.placer.try_send(Heard::Digest(digest.clone()));
                 let at = self.setup.clock.now();
@@ -351,7 +366,27 @@
         }
     }
 
+    /// Has the table read for a host that isn't known: a new host hears
+    /// nobody until the others have its address.
+    fn note_stranger(&mut self, host: &str) {
+        let now = Instant::now();
+        let known = self.strangers.get(host).copied();
+        let is_new = known.is_none();
+        if known.is_some_and(|again| now < again)
+            || (is_new && MAX_STRANGERS <= self.strangers.len())
+        {
+            return;
+        }
+        tracing::info!(event = "stranger_heard", peer = host);
+        let again = now + STRANGER_PERIOD;
+        self.strangers.insert(host.to_owned(), again);
+        self.newcomer.notify_one();
+    }
+
     async fn adopt(&mut self, rows: Vec<(HostRow, u64)>) {
+        for (row, _) in &rows {
+            self.strangers.remove(&row.host);
+        }
         let mut hosts = SortedTable::default();
         for (row, version) in rows {
             if row.host == self.setup.row.host {
@@ -444,6 +479,7 @@
 async fn keep_row(
     setup: HeraldSetup,
     rows: mpsc::Sender<Vec<(HostRow, u64)>>,
+    newcomer: Arc<Notify>,
 ) {
     loop {
         let due = match read_rows(&setup, &rows).await {
@@ -455,7 +491,14 @@
             }
         };
         let jitter = rand::random_range(0.8..1.2);
-        tokio::time::sleep_until(Instant::now() + due.mul_f64(jitter)).await;
+        let read_at = Instant::now();
+        tokio::select! {
+            () = tokio::time::sleep_until(read_at + due.mul_f64(jitter)) => {}
+            () = newcomer.notified() => {
+                let soonest = read_at + RETRY_PERIOD.mul_f64(jitter);
+                tokio::time::sleep_until(soonest).await;
+            }
+        }
         if rows.is_closed() {
             return;
         }
