Let the test of heads without end meet the bound it names

The head without end comes in blocks now and must meet the bound on its size (502); a slow one, a line each 15 ms, must end with the caller's time (504), plain and streamed.

--- a/crates/stand-ins/src/raw_runner.rs
+++ b/crates/stand-ins/src/raw_runner.rs
@@ -23,6 +23,10 @@
 const CRAWL_GAP: Duration = Duration::from_millis(900);
 /// Events of a stream.
 const EVENTS: u32 = 4;
+/// Line of a head without end.
+const HEAD_LINE: &[u8] = b"x-more: and more\r\n";
+/// Lines of such a head that are written at once.
+const HEAD_LINES: usize = 1_024;
 /// Time between two looks of an order that waits to be carried out.
 const LOOK: Duration = Duration::from_millis(10);
 /// Name of the model that it holds at its start.
@@ -63,6 +67,8 @@
     MuteOrders,
     /// Runs the call and sends header lines until the caller closes.
     EndlessHead,
+    /// The same, a line at a time with a pause between.
+    SlowHead,
     /// Runs the call and sends a body until the caller closes.
     EndlessBody,
     /// Doesn't answer orders, and carries them out once the fault is over.
@@ -375,15 +381,21 @@
         RunnerFault::ResetAfterRun => anyhow::bail!("reset"),
         RunnerFault::Mute => std::future::pending().await,
         RunnerFault::EndlessHead => {
-            let told =
-                write_endless(stream, "", b"x-more: and more\r\n").await;
+            let lines = HEAD_LINE.repeat(HEAD_LINES);
+            let told = write_endless(stream, "", &lines, Duration::ZERO).await;
+            state.with(|state| state.abandoned += 1).await;
+            return told;
+        }
+        RunnerFault::SlowHead => {
+            let told = write_endless(stream, "", HEAD_LINE, EVENT_GAP).await;
             state.with(|state| state.abandoned += 1).await;
             return told;
         }
         RunnerFault::EndlessBody => {
             let begin = format!("{signed}\r\n");
             let bytes = [b'x'; 1_024];
-            let told = write_endless(stream, &begin, &bytes).await;
+            let told =
+                write_endless(stream, &begin, &bytes, Duration::ZERO).await;
             state.with(|state| state.abandoned += 1).await;
             return told;
         }
@@ -445,13 +457,18 @@
     stream: &mut TcpStream,
     begin: &str,
     bytes: &[u8],
+    pause: Duration,
 ) -> anyhow::Result<()> {
     let head = format!("HTTP/1.1 200 OK\r\n{begin}");
     stream.write_all(head.as_bytes()).await?;
     loop {
         stream.write_all(bytes).await?;
         // Other tasks of the test have their turn.
-        tokio::task::yield_now().await;
+        if pause.is_zero() {
+            tokio::task::yield_now().await;
+        } else {
+            tokio::time::sleep(pause).await;
+        }
     }
 }
 
