Sum demand up once a round, and touch only the runners that digests name

Cause: since digests go out in five turns, the demand for some hundred models was sorted and copied 25 times a second for each host instead of 5 times; and each digest heard was looked for at all 95 runners, some 260 digests a second.

The demand is summed up as a round begins and goes with the digests that carry it; loads are read anew each turn, from the runners that have any. The table remembers which runners a host named last and touches those and the ones named now. What is told and believed is as before; the fleet, turn and desk tests hold it.

--- a/crates/celerylead/src/relay/table.rs
+++ b/crates/celerylead/src/relay/table.rs
@@ -132,12 +132,14 @@
 pub struct RelayTable {
     zone: String,
     backends: SortedTable<String, RelayBackend>,
+    /// Runners that each host's last digest named.
+    named: SortedTable<String, Vec<String>>,
 }
 
 impl RelayTable {
     /// Makes an empty table for a host in `zone`.
     pub fn new(zone: &str) -> RelayTable {
-        RelayTable { zone: zone.to_owned(), backends: SortedTable::default() }
+        RelayTable { zone: zone.to_owned(), ..RelayTable::default() }
     }
 
     /// Takes over the roster. A runner that isn't in it gets no more calls;
@@ -196,32 +198,39 @@
         loads: &[RunnerLoad],
         at: EpochMillis,
     ) -> bool {
+        let named = loads.iter().map(|load| load.runner.clone()).collect();
+        let former = self.named.insert(host.to_owned(), named);
         let mut fell = false;
-        for (id, backend) in self.backends.iter_mut() {
-            let found = loads.binary_search_by(|load| load.runner.cmp(id));
-            let former = match found {
-                Ok(place) => {
-                    let RunnerLoad { calls, tokens, .. } = loads[place];
-                    let load = PeerLoad { calls, tokens, told_at: at };
-                    backend.peers.insert(host.to_owned(), load)
-                }
-                Err(_) => backend.peers.remove(host),
-            };
-            let calls = found.map_or(0, |place| loads[place].calls);
-            fell |= former.is_some_and(|former| calls < former.calls);
+        // Hundreds of digests come in a second, each naming few runners.
+        for id in former.unwrap_or_default() {
+            let found = loads.binary_search_by(|load| load.runner.cmp(&id));
+            if found.is_err()
+                && let Some(backend) = self.backends.get_mut(&id)
+            {
+                backend.peers.remove(host);
+                fell = true;
+            }
+        }
+        for load in loads {
+            let RunnerLoad { calls, tokens, .. } = *load;
+            if let Some(backend) = self.backends.get_mut(&load.runner) {
+                let load = PeerLoad { calls, tokens, told_at: at };
+                let former = backend.peers.insert(host.to_owned(), load);
+                fell |= former.is_some_and(|former| calls < former.calls);
+            }
         }
         fell
     }
 
     /// Returns what this host has in flight, for the others.
     pub fn loads(&self) -> Vec<RunnerLoad> {
-        let views = self.views().filter(|view| 0 < view.calls);
-        views
-            .map(|view| RunnerLoad {
-                runner: view.id,
-                calls: view.calls,
-                tokens: view.tokens,
-                names: view.names,
+        let busy = self.backends.iter();
+        busy.filter(|(_, backend)| 0 < backend.calls)
+            .map(|(id, backend)| RunnerLoad {
+                runner: id.clone(),
+                calls: backend.calls,
+                tokens: backend.tokens,
+                names: backend.names_in_use(),
             })
             .collect()
     }
--- a/crates/celerylead/src/tasks/node/desk.rs
+++ b/crates/celerylead/src/tasks/node/desk.rs
@@ -20,7 +20,7 @@
     membership::{HostDigest, SpentTotal},
     metrics::HostMetrics,
     model::ModelName,
-    placement::DemandMeter,
+    placement::{DemandMeter, ModelDemand},
     port::HttpLink,
     relay::{
         CallEnd, LoadBasis, PickFault, RelayAsk, RelayChoice, RelayTable,
@@ -80,8 +80,10 @@
     /// What some runners hold, from the host that orders, and whether what it
     /// told of the others before still holds.
     Held { held: Vec<(String, Vec<ModelName>)>, others_hold: bool },
-    /// Fill in the digest of this host.
+    /// Fill in the digest of this host, without the demand.
     Digest(oneshot::Sender<HostDigest>),
+    /// Tell what this host is asked for.
+    Demand(oneshot::Sender<ModelDemand>),
 }
 
 /// A call that waits for its runner.
@@ -310,7 +312,11 @@
                 self.pump();
             }
             DeskEvent::Digest(reply) => {
-                let _ = reply.send(self.digest(now));
+                let _ = reply.send(self.digest());
+            }
+            DeskEvent::Demand(reply) => {
+                let demand = self.demand.highest(MOST_DEMANDS, now);
+                let _ = reply.send(demand);
             }
         }
     }
@@ -530,7 +536,7 @@
         }
     }
 
-    fn digest(&mut self, now: EpochMillis) -> HostDigest {
+    fn digest(&self) -> HostDigest {
         HostDigest {
             loads: self.table.loads(),
             spent: self
@@ -542,7 +548,6 @@
                     level: bucket.known_level(),
                 })
                 .collect(),
-            demand: Some(self.demand.highest(MOST_DEMANDS, now)),
             ..HostDigest::default()
         }
     }
--- a/crates/celerylead/src/tasks/node/herald.rs
+++ b/crates/celerylead/src/tasks/node/herald.rs
@@ -23,7 +23,7 @@
     },
     metrics::HostMetrics,
     model::ModelName,
-    placement::{HeldHearing, HeldList, HeldWord},
+    placement::{HeldHearing, HeldList, HeldWord, ModelDemand},
     port::{RowChange, RowKey, RowPut, StorePort, StoreTable},
     roster::HeldModel,
     sorted::SortedTable,
@@ -129,6 +129,9 @@
     hearing: HeldHearing,
     /// Number of the next turn of digests.
     turn: usize,
+    /// What this host is asked for, as the round began: to sum it up takes
+    /// longer than all else in a digest.
+    demand: ModelDemand,
     /// Hosts that were heard and aren't in the table, with the point from
     /// which it is read for them once more.
     strangers: SortedTable<String, Instant>,
@@ -157,6 +160,7 @@
         orderer: None,
         hearing: HeldHearing::default(),
         turn: 0,
+        demand: ModelDemand::default(),
         strangers: SortedTable::default(),
         newcomer,
     };
@@ -286,18 +290,21 @@
                 told.push(host.address);
             }
         }
-        let is_idle = told.is_empty() && told_demand.is_empty();
-        if is_idle && !turn.begins_round() {
+        if turn.begins_round() {
+            let asked =
+                crate::tasks::ask(&self.desk.sender, DeskEvent::Demand).await;
+            self.demand = asked.unwrap_or_default();
+        } else if told.is_empty() && told_demand.is_empty() {
             return;
         }
-        let Some(mut digest) = self.digest().await else { return };
+        let Some(digest) = self.digest().await else { return };
+        let demand = Some(self.demand.clone());
+        let full = HostDigest { demand, ..digest.clone() };
         if turn.begins_round() {
-            let _ = self.placer.try_send(Heard::Digest(digest.clone()));
+            let _ = self.placer.try_send(Heard::Digest(full.clone()));
         }
-        let demand = digest.demand.take();
-        self.send(&HostMessage::Digest(digest.clone()), &told).await;
-        digest.demand = demand;
-        self.send(&HostMessage::Digest(digest), &told_demand).await;
+        self.send(&HostMessage::Digest(digest), &told).await;
+        self.send(&HostMessage::Digest(full), &told_demand).await;
     }
 
     async fn send(&self, message: &HostMessage, listeners: &[SocketAddr]) {
