Heed what runners say of themselves, and tie rejections to their call

Cause: (1) A runner says in its answers that it leaves (Server-Leaving) or that it wants nothing for a while (Retry-After on a 503); neither was read, so calls went there until the registry said so, and without end while the registry was away.

Ruled out: reading the notices in the registry's task, whose reads of the store can take seconds; a flag on the roster entry, which a later listing of the same start would clear.

Change: the codec reads a RunnerNotice from each answer's head. The relay table keeps runners as RelayRunner<Accepting> or <Departing>; only the former can be chosen, and a notice holds for one start (id and time of start) however the registry lists it meanwhile. Other hosts are told with the digests. A pause is a deadline; if it leaves no runner within the wait of a call, the call is refused at once with that time. Answers count on the start that they came from. An answer that names no call is usable only on a connection that carried no earlier call.

--- a/crates/celerylead/src/membership/digest.rs
+++ b/crates/celerylead/src/membership/digest.rs
@@ -10,6 +10,7 @@
 use crate::{
     model::ModelName,
     placement::{ModelDemand, ResidencyList},
+    roster::RunnerStart,
 };
 
 /// Calls of one host that are in flight at a runner.
@@ -84,6 +85,9 @@
     },
     /// A call needs an adapter that no runner holds.
     AdapterMissing(ModelName),
+    /// These runners told the sender that they are leaving. Hosts of a version
+    /// without this message ignore it.
+    Departing(Vec<RunnerStart>),
 }
 
 /// Row of a host, with the address at which other hosts reach it.
--- a/crates/celerylead/src/port/codec.rs
+++ b/crates/celerylead/src/port/codec.rs
@@ -13,7 +13,7 @@
 use crate::{
     catalog::ServiceCatalog,
     clock::EpochMillis,
-    relay::CallHead,
+    relay::{CallHead, RunnerNotice},
     request::{Refusal, RejectionProof, RequestId},
     roster::{HeldModel, RunnerFacts},
     runner::OrderKind,
@@ -45,6 +45,16 @@
     Unusable(&'static str),
 }
 
+/// Whether a connection carried other calls before the latest one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LinkUse {
+    /// The latest call is the first one, so every answer is to it.
+    First,
+    /// There were earlier calls, and a faulty runner may have answered one of
+    /// them once more.
+    Again,
+}
+
 /// Whether and for how long a connection may be reused after an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LinkReuse {
@@ -127,13 +137,24 @@
         target: &ForwardTarget<'_>,
     ) -> anyhow::Result<Request<Full<Bytes>>>;
 
-    /// Classifies the head of an answer to the call with this id.
+    /// Classifies the head of an answer to the call with this id, the latest
+    /// one on its connection.
     fn classify_answer(
         &self,
         id: &RequestId,
         head: &response::Parts,
+        link_use: LinkUse,
     ) -> AnswerVerdict;
 
+    /// Returns what the runner states about itself in the head of an answer
+    /// to the call with this id.
+    fn read_notice(
+        &self,
+        id: &RequestId,
+        head: &response::Parts,
+        now: EpochMillis,
+    ) -> RunnerNotice;
+
     /// Returns for how long the connection of an answer may be reused.
     fn reuse(&self, head: &response::Parts) -> LinkReuse;
 
--- a/crates/celerylead/src/port/mod.rs
+++ b/crates/celerylead/src/port/mod.rs
@@ -16,7 +16,7 @@
 pub use self::{
     codec::{
         AnswerVerdict, EdgeCodec, EngineReport, ForwardTarget, LinkReuse,
-        OrderVerdict, PlacementOrder,
+        LinkUse, OrderVerdict, PlacementOrder,
     },
     store::{
         ANSWER_TIMEOUT, RowChange, RowKey, RowPut, StoreError, StorePort,
--- a/crates/celerylead/src/relay/mod.rs
+++ b/crates/celerylead/src/relay/mod.rs
@@ -8,7 +8,9 @@
 //! lowest estimate. Nothing in this module reads a clock or a socket.
 //!
 //! * A runner that is leaving, or that doesn't hold the model, is never a
-//!   candidate.
+//!   candidate. A runner may leave by the registry's word or by its own, in an
+//!   answer; its own holds for as long as this start of it lives.
+//! * A runner that asked for a pause is no candidate until the pause ends.
 //! * A runner gets fewer calls the further its failure rate is above the mean
 //!   of the candidates. After several consecutive broken or rejected calls, or
 //!   one failure to connect, a runner is ejected: it gets no calls for a
@@ -18,6 +20,8 @@
 
 mod backend;
 mod call;
+mod life;
+mod notice;
 mod table;
 #[cfg(test)]
 mod tests;
@@ -25,6 +29,7 @@
 pub use self::{
     backend::CallEnd,
     call::{CallHead, CallRequirements, PromptPart},
+    notice::RunnerNotice,
     table::{
         CandidateLoad, LoadBasis, PickFault, RelayChoice, RelayTable,
         RunnerView,
--- a/crates/celerylead/src/relay/table.rs
+++ b/crates/celerylead/src/relay/table.rs
@@ -5,10 +5,16 @@
 use super::{
     backend::{CallEnd, PeerLoad, RelayBackend},
     call::CallRequirements,
+    life::{Accepting, Departing, RelayRunner},
+    notice::{NoticeLog, RunnerNotice},
 };
 use crate::{
-    catalog::ServiceCatalog, clock::EpochMillis, membership::RunnerLoad,
-    model::ModelName, roster::RunnerFacts, sorted::SortedTable,
+    catalog::ServiceCatalog,
+    clock::EpochMillis,
+    membership::RunnerLoad,
+    model::ModelName,
+    roster::{RunnerFacts, RunnerStart},
+    sorted::SortedTable,
 };
 
 /// Latency assumed while no runner has answered yet, in microseconds.
@@ -36,6 +42,8 @@
 pub struct RelayChoice {
     /// Id of the runner.
     pub runner: String,
+    /// Start time of the runner, if it publishes it.
+    pub born: Option<u64>,
     /// Address of the runner, as `IP:PORT`.
     pub address: String,
     /// Model and adapter; `None` for a plain call.
@@ -85,6 +93,11 @@
     pub fn model(&self) -> &str {
         self.name.as_ref().map_or("", |name| &name.model)
     }
+
+    /// Returns the start of the runner that was chosen.
+    pub fn start(&self) -> RunnerStart {
+        RunnerStart { id: self.runner.clone(), born: self.born }
+    }
 }
 
 /// Why no runner was chosen.
@@ -101,6 +114,9 @@
     Full,
     /// Every runner that could take the call was already tried.
     AllTried,
+    /// Every runner that could take the call has asked for a pause; the
+    /// earliest pause ends then.
+    Paused(EpochMillis),
 }
 
 impl PickFault {
@@ -112,6 +128,7 @@
             PickFault::NoAdapter => "no_adapter",
             PickFault::Full => "full",
             PickFault::AllTried => "all_tried",
+            PickFault::Paused(_) => "paused",
         }
     }
 }
@@ -137,7 +154,9 @@
 #[derive(Debug, Default)]
 pub struct RelayTable {
     zone: String,
-    backends: SortedTable<String, RelayBackend>,
+    accepting: SortedTable<String, RelayRunner<Accepting>>,
+    departing: SortedTable<String, RelayRunner<Departing>>,
+    notices: NoticeLog,
     /// Runners named in the last digest of each other host.
     reported_runners: SortedTable<String, Vec<String>>,
 }
@@ -155,9 +174,13 @@
         &mut self,
         facts: impl Iterator<Item = &'a RunnerFacts>,
     ) {
-        let mut former = std::mem::take(&mut self.backends);
+        let mut accepting = std::mem::take(&mut self.accepting);
+        let mut departing = std::mem::take(&mut self.departing);
         for facts in facts {
-            let known = former.remove(&facts.id);
+            let id = facts.id.clone();
+            let known = accepting.remove(&id).map(|runner| runner.backend);
+            let known = known
+                .or_else(|| departing.remove(&id).map(|found| found.backend));
             let backend = match known {
                 Some(mut backend) if backend.facts.is_same_start(facts) => {
                     backend.facts = facts.clone();
@@ -165,8 +188,101 @@
                 }
                 _ => RelayBackend::new(facts.clone()),
             };
-            self.backends.insert(facts.id.clone(), backend);
+            let notice = self.notices.notice(&id, facts.born);
+            if facts.leaving || notice.leaving {
+                let runner = RelayRunner::departing(backend);
+                self.departing.insert(id, runner);
+            } else {
+                let until = notice.paused_until;
+                let runner = RelayRunner::accepting(backend, until);
+                self.accepting.insert(id, runner);
+            }
+        }
+    }
+
+    /// Applies what a runner stated about itself in an answer to this host.
+    pub fn note_runner(
+        &mut self,
+        start: &RunnerStart,
+        notice: RunnerNotice,
+        now: EpochMillis,
+    ) {
+        if notice.is_empty() {
+            return;
+        }
+        self.notices.record(start, notice, now);
+        if let Some(runner) = self.accepting.get_mut(&start.id)
+            && runner.backend.facts.born == start.born
+        {
+            runner.pause(notice.paused_until);
+        }
+        if notice.leaving {
+            self.depart(start);
+        }
+    }
+
+    /// Applies what a runner told another host: that it is leaving. Returns
+    /// whether that is new to this host.
+    pub fn note_departure(
+        &mut self,
+        start: &RunnerStart,
+        now: EpochMillis,
+    ) -> bool {
+        if self.notices.notice(&start.id, start.born).leaving {
+            return false;
+        }
+        self.notices.record_departure(start, now);
+        self.depart(start);
+        true
+    }
+
+    /// Returns the runners of which the other hosts should be told that they
+    /// are leaving, as this host has just learned it from them.
+    pub fn departures(&self, now: EpochMillis) -> Vec<RunnerStart> {
+        self.notices.departures(now)
+    }
+
+    /// Ends the choice of a runner, unless another start of it is listed.
+    fn depart(&mut self, start: &RunnerStart) {
+        let listed = self.accepting.get(&start.id);
+        if listed.is_none_or(|runner| runner.backend.facts.born != start.born)
+        {
+            return;
+        }
+        if let Some(runner) = self.accepting.remove(&start.id) {
+            self.departing.insert(start.id.clone(), runner.depart());
+        }
+    }
+
+    /// Returns the state of a runner, leaving or not.
+    fn backend_mut(&mut self, id: &str) -> Option<&mut RelayBackend> {
+        if let Some(runner) = self.accepting.get_mut(id) {
+            return Some(&mut runner.backend);
         }
+        self.departing.get_mut(id).map(|runner| &mut runner.backend)
+    }
+
+    /// Returns the state of the chosen runner, unless it has started again.
+    fn chosen_mut(
+        &mut self,
+        choice: &RelayChoice,
+    ) -> Option<&mut RelayBackend> {
+        let backend = self.backend_mut(&choice.runner)?;
+        (backend.facts.born == choice.born).then_some(backend)
+    }
+
+    /// Iterates over the state of all runners, leaving or not.
+    fn backends(&self) -> impl Iterator<Item = &RelayBackend> {
+        let accepting = self.accepting.values().map(|runner| &runner.backend);
+        accepting.chain(self.departing.values().map(|runner| &runner.backend))
+    }
+
+    fn backends_mut(&mut self) -> impl Iterator<Item = &mut RelayBackend> {
+        let accepting =
+            self.accepting.iter_mut().map(|(_, runner)| &mut runner.backend);
+        let departing =
+            self.departing.iter_mut().map(|(_, runner)| &mut runner.backend);
+        accepting.chain(departing)
     }
 
     /// Sets the models and adapters that a runner holds according to the
@@ -178,7 +294,7 @@
         names: &[ModelName],
         now: EpochMillis,
     ) {
-        if let Some(backend) = self.backends.get_mut(runner) {
+        if let Some(backend) = self.backend_mut(runner) {
             backend.announced_models = names.to_vec();
             backend.announced_models.sort();
             backend.announced_at = Some(now);
@@ -188,7 +304,7 @@
     /// Extends the validity of the lease holder's announcements that haven't
     /// expired, because they still hold.
     pub fn refresh_announced_models(&mut self, now: EpochMillis) {
-        for (_, backend) in self.backends.iter_mut() {
+        for backend in self.backends_mut() {
             backend.refresh_announced_models(now);
         }
     }
@@ -197,7 +313,7 @@
     /// then decides which models a runner holds, until the next announcement
     /// about the runner.
     pub fn invalidate_announced_models(&mut self) {
-        for (_, backend) in self.backends.iter_mut() {
+        for backend in self.backends_mut() {
             backend.announced_at = None;
         }
     }
@@ -219,7 +335,7 @@
         for id in former.unwrap_or_default() {
             let found = loads.binary_search_by(|load| load.runner.cmp(&id));
             if found.is_err()
-                && let Some(backend) = self.backends.get_mut(&id)
+                && let Some(backend) = self.backend_mut(&id)
             {
                 backend.peers.remove(host);
                 decreased = true;
@@ -227,7 +343,7 @@
         }
         for load in loads {
             let RunnerLoad { calls, tokens, .. } = *load;
-            if let Some(backend) = self.backends.get_mut(&load.runner) {
+            if let Some(backend) = self.backend_mut(&load.runner) {
                 let load = PeerLoad { calls, tokens, reported_at: at };
                 let former = backend.peers.insert(host.to_owned(), load);
                 decreased |= former.is_some_and(|former| calls < former.calls);
@@ -236,18 +352,20 @@
         decreased
     }
 
-    /// Returns this host's calls in flight by runner, for the digest to
-    /// other hosts.
+    /// Returns this host's calls in flight, sorted by runner, for the digest
+    /// to other hosts.
     pub fn loads(&self) -> Vec<RunnerLoad> {
-        let busy = self.backends.iter();
-        busy.filter(|(_, backend)| 0 < backend.calls)
-            .map(|(id, backend)| RunnerLoad {
-                runner: id.clone(),
+        let busy = self.backends().filter(|backend| 0 < backend.calls);
+        let mut loads: Vec<RunnerLoad> = busy
+            .map(|backend| RunnerLoad {
+                runner: backend.facts.id.clone(),
                 calls: backend.calls,
                 tokens: backend.tokens,
                 names: backend.names_in_use(),
             })
-            .collect()
+            .collect();
+        loads.sort_by(|one, other| one.runner.cmp(&other.runner));
+        loads
     }
 
     /// Chooses the runner for a call and counts the call as in flight there.
@@ -262,18 +380,9 @@
         now: EpochMillis,
     ) -> Result<RelayChoice, PickFault> {
         let best = self.best_runner(call, catalog, now)?;
-        let Some(backend) = self.backends.get_mut(&best) else {
-            return Err(PickFault::NoRunner);
-        };
-        let basis = backend.basis(now);
-        backend.begin_call(call, now);
-        Ok(RelayChoice {
-            runner: best,
-            address: backend.facts.address.clone(),
-            name: call.model.clone(),
-            tokens: call.tokens,
-            basis,
-        })
+        let runner = self.accepting.get_mut(&best);
+        let runner = runner.ok_or(PickFault::NoRunner)?;
+        Ok(runner.begin_call(call, now))
     }
 
     /// Returns the total load of the runners that hold what a call requires.
@@ -283,7 +392,7 @@
         now: EpochMillis,
     ) -> CandidateLoad {
         let mut total = CandidateLoad::default();
-        for backend in self.backends.values() {
+        for RelayRunner { backend, .. } in self.accepting.values() {
             if !serves(backend, call) || !holds(backend, call, now) {
                 continue;
             }
@@ -298,9 +407,11 @@
         total
     }
 
-    /// Records that the head of an answer arrived from a runner.
-    pub fn note_head(&mut self, runner: &str, now: EpochMillis) {
-        if let Some(backend) = self.backends.get_mut(runner) {
+    /// Records that the head of an answer arrived from a start of a runner.
+    pub fn note_head(&mut self, start: &RunnerStart, now: EpochMillis) {
+        if let Some(backend) = self.backend_mut(&start.id)
+            && backend.facts.born == start.born
+        {
             backend.note_head(now);
         }
     }
@@ -312,7 +423,7 @@
         model: &str,
         latency_us: u64,
     ) {
-        if let Some(backend) = self.backends.get_mut(runner) {
+        if let Some(backend) = self.backend_mut(runner) {
             backend.update_latency(model, latency_us);
         }
     }
@@ -326,21 +437,20 @@
         end: CallEnd,
         now: EpochMillis,
     ) {
-        if let Some(backend) = self.backends.get_mut(&choice.runner) {
+        if let Some(backend) = self.chosen_mut(choice) {
             backend.end_call(choice, head_received, end, now);
         }
     }
 
     /// Returns whether a runner is in the table and takes new calls.
     pub fn takes_calls(&self, runner: &str) -> bool {
-        let backend = self.backends.get(runner);
-        backend.is_some_and(|backend| !backend.facts.leaving)
+        self.accepting.get(runner).is_some()
     }
 
-    /// Iterates over snapshots of the runners.
+    /// Iterates over snapshots of the runners, in no particular order.
     pub fn views(&self) -> impl Iterator<Item = RunnerView> {
-        self.backends.iter().map(|(id, backend)| RunnerView {
-            id: id.clone(),
+        self.backends().map(|backend| RunnerView {
+            id: backend.facts.id.clone(),
             calls: backend.calls,
             tokens: backend.tokens,
             names: backend.names_in_use(),
@@ -356,10 +466,10 @@
     ) -> Result<String, PickFault> {
         let mut fault = PickFault::NoRunner;
         let mut candidates: Vec<&RelayBackend> = Vec::new();
-        for backend in self.backends.values() {
-            let Err(found) = check_candidate(backend, call, catalog, now)
+        for runner in self.accepting.values() {
+            let Err(found) = check_candidate(runner, call, catalog, now)
             else {
-                candidates.push(backend);
+                candidates.push(&runner.backend);
                 continue;
             };
             fault = closer_fault(fault, found);
@@ -414,10 +524,9 @@
     }
 }
 
-/// Returns whether a runner belongs to the service of a call and takes new
-/// calls.
+/// Returns whether a runner belongs to the service of a call.
 fn serves(backend: &RelayBackend, call: &CallRequirements) -> bool {
-    backend.facts.service == call.service && !backend.facts.leaving
+    backend.facts.service == call.service
 }
 
 /// Returns whether a runner holds the model and adapter that a call
@@ -432,11 +541,12 @@
 
 /// Checks whether a runner may get a call, and returns the reason if not.
 fn check_candidate(
-    backend: &RelayBackend,
+    runner: &RelayRunner<Accepting>,
     call: &CallRequirements,
     catalog: &ServiceCatalog,
     now: EpochMillis,
 ) -> Result<(), PickFault> {
+    let backend = &runner.backend;
     if !serves(backend, call) {
         return Err(PickFault::NoRunner);
     }
@@ -453,6 +563,9 @@
     if call.tried.contains(&backend.facts.id) {
         return Err(PickFault::AllTried);
     }
+    if let Some(end) = runner.pause_end(now) {
+        return Err(PickFault::Paused(end));
+    }
     let service = catalog.service(&call.service);
     let engine = service.and_then(|service| service.engine.as_ref());
     let queue_share = match engine {
@@ -474,14 +587,22 @@
     Ok(())
 }
 
-/// Returns that one of two faults whose runner came closer to being chosen.
+/// Returns that one of two faults whose runner came closer to being chosen,
+/// and of two pauses the one that ends first.
 fn closer_fault(one: PickFault, other: PickFault) -> PickFault {
     let rank = |fault| match fault {
         PickFault::NoRunner => 0,
         PickFault::NoModel => 1,
         PickFault::NoAdapter => 2,
         PickFault::AllTried => 3,
-        PickFault::Full => 4,
+        PickFault::Paused(_) => 4,
+        PickFault::Full => 5,
     };
-    if rank(one) < rank(other) { other } else { one }
+    match (one, other) {
+        (PickFault::Paused(one), PickFault::Paused(other)) => {
+            PickFault::Paused(one.min(other))
+        }
+        _ if rank(one) < rank(other) => other,
+        _ => one,
+    }
 }
--- a/crates/celerylead/src/relay/tests.rs
+++ b/crates/celerylead/src/relay/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the choice of runners.
 
 mod fleet;
+mod notices;
 
 use super::{CallEnd, CallRequirements, PickFault, RelayChoice, RelayTable};
 use crate::{
@@ -9,7 +10,7 @@
     membership::RunnerLoad,
     model::ModelName,
     request::RequestId,
-    roster::{HeldModel, RunnerFacts},
+    roster::{HeldModel, RunnerFacts, RunnerStart},
 };
 
 const NOW: EpochMillis = EpochMillis(100_000);
@@ -63,6 +64,10 @@
     }
 }
 
+fn start(id: &str, born: u64) -> RunnerStart {
+    RunnerStart { id: id.to_owned(), born: Some(born) }
+}
+
 fn call(service: &str, model: Option<&str>) -> CallRequirements {
     CallRequirements {
         id: RequestId::from_caller("r-1"),
@@ -313,7 +318,7 @@
             table.pick(&call, &catalog(), EpochMillis(*at)).unwrap();
         }
         for at in case.heads {
-            table.note_head("a", EpochMillis(*at));
+            table.note_head(&start("a", 1), EpochMillis(*at));
         }
         table.set_roster(facts.iter());
         // The second runner is busier, so it is chosen only if the first one
--- a/crates/celerylead/src/roster/entry.rs
+++ b/crates/celerylead/src/roster/entry.rs
@@ -41,6 +41,18 @@
     pub orders: u64,
 }
 
+/// One start of a runner; a runner may start again under the same id.
+#[derive(
+    Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
+pub struct RunnerStart {
+    /// Id of the runner.
+    pub id: String,
+    /// Start time, if the runner publishes it.
+    pub born: Option<u64>,
+}
+
 impl RunnerFacts {
     /// Returns the model of this name, if the runner holds it.
     pub fn model(&self, name: &str) -> Option<&HeldModel> {
--- a/crates/celerylead/src/roster/mod.rs
+++ b/crates/celerylead/src/roster/mod.rs
@@ -21,6 +21,8 @@
 mod tests;
 
 pub use self::{
-    entry::{HeldModel, Lapsed, Listed, RosterEntry, RunnerFacts},
+    entry::{
+        HeldModel, Lapsed, Listed, RosterEntry, RunnerFacts, RunnerStart,
+    },
     list::{RosterChange, RunnerRoster},
 };
--- a/crates/celerylead/src/tasks/node/attempt.rs
+++ b/crates/celerylead/src/tasks/node/attempt.rs
@@ -203,12 +203,16 @@
         let sent_at = Instant::now();
         match link.send(message, self.deadline).await {
             Ok(response) => {
-                slot.head_received();
+                let (head, upstream) = response.into_parts();
+                let now = self.context.clock.now();
+                let codec = &self.context.codec;
+                let notice = codec.read_notice(request.id(), &head, now);
+                slot.head_received(notice).await;
                 self.record.first_byte_at = Some(Instant::now());
                 let seconds = self.record.started.elapsed().as_secs_f64();
                 self.context.metrics.first_byte.observe(seconds);
-                self.handle_response(request, slot, link, response, sent_at)
-                    .await
+                let answer = (head, upstream);
+                self.handle_answer(request, slot, link, answer, sent_at).await
             }
             Err(SendFault::Unsent(proof, error)) => {
                 self.log_failure(&slot, "send", &error);
@@ -236,17 +240,17 @@
         HttpLink::open(&slot.choice.address, limit.min(self.deadline)).await
     }
 
-    async fn handle_response(
+    async fn handle_answer(
         &mut self,
         request: Request<Sent>,
         slot: RelaySlot,
         link: HttpLink,
-        response: Response<Incoming>,
+        (head, upstream): (response::Parts, Incoming),
         sent_at: Instant,
     ) -> AttemptOutcome {
-        let (head, upstream) = response.into_parts();
         let codec = &self.context.codec;
-        let verdict = codec.classify_answer(request.id(), &head);
+        let verdict =
+            codec.classify_answer(request.id(), &head, link.last_use());
         self.record.status = head.status.as_u16();
         let link = (link, self.reuse_until(&head));
         match verdict {
--- a/crates/celerylead/src/tasks/node/gossip.rs
+++ b/crates/celerylead/src/tasks/node/gossip.rs
@@ -339,10 +339,29 @@
             let _ =
                 self.placer.try_send(PlacerEvent::Digest(with_demand.clone()));
         }
+        self.send_departures(&digest_recipients, &demand_recipients).await;
         self.send(&HostMessage::Digest(digest), &digest_recipients).await;
         self.send(&HostMessage::Digest(with_demand), &demand_recipients).await;
     }
 
+    /// Tells the recipients of this tick's digests which runners are leaving,
+    /// if any have just said so to this host.
+    async fn send_departures(
+        &self,
+        digest_recipients: &[SocketAddr],
+        demand_recipients: &[SocketAddr],
+    ) {
+        let event = RouterEvent::ReadDepartures;
+        let starts = crate::tasks::ask(&self.router.sender, event).await;
+        let starts = starts.unwrap_or_default();
+        if starts.is_empty() {
+            return;
+        }
+        let message = HostMessage::Departing(starts);
+        self.send(&message, digest_recipients).await;
+        self.send(&message, demand_recipients).await;
+    }
+
     async fn send(&self, message: &HostMessage, recipients: &[SocketAddr]) {
         if recipients.is_empty() {
             return;
@@ -412,6 +431,10 @@
                 let _ =
                     self.placer.try_send(PlacerEvent::AdapterRequested(name));
             }
+            HostMessage::Departing(starts) => {
+                let event = RouterEvent::Departing(starts);
+                let _ = self.router.sender.send(event).await;
+            }
         }
     }
 
--- a/crates/celerylead/src/tasks/node/router.rs
+++ b/crates/celerylead/src/tasks/node/router.rs
@@ -25,9 +25,10 @@
     port::HttpLink,
     relay::{
         CallEnd, CallRequirements, LoadBasis, PickFault, RelayChoice,
-        RelayTable,
+        RelayTable, RunnerNotice,
     },
     request::{Refusal, RefusalCode, RetryWindow},
+    roster::RunnerStart,
     sorted::SortedTable,
     tasks::{MAILBOX_CAPACITY, MAX_IN_FLIGHT},
 };
@@ -69,12 +70,14 @@
 pub(crate) enum RouterEvent {
     /// Choose a runner for a call.
     Route(QueuedCall),
-    /// A runner has sent the head of an answer.
-    AnswerHead(String),
+    /// A runner has sent the head of an answer, with this notice.
+    AnswerHead { start: RunnerStart, notice: RunnerNotice },
     /// Pace of a stream of a runner, in microseconds per event.
     StreamPace { runner: String, model: String, pace_us: u64 },
     /// Digest of another host, received at `at`.
     Digest { digest: Box<HostDigest>, at: EpochMillis },
+    /// Another host was told by these runners that they are leaving.
+    Departing(Vec<RunnerStart>),
     /// Another host has joined.
     HostAdded(String),
     /// Another host was removed.
@@ -88,6 +91,9 @@
     },
     /// Request for the digest of this host, without the demand.
     ReadDigest(oneshot::Sender<HostDigest>),
+    /// Request for the runners that told this host a moment ago that they are
+    /// leaving.
+    ReadDepartures(oneshot::Sender<Vec<RunnerStart>>),
     /// Request for the demand of this host's calls.
     ReadDemand(oneshot::Sender<ModelDemand>),
 }
@@ -135,10 +141,16 @@
 
 impl RelaySlot {
     /// Reports that the head of the answer has been received. If the mailbox
-    /// of the router is full, the end of the call reports it.
-    pub(crate) fn head_received(&mut self) {
-        let event = RouterEvent::AnswerHead(self.choice.runner.clone());
-        self.head_reported = self.sender.try_send(event).is_ok();
+    /// of the router is full, the end of the call reports it, unless the head
+    /// carries a notice, which can't wait for that.
+    pub(crate) async fn head_received(&mut self, notice: RunnerNotice) {
+        let start = self.choice.start();
+        let event = RouterEvent::AnswerHead { start, notice };
+        self.head_reported = if notice.is_empty() {
+            self.sender.try_send(event).is_ok()
+        } else {
+            self.sender.send(event).await.is_ok()
+        };
     }
 
     /// Ends the call. `link` is its connection with the time until which it
@@ -230,7 +242,7 @@
     links: IdleLinks,
     waiting: Vec<QueuedCall>,
     /// Time at which the waiting calls are tried again, after a digest that
-    /// showed freed capacity.
+    /// showed freed capacity or at the end of a runner's pause.
     retry_waiting_at: Option<EpochMillis>,
     /// Missing adapters that were requested, with the time of the request.
     requested_adapters: SortedTable<ModelName, EpochMillis>,
@@ -308,13 +320,17 @@
         let now = self.setup.clock.now();
         match event {
             RouterEvent::Route(call) => self.admit(call, now),
-            RouterEvent::AnswerHead(runner) => {
-                self.table.note_head(&runner, now);
+            RouterEvent::AnswerHead { start, notice } => {
+                self.table.note_head(&start, now);
+                self.note_runner(&start, notice, now);
             }
             RouterEvent::StreamPace { runner, model, pace_us } => {
                 self.table.record_latency(&runner, &model, pace_us);
             }
             RouterEvent::Digest { digest, at } => self.merge(&digest, at),
+            RouterEvent::Departing(starts) => {
+                self.note_departures(&starts, now);
+            }
             RouterEvent::HostAdded(host) => self.host_liveness.add_host(&host),
             RouterEvent::HostRemoved(host) => {
                 self.host_liveness.remove_host(&host);
@@ -333,6 +349,9 @@
             RouterEvent::ReadDigest(reply) => {
                 let _ = reply.send(self.digest());
             }
+            RouterEvent::ReadDepartures(reply) => {
+                let _ = reply.send(self.table.departures(now));
+            }
             RouterEvent::ReadDemand(reply) => {
                 let demand = self.demand.highest(MAX_DEMAND_ENTRIES, now);
                 let _ = reply.send(demand);
@@ -360,9 +379,49 @@
 
     fn adopt_roster(&mut self, roster: &[crate::roster::RunnerFacts]) {
         self.table.set_roster(roster.iter());
+        self.close_unused_links();
+        self.retry_waiting();
+    }
+
+    /// Closes the idle connections to runners that take no more calls.
+    fn close_unused_links(&mut self) {
         let table = &self.table;
         self.links.retain(|runner| table.takes_calls(runner));
-        self.retry_waiting();
+    }
+
+    /// Applies what a runner stated about itself in an answer.
+    fn note_runner(
+        &mut self,
+        start: &RunnerStart,
+        notice: RunnerNotice,
+        now: EpochMillis,
+    ) {
+        if notice.is_empty() {
+            return;
+        }
+        let took_calls = self.table.takes_calls(&start.id);
+        self.table.note_runner(start, notice, now);
+        if took_calls && !self.table.takes_calls(&start.id) {
+            log_departure(start, "answer");
+            self.close_unused_links();
+        }
+        if now < notice.paused_until {
+            tracing::info!(
+                event = "runner_paused",
+                runner = start.id,
+                pause_ms = now.until(notice.paused_until).as_millis() as u64,
+            );
+        }
+    }
+
+    /// Applies what runners told another host: that they are leaving.
+    fn note_departures(&mut self, starts: &[RunnerStart], now: EpochMillis) {
+        for start in starts {
+            if self.table.note_departure(start, now) {
+                log_departure(start, "host");
+            }
+        }
+        self.close_unused_links();
     }
 
     /// Admits a call and looks for a runner. The call is refused if its
@@ -371,8 +430,7 @@
     /// over the rate.
     fn admit(&mut self, mut call: QueuedCall, now: EpochMillis) {
         if call.requirements.deadline <= now {
-            let code = RefusalCode::NoRunner;
-            self.refuse(call, code, "no runner took the call in time", now);
+            self.refuse(call, "no runner took the call in time", now);
             return;
         }
         let RetryAllowance { share, slack, window } = self.setup.allowance;
@@ -386,13 +444,7 @@
         if call.requirements.tried.is_empty() {
             budget.record_request(now);
         } else if call.requirements.sent && !budget.spend(share, slack, now) {
-            let code = RefusalCode::NoRunner;
-            self.refuse(
-                call,
-                code,
-                "the budget of further sends is spent",
-                now,
-            );
+            self.refuse(call, "the budget of further sends is spent", now);
             return;
         }
         if let Some((customer, cost)) = call.requirements.charge.take() {
@@ -474,12 +526,21 @@
         {
             self.request_adapter(name, now);
         }
+        if let PickFault::Paused(end) = fault
+            && call.wait_until <= end
+        {
+            self.refuse_until(call, fault.text(), end);
+            return;
+        }
         if fault == PickFault::AllTried || call.wait_until <= now {
-            let code = RefusalCode::NoRunner;
             let reason = self.refusal_reason(&call.requirements, fault, now);
-            self.refuse(call, code, &reason, now);
+            self.refuse(call, &reason, now);
             return;
         }
+        if let PickFault::Paused(end) = fault {
+            let next = self.retry_waiting_at.map_or(end, |at| at.min(end));
+            self.retry_waiting_at = Some(next);
+        }
         self.waiting.push(call);
         self.setup.metrics.waiting.set(self.waiting.len() as i64);
     }
@@ -517,21 +578,26 @@
         self.setup.gossip.request_adapter(name);
     }
 
-    /// Refuses a call, and refunds its charge if the charge is refundable.
-    fn refuse(
+    /// Refuses a call for lack of a runner. The caller may retry a moment
+    /// later.
+    fn refuse(&mut self, call: QueuedCall, reason: &str, now: EpochMillis) {
+        self.refuse_until(call, reason, now.after(RETRY_AFTER));
+    }
+
+    /// Refuses a call for lack of a runner until `retry_at`, and refunds its
+    /// charge if the charge is refundable.
+    fn refuse_until(
         &mut self,
         call: QueuedCall,
-        code: RefusalCode,
         reason: &str,
-        now: EpochMillis,
+        retry_at: EpochMillis,
     ) {
         if let Some((customer, cost)) = &call.refundable
             && let Some(bucket) = self.buckets.get_mut(customer)
         {
             bucket.refund(*cost);
         }
-        let refusal = Refusal::not_run(code, reason);
-        let retry_at = now.after(RETRY_AFTER);
+        let refusal = Refusal::not_run(RefusalCode::NoRunner, reason);
         let _ = call.reply.send(Err(refusal.retry_at(Some(retry_at))));
     }
 
@@ -571,7 +637,10 @@
         let load_fell =
             self.table.update_peer_loads(&digest.host, &digest.loads, at);
         if load_fell && !self.waiting.is_empty() {
-            self.retry_waiting_at.get_or_insert(at.after(RETRY_WAITING_DELAY));
+            let retry_at = at.after(RETRY_WAITING_DELAY);
+            let next =
+                self.retry_waiting_at.map_or(retry_at, |at| at.min(retry_at));
+            self.retry_waiting_at = Some(next);
         }
         for spent in &digest.spent {
             if let Some(bucket) = self.buckets.get_mut(&spent.customer) {
@@ -600,6 +669,11 @@
     }
 }
 
+fn log_departure(start: &RunnerStart, source: &str) {
+    let RunnerStart { id, born } = start;
+    tracing::info!(event = "runner_departing", runner = id, born, source);
+}
+
 fn shutting_down() -> Refusal {
     Refusal::not_run(RefusalCode::NotReady, "the host is shutting down")
 }
--- a/crates/celerylead/src/wire/link.rs
+++ b/crates/celerylead/src/wire/link.rs
@@ -14,6 +14,7 @@
 use tokio::{net::TcpStream, time::Instant};
 
 use crate::{
+    port::LinkUse,
     request::UnsentProof,
     step::{StepContext as _, StepName},
 };
@@ -45,6 +46,8 @@
 pub struct HttpLink {
     sender: http1::SendRequest<Full<Bytes>>,
     peer: String,
+    /// Number of requests sent on the connection.
+    requests: u32,
 }
 
 /// Why no response head was received.
@@ -95,7 +98,7 @@
                 tracing::debug!(event = "link_closed", %error);
             }
         });
-        Ok(HttpLink { sender, peer: peer.to_owned() })
+        Ok(HttpLink { sender, peer: peer.to_owned(), requests: 0 })
     }
 
     /// Returns whether the connection can take a request now.
@@ -103,6 +106,11 @@
         self.sender.is_ready()
     }
 
+    /// Returns whether the latest request is the first one on the connection.
+    pub fn last_use(&self) -> LinkUse {
+        if self.requests <= 1 { LinkUse::First } else { LinkUse::Again }
+    }
+
     /// Sends a request and waits for the head of its response.
     ///
     /// # Errors
@@ -123,6 +131,7 @@
         if let Err(error) = ready {
             return Err(SendFault::Unsent(UnsentProof(()), error));
         }
+        self.requests = self.requests.saturating_add(1);
         let answer = self.sender.try_send_request(request);
         match tokio::time::timeout_at(deadline, answer).await {
             Err(_) => Err(SendFault::TimedOut),
--- a/crates/stand-ins/src/raw_runner.rs
+++ b/crates/stand-ins/src/raw_runner.rs
@@ -83,6 +83,10 @@
     EndlessBody,
     /// Never answers orders, and carries them out once the fault is over.
     LateOrders,
+    /// Rejects the first call of a connection like [`RunnerFault::Shed`] but
+    /// without its id. Runs the later ones, and answers each with the same
+    /// rejection once more.
+    RepeatedRejection,
 }
 
 /// A request as the runner received it.
@@ -109,6 +113,10 @@
 #[derive(Debug)]
 struct RunnerState {
     fault: RunnerFault,
+    /// Header lines that every answer to a call carries besides its own.
+    extra_headers: &'static str,
+    /// Calls received, run or not.
+    calls: Vec<RecordedRequest>,
     /// Calls that ran.
     runs: Vec<RecordedRequest>,
     /// Orders received, accepted or not.
@@ -139,6 +147,8 @@
     fn default() -> Self {
         RunnerState {
             fault: RunnerFault::None,
+            extra_headers: "",
+            calls: Vec::new(),
             runs: Vec::new(),
             orders: Vec::new(),
             order_times: Vec::new(),
@@ -284,6 +294,17 @@
         self.state.with(move |state| state.fault = fault).await;
     }
 
+    /// Sets header lines, each with its line end, that every answer to a call
+    /// carries from now on besides its own.
+    pub async fn set_extra_headers(&self, lines: &'static str) {
+        self.state.with(move |state| state.extra_headers = lines).await;
+    }
+
+    /// Returns the calls that the runner received, run or not.
+    pub async fn calls(&self) -> Vec<RecordedRequest> {
+        self.state.with(|state| state.calls.clone()).await
+    }
+
     /// Returns the calls that the runner ran.
     pub async fn runs(&self) -> Vec<RecordedRequest> {
         self.state.with(|state| state.runs.clone()).await
@@ -325,6 +346,7 @@
 ) -> anyhow::Result<()> {
     stream.set_nodelay(true)?;
     let mut buffer = Vec::new();
+    let mut has_rejected = false;
     while let Some(request) = read_request(&mut stream, &mut buffer).await? {
         let fault = state.with(|state| state.fault).await;
         if request.line.starts_with("POST /-/order") {
@@ -353,6 +375,18 @@
             write_response(&mut stream, "200 OK", "", body.as_bytes()).await?;
             continue;
         }
+        let recorded = request.clone();
+        state.with(move |state| state.calls.push(recorded)).await;
+        if fault == RunnerFault::RepeatedRejection {
+            if has_rejected {
+                state.with(move |state| state.runs.push(request)).await;
+            }
+            has_rejected = true;
+            let status = "503 Service Unavailable";
+            let headers = "x-not-executed: 1\r\n";
+            write_response(&mut stream, status, headers, b"").await?;
+            continue;
+        }
         answer(&mut stream, state, request, fault).await?;
     }
     Ok(())
@@ -374,8 +408,10 @@
     fault: RunnerFault,
 ) -> anyhow::Result<()> {
     let id = request.header("x-request-id").unwrap_or("").to_owned();
-    let signature_headers =
-        format!("x-request-id: {id}\r\nx-response-signature: s\r\n");
+    let extra_headers = state.with(|state| state.extra_headers).await;
+    let signature_headers = format!(
+        "x-request-id: {id}\r\nx-response-signature: s\r\n{extra_headers}"
+    );
     match fault {
         RunnerFault::Shed => {
             let shed_headers =
