--- a/crates/celerylead/src/customer/fleet.rs
+++ b/crates/celerylead/src/customer/fleet.rs
@@ -25,6 +25,8 @@
 
 use crate::{catalog::TokenRate, clock::EpochMillis, sorted::SortedTable};
 
+/// Longest time for which one call may keep its customer's other calls out.
+const MAX_DEBT_TIME: Duration = Duration::from_secs(60);
 /// Time without a report after which a host is silent and is debited its
 /// even share. Hosts of the same zone report every 200 ms, so the loss of two
 /// of their reports is tolerated; hosts of other zones report every 400 ms.
@@ -89,7 +91,8 @@
     /// Takes all of `cost`, or returns the time to retry at.
     ///
     /// A full bucket admits a call that costs more than the burst, and the
-    /// call leaves a debt.
+    /// call leaves a debt. It never admits a call of an
+    /// [exceeded limit](Self::exceeded_limit).
     ///
     /// # Errors
     ///
@@ -102,22 +105,32 @@
         now: EpochMillis,
     ) -> Result<(), EpochMillis> {
         self.refill(hosts, now);
-        let cost = cost as f64;
-        let needed = cost.min(self.rate.burst as f64);
-        if needed <= self.level {
-            self.level -= cost;
-            self.spent += cost as i64;
+        let admissible = self.exceeded_limit(cost).is_none();
+        let needed = cost.min(self.rate.burst) as f64;
+        if admissible && needed <= self.level {
+            self.level -= cost as f64;
+            self.spent = self.spent.saturating_add(units(cost));
             return Ok(());
         }
         let per_second = (self.rate.per_second as f64).max(1.0);
         let seconds = (needed - self.level) / per_second;
-        Err(now.after(Duration::from_secs_f64(seconds.min(60.0))))
+        Err(now.after(Duration::from_secs_f64(seconds.clamp(0.0, 60.0))))
+    }
+
+    /// Returns the highest cost of a call, if `cost` is above it: the burst
+    /// and what the rate yields in [`MAX_DEBT_TIME`]. A larger call would keep
+    /// all later ones of the customer out for longer than that.
+    pub fn exceeded_limit(&self, cost: u64) -> Option<u64> {
+        let yielded =
+            self.rate.per_second.saturating_mul(MAX_DEBT_TIME.as_secs());
+        let limit = self.rate.burst.saturating_add(yielded);
+        (limit < cost).then_some(limit)
     }
 
     /// Refunds the cost of a call that certainly didn't run.
     pub fn refund(&mut self, cost: u64) {
         self.level = (self.level + cost as f64).min(self.rate.burst as f64);
-        self.spent -= cost as i64;
+        self.spent = self.spent.saturating_sub(units(cost));
     }
 
     /// Debits the growth of the total that another host reports, and adopts
@@ -142,7 +155,7 @@
         };
         let before =
             if last.incarnation == incarnation { last.total } else { 0 };
-        let grown = (total - before) as f64;
+        let grown = total.saturating_sub(before) as f64;
         self.level -= (grown - last.assumed).max(grown.min(0.0));
         *last = fresh;
     }
@@ -241,3 +254,8 @@
             .map(|(host, _)| host.as_str())
     }
 }
+
+/// Converts a cost to the unit of the totals.
+fn units(cost: u64) -> i64 {
+    i64::try_from(cost).unwrap_or(i64::MAX)
+}
--- a/crates/celerylead/src/customer/tests/fleet.rs
+++ b/crates/celerylead/src/customer/tests/fleet.rs
@@ -100,6 +100,25 @@
                 (2_500, Step::Take(1, false)),
             ],
         },
+        Case {
+            name: "a call of absurd cost is refused and leaves no debt",
+            steps: &[
+                (0, Step::Report(1, 0)),
+                (600, Step::Report(1, 0)),
+                (1_200, Step::Report(1, 0)),
+                (1_800, Step::Report(1, 0)),
+                (2_000, Step::Take(u64::MAX, false)),
+                (2_000, Step::Take(2_000, true)),
+            ],
+        },
+        Case {
+            name: "an absurd report of another host is survived",
+            steps: &[
+                (0, Step::Report(1, i64::MIN)),
+                (100, Step::Report(1, i64::MAX)),
+                (200, Step::Take(1, false)),
+            ],
+        },
         Case {
             name: "a call that didn't run costs nothing",
             steps: &[
--- a/crates/celerylead/src/placement/managed.rs
+++ b/crates/celerylead/src/placement/managed.rs
@@ -266,7 +266,8 @@
         mut self,
         read_at: EpochMillis,
     ) -> ManagedRunner<NeedsReport> {
-        self.accepted_orders = self.state.sent.order.expected + 1;
+        self.accepted_orders =
+            self.state.sent.order.expected.saturating_add(1);
         self.await_report(read_at)
     }
 }
--- a/crates/celerylead/src/placement/table.rs
+++ b/crates/celerylead/src/placement/table.rs
@@ -348,7 +348,7 @@
                 self.needs_report.insert(id, managed);
             }
             OrderVerdict::Accepted => {
-                managed.accepted_orders = order.expected + 1;
+                managed.accepted_orders = order.expected.saturating_add(1);
                 let wait = match order.adapter {
                     Some(_) => ADAPTER_READY_DELAY,
                     None => load_time + MODEL_READY_MARGIN,
--- a/crates/celerylead/src/relay/backend.rs
+++ b/crates/celerylead/src/relay/backend.rs
@@ -124,14 +124,14 @@
     /// that other hosts reported.
     pub(super) fn load(&self, now: EpochMillis) -> u32 {
         let peers = self.fresh_peers(now).map(|load| load.calls);
-        self.calls + peers.sum::<u32>()
+        peers.fold(self.calls, u32::saturating_add)
     }
 
     /// Returns the load figures by which the runner is chosen.
     pub(super) fn basis(&self, now: EpochMillis) -> LoadBasis {
         let mut basis = LoadBasis { own: self.calls, ..LoadBasis::default() };
         for load in self.fresh_peers(now).filter(|load| 0 < load.calls) {
-            basis.reported += load.calls;
+            basis.reported = basis.reported.saturating_add(load.calls);
             let age = load.reported_at.until(now).as_millis() as u64;
             basis.oldest_ms = basis.oldest_ms.max(age);
         }
@@ -142,7 +142,7 @@
     /// those that other hosts reported.
     pub(super) fn tokens(&self, now: EpochMillis) -> u64 {
         let peers = self.fresh_peers(now).map(|load| load.tokens);
-        self.tokens + peers.sum::<u64>()
+        peers.fold(self.tokens, u64::saturating_add)
     }
 
     /// Iterates over the loads of other hosts that were reported recently
@@ -196,7 +196,7 @@
         }
         self.awaiting_head += 1;
         self.calls += 1;
-        self.tokens += call.tokens;
+        self.tokens = self.tokens.saturating_add(call.tokens);
         if let Some(name) = &call.model {
             *self.calls_by_model.entry(name.clone(), || 0) += 1;
         }
--- a/crates/celerylead/src/relay/table.rs
+++ b/crates/celerylead/src/relay/table.rs
@@ -112,6 +112,8 @@
     NoAdapter,
     /// Every runner that could take the call is full.
     Full,
+    /// The call needs more memory than a runner has.
+    TooLarge,
     /// Every runner that could take the call was already tried.
     AllTried,
     /// Every runner that could take the call has asked for a pause; the
@@ -127,6 +129,7 @@
             PickFault::NoModel => "no_model",
             PickFault::NoAdapter => "no_adapter",
             PickFault::Full => "full",
+            PickFault::TooLarge => "too_large",
             PickFault::AllTried => "all_tried",
             PickFault::Paused(_) => "paused",
         }
@@ -398,8 +401,8 @@
             }
             let basis = backend.basis(now);
             total.runners += 1;
-            total.slots += backend.facts.slots;
-            total.tokens += backend.tokens(now);
+            total.slots = total.slots.saturating_add(backend.facts.slots);
+            total.tokens = total.tokens.saturating_add(backend.tokens(now));
             total.basis.own += basis.own;
             total.basis.reported += basis.reported;
             total.basis.oldest_ms = total.basis.oldest_ms.max(basis.oldest_ms);
@@ -563,11 +566,14 @@
     if call.tried.contains(&backend.facts.id) {
         return Err(PickFault::AllTried);
     }
+    let service = catalog.service(&call.service);
+    let engine = service.and_then(|service| service.engine.as_ref());
+    if engine.is_some_and(|engine| engine.token_capacity < call.tokens) {
+        return Err(PickFault::TooLarge);
+    }
     if let Some(end) = runner.pause_end(now) {
         return Err(PickFault::Paused(end));
     }
-    let service = catalog.service(&call.service);
-    let engine = service.and_then(|service| service.engine.as_ref());
     let queue_share = match engine {
         Some(_) => ENGINE_QUEUE_SHARE,
         None => PLAIN_QUEUE_SHARE,
@@ -579,10 +585,11 @@
     if at_link_limit || capacity <= f64::from(load) {
         return Err(PickFault::Full);
     }
-    if let Some(engine) = engine
-        && engine.token_capacity < backend.tokens(now) + call.tokens
-    {
-        return Err(PickFault::Full);
+    if let Some(engine) = engine {
+        let tokens = backend.tokens(now).saturating_add(call.tokens);
+        if engine.token_capacity < tokens {
+            return Err(PickFault::Full);
+        }
     }
     Ok(())
 }
@@ -594,9 +601,10 @@
         PickFault::NoRunner => 0,
         PickFault::NoModel => 1,
         PickFault::NoAdapter => 2,
-        PickFault::AllTried => 3,
-        PickFault::Paused(_) => 4,
-        PickFault::Full => 5,
+        PickFault::TooLarge => 3,
+        PickFault::AllTried => 4,
+        PickFault::Paused(_) => 5,
+        PickFault::Full => 6,
     };
     match (one, other) {
         (PickFault::Paused(one), PickFault::Paused(other)) => {
--- a/crates/celerylead/src/relay/tests.rs
+++ b/crates/celerylead/src/relay/tests.rs
@@ -181,6 +181,48 @@
     }
 }
 
+/// Guards against token counts that overflow the load of a runner, and against
+/// calls that wait although no runner will ever have room for them.
+#[test]
+fn a_call_larger_than_a_runner_is_refused_whatever_it_claims() {
+    struct Case {
+        name: &'static str,
+        tokens: u64,
+        expected: Result<(), PickFault>,
+    }
+    let cases = [
+        Case { name: "fits", tokens: 9_000, expected: Ok(()) },
+        Case {
+            name: "full now",
+            tokens: 10_000,
+            expected: Err(PickFault::Full),
+        },
+        Case {
+            name: "never fits",
+            tokens: 10_001,
+            expected: Err(PickFault::TooLarge),
+        },
+        Case {
+            name: "absurd",
+            tokens: u64::MAX,
+            expected: Err(PickFault::TooLarge),
+        },
+    ];
+    for Case { name, tokens, expected } in cases {
+        let facts = [runner("a", "advisor", &["bend"])];
+        let mut table = RelayTable::new("boden");
+        table.set_roster(facts.iter());
+        let load = RunnerLoad { calls: 1, tokens: 1_000, ..busy("a") };
+        table.update_peer_loads("front-2", &[load], NOW);
+        let mut call = call("advisor", Some("bend"));
+        call.tokens = tokens;
+        let found = table.pick(&call, &catalog(), NOW).map(|_| ());
+        assert_eq!(found, expected, "{name}");
+        let loads = table.candidate_load(&call, NOW);
+        assert!(loads.tokens <= 10_000, "{name}: {loads:?}");
+    }
+}
+
 #[test]
 fn load_reported_by_other_hosts_counts_while_it_is_fresh() {
     struct Case {
--- a/crates/celerylead/src/tasks/acceptor.rs
+++ b/crates/celerylead/src/tasks/acceptor.rs
@@ -23,7 +23,7 @@
 };
 use crate::{
     request::{Refusal, RefusalCode, RequestId},
-    wire::{headers::REQUEST_ID, reply},
+    wire::{headers::REQUEST_ID, link, reply},
 };
 
 /// Longest wait for the head of a request, also between two requests on a
@@ -46,17 +46,7 @@
     let mut callers = JoinSet::new();
     loop {
         tokio::select! {
-            accepted = listener.accept() => {
-                let stream = match accepted {
-                    Ok((stream, _)) => stream,
-                    Err(error) => {
-                        tracing::warn!(event = "accept_failed", %error);
-                        // The process may be out of file descriptors, so the
-                        // connection of another caller has to close first.
-                        let _ = callers.join_next().await;
-                        continue;
-                    }
-                };
+            stream = link::accept(&listener) => {
                 let caller = CallerTask {
                     context: context.clone(),
                     phase: phase.clone(),
--- a/crates/celerylead/src/tasks/admin.rs
+++ b/crates/celerylead/src/tasks/admin.rs
@@ -15,7 +15,11 @@
 use super::{
     call, context::HostContext, dispatch::DispatchEvent, host::HostPhase,
 };
-use crate::{model::ModelName, request::RouteQuery, wire::reply};
+use crate::{
+    model::ModelName,
+    request::RouteQuery,
+    wire::{link, reply},
+};
 
 /// Serves connections until the host aborts the task at the end of its
 /// shutdown.
@@ -27,7 +31,7 @@
     let mut callers = JoinSet::new();
     loop {
         tokio::select! {
-            Ok((stream, _)) = listener.accept() => {
+            stream = link::accept(&listener) => {
                 let context = context.clone();
                 let phase = phase.clone();
                 callers.spawn(async move {
--- a/crates/celerylead/src/tasks/node/acceptor.rs
+++ b/crates/celerylead/src/tasks/node/acceptor.rs
@@ -35,17 +35,9 @@
     let mut connections = JoinSet::new();
     loop {
         tokio::select! {
-            accepted = listener.accept() => match accepted {
-                Ok((stream, _)) => {
-                    connections.spawn(serve(stream, context.clone()));
-                }
-                Err(error) => {
-                    tracing::warn!(event = "accept_failed", %error);
-                    // Most likely out of file descriptors: waits until an open
-                    // connection has ended.
-                    let _ = connections.join_next().await;
-                }
-            },
+            stream = link::accept(&listener) => {
+                connections.spawn(serve(stream, context.clone()));
+            }
             Some(_) = connections.join_next() => {}
             () = until_ending(&mut phase) => break,
         }
--- a/crates/celerylead/src/tasks/node/control.rs
+++ b/crates/celerylead/src/tasks/node/control.rs
@@ -45,14 +45,7 @@
     roster: RosterWatch,
 ) {
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                tracing::warn!(event = "accept_failed", %error);
-                tokio::task::yield_now().await;
-                continue;
-            }
-        };
+        let stream = link::accept(&listener).await;
         let context = context.clone();
         let roster = roster.clone();
         crate::tasks::spawn(async move {
--- a/crates/celerylead/src/tasks/node/router.rs
+++ b/crates/celerylead/src/tasks/node/router.rs
@@ -448,6 +448,15 @@
             return;
         }
         if let Some((customer, cost)) = call.requirements.charge.take() {
+            let bucket = self.buckets.get(&customer);
+            if let Some(limit) = bucket.and_then(|b| b.exceeded_limit(cost)) {
+                let message = format!(
+                    "the call costs {cost}, accepted are up to {limit}"
+                );
+                let code = RefusalCode::BurstTooSmall;
+                let _ = call.reply.send(Err(Refusal::not_run(code, &message)));
+                return;
+            }
             if let Some(bucket) = self.buckets.get_mut(&customer)
                 && let Err(at) = bucket.take(cost, &self.host_liveness, now)
             {
@@ -529,7 +538,11 @@
         if let PickFault::Paused(end) = fault
             && call.wait_until <= end
         {
-            self.refuse_until(call, fault.text(), end);
+            self.refuse_until(call, fault.text(), Some(end));
+            return;
+        }
+        if fault == PickFault::TooLarge {
+            self.refuse_until(call, fault.text(), None);
             return;
         }
         if fault == PickFault::AllTried || call.wait_until <= now {
@@ -581,16 +594,17 @@
     /// Refuses a call for lack of a runner. The caller may retry a moment
     /// later.
     fn refuse(&mut self, call: QueuedCall, reason: &str, now: EpochMillis) {
-        self.refuse_until(call, reason, now.after(RETRY_AFTER));
+        let retry_at = now.after(RETRY_AFTER);
+        self.refuse_until(call, reason, Some(retry_at));
     }
 
-    /// Refuses a call for lack of a runner until `retry_at`, and refunds its
-    /// charge if the charge is refundable.
+    /// Refuses a call for lack of a runner, and refunds its charge if the
+    /// charge is refundable. A retry may succeed from `retry_at`, if ever.
     fn refuse_until(
         &mut self,
         call: QueuedCall,
         reason: &str,
-        retry_at: EpochMillis,
+        retry_at: Option<EpochMillis>,
     ) {
         if let Some((customer, cost)) = &call.refundable
             && let Some(bucket) = self.buckets.get_mut(customer)
@@ -598,7 +612,7 @@
             bucket.refund(*cost);
         }
         let refusal = Refusal::not_run(RefusalCode::NoRunner, reason);
-        let _ = call.reply.send(Err(refusal.retry_at(Some(retry_at))));
+        let _ = call.reply.send(Err(refusal.retry_at(retry_at)));
     }
 
     /// Tries the waiting calls again, the oldest first.
--- a/crates/celerylead/src/wire/link.rs
+++ b/crates/celerylead/src/wire/link.rs
@@ -11,7 +11,10 @@
 use hyper::{Request, Response, body::Incoming, client::conn::http1};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
-use tokio::{net::TcpStream, time::Instant};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time::Instant,
+};
 
 use crate::{
     port::LinkUse,
@@ -28,6 +31,24 @@
 /// Time for which sent bytes may stay unacknowledged by the peer's kernel.
 const USER_TIMEOUT: Duration = Duration::from_millis(3_000);
 
+/// Pause after a failure to accept a connection. Most likely the process is
+/// out of file descriptors, and the next attempt would fail at once too.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Accepts the next connection. After a failure, logs it, pauses and tries
+/// again. Nothing is lost if the future is dropped.
+pub(crate) async fn accept(listener: &TcpListener) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => return stream,
+            Err(error) => {
+                tracing::warn!(event = "accept_failed", %error);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
 /// Sets the options that every connection needs: small writes aren't delayed,
 /// and a connection whose peer goes silent without a reset is closed.
 pub(crate) fn set_socket_options(stream: &TcpStream) -> io::Result<()> {
