Let one host of each zone read the registry for the others

Ruled out: the lease's row, which isn't read while its holder announces itself; a slower read by everyone, which only scales the slope down and makes hosts learn later.

Change: the reader of a zone, by rendezvous among its live hosts, sends each answer of the feed on to the zone as an excerpt with the positions that it spans and the store's time of the answer. A host applies it only at its own position, reads the registry itself when it missed one or when the last known answer is 1,300 ms old by the store's clock, and needs neither a reader nor agreement on one. The registry's task has a file of its own.

Measured: host test share_the_reads (4 hosts, one stopped after the other) fails with every host a reader (28 reads in 4 s, limit 11) and passes with the mechanism.

--- a/crates/celerylead/src/membership/digest.rs
+++ b/crates/celerylead/src/membership/digest.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::orders::OrdersRow;
+use super::{excerpt::FeedExcerpt, orders::OrdersRow};
 use crate::{
     model::ModelName,
     placement::{ModelDemand, ResidencyList},
@@ -88,6 +88,9 @@
     /// These runners told the sender that they are leaving. Hosts of a version
     /// without this message ignore it.
     Departing(Vec<RunnerStart>),
+    /// Changes of the registry, sent by the host that reads it for its zone.
+    /// Hosts of a version without this message read the registry themselves.
+    Registry(FeedExcerpt),
 }
 
 /// Row of a host, with the address at which other hosts reach it.
--- a/crates/celerylead/src/membership/mod.rs
+++ b/crates/celerylead/src/membership/mod.rs
@@ -12,10 +12,12 @@
 //!
 //! Hosts behind a platform adapter don't use this lease. They send each other
 //! a [`HostDigest`] several times a second. One of them holds the
-//! [`OrdersLease`] and sends the orders to the runners.
+//! [`OrdersLease`] and sends the orders to the runners. One of each zone reads
+//! the registry for the others and passes it on as [`FeedExcerpt`]s.
 
 mod contact;
 mod digest;
+mod excerpt;
 mod gossip;
 mod lease;
 mod orders;
@@ -27,6 +29,9 @@
 pub use self::{
     contact::{PeerContact, RegistryContact},
     digest::{HostDigest, HostMessage, HostRow, RunnerLoad, SpentTotal},
+    excerpt::{
+        ExcerptRow, ExcerptVerdict, FeedExcerpt, FeedFollower, is_zone_reader,
+    },
     gossip::{GOSSIP_TICK, GossipTick},
     lease::{HeldLease, HostLease, HostTag, LeasePhase, MAX_PAUSE},
     orders::{LeaseClaim, OrderPermit, OrdersLease, OrdersRow, RENEW_PERIOD},
--- a/crates/celerylead/src/membership/tests.rs
+++ b/crates/celerylead/src/membership/tests.rs
@@ -1,3 +1,4 @@
+mod excerpt;
 mod gossip;
 mod orders;
 
--- a/crates/celerylead/src/port/store.rs
+++ b/crates/celerylead/src/port/store.rs
@@ -6,6 +6,8 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot};
 
+use crate::clock::EpochMillis;
+
 /// Requests that are queued for the client task before senders have to wait.
 const MAILBOX_CAPACITY: usize = 64;
 
@@ -56,8 +58,13 @@
 pub enum RowChange {
     /// The row was written.
     Written(StoreRow),
-    /// The row with this key was removed.
-    Removed(String),
+    /// The row was removed.
+    Removed {
+        /// Key within its table.
+        key: String,
+        /// Version of the removal.
+        version: u64,
+    },
 }
 
 /// Result of reading a table or its feed.
@@ -67,6 +74,8 @@
     pub rows: Vec<RowChange>,
     /// Version from which a feed continues.
     pub version: u64,
+    /// Time of the answer by the store's clock, which runs steadily.
+    pub store_time: EpochMillis,
 }
 
 /// A conditional write or removal of a row.
--- a/crates/celerylead/src/tasks/node/gossip.rs
+++ b/crates/celerylead/src/tasks/node/gossip.rs
@@ -19,8 +19,8 @@
 use crate::{
     clock::HostClock,
     membership::{
-        GOSSIP_TICK, GossipTick, HostDigest, HostMessage, HostRow, OrdersRow,
-        PeerContact, RegistryContact,
+        FeedExcerpt, GOSSIP_TICK, GossipTick, HostDigest, HostMessage,
+        HostRow, OrdersRow, PeerContact, RegistryContact, is_zone_reader,
     },
     metrics::HostMetrics,
     model::ModelName,
@@ -62,6 +62,10 @@
     pub(crate) contact: watch::Receiver<RegistryContact>,
     /// Contact of the other hosts with the registry, as they report it.
     pub(crate) peer_contact: watch::Sender<PeerContact>,
+    /// Whether this host reads the registry for its zone.
+    pub(crate) is_reader: watch::Sender<bool>,
+    /// Receives what another host of the zone read from the registry.
+    pub(crate) excerpts: mpsc::Sender<FeedExcerpt>,
 }
 
 /// Message to the gossip task.
@@ -70,6 +74,8 @@
     RequestAdapter(ModelName),
     /// Deliver a message to all hosts, this one included.
     Broadcast(HostMessage),
+    /// Send parts of the registry's feed to the other hosts of the zone.
+    Excerpts(Vec<FeedExcerpt>),
 }
 
 /// Message to the placer about the hosts.
@@ -101,6 +107,14 @@
         }
     }
 
+    /// Sends parts of the registry's feed to the other hosts of the zone. A
+    /// host that misses one reads the registry itself.
+    pub(crate) fn send_excerpts(&self, excerpts: Vec<FeedExcerpt>) {
+        if self.sender.try_send(GossipEvent::Excerpts(excerpts)).is_err() {
+            tracing::debug!(event = "excerpt_dropped");
+        }
+    }
+
     /// Sends a message to all hosts, this one included.
     pub(crate) async fn broadcast(&self, message: HostMessage) {
         let _ = self.sender.send(GossipEvent::Broadcast(message)).await;
@@ -224,6 +238,18 @@
                         .try_send(PlacerEvent::AdapterRequested(name));
                 }
             }
+            GossipEvent::Excerpts(excerpts) => {
+                let zone = &self.setup.row.zone;
+                let hosts = self.hosts.values();
+                let neighbours: Vec<SocketAddr> = hosts
+                    .filter(|host| host.zone == *zone)
+                    .map(|host| host.address)
+                    .collect();
+                for excerpt in excerpts {
+                    let message = HostMessage::Registry(excerpt);
+                    self.send(&message, &neighbours).await;
+                }
+            }
             GossipEvent::Broadcast(message) => {
                 let all: Vec<SocketAddr> =
                     self.hosts.values().map(|host| host.address).collect();
@@ -322,6 +348,7 @@
             }
         }
         if tick.begins_round() {
+            self.choose_reader();
             let reply = crate::tasks::ask(
                 &self.router.sender,
                 RouterEvent::ReadDemand,
@@ -344,6 +371,29 @@
         self.send(&HostMessage::Digest(with_demand), &demand_recipients).await;
     }
 
+    /// Determines whether this host reads the registry for its zone.
+    fn choose_reader(&self) {
+        let row = &self.setup.row;
+        let is_live = |host: &KnownHost| {
+            host.zone == row.zone
+                && host.last_digest_at.elapsed() < LIVENESS_TIMEOUT
+        };
+        let neighbours = self
+            .hosts
+            .iter()
+            .filter(|(_, host)| is_live(host))
+            .map(|(name, _)| name.as_str());
+        let chosen = is_zone_reader(&row.host, neighbours);
+        self.setup.is_reader.send_if_modified(|is_reader| {
+            let changed = *is_reader != chosen;
+            if changed {
+                tracing::info!(event = "zone_reader", chosen);
+            }
+            *is_reader = chosen;
+            changed
+        });
+    }
+
     /// Tells the recipients of this tick's digests which runners are leaving,
     /// if any have just said so to this host.
     async fn send_departures(
@@ -431,6 +481,11 @@
                 let _ =
                     self.placer.try_send(PlacerEvent::AdapterRequested(name));
             }
+            HostMessage::Registry(excerpt) => {
+                if self.setup.excerpts.try_send(excerpt).is_err() {
+                    tracing::debug!(event = "excerpt_dropped");
+                }
+            }
             HostMessage::Departing(starts) => {
                 let event = RouterEvent::Departing(starts);
                 let _ = self.router.sender.send(event).await;
--- a/crates/celerylead/src/tasks/node/mod.rs
+++ b/crates/celerylead/src/tasks/node/mod.rs
@@ -5,7 +5,8 @@
 //! |---|---|
 //! | `acceptor` | the callers' listener; starts a task for each connection |
 //! | `router` | the relay table, token buckets, idle connections to runners |
-//! | `watcher` | the positions in the store's feeds |
+//! | `watcher` | the position in the feed of the configuration |
+//! | `registry` | the position in the feed of the registry, the roster |
 //! | `gossip` | the UDP socket between hosts, the list of known hosts |
 //! | `placer` | the orders lease, the placement plan, orders in flight |
 //! | `control` | the sockets for readiness, metrics and snapshots |
@@ -23,6 +24,7 @@
 mod links;
 mod orders;
 mod placer;
+mod registry;
 mod router;
 mod run;
 #[cfg(test)]
--- a/crates/celerylead/src/tasks/node/run.rs
+++ b/crates/celerylead/src/tasks/node/run.rs
@@ -14,6 +14,7 @@
     NodeContext, NodePhase, acceptor, control, gossip,
     gossip::GossipSetup,
     placer::{self, PlacerSetup},
+    registry::{self, ZoneFeed},
     router,
     router::{RetryAllowance, RouterSetup},
     watcher::{self, WatcherSetup, WatcherViews},
@@ -109,8 +110,16 @@
     let metrics = HostMetrics::default();
     let (contact_sender, contact_receiver) =
         watch::channel(PeerContact::default());
-    let WatcherViews { catalog, roster, contact } =
-        watcher::start(&WatcherSetup {
+    let (is_reader, reader_receiver) = watch::channel(true);
+    let (excerpt_sender, excerpts) = mpsc::channel(registry::MAX_EXCERPTS);
+    let (gossip_port, gossip_inbox) = gossip::mailbox();
+    let zone_feed = ZoneFeed {
+        is_reader: reader_receiver,
+        excerpts,
+        gossip: gossip_port.clone(),
+    };
+    let WatcherViews { catalog, roster, contact } = watcher::start(
+        &WatcherSetup {
             codec: codec.clone(),
             store: store.clone(),
             clock: clock.clone(),
@@ -118,9 +127,10 @@
             seeds: options.seeds.clone(),
             peer_contact: contact_receiver,
             recovery_time: options.recovery_time,
-        });
+        },
+        zone_feed,
+    );
     let (phase, phase_receiver) = watch::channel(NodePhase::Serving);
-    let (gossip_port, gossip_inbox) = gossip::mailbox();
     let (router_port, router_inbox) = router::mailbox();
     let setup = RouterSetup {
         zone: options.zone.clone(),
@@ -163,6 +173,8 @@
         metrics: metrics.clone(),
         contact,
         peer_contact: contact_sender,
+        is_reader,
+        excerpts: excerpt_sender,
     };
     gossip::start(
         setup,
--- a/crates/stand-ins/src/rows.rs
+++ b/crates/stand-ins/src/rows.rs
@@ -5,7 +5,7 @@
 //! a bounded history. It implements only what the tests need: one part per
 //! table, and neither objects nor rates.
 
-use std::time::Duration;
+use std::time::{Duration, UNIX_EPOCH};
 
 use http_body_util::BodyExt as _;
 use hyper::{Request, StatusCode, body::Incoming};
@@ -119,11 +119,17 @@
     fn page(&self, rows: &[Value]) -> Value {
         json!({
             "rows": rows, "truncated": false,
-            "row_version": self.version, "now_ms": 0,
+            "row_version": self.version, "now_ms": now_ms(),
         })
     }
 }
 
+/// Returns the time by the store's clock.
+fn now_ms() -> u64 {
+    let since = UNIX_EPOCH.elapsed().unwrap_or_default();
+    u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+}
+
 #[derive(Deserialize)]
 struct Transaction {
     expected: Vec<ExpectedRow>,
