Hand parts of rates over when a host leaves

Cause: a host that leaves gave up its parts of the customers' rates, and the next holders found them vacant with a later poll, up to 2 s later, with empty buckets. Until then, customers whose parts it held were refused inside their rate, at that host itself and at the others. A charge whose tokens came after 500 ms also counted as the customer's being over its rate, and refused its other requests for 25 ms.

Ruled out: shorter polls, which only shorten the gap; holding the parts until the process ends, which moves the gap to a kill.

Change: the write that releases the lease names the next holders; they are told with what is left in the buckets and read the table at once. A host that has given up its parts says so instead of granting nothing, and a charge that lacks tokens for that reason asks again for up to 300 ms. Tokens that come too late are given back and the charge is made again. Hosts that don't know the new messages find the parts by their polls, as before.

The property test of the division hands parts over too and holds.

--- a/crates/celerylead/src/customer/bucket.rs
+++ b/crates/celerylead/src/customer/bucket.rs
@@ -87,6 +87,24 @@
         bucket
     }
 
+    /// Returns the whole tokens that can be taken now, and those that are
+    /// granted and may still be spent, for the next holder of the part.
+    pub fn balance(&mut self, now: EpochMillis) -> (u64, u64) {
+        let level = self.level(now);
+        let granted: i64 = self.grants.iter().map(|grant| grant.amount).sum();
+        let granted = (granted / MICROTOKENS_PER_TOKEN).saturating_add(1);
+        (level, u64::try_from(granted).unwrap_or(0))
+    }
+
+    /// Adds the balance of the former holder of the part. Its grants keep
+    /// their room until they can no longer be spent.
+    pub fn inherit(&mut self, level: u64, granted: u64, now: EpochMillis) {
+        let amount = clamp(granted).saturating_mul(MICROTOKENS_PER_TOKEN);
+        let deadline = now.after(GRANT_HOLD);
+        self.grants.push(TokenGrant { deadline, amount });
+        self.refund(level, now);
+    }
+
     /// Changes the rate, in millitokens per second, and the burst, in tokens.
     /// A smaller burst cuts the level at once; a larger burst fills up at the
     /// rate.
--- a/crates/celerylead/src/customer/limiter.rs
+++ b/crates/celerylead/src/customer/limiter.rs
@@ -21,6 +21,24 @@
 /// holders, after all holders together had too few tokens.
 const EXHAUSTED_TIME: Duration = Duration::from_millis(25);
 
+/// Time for which a balance waits for the table to show that this host holds
+/// the part.
+const BALANCE_TIME: Duration = Duration::from_millis(2_000);
+
+/// What is left in the bucket of a part whose holder hands it over.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct PartBalance {
+    /// Name of the customer.
+    pub customer: String,
+    /// Kind of the part.
+    pub kind: PartKind,
+    /// Tokens that can be taken.
+    pub level: u64,
+    /// Tokens that were granted to other hosts and may still be spent.
+    pub granted: u64,
+}
+
 /// Part of a rate from which tokens were taken.
 #[derive(
     Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize,
@@ -164,6 +182,10 @@
 pub struct ShareLimiter {
     zone: String,
     lease: HeldLease,
+    has_given_up: bool,
+    /// Balances of parts that were handed over to this host and that the table
+    /// hasn't shown yet, with the time until which they are kept.
+    balances: Vec<(EpochMillis, PartBalance)>,
     target: ShareTarget,
     customers: SortedTable<String, CustomerEntry>,
 }
@@ -174,6 +196,8 @@
         ShareLimiter {
             zone: zone.to_owned(),
             lease: HeldLease::default(),
+            has_given_up: false,
+            balances: Vec::new(),
             target: ShareTarget { zones: Vec::new(), standing_percent: 0 },
             customers: SortedTable::default(),
         }
@@ -186,8 +210,46 @@
     }
 
     /// Gives up the host's lease, and with it the use of all parts.
-    pub fn give_up(&mut self) {
+    /// Returns the balances of the parts, for their next holders.
+    pub fn give_up(&mut self, now: ClockBound) -> Vec<PartBalance> {
+        let mut balances = Vec::new();
+        for (customer, entry) in self.customers.iter_mut() {
+            for (kind, part) in entry.buckets.iter_mut() {
+                if !is_usable(&self.lease, *kind, now) {
+                    continue;
+                }
+                let (level, granted) = part.bucket.balance(now.latest);
+                let customer = customer.clone();
+                let kind = *kind;
+                balances.push(PartBalance { customer, kind, level, granted });
+            }
+        }
+        self.has_given_up = true;
         self.lease.give_up();
+        balances
+    }
+
+    /// Takes over the balances of parts that another host has handed over to
+    /// this one. A balance counts once the table shows the part here.
+    pub fn inherit(&mut self, balances: &[PartBalance], now: ClockBound) {
+        let until = now.latest.after(BALANCE_TIME);
+        self.balances.retain(|(until, _)| now.latest < *until);
+        for balance in balances {
+            let PartBalance { customer, kind, level, granted } = balance;
+            let entry = self.customers.get_mut(customer);
+            let part = entry.and_then(|entry| entry.buckets.get_mut(kind));
+            match part {
+                Some(part) => {
+                    part.bucket.inherit(*level, *granted, now.latest);
+                }
+                None => self.balances.push((until, balance.clone())),
+            }
+        }
+    }
+
+    /// Returns whether the host has given up its parts, as it is leaving.
+    pub fn has_given_up(&self) -> bool {
+        self.has_given_up
     }
 
     /// Adopts rates, bursts and zones from the settings.
@@ -243,6 +305,7 @@
         let Some(entry) = self.customers.get_mut(&row.customer) else {
             return;
         };
+        let balances = &mut self.balances;
         entry.holders.clear();
         for kind in PartKind::ALL {
             let own_part = row.parts.iter().find(|part| {
@@ -265,6 +328,15 @@
                 }
             });
             held_part.ppm = part.ppm;
+            let is_of_part = |(until, balance): &mut (_, PartBalance)| {
+                now.latest < *until
+                    && balance.customer == row.customer
+                    && balance.kind == kind
+            };
+            for (_, balance) in balances.extract_if(.., is_of_part) {
+                let PartBalance { level, granted, .. } = balance;
+                held_part.bucket.inherit(level, granted, now.latest);
+            }
             if !entry.previously_held.contains(&kind) {
                 entry.previously_held.push(kind);
             }
--- a/crates/celerylead/src/customer/mod.rs
+++ b/crates/celerylead/src/customer/mod.rs
@@ -23,7 +23,7 @@
     fleet::{FleetBucket, HostLiveness},
     key::{CallerKey, KeyHash},
     limiter::{
-        HolderAddress, HolderPart, PartTokens, ShareLimiter, TakenTokens,
-        TokenSource,
+        HolderAddress, HolderPart, PartBalance, PartTokens, ShareLimiter,
+        TakenTokens, TokenSource,
     },
 };
--- a/crates/celerylead/src/customer/share.rs
+++ b/crates/celerylead/src/customer/share.rs
@@ -15,11 +15,14 @@
 //! row; a host that grows a part writes the row first. A part taken over
 //! from a holder that may have spent it starts with an empty bucket. The
 //! bound `rate × window + burst` therefore holds across both changes. A host
-//! that holds no part of a customer's rate requests tokens from the holders
+//! that leaves names the next holders of its parts in the write that releases
+//! its lease, so that no part is without a holder for the time of a poll. A
+//! host that holds no part of a customer's rate requests tokens from the holders
 //! for each request.
 
 use serde::{Deserialize, Serialize};
 
+use super::limiter::PartBalance;
 use crate::{
     clock::ClockBound,
     membership::{HostLease, HostTag, best_host},
@@ -227,6 +230,41 @@
         (claim.row != *self).then_some(claim)
     }
 
+    /// Returns the row in which the parts of a host that is leaving belong to
+    /// the hosts that are preferred next, with the names of these hosts;
+    /// `None` if the host holds no part or no other host is live.
+    ///
+    /// The host that is leaving must not use its parts any more. The row may
+    /// be written only while the lease rows of the named hosts are unchanged.
+    pub fn hand_over(
+        &self,
+        from: &HostTag,
+        leases: &ZoneLeases,
+        now: ClockBound,
+    ) -> Option<ShareClaim> {
+        let mut claim =
+            ShareClaim { row: self.clone(), depends_on: Vec::new() };
+        let mut others = leases.clone();
+        others.remove(&from.host);
+        for part in &mut claim.row.parts {
+            if !part.is_held_by(from) {
+                continue;
+            }
+            let next =
+                preferred_holder(&self.customer, part.kind, &others, now);
+            let lease = next.and_then(|host| others.get(host))?;
+            if !claim.depends_on.contains(&lease.tag.host) {
+                claim.depends_on.push(lease.tag.host.clone());
+            }
+            part.fresh = false;
+            part.holder = Some(PartHolder {
+                tag: lease.tag.clone(),
+                address: lease.peer_address.clone(),
+            });
+        }
+        (claim.row != *self).then_some(claim)
+    }
+
     /// Adds the parts of a zone that is new to this customer, with size 0.
     fn add_missing(&mut self, zone: &str, target: &ShareTarget) {
         for kind in PartKind::ALL {
@@ -251,6 +289,22 @@
 }
 
 impl ShareClaim {
+    /// Returns whether the claim gives the part of this balance, in `zone`, to
+    /// the host incarnation `tag`.
+    pub fn gives(
+        &self,
+        balance: &PartBalance,
+        zone: &str,
+        tag: &HostTag,
+    ) -> bool {
+        self.row.customer == balance.customer
+            && self.row.parts.iter().any(|part| {
+                part.zone == zone
+                    && part.kind == balance.kind
+                    && part.is_held_by(tag)
+            })
+    }
+
     /// Assigns a part to the claimant. The row may be written only while the
     /// lease row of the former holder is unchanged.
     fn take(&mut self, index: usize, claimant: &ShareClaimant<'_>) {
--- a/crates/celerylead/src/customer/tests/division.rs
+++ b/crates/celerylead/src/customer/tests/division.rs
@@ -81,6 +81,12 @@
     reading: Option<Reading>,
 }
 
+impl Host {
+    fn bound(&self, now: u64) -> ClockBound {
+        bound(now, self.offset)
+    }
+}
+
 struct Simulation {
     now: u64,
     row: Option<ShareRow>,
@@ -356,9 +362,41 @@
         });
     }
 
+    /// A host releases its lease and hands its parts over, in one write.
     fn release(&mut self, index: usize) {
-        self.hosts[index].limiter.give_up();
+        let bound = self.bound(index);
+        let balances = self.hosts[index].limiter.give_up(bound);
         let nonce = self.hosts[index].nonce;
+        let own = self.leases[index].as_ref().map(|(lease, _)| lease);
+        let own = own.filter(|lease| lease.nonce == nonce);
+        if let (Some(own), Some(row)) = (own, &self.row) {
+            let mut leases = ZoneLeases::default();
+            for (other, lease) in self.leases.iter().enumerate() {
+                if let Some((lease, _)) = lease
+                    && ZONES[other] == ZONES[index]
+                {
+                    leases.insert(host_name(other), lease.clone());
+                }
+            }
+            if let Some(claim) = row.hand_over(&own.tag, &leases, bound) {
+                for (other, host) in self.hosts.iter_mut().enumerate() {
+                    let Some((lease, _)) = &self.leases[other] else {
+                        continue;
+                    };
+                    let given = balances.iter().filter(|balance| {
+                        claim.gives(balance, ZONES[index], &lease.tag)
+                    });
+                    let given: Vec<_> = given.cloned().collect();
+                    // A paused process reads the message when it resumes.
+                    if !host.paused && lease.nonce == host.nonce {
+                        host.limiter.inherit(&given, host.bound(self.now));
+                    }
+                }
+                self.last_version += 1;
+                self.row_version = self.last_version;
+                self.row = Some(claim.row);
+            }
+        }
         self.last_version += 1;
         let version = self.last_version;
         if let Some((lease, row_version)) = &mut self.leases[index]
--- a/crates/celerylead/src/tasks/host.rs
+++ b/crates/celerylead/src/tasks/host.rs
@@ -196,10 +196,12 @@
     let (peers, peer_inbox) = peer::mailbox();
     let (share_sender, share_inbox) = shares::mailbox();
     let (copy_sender, copies) = usage::copies_mailbox();
+    let (member, member_inbox) = member::mailbox();
     let sources = PeerSources {
         shares: share_sender.clone(),
         settings: settings_watch.clone(),
         usage: copy_sender,
+        member: member.clone(),
     };
     peer::start(endpoint, &sources, peer_inbox);
     let shares = shares::start(
@@ -231,7 +233,7 @@
         metrics: metrics.clone(),
     };
     let (usage, usage_task) = usage::start(usage_setup, copies);
-    let member = member::start(MemberSetup {
+    let setup = MemberSetup {
         identity: identity.clone(),
         table,
         clock: clock.clone(),
@@ -243,7 +245,8 @@
         settings,
         neighbours,
         metrics: metrics.clone(),
-    });
+    };
+    member::start(setup, member_inbox);
     let context = HostContext {
         dispatch,
         identity,
--- a/crates/celerylead/src/tasks/member.rs
+++ b/crates/celerylead/src/tasks/member.rs
@@ -19,12 +19,14 @@
 };
 
 use super::{
+    MAILBOX_CAPACITY,
     dispatch::{DispatchEvent, DispatchPort},
     peer::PeerPort,
     shares::{ShareEvent, ShareView},
 };
 use crate::{
     clock::{EpochMillis, HostClock},
+    customer::PartBalance,
     customer::share::{
         ShareClaim, ShareClaimant, ShareRow, ShareTarget, ZoneLeases,
     },
@@ -48,6 +50,9 @@
 const POLL_AFTER_WRITE: Duration = Duration::from_millis(100);
 /// Interval between two renewals of the lease.
 const RENEW_PERIOD: Duration = Duration::from_millis(2_000);
+/// Attempts to write the release of the lease; another host may write its own
+/// row or claim a part at the same time.
+const MAX_RELEASE_ATTEMPTS: usize = 4;
 /// Upper bound on the claims that are written after one poll.
 const MAX_CLAIMS: usize = 64;
 
@@ -66,6 +71,9 @@
 pub(crate) enum MemberEvent {
     /// Give up the lease and everything that depends on it.
     Release(oneshot::Sender<()>),
+    /// Read the leases and the shares now, as another host has handed parts
+    /// over to this one.
+    PollNow,
 }
 
 /// Configuration and handles with which the task is started.
@@ -107,8 +115,7 @@
 }
 
 /// Starts the task; it ends when its senders are dropped.
-pub(crate) fn start(setup: MemberSetup) -> mpsc::Sender<MemberEvent> {
-    let (sender, inbox) = mpsc::channel(1);
+pub(crate) fn start(setup: MemberSetup, inbox: mpsc::Receiver<MemberEvent>) {
     let task = MemberTask {
         setup,
         own_lease: None,
@@ -120,7 +127,13 @@
         peer_round: 0,
     };
     super::spawn(task.run(inbox));
-    sender
+}
+
+/// Creates the mailbox of the task. The peer task needs the sending end before
+/// this task is started.
+pub(crate) fn mailbox()
+-> (mpsc::Sender<MemberEvent>, mpsc::Receiver<MemberEvent>) {
+    mpsc::channel(MAILBOX_CAPACITY)
 }
 
 impl MemberTask {
@@ -129,14 +142,19 @@
         loop {
             tokio::select! {
                 event = inbox.recv() => {
-                    let Some(MemberEvent::Release(reply)) = event else {
-                        return;
-                    };
+                    match event {
+                        Some(MemberEvent::Release(reply)) => {
+                            self.release().await;
+                            let _ = reply.send(());
+                        }
+                        Some(MemberEvent::PollNow) => {}
+                        None => return,
+                    }
                     // The polls go on after the release, as the host answers
                     // callers until the load balancer notices, and needs the
                     // settings and the holders of parts for that.
-                    self.release().await;
-                    let _ = reply.send(());
+                    self.full_poll_at = Instant::now();
+                    next_poll_at = Instant::now();
                 }
                 () = tokio::time::sleep_until(next_poll_at) => {
                     let poll_soon = self.poll_table().await;
@@ -307,12 +325,7 @@
     /// another process.
     fn adopt_leases(&mut self, answer: &ReadResponse) -> anyhow::Result<()> {
         let identity = &self.setup.identity;
-        let mut leases = ZoneLeases::default();
-        let prefix = hosts_prefix(&identity.zone);
-        for row in answer.rows_with_prefix(&prefix) {
-            let lease: HostLease = row.decode()?;
-            leases.insert(lease.tag.host.clone(), lease);
-        }
+        let leases = self.decode_leases(answer)?;
         let row = leases.get(&identity.host);
         let own_row =
             row.filter(|lease| lease.nonce == identity.nonce).cloned();
@@ -333,6 +346,19 @@
         Ok(())
     }
 
+    fn decode_leases(
+        &self,
+        answer: &ReadResponse,
+    ) -> anyhow::Result<ZoneLeases> {
+        let mut leases = ZoneLeases::default();
+        let prefix = hosts_prefix(&self.setup.identity.zone);
+        for row in answer.rows_with_prefix(&prefix) {
+            let lease: HostLease = row.decode()?;
+            leases.insert(lease.tag.host.clone(), lease);
+        }
+        Ok(leases)
+    }
+
     fn renewal_is_due(&self) -> bool {
         RENEW_PERIOD <= self.renewed_at.elapsed()
     }
@@ -486,32 +512,87 @@
         }
     }
 
-    /// Gives up the lease and the parts, so that other hosts can take the
-    /// parts at once.
+    /// Gives up the lease and the parts, and hands the parts over to the hosts
+    /// that are preferred next. If that fails, these hosts find the parts
+    /// vacant once the lease has lapsed.
     async fn release(&mut self) {
         self.retired = true;
-        super::ask(&self.setup.shares, ShareEvent::GiveUp).await;
+        let balances =
+            super::ask(&self.setup.shares, ShareEvent::GiveUp).await;
+        let balances = balances.unwrap_or_default();
         let Some(own) = self.own_lease.take() else { return };
-        let released = self.write_release(&own).await;
-        if let Err(error) = released {
-            self.record_failure(&error);
+        for _ in 0..MAX_RELEASE_ATTEMPTS {
+            match self.write_release(&own, &balances).await {
+                Ok(true) => return,
+                Ok(false) => {}
+                Err(error) => self.record_failure(&error),
+            }
         }
     }
 
-    async fn write_release(&self, own: &HostLease) -> anyhow::Result<()> {
+    /// Writes the release of the lease together with the next holders of the
+    /// parts, and tells these holders. Returns whether it was written: it
+    /// isn't if a row has changed meanwhile.
+    async fn write_release(
+        &self,
+        own: &HostLease,
+        balances: &[PartBalance],
+    ) -> anyhow::Result<bool> {
+        let mut request = self.read_request(true);
+        request.prefixes.push(SHARES_PREFIX.to_owned());
+        let answer = self.setup.table.read(&request).await?;
+        let leases = self.decode_leases(&answer)?;
         let identity = &self.setup.identity;
         let key = host_key(&identity.zone, &identity.host);
-        let request =
-            ReadRequest { keys: vec![key.clone()], prefixes: Vec::new() };
-        let answer = self.setup.table.read(&request).await?;
         let lease = HostLease { phase: LeasePhase::Released, ..own.clone() };
-        let request = CommitRequest::default()
+        let mut request = CommitRequest::default()
             .check(&key, answer.version(&key))
             .write(&key, &lease);
-        let answer = self.setup.table.commit(&request).await?;
-        let committed = answer.committed;
-        tracing::info!(event = "host_released", committed);
-        Ok(())
+        let now = self.setup.clock.bound();
+        let claims: Vec<ShareClaim> = decode_share_rows(&answer)?
+            .iter()
+            .filter_map(|row| row.hand_over(&own.tag, &leases, now))
+            .collect();
+        let mut heirs: Vec<&String> =
+            claims.iter().flat_map(|claim| &claim.depends_on).collect();
+        heirs.sort();
+        heirs.dedup();
+        for heir in &heirs {
+            let key = host_key(&identity.zone, heir);
+            request = request.check(&key, answer.version(&key));
+        }
+        for claim in &claims {
+            let key = share_key(&claim.row.customer);
+            request = request
+                .check(&key, answer.version(&key))
+                .write(&key, &claim.row);
+        }
+        if !claims.is_empty() {
+            let head = answer.version(SHARES_HEAD);
+            request =
+                request.check(SHARES_HEAD, head).write(SHARES_HEAD, &head);
+        }
+        let committed = self.setup.table.commit(&request).await?.committed;
+        tracing::info!(
+            event = "host_released",
+            committed,
+            handed_over = claims.len(),
+        );
+        if committed {
+            for heir in heirs.iter().filter_map(|heir| leases.get(*heir)) {
+                let is_theirs = |balance: &&PartBalance| {
+                    claims.iter().any(|claim| {
+                        claim.gives(balance, &identity.zone, &heir.tag)
+                    })
+                };
+                let balances = balances.iter().filter(is_theirs).cloned();
+                let request = PeerRequest::PartsHandedOver {
+                    balances: balances.collect(),
+                };
+                self.setup.peers.ask(&heir.peer_address, &request).await;
+            }
+        }
+        Ok(committed)
     }
 
     fn update_lease_metric(&self) {
--- a/crates/celerylead/src/tasks/peer.rs
+++ b/crates/celerylead/src/tasks/peer.rs
@@ -11,7 +11,12 @@
     time::Instant,
 };
 
-use super::{MAILBOX_CAPACITY, shares::ShareEvent, usage::CopyEvent};
+use super::{
+    MAILBOX_CAPACITY,
+    member::MemberEvent,
+    shares::{GrantReply, ShareEvent},
+    usage::CopyEvent,
+};
 use crate::{
     customer::{HolderAddress, HolderPart, PartTokens, TakenTokens},
     settings::SettingsView,
@@ -97,40 +102,39 @@
     }
 }
 
+/// What other holders granted for a request.
+#[derive(Default)]
+pub(crate) struct GrantedTokens {
+    pub(crate) taken: TakenTokens,
+    /// Whether a holder has handed its parts over to others.
+    pub(crate) handed_over: bool,
+}
+
 /// Requests tokens from other holders in the given order, nearest first, until
-/// the tokens suffice.
+/// the tokens suffice. A holder that doesn't answer grants none.
 pub(crate) async fn request_grants(
     peers: &PeerPort,
     customer: &str,
     tokens: u64,
     holders: &[HolderAddress],
-) -> TakenTokens {
-    let mut taken = TakenTokens::default();
-    for holder in holders {
-        let missing = tokens.saturating_sub(taken.total());
+) -> GrantedTokens {
+    let mut granted = GrantedTokens::default();
+    for HolderAddress { address, .. } in holders {
+        let missing = tokens.saturating_sub(granted.taken.total());
         if missing == 0 {
             break;
         }
-        let granted =
-            request_grant(peers, customer, missing, &holder.address).await;
-        taken.insert_granted(&holder.address, granted);
-    }
-    taken
-}
-
-/// Requests tokens from the host at `address`; without an answer, none are
-/// granted.
-async fn request_grant(
-    peers: &PeerPort,
-    customer: &str,
-    tokens: u64,
-    address: &str,
-) -> PartTokens {
-    let request = PeerRequest::Grant { customer: customer.to_owned(), tokens };
-    match peers.ask(address, &request).await {
-        Some(PeerResponse::Granted(granted)) => granted,
-        _ => PartTokens::default(),
+        let customer = customer.to_owned();
+        let request = PeerRequest::Grant { customer, tokens: missing };
+        match peers.ask(address, &request).await {
+            Some(PeerResponse::Granted(tokens)) => {
+                granted.taken.insert_granted(address, tokens);
+            }
+            Some(PeerResponse::HandedOver) => granted.handed_over = true,
+            _ => {}
+        }
     }
+    granted
 }
 
 /// Handles to the tasks and settings from which requests of other hosts are
@@ -140,6 +144,7 @@
     pub(crate) shares: mpsc::Sender<ShareEvent>,
     pub(crate) settings: watch::Receiver<SettingsView>,
     pub(crate) usage: mpsc::Sender<CopyEvent>,
+    pub(crate) member: mpsc::Sender<MemberEvent>,
 }
 
 /// State of the task.
@@ -381,7 +386,18 @@
             let granted = super::ask(&sources.shares, |reply| {
                 ShareEvent::Grant { customer, tokens, reply }
             });
-            PeerResponse::Granted(granted.await.unwrap_or_default())
+            match granted
+                .await
+                .unwrap_or(GrantReply::Granted(PartTokens::default()))
+            {
+                GrantReply::Granted(tokens) => PeerResponse::Granted(tokens),
+                GrantReply::HandedOver => PeerResponse::HandedOver,
+            }
+        }
+        PeerRequest::PartsHandedOver { balances } => {
+            let _ = sources.shares.send(ShareEvent::Inherit(balances)).await;
+            let _ = sources.member.send(MemberEvent::PollNow).await;
+            PeerResponse::Done
         }
         PeerRequest::SettleGrant { customer, kind, ended, spare } => {
             let event =
--- a/crates/celerylead/src/tasks/shares.rs
+++ b/crates/celerylead/src/tasks/shares.rs
@@ -18,7 +18,7 @@
 use crate::{
     clock::{EpochMillis, HostClock},
     customer::{
-        HolderAddress, PartTokens, ShareLimiter, TakenTokens,
+        HolderAddress, PartBalance, PartTokens, ShareLimiter, TakenTokens,
         share::{PartKind, ShareRow},
     },
     membership::HostLease,
@@ -38,18 +38,21 @@
         reply: oneshot::Sender<ChargeReply>,
     },
     /// Grant up to this many tokens to another host.
-    Grant { customer: String, tokens: u64, reply: oneshot::Sender<PartTokens> },
+    Grant { customer: String, tokens: u64, reply: oneshot::Sender<GrantReply> },
     /// Settle a grant to another host, as reported by that host.
     SettleGrant { customer: String, kind: PartKind, ended: u64, spare: u64 },
     /// Record that a request was refused because all holders together lacked
-    /// `missing` tokens; 0 if the charge took too long instead.
+    /// `missing` tokens.
     Exhausted { customer: String, missing: u64 },
     /// Adopt these settings. They are in force once the reply is sent.
     Adopt { view: SettingsView, reply: oneshot::Sender<()> },
     /// Leases and parts as read from the platform's table.
     Confirm(ShareView),
-    /// Stop using all parts. No part is used once the reply is sent.
-    GiveUp(oneshot::Sender<()>),
+    /// Stop using all parts. No part is used once the reply with their
+    /// balances is sent.
+    GiveUp(oneshot::Sender<Vec<PartBalance>>),
+    /// Take over the balances of parts that another host has handed over.
+    Inherit(Vec<PartBalance>),
 }
 
 /// Leases and parts as read from the table at one point in time.
@@ -61,12 +64,22 @@
     pub(crate) rows: Vec<ShareRow>,
 }
 
+/// Answer to another host that requests tokens.
+pub(crate) enum GrantReply {
+    /// The tokens granted.
+    Granted(PartTokens),
+    /// This host is leaving and has given up its parts.
+    HandedOver,
+}
+
 /// Result of a charge against the parts that this host holds.
 pub(crate) struct ChargeReply {
     /// Tokens taken from the parts that this host holds.
     pub(crate) taken: TakenTokens,
     /// Holders from which to request the missing tokens, nearest first.
     pub(crate) holders: Vec<HolderAddress>,
+    /// Whether this host is leaving and has given up its parts.
+    pub(crate) handed_over: bool,
     /// Refusal that is certain without a request to other holders.
     pub(crate) refusal: Option<Refusal>,
 }
@@ -115,62 +128,120 @@
 }
 
 impl SharePort {
-    /// Takes `tokens` from a customer's rate: first from the parts that this
-    /// host holds, then from other holders.
-    pub(crate) async fn charge(
+    /// Adds up to `missing` tokens to `taken`, from the parts of this host and
+    /// then from other holders. Returns whether parts are being handed over
+    /// from one host to another, so that more may be had in a moment.
+    async fn gather(
         &self,
         customer: &str,
-        tokens: u64,
-    ) -> Result<TokenCharge, Refusal> {
-        let permit = self.end_sender.clone().reserve_owned().await;
-        let permit = permit.map_err(|_| shutting_down())?;
-        let started_at = self.clock.now();
+        missing: u64,
+        taken: &mut TakenTokens,
+    ) -> Result<bool, Refusal> {
         let reply = super::ask(&self.sender, |reply| ShareEvent::Charge {
             customer: customer.to_owned(),
-            tokens,
+            tokens: missing,
             reply,
         });
         let reply = reply.await.ok_or_else(shutting_down)?;
         if let Some(refusal) = reply.refusal {
             return Err(refusal);
         }
-        let mut taken = reply.taken;
-        let missing = tokens.saturating_sub(taken.total());
-        if 0 < missing {
-            let granted =
-                request_grants(&self.peers, customer, missing, &reply.holders)
-                    .await;
-            taken.add(&granted);
+        taken.add(&reply.taken);
+        let missing = missing.saturating_sub(reply.taken.total());
+        if missing == 0 {
+            return Ok(false);
         }
-        let mut end = ChargeEnd {
-            customer: customer.to_owned(),
-            taken,
-            used: 0,
-            unspent: false,
-        };
-        let missing = tokens.saturating_sub(end.taken.total());
-        // A grant may be spent only while its holder keeps capacity reserved
-        // for it.
-        let late = self.clock.now() > started_at.after(MAX_CHARGE_TIME);
-        if missing == 0 && !late {
-            for (part, tokens) in end.taken.granted() {
-                self.peers.settle_grant(part, customer, tokens, 0);
+        let granted =
+            request_grants(&self.peers, customer, missing, &reply.holders)
+                .await;
+        taken.add(&granted.taken);
+        Ok(reply.handed_over || granted.handed_over)
+    }
+
+    /// Takes `tokens` from a customer's rate: first from the parts that this
+    /// host holds, then from other holders.
+    pub(crate) async fn charge(
+        &self,
+        customer: &str,
+        tokens: u64,
+    ) -> Result<TokenCharge, Refusal> {
+        for _ in 0..MAX_CHARGE_ATTEMPTS {
+            let permit = self.end_sender.clone().reserve_owned().await;
+            let permit = permit.map_err(|_| shutting_down())?;
+            let started_at = self.clock.now();
+            let (taken, refusal) = self.gather_all(customer, tokens).await;
+            let mut end = ChargeEnd {
+                customer: customer.to_owned(),
+                taken,
+                used: 0,
+                unspent: false,
+            };
+            let missing = tokens.saturating_sub(end.taken.total());
+            // A grant may be spent only while its holder keeps capacity
+            // reserved for it.
+            let is_late = started_at.after(MAX_CHARGE_TIME) < self.clock.now();
+            if missing == 0 && !is_late {
+                for (part, tokens) in end.taken.granted() {
+                    self.peers.settle_grant(part, customer, tokens, 0);
+                }
+                return Ok(TokenCharge { end: Some((permit, end)) });
+            }
+            end.unspent = true;
+            permit.send(end);
+            if let Some(refusal) = refusal {
+                return Err(refusal);
+            }
+            if 0 < missing {
+                let customer = customer.to_owned();
+                let exhausted = ShareEvent::Exhausted { customer, missing };
+                let _ = self.sender.send(exhausted).await;
+                return Err(self.over_rate("the customer is over its rate"));
             }
-            return Ok(TokenCharge { end: Some((permit, end)) });
         }
-        end.unspent = true;
-        permit.send(end);
-        let exhausted =
-            ShareEvent::Exhausted { customer: customer.to_owned(), missing };
-        let _ = self.sender.send(exhausted).await;
-        Err(Refusal::not_run(
-            RefusalCode::RateLimited,
-            "the customer is over its rate",
-        )
-        .retry_at(Some(started_at.after(RETRY_WAIT))))
+        Err(self.over_rate("the holders of the rate answer too late"))
+    }
+
+    /// Gathers up to `tokens`, again while parts are being handed over from one
+    /// host to another. Returns what was taken and, if tokens are missing, the
+    /// refusal for a reason other than the rate.
+    async fn gather_all(
+        &self,
+        customer: &str,
+        tokens: u64,
+    ) -> (TakenTokens, Option<Refusal>) {
+        let mut taken = TakenTokens::default();
+        let until = self.clock.now().after(MAX_HANDOVER_TIME);
+        loop {
+            let missing = tokens.saturating_sub(taken.total());
+            let handed_over =
+                match self.gather(customer, missing, &mut taken).await {
+                    Ok(handed_over) => handed_over,
+                    Err(refusal) => return (taken, Some(refusal)),
+                };
+            let is_short = taken.total() < tokens;
+            if !is_short || !handed_over || until < self.clock.now() {
+                return (taken, None);
+            }
+            tokio::time::sleep(HANDOVER_PAUSE).await;
+        }
+    }
+
+    fn over_rate(&self, message: &str) -> Refusal {
+        let retry_at = self.clock.now().after(RETRY_WAIT);
+        Refusal::not_run(RefusalCode::RateLimited, message)
+            .retry_at(Some(retry_at))
     }
 }
 
+/// Attempts of a charge whose tokens came too late to be spent, which says
+/// nothing about the customer's rate.
+const MAX_CHARGE_ATTEMPTS: u32 = 3;
+/// Pause before tokens are requested again from the next holders of parts that
+/// are being handed over.
+const HANDOVER_PAUSE: Duration = Duration::from_millis(25);
+/// Time from the start of a charge after which no further request for tokens
+/// begins; the last one has to end within [`MAX_CHARGE_TIME`].
+const MAX_HANDOVER_TIME: Duration = Duration::from_millis(300);
 /// Longest time from the start of a charge to the use of its grants; well
 /// below [`crate::customer::GRANT_HOLD`].
 const MAX_CHARGE_TIME: Duration = Duration::from_millis(500);
@@ -245,7 +316,12 @@
                 }
             }
             ShareEvent::Grant { customer, tokens, reply } => {
-                let granted = self.limiter.grant(&customer, tokens, now);
+                let granted = if self.limiter.has_given_up() {
+                    GrantReply::HandedOver
+                } else {
+                    let tokens = self.limiter.grant(&customer, tokens, now);
+                    GrantReply::Granted(tokens)
+                };
                 // If the reply can't be delivered, the grant keeps its
                 // capacity reserved until it expires.
                 let _ = reply.send(granted);
@@ -265,8 +341,10 @@
                 self.limiter.confirm(lease, view.read_from, &view.rows, now);
             }
             ShareEvent::GiveUp(reply) => {
-                self.limiter.give_up();
-                let _ = reply.send(());
+                let _ = reply.send(self.limiter.give_up(now));
+            }
+            ShareEvent::Inherit(balances) => {
+                self.limiter.inherit(&balances, now);
             }
         }
     }
@@ -279,11 +357,13 @@
             Ok(taken) => ChargeReply {
                 taken,
                 holders: self.limiter.holders(customer),
+                handed_over: self.limiter.has_given_up(),
                 refusal: None,
             },
             Err(refusal) => ChargeReply {
                 taken: TakenTokens::default(),
                 holders: Vec::new(),
+                handed_over: false,
                 refusal: Some(refusal),
             },
         }
--- a/crates/celerylead/src/wire/peer.rs
+++ b/crates/celerylead/src/wire/peer.rs
@@ -19,14 +19,15 @@
 
 use crate::{
     clock::EpochMillis,
-    customer::{PartTokens, share::PartKind},
+    customer::{PartBalance, PartTokens, share::PartKind},
     settings::SettingsState,
     usage::UsageBatch,
 };
 
 /// Name in the certificate of every host.
 pub const PEER_NAME: &str = "celerylead-host";
-/// ALPN protocol name. It has to change whenever the messages change.
+/// ALPN protocol name. It has to change whenever the messages change, unless
+/// hosts that don't know a new message can do without it.
 const PEER_PROTOCOL: &[u8] = b"celerylead-peer/1";
 /// Time without a packet after which a connection is closed.
 const PEER_IDLE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -50,6 +51,10 @@
     KeepUsage { batch: UsageBatch },
     /// States that the usage records of this name are in the object store.
     ConfirmUsage { name: String },
+    /// States that the sender, which is leaving, has handed parts of rates
+    /// over to the peer. A peer that doesn't know this message finds the parts
+    /// with its next poll.
+    PartsHandedOver { balances: Vec<PartBalance> },
 }
 
 /// Response to a [`PeerRequest`].
@@ -62,6 +67,9 @@
     Done,
     /// The settings in force on the responding host.
     Settings(PeerSettings),
+    /// No tokens are granted, as the responding host is leaving and has given
+    /// up its parts; their next holders are known to the table.
+    HandedOver,
 }
 
 /// The settings in force on another host.
--- a/crates/system-tests/tests/system/shutdown.rs
+++ b/crates/system-tests/tests/system/shutdown.rs
@@ -117,6 +117,57 @@
     println!("{answered} requests answered during two replacements");
 }
 
+/// Guards against refusals of customers inside their rate between the release
+/// of a part by a host that leaves and the next poll of the host that takes it
+/// over: with this many customers, each host holds both parts of some.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_shutdown_hands_the_parts_of_rates_over() {
+    const CUSTOMERS: usize = 12;
+    let customers: Vec<TestCustomer> = (0..CUSTOMERS)
+        .map(|index| TestCustomer {
+            name: format!("parish-{index:02}").leak(),
+            key: format!("cl-parish-{index:02}").leak(),
+            rate: 90_000,
+            burst: 90_000,
+        })
+        .collect();
+    let mut fleet = Fleet::start(&[200.0]).await;
+    let address = fleet.engines[0].address.clone();
+    fleet
+        .apply(&settings_file(
+            &["kgn"],
+            &[("kgn", &address)],
+            &customers,
+            "slots = 64\nmax_output_tokens = 1000",
+        ))
+        .await;
+    fleet.host("kgn-1", "kgn").await;
+    fleet.host("kgn-2", "kgn").await;
+    fleet.wait_shares().await;
+    let listens: Vec<String> =
+        fleet.hosts.iter().map(|host| host.listen.clone()).collect();
+    fleet.hosts[0].signal(Signal::TERM);
+    let start = Instant::now();
+    while start.elapsed() < Duration::from_millis(2_200) {
+        for TestCustomer { key, .. } in &customers {
+            // The load balancer sends calls to the leaving host for a while.
+            let hosts = if start.elapsed() < Duration::from_millis(300) {
+                &listens[..]
+            } else {
+                &listens[1..]
+            };
+            for listen in hosts {
+                let answer =
+                    call(listen, chat(key, "outline", 1, false)).await;
+                let answer = answer.expect("an answer");
+                let at = start.elapsed();
+                assert_eq!(answer.status, 200, "{key} at {listen}, {at:?}");
+            }
+        }
+    }
+    assert!(fleet.hosts[0].wait_end().await, "the host ends cleanly");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_draining_runner_gets_no_new_work() {
     let fleet = two_hosts(&[100.0, 100.0]).await;
