Let the last copy of a model yield to one in much higher demand

Cause: the plan gave each model a first copy for good.

Change: in a fleet's plan a model without a copy may take the place of last copies in under a twelfth of its demand; a model nobody calls evicts nothing. A model that the plan wants nowhere may be unloaded. Zones of our own platform keep each model's last copy, as before.

Table of cases without a network for the pattern.

--- a/crates/celerylead/src/placement/fleet.rs
+++ b/crates/celerylead/src/placement/fleet.rs
@@ -4,8 +4,8 @@
 use crate::{
     catalog::{EngineSpec, ServiceSpec},
     placement::{
-        LoadSource, ModelDemand, ModelNeed, PlacementPlan, PlanPace,
-        RunnerCapacity,
+        LastReplica, LoadSource, ModelDemand, ModelNeed, PlacementPlan,
+        PlanPace, RunnerCapacity,
         managed::{Idle, ManagedRunner},
         next_plan,
         table::RunnerTable,
@@ -86,6 +86,7 @@
         let pace = PlanPace {
             changes: MAX_REPLICAS_PER_TURN,
             swap_demand: engine.token_capacity as f64 * SWAP_SHARE,
+            last_replica: LastReplica::Yields,
         };
         *plan = next_plan(plan, &capacities, &needs, pace);
         Some(ServicePlan { plan, engine, service: name })
@@ -111,7 +112,7 @@
 
     /// Returns the next step of a runner towards its planned models: the load
     /// of a missing model that fits, or else the unload of an unplanned model
-    /// that another runner keeps.
+    /// that may go.
     fn step_at(
         &self,
         managed: &ManagedRunner<Idle>,
@@ -134,7 +135,7 @@
         }
         let unwanted = managed.models.iter().find(|model| {
             !target.contains(&model.name)
-                && self.has_survivor(&model.name, &managed.facts.id, runners)
+                && self.may_go(&model.name, &managed.facts.id, runners)
         })?;
         Some(ModelStep {
             runner,
@@ -157,9 +158,9 @@
         self.engine.memory_mb - held_mb - adapter_reserve_mb(self.engine)
     }
 
-    /// Returns whether another runner holds a model and keeps it according to
-    /// the plan.
-    fn has_survivor(
+    /// Returns whether a model may go from a runner: the plan wants it nowhere,
+    /// or another runner holds it and keeps it according to the plan.
+    fn may_go(
         &self,
         model: &str,
         runner: &str,
@@ -168,6 +169,10 @@
         if self.engine.model(model).is_none() {
             return true;
         }
+        let mut targets = self.plan.targets.values();
+        if !targets.any(|target| target.iter().any(|m| m == model)) {
+            return true;
+        }
         runners.usable().any(|(facts, models)| {
             let planned = self.plan.targets.get(&facts.id);
             facts.id != runner
--- a/crates/celerylead/src/placement/mod.rs
+++ b/crates/celerylead/src/placement/mod.rs
@@ -49,7 +49,10 @@
         Idle, ManagedRunner, NeedsReport, OrderAttempt, Pending, Unanswered,
     },
     order::{OrderDraft, OwnedRunner},
-    plan::{ModelNeed, PlacementPlan, PlanPace, RunnerCapacity, next_plan},
+    plan::{
+        LastReplica, ModelNeed, PlacementPlan, PlanPace, RunnerCapacity,
+        next_plan,
+    },
     table::{OrderStep, RunnerTable, SendOutcome},
     uses::UseTable,
 };
--- a/crates/celerylead/src/placement/plan.rs
+++ b/crates/celerylead/src/placement/plan.rs
@@ -11,6 +11,22 @@
 /// second.
 const MIN_REPLICA_DEMAND: f64 = 1.0;
 
+/// Weight of a model's demand if its last replica is at stake: its callers
+/// would have to wait for a load, while those of other models only share.
+const LAST_REPLICA_WEIGHT: f64 = 4.0;
+
+/// What may happen to the last replica of a model.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LastReplica {
+    /// It stays, so that a call of any model finds a replica.
+    Stays,
+    /// It may be evicted for a model that has no replica and is in much higher
+    /// demand, but not for a further replica. A model without a replica is
+    /// loaded once it is called.
+    Yields,
+}
+
 /// How fast a plan follows demand.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -21,13 +37,19 @@
     /// Demand per replica at which a model may replace another model's
     /// replica, in tokens per second.
     pub swap_demand: f64,
+    /// What may happen to the last replica of a model.
+    pub last_replica: LastReplica,
 }
 
 impl PlanPace {
     /// Creates a pace of `changes` replicas per turn that applies to any
-    /// demand.
+    /// demand and evicts no last replica.
     pub fn of_changes(changes: usize) -> PlanPace {
-        PlanPace { changes, swap_demand: MIN_REPLICA_DEMAND }
+        PlanPace {
+            changes,
+            swap_demand: MIN_REPLICA_DEMAND,
+            last_replica: LastReplica::Stays,
+        }
     }
 }
 
@@ -105,6 +127,7 @@
         capacities,
         needs,
         swap_demand: pace.swap_demand,
+        last_replica: pace.last_replica,
         plan: PlacementPlan::default(),
         replicas: SortedTable::default(),
         used_mb: SortedTable::default(),
@@ -123,6 +146,7 @@
     capacities: &'a [RunnerCapacity],
     needs: &'a [ModelNeed],
     swap_demand: f64,
+    last_replica: LastReplica,
     plan: PlacementPlan,
     /// Planned replicas by model, and planned memory by runner in MB. Both are
     /// kept up to date rather than computed, as they are read far more often
@@ -165,6 +189,10 @@
                 self.place(&capacity.name.clone(), &need.name);
                 continue;
             }
+            let is_idle = (need.demand as f64) < MIN_REPLICA_DEMAND;
+            if is_idle && self.last_replica == LastReplica::Yields {
+                continue;
+            }
             if let Some((runner, evicted)) = self.make_room(need) {
                 evicted.iter().for_each(|model| self.remove(&runner, model));
                 self.place(&runner, &need.name);
@@ -231,9 +259,9 @@
         true
     }
 
-    /// Finds a runner, and the surplus replicas there to evict for a model
-    /// that has no replica. Surplus replicas with the least demand are evicted
-    /// first.
+    /// Finds a runner, and the replicas there to evict for a model that has no
+    /// replica. Replicas with the least demand are evicted first: surplus ones,
+    /// and last ones if they may yield to the demand for the model.
     fn make_room(&self, need: &ModelNeed) -> Option<(String, Vec<String>)> {
         let mut best: Option<(f64, String, Vec<String>)> = None;
         for capacity in self
@@ -244,8 +272,13 @@
             let mut surplus: Vec<&ModelNeed> = self
                 .planned(&capacity.name)
                 .iter()
-                .filter(|model| 1 < self.replicas(model))
                 .filter_map(|model| self.need(model))
+                .filter(|other| {
+                    let limit = need.demand as f64 / SWAP_FACTOR;
+                    let yields = self.last_replica == LastReplica::Yields
+                        && self.demand_after_loss(other) < limit;
+                    1 < self.replicas(&other.name) || yields
+                })
                 .collect();
             surplus.sort_by(|one, other| {
                 let demand = self.demand_after_loss(one);
@@ -312,10 +345,13 @@
         need.demand as f64 / self.replicas(&need.name).max(1) as f64
     }
 
-    /// Returns the demand per replica after the loss of one replica.
+    /// Returns the demand per replica after the loss of one replica; if that is
+    /// the last one, the whole demand, weighted.
     fn demand_after_loss(&self, need: &ModelNeed) -> f64 {
-        let left = self.replicas(&need.name).saturating_sub(1).max(1);
-        need.demand as f64 / left as f64
+        match self.replicas(&need.name).saturating_sub(1) {
+            0 => need.demand as f64 * LAST_REPLICA_WEIGHT,
+            left => need.demand as f64 / left as f64,
+        }
     }
 
     /// Plans a model on a runner and reserves the memory for it.
--- a/crates/celerylead/src/placement/tests.rs
+++ b/crates/celerylead/src/placement/tests.rs
@@ -3,7 +3,9 @@
 mod loads;
 mod managed;
 
-use super::{ModelNeed, PlacementPlan, PlanPace, RunnerCapacity, next_plan};
+use super::{
+    LastReplica, ModelNeed, PlacementPlan, PlanPace, RunnerCapacity, next_plan,
+};
 
 struct PlanCase {
     name: &'static str,
@@ -78,6 +80,67 @@
             planned: &[&["b"]],
         },
     ];
+    check(&cases, PlanPace::of_changes(1));
+}
+
+/// Pattern: more models than the runners hold, and demand that moves to models
+/// without a replica.
+#[test]
+fn cold_models_share_the_runners_by_demand() {
+    let cases = [
+        PlanCase {
+            name: "a model in demand replaces one that nobody calls",
+            capacities: &[(50, &["a"]), (50, &["b"])],
+            needs: &[
+                ("a", 50, 0, false),
+                ("b", 50, 400, false),
+                ("c", 50, 40, false),
+            ],
+            turns: 3,
+            planned: &[&["c"], &["b"]],
+        },
+        PlanCase {
+            name: "models in similar demand don't turn each other out",
+            capacities: &[(50, &["a"]), (50, &["b"])],
+            needs: &[
+                ("a", 50, 100, false),
+                ("b", 50, 400, false),
+                ("c", 50, 900, false),
+            ],
+            turns: 3,
+            planned: &[&["a"], &["b"]],
+        },
+        PlanCase {
+            name: "a model in far higher demand replaces one in little",
+            capacities: &[(50, &["a"]), (50, &["b"])],
+            needs: &[
+                ("a", 50, 100, false),
+                ("b", 50, 400, false),
+                ("c", 50, 1_300, false),
+            ],
+            turns: 3,
+            planned: &[&["c"], &["b"]],
+        },
+        PlanCase {
+            name: "a model that nobody calls evicts no replica",
+            capacities: &[(50, &["a"]), (50, &["a"])],
+            needs: &[("a", 50, 100, false), ("b", 50, 0, false)],
+            turns: 3,
+            planned: &[&["a"], &["a"]],
+        },
+        PlanCase {
+            name: "a hot model gets no second replica for a last one",
+            capacities: &[(50, &["a"]), (50, &["b"])],
+            needs: &[("a", 50, 0, false), ("b", 50, 9_000, false)],
+            turns: 3,
+            planned: &[&["a"], &["b"]],
+        },
+    ];
+    let last_replica = LastReplica::Yields;
+    check(&cases, PlanPace { last_replica, ..PlanPace::of_changes(1) });
+}
+
+fn check(cases: &[PlanCase], pace: PlanPace) {
     for case in cases {
         let capacities: Vec<RunnerCapacity> = case
             .capacities
@@ -103,8 +166,7 @@
             .collect();
         let mut plan = PlacementPlan::default();
         for _ in 0..case.turns {
-            plan =
-                next_plan(&plan, &capacities, &needs, PlanPace::of_changes(1));
+            plan = next_plan(&plan, &capacities, &needs, pace);
         }
         let planned: Vec<Vec<String>> =
             plan.targets.values().cloned().collect();
