Give the router's messages, the hosts' table and the release their own files

Cause: four files had grown past 600 lines and held two jobs each.

Measured: linter, documentation and the library's tests pass.

--- a/crates/celerylead/src/customer/fleet.rs
+++ b/crates/celerylead/src/customer/fleet.rs
@@ -118,8 +118,8 @@
     }
 
     /// Returns the highest cost of a call, if `cost` is above it: the burst
-    /// and what the rate yields in [`MAX_DEBT_TIME`]. A larger call would keep
-    /// all later ones of the customer out for longer than that.
+    /// and what the rate yields in 60 seconds. A larger call would keep all
+    /// later ones of the customer out for longer than that.
     pub fn exceeded_limit(&self, cost: u64) -> Option<u64> {
         let yielded =
             self.rate.per_second.saturating_mul(MAX_DEBT_TIME.as_secs());
--- a/crates/celerylead/src/relay/backend.rs
+++ b/crates/celerylead/src/relay/backend.rs
@@ -6,7 +6,7 @@
 
 use super::{
     call::CallRequirements,
-    table::{LoadBasis, RelayChoice},
+    choice::{LoadBasis, RelayChoice},
 };
 use crate::{
     clock::EpochMillis, model::ModelName, roster::RunnerFacts,
--- a/crates/celerylead/src/relay/life.rs
+++ b/crates/celerylead/src/relay/life.rs
@@ -7,7 +7,7 @@
 use super::{
     backend::RelayBackend,
     call::CallRequirements,
-    table::{LoadBasis, RelayChoice},
+    choice::{LoadBasis, RelayChoice},
 };
 use crate::{clock::EpochMillis, roster::RunnerFacts};
 
--- a/crates/celerylead/src/relay/mod.rs
+++ b/crates/celerylead/src/relay/mod.rs
@@ -20,6 +20,7 @@
 
 mod backend;
 mod call;
+mod choice;
 mod life;
 mod notice;
 mod table;
@@ -29,9 +30,7 @@
 pub use self::{
     backend::CallEnd,
     call::{CallHead, CallRequirements, PromptPart},
+    choice::{CandidateLoad, LoadBasis, PickFault, RelayChoice, RunnerView},
     notice::RunnerNotice,
-    table::{
-        CandidateLoad, LoadBasis, PickFault, RelayChoice, RelayTable,
-        RunnerView,
-    },
+    table::RelayTable,
 };
--- a/crates/celerylead/src/tasks/node/attempt.rs
+++ b/crates/celerylead/src/tasks/node/attempt.rs
@@ -21,7 +21,7 @@
     NodeContext,
     body::{RelayBody, RelayStream},
     call::CallRecord,
-    router::RelaySlot,
+    router_port::RelaySlot,
 };
 use crate::{
     catalog::{BilledCustomer, CallRoute, ServiceCatalog},
--- a/crates/celerylead/src/tasks/node/body.rs
+++ b/crates/celerylead/src/tasks/node/body.rs
@@ -15,7 +15,7 @@
 use hyper::body::{Body as _, Frame, Incoming};
 use tokio::time::{Instant, Sleep};
 
-use super::{call::CallRecord, router::RelaySlot};
+use super::{call::CallRecord, router_port::RelaySlot};
 use crate::{
     port::HttpLink,
     relay::CallEnd,
--- a/crates/celerylead/src/tasks/node/gossip.rs
+++ b/crates/celerylead/src/tasks/node/gossip.rs
@@ -8,14 +8,16 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use bytes::Bytes;
 use tokio::{
     net::UdpSocket,
     sync::{Notify, mpsc, watch},
     time::{Instant, MissedTickBehavior},
 };
 
-use super::router::{RouterEvent, RouterPort};
+use super::{
+    host_rows,
+    router_port::{RouterEvent, RouterPort},
+};
 use crate::{
     clock::HostClock,
     membership::{
@@ -25,19 +27,12 @@
     metrics::HostMetrics,
     model::ModelName,
     placement::{ModelDemand, ResidencyList, SequenceStatus, SequenceTracker},
-    port::{RowChange, RowKey, RowPut, StorePort, StoreTable},
+    port::StorePort,
     roster::HeldModel,
     sorted::SortedTable,
     tasks::MAILBOX_CAPACITY,
 };
 
-/// Time between two reads of the hosts' table while nothing requires an
-/// earlier one.
-const READ_PERIOD: Duration = Duration::from_millis(10_000);
-/// Time until the next read after a failed read, after a read in which this
-/// host's row was missing or outdated, or when a digest arrives from a host
-/// that isn't in the table. Also the shortest time between two reads.
-const RETRY_PERIOD: Duration = Duration::from_millis(700);
 /// Time between two early reads for the same host that sends digests and has
 /// no row yet.
 const UNKNOWN_HOST_READ_PERIOD: Duration = Duration::from_millis(2_000);
@@ -172,7 +167,7 @@
     let (row_sender, row_receiver) = mpsc::channel(1);
     let early_read = Arc::new(Notify::new());
     let row_maintenance =
-        maintain_row(setup.clone(), row_sender, early_read.clone());
+        host_rows::maintain_row(setup.clone(), row_sender, early_read.clone());
     crate::tasks::spawn(row_maintenance);
     let task = GossipTask {
         setup,
@@ -585,94 +580,9 @@
                 continue;
             }
             tracing::info!(event = "host_removed", peer = name.as_str());
-            let put = RowPut {
-                row: RowKey { table: StoreTable::Hosts, key: name.clone() },
-                expected: host.version,
-                value: None,
-            };
-            let store = self.setup.store.clone();
-            crate::tasks::spawn(async move {
-                if let Err(fault) = store.write(put).await {
-                    tracing::info!(
-                        event = "store_failed",
-                        source = "hosts",
-                        error = %fault,
-                    );
-                }
-            });
-        }
-    }
-}
-
-/// Reads the hosts' table every [`READ_PERIOD`], or earlier on request, and
-/// writes this host's row if it is missing or was written by another process.
-async fn maintain_row(
-    setup: GossipSetup,
-    row_sender: mpsc::Sender<Vec<(HostRow, u64)>>,
-    early_read: Arc<Notify>,
-) {
-    loop {
-        let due = match sync_rows(&setup, &row_sender).await {
-            Ok(true) => READ_PERIOD,
-            Ok(false) => RETRY_PERIOD,
-            Err(error) => {
-                tracing::info!(event = "store_failed", source = "hosts", %error);
-                RETRY_PERIOD
-            }
-        };
-        let jitter = rand::random_range(0.8..1.2);
-        let read_at = Instant::now();
-        tokio::select! {
-            () = tokio::time::sleep_until(read_at + due.mul_f64(jitter)) => {}
-            () = early_read.notified() => {
-                let soonest = read_at + RETRY_PERIOD.mul_f64(jitter);
-                tokio::time::sleep_until(soonest).await;
-            }
-        }
-        if row_sender.is_closed() {
-            return;
-        }
-    }
-}
-
-/// Reads the hosts' table and writes this host's row if necessary; returns
-/// whether the row was already in place.
-async fn sync_rows(
-    setup: &GossipSetup,
-    row_sender: &mpsc::Sender<Vec<(HostRow, u64)>>,
-) -> anyhow::Result<bool> {
-    let read = setup.store.read(StoreTable::Hosts).await;
-    let reading = read.map_err(|fault| anyhow::anyhow!("{fault}"))?;
-    let mut known = Vec::new();
-    let mut version = 0;
-    for row in &reading.rows {
-        let RowChange::Written(row) = row else { continue };
-        match serde_json::from_slice::<HostRow>(&row.value) {
-            Ok(host) => {
-                if host.host == setup.row.host {
-                    version = row.version;
-                }
-                known.push((host, row.version));
-            }
-            Err(error) => {
-                tracing::warn!(event = "host_unreadable", row = row.key, %error);
-            }
+            host_rows::remove_row(&self.setup.store, name, host.version);
         }
     }
-    let in_place = known.iter().any(|(host, _)| *host == setup.row);
-    let _ = row_sender.send(known).await;
-    if !in_place {
-        let key = setup.row.host.clone();
-        let value = serde_json::to_vec(&setup.row)?;
-        let put = RowPut {
-            row: RowKey { table: StoreTable::Hosts, key },
-            expected: version,
-            value: Some(Bytes::from(value)),
-        };
-        let written = setup.store.write(put).await;
-        written.map_err(|fault| anyhow::anyhow!("{fault}"))?;
-    }
-    Ok(in_place)
 }
 
 /// Returns the names of models and of their adapters.
--- a/crates/celerylead/src/tasks/node/mod.rs
+++ b/crates/celerylead/src/tasks/node/mod.rs
@@ -20,12 +20,14 @@
 mod call;
 mod control;
 mod gossip;
+mod host_rows;
 mod lease;
 mod links;
 mod orders;
 mod placer;
 mod registry;
 mod router;
+mod router_port;
 mod run;
 #[cfg(test)]
 mod tests;
@@ -37,7 +39,7 @@
 
 use tokio::sync::watch;
 
-use self::router::RouterPort;
+use self::router_port::RouterPort;
 use crate::{
     catalog::ServiceCatalog, clock::HostClock, metrics::HostMetrics,
     roster::RunnerFacts,
--- a/crates/celerylead/src/tasks/node/router.rs
+++ b/crates/celerylead/src/tasks/node/router.rs
@@ -8,12 +8,16 @@
 
 use std::{sync::Arc, time::Duration};
 
-use tokio::{
-    sync::{mpsc, oneshot},
-    time::Instant,
+use tokio::time::Instant;
+
+use super::{
+    CatalogWatch, RosterWatch,
+    gossip::GossipPort,
+    links::IdleLinks,
+    router_port::{
+        CompletedCall, QueuedCall, RoutedCall, RouterEvent, RouterInbox,
+    },
 };
-
-use super::{CatalogWatch, RosterWatch, gossip::GossipPort, links::IdleLinks};
 use crate::{
     catalog::ServiceCatalog,
     clock::{EpochMillis, HostClock},
@@ -21,8 +25,7 @@
     membership::{HostDigest, SpentTotal},
     metrics::HostMetrics,
     model::ModelName,
-    placement::{DemandMeter, ModelDemand},
-    port::HttpLink,
+    placement::DemandMeter,
     relay::{
         CallEnd, CallRequirements, LoadBasis, PickFault, RelayChoice,
         RelayTable, RunnerNotice,
@@ -30,13 +33,8 @@
     request::{Refusal, RefusalCode, RetryWindow},
     roster::RunnerStart,
     sorted::SortedTable,
-    tasks::{MAILBOX_CAPACITY, MAX_IN_FLIGHT},
 };
 
-/// Longest time that a call waits for its model or for a free slot.
-const MAX_QUEUE_WAIT: Duration = Duration::from_millis(1_500);
-/// Share of the time to its deadline that a call may wait for a runner.
-const QUEUE_WAIT_SHARE: f64 = 0.2;
 /// Time after which the caller of a call that got no runner may retry.
 const RETRY_AFTER: Duration = Duration::from_millis(150);
 /// Share of the platform's retry allowance that the hosts use.
@@ -66,160 +64,6 @@
     pub(crate) window: Duration,
 }
 
-/// Message to the router.
-pub(crate) enum RouterEvent {
-    /// Choose a runner for a call.
-    Route(QueuedCall),
-    /// A runner has sent the head of an answer, with this notice.
-    AnswerHead { start: RunnerStart, notice: RunnerNotice },
-    /// Pace of a stream of a runner, in microseconds per event.
-    StreamPace { runner: String, model: String, pace_us: u64 },
-    /// Digest of another host, received at `at`.
-    Digest { digest: Box<HostDigest>, at: EpochMillis },
-    /// Another host was told by these runners that they are leaving.
-    Departing(Vec<RunnerStart>),
-    /// Another host has joined.
-    HostAdded(String),
-    /// Another host was removed.
-    HostRemoved(String),
-    /// Models and adapters held by some runners, as the lease holder reports
-    /// them, and whether its earlier reports on the other runners are still
-    /// valid.
-    RunnerModels {
-        runner_models: Vec<(String, Vec<ModelName>)>,
-        others_unchanged: bool,
-    },
-    /// Request for the digest of this host, without the demand.
-    ReadDigest(oneshot::Sender<HostDigest>),
-    /// Request for the runners that told this host a moment ago that they are
-    /// leaving.
-    ReadDepartures(oneshot::Sender<Vec<RunnerStart>>),
-    /// Request for the demand of this host's calls.
-    ReadDemand(oneshot::Sender<ModelDemand>),
-}
-
-/// A call that waits for the choice of its runner.
-pub(crate) struct QueuedCall {
-    requirements: CallRequirements,
-    /// Customer and cost of the charge that a refusal gives back.
-    refundable: Option<(String, u64)>,
-    wait_until: EpochMillis,
-    reply: oneshot::Sender<Result<RoutedCall, Refusal>>,
-}
-
-/// The chosen runner, with an idle connection to it if there is one.
-struct RoutedCall {
-    choice: RelayChoice,
-    link: Option<HttpLink>,
-}
-
-/// How a routed call ended. `link` is its connection with the time until which
-/// it may be used again.
-struct CompletedCall {
-    choice: RelayChoice,
-    head_reported: bool,
-    end: CallEnd,
-    link: Option<(HttpLink, Instant)>,
-}
-
-/// Handle with which other tasks send messages to the router.
-#[derive(Clone)]
-pub(crate) struct RouterPort {
-    pub(crate) sender: mpsc::Sender<RouterEvent>,
-    completion_sender: mpsc::Sender<CompletedCall>,
-}
-
-/// Guard of a call that counts as in flight at its runner. If it is dropped
-/// without an end, the call ends as [`CallEnd::Neutral`].
-pub(crate) struct RelaySlot {
-    pub(crate) choice: RelayChoice,
-    pub(crate) link: Option<HttpLink>,
-    sender: mpsc::Sender<RouterEvent>,
-    head_reported: bool,
-    permit: Option<mpsc::OwnedPermit<CompletedCall>>,
-}
-
-impl RelaySlot {
-    /// Reports that the head of the answer has been received. If the mailbox
-    /// of the router is full, the end of the call reports it, unless the head
-    /// carries a notice, which can't wait for that.
-    pub(crate) async fn head_received(&mut self, notice: RunnerNotice) {
-        let start = self.choice.start();
-        let event = RouterEvent::AnswerHead { start, notice };
-        self.head_reported = if notice.is_empty() {
-            self.sender.try_send(event).is_ok()
-        } else {
-            self.sender.send(event).await.is_ok()
-        };
-    }
-
-    /// Ends the call. `link` is its connection with the time until which it
-    /// may be used again, if it may.
-    pub(crate) fn finish(
-        mut self,
-        end: CallEnd,
-        link: Option<(HttpLink, Instant)>,
-    ) {
-        self.complete(end, link);
-    }
-
-    /// Reports the pace of a stream in flight. A lost report is made up for by
-    /// the next one.
-    pub(crate) fn report_pace(&self, pace_us: u64) {
-        let _ = self.sender.try_send(RouterEvent::StreamPace {
-            runner: self.choice.runner.clone(),
-            model: self.choice.model().to_owned(),
-            pace_us,
-        });
-    }
-
-    /// Reports the end of the call to the router, once.
-    fn complete(&mut self, end: CallEnd, link: Option<(HttpLink, Instant)>) {
-        let Some(permit) = self.permit.take() else { return };
-        let (choice, head_reported) =
-            (self.choice.clone(), self.head_reported);
-        permit.send(CompletedCall { choice, head_reported, end, link });
-    }
-}
-
-impl Drop for RelaySlot {
-    fn drop(&mut self) {
-        self.complete(CallEnd::Neutral, None);
-    }
-}
-
-impl RouterPort {
-    /// Waits until the router has chosen a runner for a call, or has refused
-    /// the call. `refundable` is the charge that a refusal gives back; it is
-    /// given only for a call that certainly hasn't run.
-    pub(crate) async fn route(
-        &self,
-        requirements: &CallRequirements,
-        refundable: Option<(String, u64)>,
-        now: EpochMillis,
-    ) -> Result<RelaySlot, Refusal> {
-        // Mailbox capacity for the end is reserved first, so that the end of
-        // a call never waits.
-        let permit = self.completion_sender.clone().reserve_owned().await;
-        let permit = permit.map_err(|_| shutting_down())?;
-        let left = now.until(requirements.deadline).mul_f64(QUEUE_WAIT_SHARE);
-        let event = |reply| {
-            RouterEvent::Route(QueuedCall {
-                requirements: requirements.clone(),
-                refundable,
-                wait_until: now.after(left.min(MAX_QUEUE_WAIT)),
-                reply,
-            })
-        };
-        let routed = crate::tasks::ask(&self.sender, event).await;
-        let RoutedCall { choice, link } =
-            routed.ok_or_else(shutting_down)??;
-        let sender = self.sender.clone();
-        let permit = Some(permit);
-        Ok(RelaySlot { choice, link, sender, head_reported: false, permit })
-    }
-}
-
 /// Configuration and handles with which the task is started.
 pub(crate) struct RouterSetup {
     pub(crate) zone: String,
@@ -248,22 +92,6 @@
     requested_adapters: SortedTable<ModelName, EpochMillis>,
 }
 
-/// Creates the handle and the mailboxes of the task.
-pub(crate) fn mailbox() -> (RouterPort, RouterInbox) {
-    let (sender, events) = mpsc::channel(MAILBOX_CAPACITY);
-    let (completion_sender, completions) = mpsc::channel(MAX_IN_FLIGHT);
-    (
-        RouterPort { sender, completion_sender },
-        RouterInbox { events, completions },
-    )
-}
-
-/// The receiving ends of the mailboxes.
-pub(crate) struct RouterInbox {
-    events: mpsc::Receiver<RouterEvent>,
-    completions: mpsc::Receiver<CompletedCall>,
-}
-
 /// Starts the task.
 pub(crate) fn start(setup: RouterSetup, inbox: RouterInbox) {
     let task = RouterTask {
@@ -687,7 +515,3 @@
     let RunnerStart { id, born } = start;
     tracing::info!(event = "runner_departing", runner = id, born, source);
 }
-
-fn shutting_down() -> Refusal {
-    Refusal::not_run(RefusalCode::NotReady, "the host is shutting down")
-}
--- a/crates/celerylead/src/tasks/node/run.rs
+++ b/crates/celerylead/src/tasks/node/run.rs
@@ -17,6 +17,7 @@
     registry::{self, ZoneFeed},
     router,
     router::{RetryAllowance, RouterSetup},
+    router_port,
     watcher::{self, WatcherSetup, WatcherViews},
 };
 use crate::{
@@ -131,7 +132,7 @@
         zone_feed,
     );
     let (phase, phase_receiver) = watch::channel(NodePhase::Serving);
-    let (router_port, router_inbox) = router::mailbox();
+    let (router_port, router_inbox) = router_port::mailbox();
     let setup = RouterSetup {
         zone: options.zone.clone(),
         clock: clock.clone(),
--- a/crates/celerylead/src/tasks/node/tests.rs
+++ b/crates/celerylead/src/tasks/node/tests.rs
@@ -6,7 +6,8 @@
 
 use super::{
     gossip,
-    router::{self, RetryAllowance, RouterEvent, RouterPort, RouterSetup},
+    router::{self, RetryAllowance, RouterSetup},
+    router_port::{self, RouterEvent, RouterPort},
 };
 use crate::{
     catalog::{CallLimits, ServiceCatalog, ServiceSpec},
@@ -59,7 +60,7 @@
         let (catalogs, catalog_receiver) = watch::channel(None);
         let (rosters, roster_receiver) = watch::channel(None);
         let clock = HostClock::default();
-        let (port, inbox) = router::mailbox();
+        let (port, inbox) = router_port::mailbox();
         let setup = RouterSetup {
             zone: "boden".to_owned(),
             clock: clock.clone(),
