Tie notices to the newest start, and settle what reading the diff showed

A late answer of a runner's former start dropped the notices of its next one. A zone's reader could guard its own polls by the news of a second reader. An answer of the store whose rows state no version would have been passed on without its removals. The router was asked twice for each tick's digest.

Change: a notice of an earlier start than the known one is ignored; a reader takes no news; such an answer isn't passed on, and the other hosts read it themselves; one report holds the digest and the departures. One function gives a catalog's revision.

Measured: the new case of relay::tests::notices is red without the order of starts (by the code before), that of the excerpts without the check; library tests and the host tests of notices and shared reads pass.

--- a/crates/celerylead/src/membership/excerpt.rs
+++ b/crates/celerylead/src/membership/excerpt.rs
@@ -93,8 +93,9 @@
 
 impl FeedExcerpt {
     /// Splits an excerpt into some that each fit into a datagram. Rows of one
-    /// version stay together. Where they don't fit, the rest of the excerpt is
-    /// left out, and the other hosts read it from the registry.
+    /// version stay together. Where they don't fit, or don't state a version
+    /// beyond the position, the rest of the excerpt is left out, and the other
+    /// hosts read it from the registry.
     ///
     /// # Examples
     ///
@@ -127,7 +128,8 @@
                 });
                 (after, size) = (last, 0);
             }
-            if MAX_EXCERPT_BYTES < bytes {
+            let is_behind = group.iter().any(|row| row.version <= after);
+            if MAX_EXCERPT_BYTES < bytes || is_behind {
                 return excerpts;
             }
             size += bytes;
--- a/crates/celerylead/src/membership/tests/excerpt.rs
+++ b/crates/celerylead/src/membership/tests/excerpt.rs
@@ -42,6 +42,11 @@
             rows: &[(11, 100), (12, 9_000), (13, 100)],
             expected: &[(10, 11, 1)],
         },
+        Case {
+            name: "a row without a version",
+            rows: &[(0, 100), (12, 100)],
+            expected: &[],
+        },
         Case {
             name: "the first row fits in none",
             rows: &[(11, 9_000)],
--- a/crates/celerylead/src/relay/life.rs
+++ b/crates/celerylead/src/relay/life.rs
@@ -5,9 +5,7 @@
 //! go on there.
 
 use super::{
-    backend::RelayBackend,
-    call::CallRequirements,
-    choice::{LoadBasis, RelayChoice},
+    backend::RelayBackend, call::CallRequirements, choice::RelayChoice,
 };
 use crate::{clock::EpochMillis, roster::RunnerFacts};
 
@@ -44,7 +42,7 @@
         call: &CallRequirements,
         now: EpochMillis,
     ) -> RelayChoice {
-        let basis: LoadBasis = self.backend.basis(now);
+        let basis = self.backend.basis(now);
         self.backend.begin_call(call, now);
         let RunnerFacts { id, address, born, .. } = &self.backend.facts;
         RelayChoice {
--- a/crates/celerylead/src/relay/notice.rs
+++ b/crates/celerylead/src/relay/notice.rs
@@ -69,7 +69,7 @@
         notice: RunnerNotice,
         now: EpochMillis,
     ) {
-        let record = self.record_mut(start, now);
+        let Some(record) = self.record_mut(start, now) else { return };
         if notice.leaving && !record.notice.leaving {
             record.repeat_until = now.after(REPEAT_TIME);
         }
@@ -84,7 +84,9 @@
         start: &RunnerStart,
         now: EpochMillis,
     ) {
-        self.record_mut(start, now).notice.leaving = true;
+        if let Some(record) = self.record_mut(start, now) {
+            record.notice.leaving = true;
+        }
     }
 
     /// Returns what a start of a runner has stated.
@@ -105,13 +107,13 @@
             .collect()
     }
 
-    /// Returns the record of a start. Notices of another start of the runner
-    /// are dropped, as the runner has one start at a time.
+    /// Returns the record of a start, which replaces that of an earlier start of
+    /// the runner; `None` if a later start is known already.
     fn record_mut(
         &mut self,
         start: &RunnerStart,
         now: EpochMillis,
-    ) -> &mut StartRecord {
+    ) -> Option<&mut StartRecord> {
         self.starts.retain(|_, record| now < record.forget_at);
         let make = || StartRecord {
             born: start.born,
@@ -120,10 +122,13 @@
             forget_at: now.after(MEMORY),
         };
         let record = self.starts.entry(start.id.clone(), make);
+        if start.born < record.born {
+            return None;
+        }
         if record.born != start.born {
             *record = make();
         }
         record.forget_at = now.after(MEMORY);
-        record
+        Some(record)
     }
 }
--- a/crates/celerylead/src/relay/tests/notices.rs
+++ b/crates/celerylead/src/relay/tests/notices.rs
@@ -13,8 +13,10 @@
     Leaves(u64),
     /// Another host reports the same.
     Reported(u64),
-    /// An answer asks for a pause until this time.
+    /// An answer of the start of time 1 asks for a pause until this time.
     Paused(u64),
+    /// An answer of the start of time 2 does.
+    NextPaused(u64),
     /// The registry no longer lists the runner.
     Unlisted,
     /// The registry lists the start of this time as ready.
@@ -87,6 +89,18 @@
             at: 101_000,
             expected: paused(102_000),
         },
+        Case {
+            name: "a late answer of the former start doesn't end a pause",
+            steps: &[
+                Step::Listed(2),
+                Step::NextPaused(102_000),
+                Step::Leaves(1),
+                Step::Unlisted,
+                Step::Listed(2),
+            ],
+            at: 101_000,
+            expected: paused(102_000),
+        },
         Case {
             name: "the pause is over",
             steps: &[Step::Paused(102_000)],
@@ -123,6 +137,11 @@
                     let notice = RunnerNotice { leaving: false, paused_until };
                     table.note_runner(&start("a", 1), notice, NOW);
                 }
+                Step::NextPaused(until) => {
+                    let paused_until = EpochMillis(until);
+                    let notice = RunnerNotice { leaving: false, paused_until };
+                    table.note_runner(&start("a", 2), notice, NOW);
+                }
                 Step::Unlisted => table.set_roster([].into_iter()),
                 Step::Listed(born) => {
                     facts.born = Some(born);
--- a/crates/celerylead/src/tasks/node/gossip.rs
+++ b/crates/celerylead/src/tasks/node/gossip.rs
@@ -16,7 +16,7 @@
 
 use super::{
     host_rows,
-    router_port::{RouterEvent, RouterPort},
+    router_port::{RouterEvent, RouterPort, RouterReport},
 };
 use crate::{
     clock::HostClock,
@@ -300,7 +300,7 @@
         let event =
             RouterEvent::RunnerModels { runner_models, others_unchanged };
         let _ = self.router.sender.send(event).await;
-        let digest = self.digest().await?;
+        let RouterReport { digest, .. } = self.report().await?;
         let unlisted = digest.loads.iter().any(|load| {
             let listed = listed.get(&load.runner);
             listed.is_some_and(|listed| {
@@ -310,17 +310,19 @@
         unlisted.then_some(digest)
     }
 
-    /// Returns the digest of this host, without the demand.
-    async fn digest(&self) -> Option<HostDigest> {
-        let reply =
-            crate::tasks::ask(&self.router.sender, RouterEvent::ReadDigest)
-                .await;
-        let digest = reply?;
+    /// Returns what the other hosts are to know, with the digest of this host
+    /// without the demand.
+    async fn report(&self) -> Option<RouterReport> {
+        let event = RouterEvent::ReadReport;
+        let report = crate::tasks::ask(&self.router.sender, event).await?;
+        let RouterReport { digest, departures } = report;
         let row = &self.setup.row;
         let (host, incarnation) = (row.host.clone(), row.incarnation);
         let contact = *self.setup.contact.borrow();
         let registry_steady_ms = contact.steady_ms(self.setup.clock.now());
-        Some(HostDigest { host, incarnation, registry_steady_ms, ..digest })
+        let digest =
+            HostDigest { host, incarnation, registry_steady_ms, ..digest };
+        Some(RouterReport { digest, departures })
     }
 
     /// Sends the digest of this host to the hosts that the current tick
@@ -354,14 +356,19 @@
         {
             return;
         }
-        let Some(digest) = self.digest().await else { return };
+        let Some(report) = self.report().await else { return };
+        let RouterReport { digest, departures } = report;
         let demand = Some(self.demand.clone());
         let with_demand = HostDigest { demand, ..digest.clone() };
         if tick.begins_round() {
             let _ =
                 self.placer.try_send(PlacerEvent::Digest(with_demand.clone()));
         }
-        self.send_departures(&digest_recipients, &demand_recipients).await;
+        if !departures.is_empty() {
+            let message = HostMessage::Departing(departures);
+            self.send(&message, &digest_recipients).await;
+            self.send(&message, &demand_recipients).await;
+        }
         self.send(&HostMessage::Digest(digest), &digest_recipients).await;
         self.send(&HostMessage::Digest(with_demand), &demand_recipients).await;
     }
@@ -389,24 +396,6 @@
         });
     }
 
-    /// Tells the recipients of this tick's digests which runners are leaving,
-    /// if any have just said so to this host.
-    async fn send_departures(
-        &self,
-        digest_recipients: &[SocketAddr],
-        demand_recipients: &[SocketAddr],
-    ) {
-        let event = RouterEvent::ReadDepartures;
-        let starts = crate::tasks::ask(&self.router.sender, event).await;
-        let starts = starts.unwrap_or_default();
-        if starts.is_empty() {
-            return;
-        }
-        let message = HostMessage::Departing(starts);
-        self.send(&message, digest_recipients).await;
-        self.send(&message, demand_recipients).await;
-    }
-
     async fn send(&self, message: &HostMessage, recipients: &[SocketAddr]) {
         if recipients.is_empty() {
             return;
--- a/crates/celerylead/src/tasks/node/registry.rs
+++ b/crates/celerylead/src/tasks/node/registry.rs
@@ -16,7 +16,7 @@
 use super::{
     CatalogWatch, control,
     gossip::GossipPort,
-    watcher::{FeedPosition, FeedStep, WatcherSetup, pick_seed},
+    watcher::{FeedPosition, FeedStep, WatcherSetup, pick_seed, revision},
 };
 use crate::{
     clock::EpochMillis,
@@ -56,13 +56,6 @@
     pub(super) news: watch::Sender<RevisionNews>,
 }
 
-impl RevisionFeed {
-    fn own_revision(&self) -> u64 {
-        let catalog = self.catalog.borrow();
-        catalog.as_ref().map_or(0, |catalog| catalog.revision)
-    }
-}
-
 /// Starts the task.
 pub(super) fn start<C: EdgeCodec>(
     setup: &WatcherSetup<C>,
@@ -135,7 +128,8 @@
                 if let (Some(after), FeedStep::Changes(_)) = (after, &step)
                     && *self.zone_feed.is_reader.borrow()
                 {
-                    let revision = self.revisions.own_revision();
+                    let revision =
+                        revision(self.revisions.catalog.borrow().as_deref());
                     let excerpts = excerpt(after, revision, reading).split();
                     self.zone_feed.gossip.send_excerpts(excerpts);
                 }
@@ -207,7 +201,7 @@
         if !*self.zone_feed.is_reader.borrow() {
             return;
         }
-        let revision = self.revisions.own_revision();
+        let revision = revision(self.revisions.catalog.borrow().as_deref());
         let reading = StoreReading {
             rows: Vec::new(),
             version: after,
@@ -220,7 +214,10 @@
     /// Applies an excerpt, and returns false if one before it was missed.
     fn adopt_excerpt(&mut self, excerpt: FeedExcerpt) -> bool {
         let Some(after) = self.feed.after else { return true };
-        self.revisions.news.send_replace(self.follower.news(&excerpt));
+        // The reader's own polls are guarded by nobody.
+        if !*self.zone_feed.is_reader.borrow() {
+            self.revisions.news.send_replace(self.follower.news(&excerpt));
+        }
         match self.follower.admit(after, &excerpt) {
             ExcerptVerdict::Stale => return true,
             ExcerptVerdict::Missed => return false,
--- a/crates/celerylead/src/tasks/node/router.rs
+++ b/crates/celerylead/src/tasks/node/router.rs
@@ -16,6 +16,7 @@
     links::IdleLinks,
     router_port::{
         CompletedCall, QueuedCall, RoutedCall, RouterEvent, RouterInbox,
+        RouterReport,
     },
 };
 use crate::{
@@ -174,11 +175,10 @@
                 }
                 self.retry_waiting();
             }
-            RouterEvent::ReadDigest(reply) => {
-                let _ = reply.send(self.digest());
-            }
-            RouterEvent::ReadDepartures(reply) => {
-                let _ = reply.send(self.table.departures(now));
+            RouterEvent::ReadReport(reply) => {
+                let digest = self.digest();
+                let departures = self.table.departures(now);
+                let _ = reply.send(RouterReport { digest, departures });
             }
             RouterEvent::ReadDemand(reply) => {
                 let demand = self.demand.highest(MAX_DEMAND_ENTRIES, now);
--- a/crates/celerylead/src/tasks/node/router_port.rs
+++ b/crates/celerylead/src/tasks/node/router_port.rs
@@ -46,15 +46,20 @@
         runner_models: Vec<(String, Vec<ModelName>)>,
         others_unchanged: bool,
     },
-    /// Request for the digest of this host, without the demand.
-    ReadDigest(oneshot::Sender<HostDigest>),
-    /// Request for the runners that told this host a moment ago that they are
-    /// leaving.
-    ReadDepartures(oneshot::Sender<Vec<RunnerStart>>),
+    /// Request for what the other hosts are to know.
+    ReadReport(oneshot::Sender<RouterReport>),
     /// Request for the demand of this host's calls.
     ReadDemand(oneshot::Sender<ModelDemand>),
 }
 
+/// What the other hosts are to know of the router's state.
+pub(crate) struct RouterReport {
+    /// Digest of this host, without the demand.
+    pub(super) digest: HostDigest,
+    /// Runners that told this host a moment ago that they are leaving.
+    pub(super) departures: Vec<RunnerStart>,
+}
+
 /// A call that waits for the choice of its runner.
 pub(crate) struct QueuedCall {
     pub(super) requirements: CallRequirements,
--- a/crates/celerylead/src/tasks/node/watcher.rs
+++ b/crates/celerylead/src/tasks/node/watcher.rs
@@ -229,7 +229,7 @@
         let clock = self.setup.clock.clone();
         let news = *self.news.borrow_and_update();
         let is_current = clock.now() < news.current_until();
-        let own = self.own_revision();
+        let own = revision(self.catalog.borrow().as_deref());
         if !is_current || own < news.revision {
             let wait = self.setup.poll_wait();
             return Some(self.feed.step(&self.setup, wait).await);
@@ -241,11 +241,6 @@
         }
     }
 
-    fn own_revision(&self) -> u64 {
-        let catalog = self.catalog.borrow();
-        catalog.as_ref().map_or(0, |catalog| catalog.revision)
-    }
-
     fn adopt(&self, row: &RowChange) {
         let RowChange::Written(row) = row else { return };
         match self.setup.codec.read_catalog(&row.key, &row.value) {
@@ -263,11 +258,7 @@
     /// Adopts a catalog unless its revision is as old as the current one or
     /// older.
     fn adopt_catalog(&self, catalog: ServiceCatalog, source: &str) {
-        let current_revision = self
-            .catalog
-            .borrow()
-            .as_ref()
-            .map_or(0, |catalog| catalog.revision);
+        let current_revision = revision(self.catalog.borrow().as_deref());
         if catalog.revision <= current_revision {
             return;
         }
@@ -297,6 +288,11 @@
     }
 }
 
+/// Returns the revision of a catalog; 0 if none is known.
+pub(super) fn revision(catalog: Option<&ServiceCatalog>) -> u64 {
+    catalog.map_or(0, |catalog| catalog.revision)
+}
+
 /// Waits until the news is of a revision above `own`, or isn't current.
 async fn outdated(
     news: &mut watch::Receiver<RevisionNews>,
