Don't hold a shutdown up while the table service is away

Cause: found by reading: a release that fails was tried four times, each with the time-outs of a read and a write, before the shutdown went on. Only a conflict with another host's write is worth a further attempt.

Ruled out: a further attempt after a lost answer; the lease lapses by itself, as it did after a failed release before.

Change: an error ends the release; blank lines after constants.

--- a/crates/celerylead/src/tasks/member/release.rs
+++ b/crates/celerylead/src/tasks/member/release.rs
@@ -15,6 +15,7 @@
 /// Attempts to write the release of the lease; another host may write its own
 /// row or claim a part at the same time.
 const MAX_RELEASE_ATTEMPTS: usize = 4;
+
 impl MemberTask {
     /// Gives up the lease and the parts, and hands the parts over to the hosts
     /// that are preferred next. If that fails, these hosts find the parts
@@ -29,7 +30,12 @@
             match self.write_release(&own, &balances).await {
                 Ok(true) => return,
                 Ok(false) => {}
-                Err(error) => self.record_failure(&error),
+                Err(error) => {
+                    // The shutdown doesn't wait for a table service that is
+                    // away.
+                    self.record_failure(&error);
+                    return;
+                }
             }
         }
     }
--- a/crates/celerylead/src/tasks/node/host_rows.rs
+++ b/crates/celerylead/src/tasks/node/host_rows.rs
@@ -21,6 +21,7 @@
 /// host's row was missing or outdated, or when a digest arrives from a host
 /// that isn't in the table. Also the shortest time between two reads.
 const RETRY_PERIOD: Duration = Duration::from_millis(700);
+
 /// Reads the hosts' table every [`READ_PERIOD`], or earlier on request, and
 /// writes this host's row if it is missing or was written by another process.
 pub(super) async fn maintain_row(
--- a/crates/celerylead/src/tasks/node/router_port.rs
+++ b/crates/celerylead/src/tasks/node/router_port.rs
@@ -23,6 +23,7 @@
 const MAX_QUEUE_WAIT: Duration = Duration::from_millis(1_500);
 /// Share of the time to its deadline that a call may wait for a runner.
 const QUEUE_WAIT_SHARE: f64 = 0.2;
+
 /// Message to the router.
 pub(crate) enum RouterEvent {
     /// Choose a runner for a call.
