Log the shared parts of calls that didn't end well

The logs couldn't tell which of the calls that ended with a runner had a part in common, nor whether their answers had got anywhere, so that none of the three hypotheses could be told from the others.

Change: the log line of a call that wasn't answered in full names the parts of its prompt that other calls may share, by their ids, and the number of frames passed on; so does the line of a failed attempt.

--- a/crates/celerylead/src/lib.rs
+++ b/crates/celerylead/src/lib.rs
@@ -21,6 +21,7 @@
 //! | [`catalog`] | one revision of an operator's routes and services |
 //! | [`roster`] | runners listed by a registry |
 //! | [`relay`] | choice of the runner for a call |
+//! | [`quarantine`] | parts of prompts that crash runners |
 //! | [`port`] | messages to and encodings of external systems |
 //! | [`node`] | a complete host behind a platform adapter |
 //!
@@ -54,6 +55,7 @@
 pub mod placement;
 pub mod platform;
 pub mod port;
+pub mod quarantine;
 pub mod relay;
 pub mod request;
 pub mod roster;
--- a/crates/celerylead/src/relay/call.rs
+++ b/crates/celerylead/src/relay/call.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     clock::EpochMillis, customer::CallerKey, model::ModelName,
-    request::RequestId,
+    quarantine::SharedParts, request::RequestId,
 };
 
 /// A part of a prompt that calls may share.
@@ -43,6 +43,11 @@
         let (prompt, output) = self.tokens?;
         Some(prompt.saturating_add(output))
     }
+
+    /// Returns the parts of the prompt that other calls may share.
+    pub fn shared_parts(&self) -> SharedParts {
+        SharedParts::of_prompt(self.parts.iter().map(|part| part.id))
+    }
 }
 
 /// What a call requires of the runner that gets it.
--- a/crates/celerylead/src/tasks/node/attempt.rs
+++ b/crates/celerylead/src/tasks/node/attempt.rs
@@ -407,6 +407,7 @@
             runner = slot.choice.runner,
             step,
             sends = self.record.sends,
+            parts = %self.record.parts,
             error = format!("{error:#}"),
         );
     }
--- a/crates/celerylead/src/tasks/node/body.rs
+++ b/crates/celerylead/src/tasks/node/body.rs
@@ -45,7 +45,6 @@
     started: Instant,
     /// Start of the measurement of the latest events' pace.
     pace_since: Instant,
-    frames: u32,
 }
 
 impl RelayStream {
@@ -67,13 +66,12 @@
             deadline: Box::pin(tokio::time::sleep_until(deadline)),
             started: Instant::now(),
             pace_since: Instant::now(),
-            frames: 0,
         }
     }
 
     /// Reports the pace of the latest events once there are enough of them.
     fn report_pace(&mut self) {
-        if !self.frames.is_multiple_of(PACE_REPORT_EVENTS) {
+        if !self.record.frames.is_multiple_of(PACE_REPORT_EVENTS) {
             return;
         }
         let span = self.pace_since.elapsed() / PACE_REPORT_EVENTS;
@@ -85,7 +83,8 @@
 
     /// Finishes an answer whose framing shows that it is complete.
     fn finish(&mut self) -> FramePoll {
-        let latency_us = micros(self.started.elapsed() / self.frames.max(1));
+        let latency_us =
+            micros(self.started.elapsed() / self.record.frames.max(1));
         if let Some(slot) = self.slot.take() {
             slot.finish(CallEnd::Complete { latency_us }, self.link.take());
         }
@@ -152,7 +151,7 @@
                 Some(Ok(frame)) => {
                     // Trailers aren't passed on.
                     let Ok(bytes) = frame.into_data() else { continue };
-                    self.frames += 1;
+                    self.record.frames += 1;
                     self.report_pace();
                     return Poll::Ready(Some(Ok(Frame::data(bytes))));
                 }
--- a/crates/celerylead/src/tasks/node/call.rs
+++ b/crates/celerylead/src/tasks/node/call.rs
@@ -14,6 +14,7 @@
     catalog::{BilledCustomer, CallRoute, ServiceCatalog},
     metrics::HostMetrics,
     port::EdgeCodec,
+    quarantine::SharedParts,
     relay::{CallHead, LoadBasis},
     request::{Refusal, RefusalCode, RequestId},
     tasks::request_body,
@@ -37,8 +38,12 @@
     pub(super) held_ms: u64,
     /// Load figures on which the choice of the runner was based.
     pub(super) basis: LoadBasis,
+    /// Parts of the prompt that other calls may share.
+    pub(super) parts: SharedParts,
     pub(super) started: Instant,
     pub(super) first_byte_at: Option<Instant>,
+    /// Frames of the answer's body that were passed on.
+    pub(super) frames: u32,
     pub(super) metrics: HostMetrics,
 }
 
@@ -47,6 +52,9 @@
     pub(crate) fn log(&self, code: &str) {
         self.metrics.count_answer(&self.customer, code);
         let millis = |at: Instant| (at - self.started).as_millis() as u64;
+        let is_whole = code == "ok";
+        // What calls that ended badly have in common is looked for in these.
+        let parts = (!is_whole).then(|| self.parts.to_string());
         tracing::info!(
             event = "request_ended",
             request_id = self.id.as_str(),
@@ -62,6 +70,8 @@
             sends = self.sends,
             status = self.status,
             code,
+            parts,
+            frames = (!is_whole).then_some(self.frames),
             first_ms = self.first_byte_at.map(millis),
             total_ms = millis(Instant::now()),
         );
@@ -144,11 +154,13 @@
         runner: String::new(),
         held_ms: 0,
         basis: LoadBasis::default(),
+        parts: call.shared_parts(),
         revision: catalog.revision,
         sends: 0,
         status: 0,
         started,
         first_byte_at: None,
+        frames: 0,
         metrics: context.metrics.clone(),
     };
     let attempts = CallAttempts {
