--- a/crates/stand-ins/src/raw_runner.rs
+++ b/crates/stand-ins/src/raw_runner.rs
@@ -11,6 +11,7 @@
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{TcpListener, TcpStream},
+    sync::watch,
     time::Instant,
 };
 
@@ -30,6 +31,8 @@
 /// Header lines per write of [`RunnerFault::EndlessHead`]. Single lines would
 /// let a short deadline pass before the head reaches the client's size limit.
 const HEAD_LINES_PER_WRITE: usize = 1_024;
+/// Time from the head of an answer to the crash that a deadly part causes.
+const CRASH_DELAY: Duration = Duration::from_millis(50);
 /// Time between two checks of whether [`RunnerFault::LateOrders`] is over.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Name of the model that is resident at the start.
@@ -101,6 +104,13 @@
 }
 
 impl RecordedRequest {
+    /// Returns whether a part, named in hexadecimal, is in the prompt.
+    pub fn has_part(&self, part: &str) -> bool {
+        let prompt = self.header("x-prompt-prefix").unwrap_or("");
+        let mut pairs = prompt.split(',');
+        pairs.any(|pair| pair.split(':').next() == Some(part))
+    }
+
     /// Returns the value of the first header that has this name, which must be
     /// in lower case.
     pub fn header(&self, name: &str) -> Option<&str> {
@@ -115,10 +125,15 @@
     fault: RunnerFault,
     /// Header lines that every answer to a call carries besides its own.
     extra_headers: &'static str,
+    /// Part of prompts, in hexadecimal, on which the runner crashes as soon as
+    /// it begins an answer.
+    deadly_part: Option<&'static str>,
     /// Calls received, run or not.
     calls: Vec<RecordedRequest>,
     /// Calls that ran.
     runs: Vec<RecordedRequest>,
+    /// Calls that crashed the runner, with the times at which they began.
+    deadly_runs: Vec<(RecordedRequest, Instant)>,
     /// Orders received, accepted or not.
     orders: Vec<RecordedRequest>,
     /// Time at which each of `orders` was received.
@@ -148,8 +163,10 @@
         RunnerState {
             fault: RunnerFault::None,
             extra_headers: "",
+            deadly_part: None,
             calls: Vec::new(),
             runs: Vec::new(),
+            deadly_runs: Vec::new(),
             orders: Vec::new(),
             order_times: Vec::new(),
             accepted_orders: 0,
@@ -265,6 +282,8 @@
     /// Address that it listens on, as `IP:PORT`.
     pub address: String,
     state: StateHandle<RunnerState>,
+    /// Whether the runner has crashed.
+    crashed: watch::Sender<bool>,
 }
 
 impl RawRunner {
@@ -277,16 +296,26 @@
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?.to_string();
         let state = StateHandle::start(RunnerState::default());
-        let server_state = state.clone();
-        tokio::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let state = server_state.clone();
-                tokio::spawn(async move {
-                    let _ = serve_connection(stream, &state).await;
-                });
-            }
-        });
-        Ok(RawRunner { address, state })
+        let (crashed, crash) = watch::channel(false);
+        let runner = RawRunner { address, state, crashed };
+        tokio::spawn(accept(listener, runner.clone(), crash));
+        Ok(runner)
+    }
+
+    /// Ends the runner for good: closes its listener and all its connections.
+    pub fn crash(&self) {
+        self.crashed.send_replace(true);
+    }
+
+    /// Returns whether the runner has crashed.
+    pub fn has_crashed(&self) -> bool {
+        *self.crashed.borrow()
+    }
+
+    /// Sets a part of prompts, in hexadecimal, on which the runner crashes as
+    /// soon as it begins an answer.
+    pub async fn set_deadly_part(&self, part: Option<&'static str>) {
+        self.state.with(move |state| state.deadly_part = part).await;
     }
 
     /// Sets the fault that the runner simulates from now on.
@@ -310,6 +339,19 @@
         self.state.with(|state| state.runs.clone()).await
     }
 
+    /// Returns the times at which the runner began calls that crashed it, with
+    /// this part in their prompts.
+    pub async fn run_times(&self, part: &'static str) -> Vec<Instant> {
+        let state = &self.state;
+        state
+            .with(move |state| {
+                let runs = state.deadly_runs.iter();
+                let runs = runs.filter(|(run, _)| run.has_part(part));
+                runs.map(|(_, at)| *at).collect()
+            })
+            .await
+    }
+
     /// Returns the orders that the runner received, accepted or not.
     pub async fn orders(&self) -> Vec<RecordedRequest> {
         self.state.with(|state| state.orders.clone()).await
@@ -339,11 +381,34 @@
     }
 }
 
+/// Accepts connections until the runner crashes.
+async fn accept(
+    listener: TcpListener,
+    runner: RawRunner,
+    mut crash: watch::Receiver<bool>,
+) {
+    loop {
+        let stream = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = crash.wait_for(|crashed| *crashed) => return,
+        };
+        let Ok((stream, _)) = stream else { return };
+        let (runner, mut crash) = (runner.clone(), crash.clone());
+        tokio::spawn(async move {
+            tokio::select! {
+                _ = serve_connection(stream, &runner) => {}
+                _ = crash.wait_for(|crashed| *crashed) => {}
+            }
+        });
+    }
+}
+
 /// Answers the requests of a connection, one after another.
 async fn serve_connection(
     mut stream: TcpStream,
-    state: &StateHandle<RunnerState>,
+    runner: &RawRunner,
 ) -> anyhow::Result<()> {
+    let state = &runner.state;
     stream.set_nodelay(true)?;
     let mut buffer = Vec::new();
     let mut has_rejected = false;
@@ -387,11 +452,35 @@
             write_response(&mut stream, status, headers, b"").await?;
             continue;
         }
+        let deadly_part = state.with(|state| state.deadly_part).await;
+        if deadly_part.is_some_and(|part| request.has_part(part)) {
+            return answer_and_crash(&mut stream, runner, request).await;
+        }
         answer(&mut stream, state, request, fault).await?;
     }
     Ok(())
 }
 
+/// Writes the head of an answer and ends the runner.
+async fn answer_and_crash(
+    stream: &mut TcpStream,
+    runner: &RawRunner,
+    request: RecordedRequest,
+) -> anyhow::Result<()> {
+    let id = request.header("x-request-id").unwrap_or("").to_owned();
+    let run = (request, Instant::now());
+    runner.state.with(move |state| state.deadly_runs.push(run)).await;
+    let head = format!(
+        "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
+         transfer-encoding: chunked\r\nx-request-id: {id}\r\n\
+         x-response-signature: s\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await?;
+    tokio::time::sleep(CRASH_DELAY).await;
+    runner.crash();
+    Ok(())
+}
+
 /// Carries an order out once [`RunnerFault::LateOrders`] is over.
 async fn apply_order_late(state: StateHandle<RunnerState>, order: Order) {
     while state.with(|state| state.fault).await == RunnerFault::LateOrders {
