Quarantine prompt parts that crash runners

What callers saw: calls with one part in their prompts ended runner after runner; a fifth to a third of the sound calls of the same caller were served.

Nothing related it to what the calls that ended with it had in common, so each call with the part was sent to the next sound runner. The class: a query of death, whose retry, by callers or by us, is the amplifier.

Evidence: one part is in a call of every crash, 57 to 101 ms after the head of its answer, and no answer on it goes on; a sound part of the same caller is in all of them too, and answers on that one do go on.

Change: hosts tell each other which calls ended with a runner before their answers had got anywhere. A part is rejected, by all hosts, after three crashes each of which ended a call that was sent after the crash before, unless an answer on it went on since. Runners that end together are one trial, whatever ended them. A call with a part under suspicion isn't sent to a second runner. A verdict ends by one probe of one host after its term, by an answer that goes on, or by an operator (/quarantine at the control address). Callers get 400, which says that the request wasn't run, without Retry-After. The end of a call is handled before its next request for a runner.

--- a/crates/celerylead/src/customer/fleet.rs
+++ b/crates/celerylead/src/customer/fleet.rs
@@ -244,6 +244,16 @@
         self.hosts.len() + 1
     }
 
+    /// Iterates over the other hosts that have reported lately.
+    pub fn live(&self, now: EpochMillis) -> impl Iterator<Item = &str> {
+        self.hosts
+            .iter()
+            .filter(move |(_, reported_at)| {
+                now < reported_at.after(SILENCE_TIMEOUT)
+            })
+            .map(|(host, _)| host.as_str())
+    }
+
     /// Iterates over the hosts whose last report is too old at `now`.
     pub fn silent(&self, now: EpochMillis) -> impl Iterator<Item = &str> {
         self.hosts
--- a/crates/celerylead/src/membership/digest.rs
+++ b/crates/celerylead/src/membership/digest.rs
@@ -10,6 +10,7 @@
 use crate::{
     model::ModelName,
     placement::{ModelDemand, ResidencyList},
+    quarantine::EvidenceReport,
     roster::RunnerStart,
 };
 
@@ -91,6 +92,9 @@
     /// Changes of the registry, sent by the host that reads it for its zone.
     /// Hosts of a version without this message read the registry themselves.
     Registry(FeedExcerpt),
+    /// Evidence and verdicts on parts of prompts that crash runners. Hosts of a
+    /// version without this message ignore it.
+    Evidence(EvidenceReport),
 }
 
 /// Row of a host, with the address at which other hosts reach it.
--- a/crates/celerylead/src/metrics.rs
+++ b/crates/celerylead/src/metrics.rs
@@ -53,6 +53,8 @@
     pub(crate) peer_bytes: Counter,
     pub(crate) usage_waiting: Gauge,
     pub(crate) first_byte: Histogram,
+    pub(crate) crash_witnesses: Counter,
+    pub(crate) rejected_parts: Gauge,
 }
 
 impl Default for HostMetrics {
@@ -70,6 +72,8 @@
         let usage_waiting = Gauge::default();
         let buckets = exponential_buckets(0.001, 2.0, 16);
         let first_byte = Histogram::new(buckets);
+        let crash_witnesses = Counter::default();
+        let rejected_parts = Gauge::default();
         registry.register(
             "answers",
             "Answers by customer and code; ok is a whole answer",
@@ -125,6 +129,16 @@
             "Time from a request to the head of its answer",
             first_byte.clone(),
         );
+        registry.register(
+            "crash_witnesses",
+            "Calls that ended with their runner before their answers went on",
+            crash_witnesses.clone(),
+        );
+        registry.register(
+            "rejected_parts",
+            "Parts of prompts that are rejected, as they crash runners",
+            rejected_parts.clone(),
+        );
         HostMetrics {
             registry: Arc::new(registry),
             answers,
@@ -138,6 +152,8 @@
             peer_bytes,
             usage_waiting,
             first_byte,
+            crash_witnesses,
+            rejected_parts,
         }
     }
 }
--- /dev/null
+++ b/crates/celerylead/src/quarantine/crash.rs
@@ -0,0 +1,211 @@
+//! Ends of runners, and the calls that ended with them.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::part::{PartId, SharedParts};
+use crate::{clock::EpochMillis, roster::RunnerStart, sorted::SortedTable};
+
+/// Time for which a crash is remembered.
+const MEMORY: Duration = Duration::from_secs(600);
+/// Most crashes that are remembered; the oldest are forgotten first.
+const MAX_CRASHES: usize = 64;
+/// Most calls that are remembered of one crash.
+const MAX_WITNESSES: usize = 32;
+/// Time between two broken answers of the same runner from which the first one
+/// can't have been its end: all connections of a runner that ends break
+/// together, and reports of it arrive within moments.
+const SAME_CRASH_TIME: Duration = Duration::from_millis(2_000);
+
+/// A call that ended with its runner before its answer had got anywhere.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct CrashWitness {
+    /// Parts of its prompt that other calls may share.
+    pub parts: SharedParts,
+    /// Whether the head of its answer had arrived, so that the runner had
+    /// begun to answer it.
+    pub begun: bool,
+    /// Time at which the call was sent to the runner.
+    pub sent_at: EpochMillis,
+}
+
+/// A witness, and how long this host repeats it to the others.
+#[derive(Clone, Debug)]
+struct HeldWitness {
+    witness: CrashWitness,
+    /// Not after the epoch for what another host saw.
+    repeat_until: EpochMillis,
+}
+
+/// The end of one start of a runner.
+#[derive(Clone, Debug)]
+struct CrashRecord {
+    ended_at: EpochMillis,
+    witnesses: Vec<HeldWitness>,
+}
+
+/// How often a part was tried in vain.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct TrialCount {
+    /// Trials, each sent after the one before had ended.
+    pub(super) trials: u32,
+    /// Time at which the call of the last trial was sent.
+    pub(super) sent_at: EpochMillis,
+}
+
+/// The latest crashes, by start of the runner.
+///
+/// # Examples
+///
+/// ```
+/// use celerylead::{
+///     EpochMillis,
+///     quarantine::{CrashLog, CrashWitness, SharedParts},
+///     roster::RunnerStart,
+/// };
+///
+/// let mut log = CrashLog::default();
+/// let start = RunnerStart { id: "i-1".to_owned(), born: Some(5) };
+/// let witness = CrashWitness {
+///     parts: SharedParts::of_prompt([1, 2, 3]),
+///     begun: true,
+///     sent_at: EpochMillis(900),
+/// };
+/// let repeat_until = EpochMillis(0);
+/// assert!(log.record(&start, &witness, EpochMillis(1_000), repeat_until));
+/// assert!(!log.record(&start, &witness, EpochMillis(1_001), repeat_until));
+/// assert_eq!(log.len(), 1);
+/// ```
+#[derive(Debug, Default)]
+pub struct CrashLog {
+    records: SortedTable<RunnerStart, CrashRecord>,
+}
+
+impl CrashLog {
+    /// Records a call that ended with its runner at `ended_at`. Returns whether
+    /// it is new; a witness that is reported again isn't.
+    pub fn record(
+        &mut self,
+        start: &RunnerStart,
+        witness: &CrashWitness,
+        ended_at: EpochMillis,
+        repeat_until: EpochMillis,
+    ) -> bool {
+        self.records
+            .retain(|_, record| ended_at < record.ended_at.after(MEMORY));
+        if MAX_CRASHES <= self.records.len()
+            && self.records.get(start).is_none()
+        {
+            self.forget_oldest();
+        }
+        let record = self.records.entry(start.clone(), || CrashRecord {
+            ended_at,
+            witnesses: Vec::new(),
+        });
+        if record.ended_at.after(SAME_CRASH_TIME) <= ended_at {
+            // The runner went on after the earlier fault.
+            record.ended_at = ended_at;
+            record.witnesses.clear();
+        }
+        record.ended_at = record.ended_at.min(ended_at);
+        let is_known =
+            |held: &HeldWitness| held.witness.parts == witness.parts;
+        if record.witnesses.iter().any(is_known)
+            || MAX_WITNESSES <= record.witnesses.len()
+        {
+            return false;
+        }
+        let witness = witness.clone();
+        record.witnesses.push(HeldWitness { witness, repeat_until });
+        true
+    }
+
+    /// Returns the number of crashes.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Returns whether no crash is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Counts the trials of a part since it was last cleared. A crash that ended
+    /// a call which `is_explained` is due to another part.
+    pub(super) fn trials(
+        &self,
+        part: PartId,
+        cleared_at: Option<EpochMillis>,
+        is_explained: impl Fn(&SharedParts) -> bool,
+    ) -> TrialCount {
+        let mut trials: Vec<(EpochMillis, EpochMillis)> = Vec::new();
+        for record in self.records.values() {
+            let candidates = record.candidates();
+            if candidates.clone().any(|held| is_explained(&held.parts)) {
+                continue;
+            }
+            let sent = candidates
+                .filter(|witness| witness.parts.contains(part))
+                .map(|witness| witness.sent_at)
+                .filter(|sent_at| cleared_at.is_none_or(|at| at < *sent_at))
+                .max();
+            trials.extend(sent.map(|sent_at| (record.ended_at, sent_at)));
+        }
+        trials.sort();
+        let mut count = TrialCount::default();
+        let mut last_end = EpochMillis::default();
+        for (ended_at, sent_at) in trials {
+            if last_end < sent_at {
+                last_end = ended_at;
+                count.trials += 1;
+                count.sent_at = sent_at;
+            }
+        }
+        count
+    }
+
+    /// Iterates over the crashes with those witnesses that this host repeats to
+    /// the others.
+    pub(super) fn repeated(
+        &self,
+        now: EpochMillis,
+    ) -> impl Iterator<Item = (&RunnerStart, EpochMillis, &CrashWitness)> {
+        self.records.iter().flat_map(move |(start, record)| {
+            let held = record.witnesses.iter();
+            held.filter(move |held| now < held.repeat_until)
+                .map(move |held| (start, record.ended_at, &held.witness))
+        })
+    }
+
+    /// Forgets the crashes up to `until` that ended a call with a part.
+    pub(super) fn settle(&mut self, part: PartId, until: EpochMillis) {
+        self.records.retain(|_, record| {
+            until < record.ended_at
+                || !record
+                    .witnesses
+                    .iter()
+                    .any(|held| held.witness.parts.contains(part))
+        });
+    }
+
+    fn forget_oldest(&mut self) {
+        let oldest =
+            self.records.iter().min_by_key(|(_, record)| record.ended_at);
+        if let Some(start) = oldest.map(|(start, _)| start.clone()) {
+            self.records.remove(&start);
+        }
+    }
+}
+
+impl CrashRecord {
+    /// Iterates over the calls that may have caused the crash. A runner crashes
+    /// on what it runs, so that calls it hadn't begun count only if no other
+    /// call is known.
+    fn candidates(&self) -> impl Iterator<Item = &CrashWitness> + Clone {
+        let any_begun = self.witnesses.iter().any(|held| held.witness.begun);
+        let witnesses = self.witnesses.iter().map(|held| &held.witness);
+        witnesses.filter(move |witness| witness.begun || !any_begun)
+    }
+}
--- a/crates/celerylead/src/quarantine/part.rs
+++ b/crates/celerylead/src/quarantine/part.rs
@@ -1,6 +1,6 @@
 //! The parts of a prompt that other calls may share.
 
-use std::fmt;
+use std::{fmt, num::ParseIntError, str::FromStr};
 
 use serde::{Deserialize, Serialize};
 
@@ -21,6 +21,14 @@
     }
 }
 
+impl FromStr for PartId {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<PartId, ParseIntError> {
+        u64::from_str_radix(text, 16).map(PartId)
+    }
+}
+
 /// The parts of a call's prompt except the last one, in the order of the
 /// prompt. The last part belongs to the call alone, so that nothing can be
 /// learned from it for other calls.
--- a/crates/celerylead/src/relay/backend.rs
+++ b/crates/celerylead/src/relay/backend.rs
@@ -47,8 +47,10 @@
     },
     /// The runner itself answered with an error.
     Failed,
-    /// The runner broke the answer off, sent a malformed one, or sent none.
+    /// The runner sent a malformed answer, or none in time.
     Broken,
+    /// The connection to the runner ended before the answer was complete.
+    Cut,
     /// No connection to the runner could be opened.
     Unreachable,
     /// The runner rejected the call before running it.
@@ -259,7 +261,7 @@
             CallEnd::Neutral => {}
             CallEnd::Failed => self.note_failure(),
             CallEnd::Unreachable => self.eject(now),
-            CallEnd::Broken | CallEnd::Rejected => {
+            CallEnd::Broken | CallEnd::Cut | CallEnd::Rejected => {
                 self.note_failure();
                 self.consecutive_failures += 1;
                 if FAILURES_TO_EJECT <= self.consecutive_failures {
--- a/crates/celerylead/src/relay/call.rs
+++ b/crates/celerylead/src/relay/call.rs
@@ -72,4 +72,6 @@
     pub sent: bool,
     /// Time after which the caller has no use for an answer.
     pub deadline: EpochMillis,
+    /// Parts of its prompt that other calls may share.
+    pub parts: SharedParts,
 }
--- a/crates/celerylead/src/request/refusal.rs
+++ b/crates/celerylead/src/request/refusal.rs
@@ -67,6 +67,8 @@
     /// The caller's key is in a part of the request that would reach a
     /// backend server.
     KeyInRequest = 400 "key_in_request";
+    /// A part of the request's prompt crashes backend servers.
+    PromptRejected = 400 "prompt_rejected";
     /// The request's body is larger than allowed.
     BodyTooLarge = 413 "body_too_large";
     /// The request's head is larger than allowed.
--- a/crates/celerylead/src/tasks/node/attempt.rs
+++ b/crates/celerylead/src/tasks/node/attempt.rs
@@ -15,7 +15,7 @@
     body::{Body as _, Incoming},
     http::{request, response},
 };
-use tokio::time::Instant;
+use tokio::time::{Instant, error::Elapsed};
 
 use super::{
     NodeContext,
@@ -156,6 +156,7 @@
             tried: Vec::new(),
             sent: false,
             deadline: now.after(left),
+            parts: self.record.parts.clone(),
         })
     }
 
@@ -200,6 +201,7 @@
         self.record.sends += 1;
         self.record.runner = slot.choice.runner.clone();
         let request = request.sent(&slot.choice.runner);
+        slot.note_send();
         let sent_at = Instant::now();
         match link.send(message, self.deadline).await {
             Ok(response) => {
@@ -221,7 +223,7 @@
             }
             Err(SendFault::InDoubt(error)) => {
                 self.log_failure(&slot, "await_head", &error);
-                slot.finish(CallEnd::Broken, None);
+                slot.finish(end_by(&error), None);
                 run_again(request, RefusalCode::RunnerFailed, &error)
             }
             Err(SendFault::TimedOut) => {
@@ -316,7 +318,7 @@
         request: Request<Sent>,
         head: &response::Parts,
         upstream: Incoming,
-        slot: RelaySlot,
+        mut slot: RelaySlot,
         link: (HttpLink, Instant),
         sent_at: Instant,
     ) -> AttemptOutcome {
@@ -326,6 +328,7 @@
         }
         match self.collect(upstream).await {
             Ok(bytes) => {
+                slot.note_frame();
                 let latency_us = sent_at.elapsed().as_micros() as u64;
                 slot.finish(CallEnd::Complete { latency_us }, Some(link));
                 self.record.log("ok");
@@ -333,7 +336,7 @@
             }
             Err(error) => {
                 self.log_failure(&slot, "read_body", &error);
-                slot.finish(CallEnd::Broken, None);
+                slot.finish(end_by(&error), None);
                 run_again(request, RefusalCode::AnswerCut, &error)
             }
         }
@@ -353,7 +356,7 @@
             Ok(bytes) => bytes,
             Err(error) => {
                 self.log_failure(&slot, "read_body", &error);
-                slot.finish(CallEnd::Broken, None);
+                slot.finish(end_by(&error), None);
                 return run_again(request, RefusalCode::AnswerCut, &error);
             }
         };
@@ -428,6 +431,19 @@
     matches!(read, Ok(Ok(_))).then_some(link)
 }
 
+/// Returns how a call ended that failed with this error: whether its runner may
+/// have ended, or was late or sent what is no answer.
+fn end_by(error: &anyhow::Error) -> CallEnd {
+    let is_malformed = error
+        .downcast_ref::<hyper::Error>()
+        .is_some_and(hyper::Error::is_parse);
+    if is_malformed || error.is::<Elapsed>() {
+        CallEnd::Broken
+    } else {
+        CallEnd::Cut
+    }
+}
+
 /// Lets an idempotent request run again and fails any other request.
 fn run_again(
     request: Request<Sent>,
--- a/crates/celerylead/src/tasks/node/body.rs
+++ b/crates/celerylead/src/tasks/node/body.rs
@@ -152,12 +152,15 @@
                     // Trailers aren't passed on.
                     let Ok(bytes) = frame.into_data() else { continue };
                     self.record.frames += 1;
+                    if let Some(slot) = &mut self.slot {
+                        slot.note_frame();
+                    }
                     self.report_pace();
                     return Poll::Ready(Some(Ok(Frame::data(bytes))));
                 }
                 Some(Err(error)) => {
                     let error = Some(error);
-                    return self.abort(CallEnd::Broken, "answer_cut", error);
+                    return self.abort(CallEnd::Cut, "answer_cut", error);
                 }
                 None => return self.finish(),
             }
--- a/crates/celerylead/src/tasks/node/control.rs
+++ b/crates/celerylead/src/tasks/node/control.rs
@@ -9,17 +9,18 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Full, Limited};
 use hyper::{
-    Request, Response, StatusCode, body::Incoming, server::conn::http1,
-    service::service_fn,
+    Method, Request, Response, StatusCode, body::Incoming,
+    server::conn::http1, service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
 use serde::de::DeserializeOwned;
 use tokio::{net::TcpListener, time::Instant};
 
-use super::{NodeContext, NodePhase, RosterWatch};
+use super::{NodeContext, NodePhase, RosterWatch, router_port::RouterEvent};
 use crate::{
     catalog::ServiceCatalog,
     port::{EdgeCodec, HttpLink, SendFault},
+    quarantine::PartId,
     roster::RunnerFacts,
     step::{StepContext as _, StepName},
     wire::link,
@@ -30,6 +31,9 @@
 const CATALOG_PATH: &str = "/snapshot/catalog";
 /// Path of the roster's snapshot, which other hosts read.
 const ROSTER_PATH: &str = "/snapshot/roster";
+/// Path of the verdicts on parts of prompts. `DELETE` on the path followed by a
+/// slash and a part ends the part's verdict.
+const VERDICTS_PATH: &str = "/quarantine";
 /// Longest wait for a snapshot from another host.
 const SNAPSHOT_TIMEOUT: Duration = Duration::from_millis(1_000);
 /// Largest snapshot that is accepted from another host.
@@ -53,8 +57,11 @@
                 return;
             }
             let service = service_fn(|request| {
-                let answered = answer(&context, &roster, &request);
-                async move { Ok::<_, Infallible>(answered) }
+                let (context, roster) = (&context, &roster);
+                async move {
+                    let answered = answer(context, roster, &request).await;
+                    Ok::<_, Infallible>(answered)
+                }
             });
             let served = http1::Builder::new()
                 .timer(TokioTimer::new())
@@ -68,12 +75,16 @@
     }
 }
 
-fn answer<C: EdgeCodec>(
+async fn answer<C: EdgeCodec>(
     context: &NodeContext<C>,
     roster: &RosterWatch,
     request: &Request<Incoming>,
 ) -> Response<Full<Bytes>> {
-    match request.uri().path() {
+    let path = request.uri().path();
+    if let Some(part) = path.strip_prefix(VERDICTS_PATH) {
+        return answer_quarantine(context, request.method(), part).await;
+    }
+    match path {
         METRICS_PATH => text(StatusCode::OK, context.metrics.text()),
         CATALOG_PATH => snapshot(context.catalog().as_deref()),
         ROSTER_PATH => {
@@ -84,6 +95,30 @@
     }
 }
 
+/// Lists the verdicts on parts of prompts, or ends one.
+async fn answer_quarantine<C>(
+    context: &NodeContext<C>,
+    method: &Method,
+    part: &str,
+) -> Response<Full<Bytes>> {
+    let router = &context.router.sender;
+    let part = part.strip_prefix('/').unwrap_or(part);
+    if *method != Method::DELETE || part.is_empty() {
+        let verdicts =
+            crate::tasks::ask(router, RouterEvent::ReadVerdicts).await;
+        return snapshot(verdicts.as_deref());
+    }
+    let Ok(part) = part.parse::<PartId>() else {
+        let reason = format!("{part} isn't a hexadecimal number");
+        return text(StatusCode::BAD_REQUEST, reason);
+    };
+    let lift = |reply| RouterEvent::LiftVerdict(part, reply);
+    match crate::tasks::ask(router, lift).await {
+        Some(true) => text(StatusCode::OK, "lifted".to_owned()),
+        _ => text(StatusCode::NOT_FOUND, "no such verdict".to_owned()),
+    }
+}
+
 /// Returns the answer to a readiness probe. The host is ready if it accepts
 /// callers and knows a catalog.
 pub(crate) fn ready<C: EdgeCodec>(
--- a/crates/celerylead/src/tasks/node/gossip.rs
+++ b/crates/celerylead/src/tasks/node/gossip.rs
@@ -315,14 +315,14 @@
     async fn report(&self) -> Option<RouterReport> {
         let event = RouterEvent::ReadReport;
         let report = crate::tasks::ask(&self.router.sender, event).await?;
-        let RouterReport { digest, departures } = report;
+        let RouterReport { digest, departures, evidence } = report;
         let row = &self.setup.row;
         let (host, incarnation) = (row.host.clone(), row.incarnation);
         let contact = *self.setup.contact.borrow();
         let registry_steady_ms = contact.steady_ms(self.setup.clock.now());
         let digest =
             HostDigest { host, incarnation, registry_steady_ms, ..digest };
-        Some(RouterReport { digest, departures })
+        Some(RouterReport { digest, departures, evidence })
     }
 
     /// Sends the digest of this host to the hosts that the current tick
@@ -357,7 +357,7 @@
             return;
         }
         let Some(report) = self.report().await else { return };
-        let RouterReport { digest, departures } = report;
+        let RouterReport { digest, departures, evidence } = report;
         let demand = Some(self.demand.clone());
         let with_demand = HostDigest { demand, ..digest.clone() };
         if tick.begins_round() {
@@ -369,6 +369,11 @@
             self.send(&message, &digest_recipients).await;
             self.send(&message, &demand_recipients).await;
         }
+        if !evidence.is_empty() {
+            let message = HostMessage::Evidence(evidence);
+            self.send(&message, &digest_recipients).await;
+            self.send(&message, &demand_recipients).await;
+        }
         self.send(&HostMessage::Digest(digest), &digest_recipients).await;
         self.send(&HostMessage::Digest(with_demand), &demand_recipients).await;
     }
@@ -470,6 +475,12 @@
                     tracing::debug!(event = "excerpt_dropped");
                 }
             }
+            HostMessage::Evidence(report) => {
+                let at = self.setup.clock.now();
+                let report = Box::new(report);
+                let event = RouterEvent::Evidence { report, at };
+                let _ = self.router.sender.send(event).await;
+            }
             HostMessage::Departing(starts) => {
                 let event = RouterEvent::Departing(starts);
                 let _ = self.router.sender.send(event).await;
--- a/crates/celerylead/src/tasks/node/mod.rs
+++ b/crates/celerylead/src/tasks/node/mod.rs
@@ -25,12 +25,14 @@
 mod links;
 mod orders;
 mod placer;
+mod quarantine;
 mod registry;
 mod router;
 mod router_port;
 mod run;
 #[cfg(test)]
 mod tests;
+mod trace;
 mod watcher;
 
 pub use self::run::{NodeOptions, RunningNode, start};
--- /dev/null
+++ b/crates/celerylead/src/tasks/node/quarantine.rs
@@ -0,0 +1,191 @@
+//! The router's view of prompt parts that crash runners: the ledger, and the
+//! log lines and metrics of what it finds.
+
+use tokio::time::Instant;
+
+use super::{
+    router_port::{CompletedCall, QueuedCall},
+    trace::TraceVerdict,
+};
+use crate::{
+    clock::EpochMillis,
+    customer::HostLiveness,
+    membership,
+    metrics::HostMetrics,
+    quarantine::{
+        EvidenceReport, LedgerEvent, PartAdmission, PartId, SharedParts,
+        SuspectLedger, VerdictRow,
+    },
+    request::{Refusal, RefusalCode},
+};
+
+/// The ledger of one host.
+pub(super) struct QuarantineDesk {
+    host: String,
+    ledger: SuspectLedger,
+    metrics: HostMetrics,
+}
+
+impl QuarantineDesk {
+    pub(super) fn new(
+        host: &str,
+        metrics: HostMetrics,
+        now: EpochMillis,
+    ) -> QuarantineDesk {
+        let ledger = SuspectLedger::new(rand::random(), now);
+        QuarantineDesk { host: host.to_owned(), ledger, metrics }
+    }
+
+    /// Decides whether a call may be sent to a runner, for the first time or
+    /// again. Returns the part to probe, if the call may be sent as a probe.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal of a call that may not.
+    pub(super) fn check(
+        &mut self,
+        call: &QueuedCall,
+        hosts: &HostLiveness,
+        now: EpochMillis,
+    ) -> Result<Option<PartId>, Refusal> {
+        let requirements = &call.requirements;
+        let parts = &requirements.parts;
+        let own = self.host.as_str();
+        let is_prober = |part: PartId| {
+            let fleet = hosts.live(now).chain([own]);
+            membership::best_host(fleet, &part.to_string()) == Some(own)
+        };
+        let probed = match self.ledger.admit(parts, is_prober, now) {
+            PartAdmission::Admit => None,
+            PartAdmission::Probe(part) => Some(part),
+            PartAdmission::Reject(part) => {
+                let message = format!(
+                    "part {part} of the prompt crashes backend servers; the \
+                     request was not run and must not be sent again"
+                );
+                let code = RefusalCode::PromptRejected;
+                return Err(Refusal::not_run(code, &message));
+            }
+        };
+        if requirements.sent && !self.ledger.allows_further_send(parts) {
+            let message = "a part of the prompt may have ended the runner";
+            let code = RefusalCode::RunnerFailed;
+            return Err(Refusal::not_run(code, message));
+        }
+        Ok(probed)
+    }
+
+    /// Notes that a call was sent as the probe of a part.
+    pub(super) fn begin_probe(&mut self, part: PartId, now: EpochMillis) {
+        tracing::info!(event = "part_probed", part = %part);
+        self.ledger.begin_probe(part, now);
+    }
+
+    /// Notes what the end of a call tells.
+    pub(super) fn note_end(
+        &mut self,
+        completed: &CompletedCall,
+        now: EpochMillis,
+    ) {
+        let trace = &completed.trace;
+        if trace.parts.is_empty() {
+            return;
+        }
+        let clock = (Instant::now(), now);
+        let events = match trace.verdict(completed.end, clock) {
+            TraceVerdict::Sound => self.ledger.record_sound(&trace.parts, now),
+            TraceVerdict::Witness(witness) => {
+                let start = completed.choice.start();
+                self.metrics.crash_witnesses.inc();
+                tracing::info!(
+                    event = "crash_witnessed",
+                    runner = start.id,
+                    born = start.born,
+                    parts = %witness.parts,
+                    begun = witness.begun,
+                    sent_ago_ms = witness.sent_at.until(now).as_millis() as u64,
+                );
+                self.ledger.record_crash(&start, &witness, now)
+            }
+            TraceVerdict::Neutral => {
+                self.ledger.record_neutral(&trace.parts, now);
+                return;
+            }
+        };
+        self.announce(&events, now);
+    }
+
+    /// Notes an answer that goes on.
+    pub(super) fn note_sound(
+        &mut self,
+        parts: &SharedParts,
+        now: EpochMillis,
+    ) {
+        let events = self.ledger.record_sound(parts, now);
+        self.announce(&events, now);
+    }
+
+    /// Applies what another host reports.
+    pub(super) fn merge(&mut self, report: &EvidenceReport, now: EpochMillis) {
+        let events = self.ledger.merge(report, now);
+        self.announce(&events, now);
+    }
+
+    /// Returns what the other hosts should be told.
+    pub(super) fn report(
+        &mut self,
+        hosts: usize,
+        now: EpochMillis,
+    ) -> EvidenceReport {
+        let (report, events) = self.ledger.report(hosts, now);
+        self.announce(&events, now);
+        report
+    }
+
+    /// Returns the verdicts in force.
+    pub(super) fn verdicts(&self, now: EpochMillis) -> Vec<VerdictRow> {
+        self.ledger.verdicts(now).collect()
+    }
+
+    /// Ends the verdict on a part; returns whether there was one.
+    pub(super) fn lift(&mut self, part: PartId, now: EpochMillis) -> bool {
+        let event = self.ledger.lift(part, now);
+        self.announce(event.as_slice(), now);
+        event.is_some()
+    }
+
+    /// Logs changes of the verdicts and updates the metrics.
+    fn announce(&self, events: &[LedgerEvent], now: EpochMillis) {
+        if events.is_empty() {
+            return;
+        }
+        for event in events {
+            match event {
+                LedgerEvent::Rejected(row) => log_verdict(row, "own"),
+                LedgerEvent::Adopted(row) => log_verdict(row, "host"),
+                LedgerEvent::Cleared(part) => {
+                    tracing::info!(event = "part_cleared", part = %part);
+                }
+                LedgerEvent::Dropped(part) => {
+                    tracing::info!(event = "part_forgotten", part = %part);
+                }
+                LedgerEvent::TableFull(part) => {
+                    tracing::warn!(event = "part_verdicts_full", part = %part);
+                }
+            }
+        }
+        let count = self.ledger.verdicts(now).count();
+        self.metrics.rejected_parts.set(count as i64);
+    }
+}
+
+fn log_verdict(row: &VerdictRow, source: &str) {
+    tracing::warn!(
+        event = "part_rejected",
+        part = %row.part,
+        source,
+        trials = row.trials,
+        terms = row.terms,
+        left_ms = row.left_ms,
+    );
+}
--- a/crates/celerylead/src/tasks/node/router.rs
+++ b/crates/celerylead/src/tasks/node/router.rs
@@ -14,6 +14,7 @@
     CatalogWatch, RosterWatch,
     gossip::GossipPort,
     links::IdleLinks,
+    quarantine::QuarantineDesk,
     router_port::{
         CompletedCall, QueuedCall, RoutedCall, RouterEvent, RouterInbox,
         RouterReport,
@@ -67,6 +68,7 @@
 
 /// Configuration and handles with which the task is started.
 pub(crate) struct RouterSetup {
+    pub(crate) host: String,
     pub(crate) zone: String,
     pub(crate) clock: HostClock,
     pub(crate) catalog: CatalogWatch,
@@ -84,6 +86,7 @@
     host_liveness: HostLiveness,
     budgets: SortedTable<String, RetryWindow>,
     demand: DemandMeter,
+    quarantine: QuarantineDesk,
     links: IdleLinks,
     waiting: Vec<QueuedCall>,
     /// Time at which the waiting calls are tried again, after a digest that
@@ -102,6 +105,11 @@
         host_liveness: HostLiveness::default(),
         budgets: SortedTable::default(),
         demand: DemandMeter::new(DEMAND_HALF_LIFE),
+        quarantine: QuarantineDesk::new(
+            &setup.host,
+            setup.metrics.clone(),
+            setup.clock.now(),
+        ),
         links: IdleLinks::default(),
         waiting: Vec::new(),
         retry_waiting_at: None,
@@ -118,11 +126,14 @@
         loop {
             let wake = self.next_wake();
             tokio::select! {
+                // What the end of a call tells counts before that call asks
+                // for another runner.
+                biased;
+                Some(call) = inbox.completions.recv() => self.complete(call),
                 event = inbox.events.recv() => match event {
                     Some(event) => self.handle(event),
                     None => return,
                 },
-                Some(call) = inbox.completions.recv() => self.complete(call),
                 Ok(()) = catalog.changed() => {
                     let newest = catalog.borrow_and_update().clone();
                     if let Some(newest) = newest {
@@ -156,6 +167,18 @@
             RouterEvent::StreamPace { runner, model, pace_us } => {
                 self.table.record_latency(&runner, &model, pace_us);
             }
+            RouterEvent::SoundAnswer(parts) => {
+                self.quarantine.note_sound(&parts, now);
+            }
+            RouterEvent::Evidence { report, at } => {
+                self.quarantine.merge(&report, at);
+            }
+            RouterEvent::ReadVerdicts(reply) => {
+                let _ = reply.send(self.quarantine.verdicts(now));
+            }
+            RouterEvent::LiftVerdict(part, reply) => {
+                let _ = reply.send(self.quarantine.lift(part, now));
+            }
             RouterEvent::Digest { digest, at } => self.merge(&digest, at),
             RouterEvent::Departing(starts) => {
                 self.note_departures(&starts, now);
@@ -178,7 +201,10 @@
             RouterEvent::ReadReport(reply) => {
                 let digest = self.digest();
                 let departures = self.table.departures(now);
-                let _ = reply.send(RouterReport { digest, departures });
+                let hosts = self.host_liveness.count();
+                let evidence = self.quarantine.report(hosts, now);
+                let report = RouterReport { digest, departures, evidence };
+                let _ = reply.send(report);
             }
             RouterEvent::ReadDemand(reply) => {
                 let demand = self.demand.highest(MAX_DEMAND_ENTRIES, now);
@@ -253,14 +279,20 @@
     }
 
     /// Admits a call and looks for a runner. The call is refused if its
-    /// deadline has passed, if an earlier attempt was sent and the retry
-    /// budget is spent, or if the call isn't charged yet and its customer is
-    /// over the rate.
+    /// deadline has passed, if a part of its prompt may crash runners, if an
+    /// earlier attempt was sent and the retry budget is spent, or if the call
+    /// isn't charged yet and its customer is over the rate.
     fn admit(&mut self, mut call: QueuedCall, now: EpochMillis) {
         if call.requirements.deadline <= now {
             self.refuse(call, "no runner took the call in time", now);
             return;
         }
+        if let Err(refusal) =
+            self.quarantine.check(&call, &self.host_liveness, now)
+        {
+            self.send_refusal(call, refusal);
+            return;
+        }
         let RetryAllowance { share, slack, window } = self.setup.allowance;
         let share = share * RETRY_BUDGET_SHARE;
         let slack =
@@ -328,8 +360,21 @@
         if call.reply.is_closed() {
             return;
         }
+        let checked = self.quarantine.check(&call, &self.host_liveness, now);
+        let probed = match checked {
+            Ok(probed) => probed,
+            Err(refusal) => {
+                self.send_refusal(call, refusal);
+                return;
+            }
+        };
         match self.table.pick(&call.requirements, &self.catalog, now) {
-            Ok(choice) => self.assign(call, choice, now),
+            Ok(choice) => {
+                if let Some(part) = probed {
+                    self.quarantine.begin_probe(part, now);
+                }
+                self.assign(call, choice, now);
+            }
             Err(fault) => self.enqueue(call, fault, now),
         }
     }
@@ -426,21 +471,26 @@
         self.refuse_until(call, reason, Some(retry_at));
     }
 
-    /// Refuses a call for lack of a runner, and refunds its charge if the
-    /// charge is refundable. A retry may succeed from `retry_at`, if ever.
+    /// Refuses a call for lack of a runner. A retry may succeed from
+    /// `retry_at`, if ever.
     fn refuse_until(
         &mut self,
         call: QueuedCall,
         reason: &str,
         retry_at: Option<EpochMillis>,
     ) {
+        let refusal = Refusal::not_run(RefusalCode::NoRunner, reason);
+        self.send_refusal(call, refusal.retry_at(retry_at));
+    }
+
+    /// Refuses a call, and refunds its charge if the charge is refundable.
+    fn send_refusal(&mut self, call: QueuedCall, refusal: Refusal) {
         if let Some((customer, cost)) = &call.refundable
             && let Some(bucket) = self.buckets.get_mut(customer)
         {
             bucket.refund(*cost);
         }
-        let refusal = Refusal::not_run(RefusalCode::NoRunner, reason);
-        let _ = call.reply.send(Err(refusal.retry_at(retry_at)));
+        let _ = call.reply.send(Err(refusal));
     }
 
     /// Tries the waiting calls again, the oldest first.
@@ -459,6 +509,7 @@
     /// Records the end of a call, and tries the waiting calls again.
     fn complete(&mut self, completed: CompletedCall) {
         let now = self.setup.clock.now();
+        self.quarantine.note_end(&completed, now);
         self.table.end_call(
             &completed.choice,
             completed.head_reported,
--- a/crates/celerylead/src/tasks/node/router_port.rs
+++ b/crates/celerylead/src/tasks/node/router_port.rs
@@ -7,12 +7,14 @@
     time::Instant,
 };
 
+use super::trace::CallTrace;
 use crate::{
     clock::EpochMillis,
     membership::HostDigest,
     model::ModelName,
     placement::ModelDemand,
     port::HttpLink,
+    quarantine::{EvidenceReport, PartId, SharedParts, VerdictRow},
     relay::{CallEnd, CallRequirements, RelayChoice, RunnerNotice},
     request::{Refusal, RefusalCode},
     roster::RunnerStart,
@@ -32,6 +34,15 @@
     AnswerHead { start: RunnerStart, notice: RunnerNotice },
     /// Pace of a stream of a runner, in microseconds per event.
     StreamPace { runner: String, model: String, pace_us: u64 },
+    /// An answer has gone on for so long that these parts of its prompt can't
+    /// crash a runner.
+    SoundAnswer(SharedParts),
+    /// Evidence of another host, received at `at`.
+    Evidence { report: Box<EvidenceReport>, at: EpochMillis },
+    /// Request for the verdicts on parts of prompts.
+    ReadVerdicts(oneshot::Sender<Vec<VerdictRow>>),
+    /// End the verdict on a part; replies whether there was one.
+    LiftVerdict(PartId, oneshot::Sender<bool>),
     /// Digest of another host, received at `at`.
     Digest { digest: Box<HostDigest>, at: EpochMillis },
     /// Another host was told by these runners that they are leaving.
@@ -59,6 +70,8 @@
     pub(super) digest: HostDigest,
     /// Runners that told this host a moment ago that they are leaving.
     pub(super) departures: Vec<RunnerStart>,
+    /// Evidence and verdicts on parts of prompts.
+    pub(super) evidence: EvidenceReport,
 }
 
 /// A call that waits for the choice of its runner.
@@ -82,6 +95,7 @@
     pub(super) choice: RelayChoice,
     pub(super) head_reported: bool,
     pub(super) end: CallEnd,
+    pub(super) trace: CallTrace,
     pub(super) link: Option<(HttpLink, Instant)>,
 }
 
@@ -99,6 +113,7 @@
     pub(crate) link: Option<HttpLink>,
     sender: mpsc::Sender<RouterEvent>,
     head_reported: bool,
+    trace: CallTrace,
     permit: Option<mpsc::OwnedPermit<CompletedCall>>,
 }
 
@@ -107,6 +122,7 @@
     /// of the router is full, the end of the call reports it, unless the head
     /// carries a notice, which can't wait for that.
     pub(crate) async fn head_received(&mut self, notice: RunnerNotice) {
+        self.trace.begun = true;
         let start = self.choice.start();
         let event = RouterEvent::AnswerHead { start, notice };
         self.head_reported = if notice.is_empty() {
@@ -116,6 +132,21 @@
         };
     }
 
+    /// Notes that the call is about to be written to its runner.
+    pub(crate) fn note_send(&mut self) {
+        self.trace.sent_at = Some(Instant::now());
+    }
+
+    /// Notes that a part of the answer's body arrived. Reports once that the
+    /// answer goes on; a lost report is made up for by the end of the call.
+    pub(crate) fn note_frame(&mut self) {
+        if self.trace.note_frame(Instant::now()) {
+            let parts = self.trace.parts.clone();
+            let event = RouterEvent::SoundAnswer(parts);
+            let _ = self.sender.try_send(event);
+        }
+    }
+
     /// Ends the call. `link` is its connection with the time until which it
     /// may be used again, if it may.
     pub(crate) fn finish(
@@ -141,7 +172,8 @@
         let Some(permit) = self.permit.take() else { return };
         let (choice, head_reported) =
             (self.choice.clone(), self.head_reported);
-        permit.send(CompletedCall { choice, head_reported, end, link });
+        let trace = std::mem::take(&mut self.trace);
+        permit.send(CompletedCall { choice, head_reported, end, trace, link });
     }
 }
 
@@ -179,7 +211,9 @@
             routed.ok_or_else(shutting_down)??;
         let sender = self.sender.clone();
         let permit = Some(permit);
-        Ok(RelaySlot { choice, link, sender, head_reported: false, permit })
+        let head_reported = false;
+        let trace = CallTrace::of(&requirements.parts);
+        Ok(RelaySlot { choice, link, sender, head_reported, trace, permit })
     }
 }
 
--- a/crates/celerylead/src/tasks/node/run.rs
+++ b/crates/celerylead/src/tasks/node/run.rs
@@ -134,6 +134,7 @@
     let (phase, phase_receiver) = watch::channel(NodePhase::Serving);
     let (router_port, router_inbox) = router_port::mailbox();
     let setup = RouterSetup {
+        host: options.host.clone(),
         zone: options.zone.clone(),
         clock: clock.clone(),
         catalog: catalog.clone(),
--- a/crates/celerylead/src/tasks/node/tests.rs
+++ b/crates/celerylead/src/tasks/node/tests.rs
@@ -14,6 +14,7 @@
     clock::HostClock,
     membership::{HostDigest, RunnerLoad},
     metrics::HostMetrics,
+    quarantine::SharedParts,
     relay::CallRequirements,
     request::RequestId,
     roster::RunnerFacts,
@@ -62,6 +63,7 @@
         let clock = HostClock::default();
         let (port, inbox) = router_port::mailbox();
         let setup = RouterSetup {
+            host: "front-1".to_owned(),
             zone: "boden".to_owned(),
             clock: clock.clone(),
             catalog: catalog_receiver,
@@ -113,6 +115,7 @@
             tried: Vec::new(),
             sent: false,
             deadline: now.after(timeout),
+            parts: SharedParts::default(),
         };
         let began = Instant::now();
         assert!(self.port.route(&requirements, None, now).await.is_ok());
