Count only runners that ended, weigh crashes together, and tell them at once

Cause: an answer that broke off was taken for the end of its runner. And a part was weighed against those of one call only, so that a companion in another call won before the part was looked at.

Change: a crash counts once the runner's address refuses a connection, or after a second in which no host had an answer to a call that was sent to that start after the break; such an answer disproves it, at all hosts. All parts of calls whose runners' ends are unsettled are weighed together. News of a crash is told to all hosts after 10 ms instead of in their turns.

Ruled out: several answers that break at once as the sign of an end, as resets of connections do that too; frames that arrive after the break, as a slow host reads frames late that were sent before it.

--- a/crates/celerylead/src/quarantine/crash.rs
+++ b/crates/celerylead/src/quarantine/crash.rs
@@ -18,6 +18,13 @@
 /// together, and reports of it arrive within moments.
 const SAME_CRASH_TIME: Duration = Duration::from_millis(2_000);
 
+/// Age from which a crash counts that no sign confirms or disproves: calls are
+/// sent to a runner several times a second, and their hosts tell the others.
+const SETTLE_TIME: Duration = Duration::from_millis(1_000);
+/// Longest time by which a refused connection may precede the report of the
+/// crash behind it.
+const REFUSAL_LEAD: Duration = Duration::from_millis(2_000);
+
 /// A call that ended with its runner before its answer had got anywhere.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -43,6 +50,8 @@
 #[derive(Clone, Debug)]
 struct CrashRecord {
     ended_at: EpochMillis,
+    /// Whether the runner was seen to be down.
+    is_confirmed: bool,
     witnesses: Vec<HeldWitness>,
 }
 
@@ -102,11 +111,13 @@
         }
         let record = self.records.entry(start.clone(), || CrashRecord {
             ended_at,
+            is_confirmed: false,
             witnesses: Vec::new(),
         });
         if record.ended_at.after(SAME_CRASH_TIME) <= ended_at {
             // The runner went on after the earlier fault.
             record.ended_at = ended_at;
+            record.is_confirmed = false;
             record.witnesses.clear();
         }
         record.ended_at = record.ended_at.min(ended_at);
@@ -132,16 +143,51 @@
         self.records.is_empty()
     }
 
+    /// Forgets a crash if its runner answered a call that was sent after it.
+    /// Returns whether there was one.
+    pub(super) fn disprove(
+        &mut self,
+        start: &RunnerStart,
+        answered: EpochMillis,
+    ) -> bool {
+        let record = self.records.get(start);
+        if record.is_none_or(|record| answered <= record.ended_at) {
+            return false;
+        }
+        self.records.remove(start).is_some()
+    }
+
+    /// Confirms a crash if its runner refused a connection at that time.
+    /// Returns whether that is new.
+    pub(super) fn confirm(
+        &mut self,
+        start: &RunnerStart,
+        refused: EpochMillis,
+    ) -> bool {
+        let Some(record) = self.records.get_mut(start) else { return false };
+        if record.is_confirmed || refused.after(REFUSAL_LEAD) < record.ended_at
+        {
+            return false;
+        }
+        record.is_confirmed = true;
+        true
+    }
+
     /// Counts the trials of a part since it was last cleared. A crash that ended
-    /// a call which `is_explained` is due to another part.
+    /// a call which `is_explained` is due to another part. With `settled_at`,
+    /// counts only crashes that are settled by then.
     pub(super) fn trials(
         &self,
         part: PartId,
         cleared_at: Option<EpochMillis>,
+        settled_at: Option<EpochMillis>,
         is_explained: impl Fn(&SharedParts) -> bool,
     ) -> TrialCount {
         let mut trials: Vec<(EpochMillis, EpochMillis)> = Vec::new();
-        for record in self.records.values() {
+        let is_settled = |record: &&CrashRecord| {
+            settled_at.is_none_or(|now| record.is_settled(now))
+        };
+        for record in self.records.values().filter(is_settled) {
             let candidates = record.candidates();
             if candidates.clone().any(|held| is_explained(&held.parts)) {
                 continue;
@@ -200,6 +246,11 @@
 }
 
 impl CrashRecord {
+    /// Returns whether no sign to the contrary is to be expected any more.
+    fn is_settled(&self, now: EpochMillis) -> bool {
+        self.is_confirmed || self.ended_at.after(SETTLE_TIME) <= now
+    }
+
     /// Iterates over the calls that may have caused the crash. A runner crashes
     /// on what it runs, so that calls it hadn't begun count only if no other
     /// call is known.
--- a/crates/celerylead/src/quarantine/ledger.rs
+++ b/crates/celerylead/src/quarantine/ledger.rs
@@ -8,9 +8,10 @@
     crash::{CrashLog, CrashWitness, TrialCount},
     part::{PartId, SharedParts},
     report::{
-        ClearanceBasis, ClearanceRow, CrashRow, EvidenceReport, VerdictRow,
-        WitnessRow,
+        ClearanceBasis, ClearanceRow, CrashRow, EvidenceReport, SignRow,
+        VerdictRow, WitnessRow,
     },
+    signs::{RunnerSign, SignLog},
     sound::SoundLog,
     verdict::{MAX_TERM, PartVerdict, VerdictState},
 };
@@ -40,6 +41,15 @@
 const MAX_SUSPECTS: usize = 512;
 /// Time for which a clearance is remembered.
 const CLEARANCE_MEMORY: Duration = Duration::from_secs(600);
+/// Time for which news is gathered before it is told to all hosts at once.
+const GATHER_TIME: Duration = Duration::from_millis(10);
+/// Shortest time between two such tellings.
+const MIN_TELL_PERIOD: Duration = Duration::from_millis(100);
+/// Time for which a call that ended with its runner is weighed again: until the
+/// end of the runner is settled and has been told.
+const WEIGH_TIME: Duration = Duration::from_millis(2_000);
+/// Most calls that are weighed again.
+const MAX_UNSETTLED: usize = 64;
 /// Most rows of each kind in a report.
 const MAX_ROWS: usize = 48;
 
@@ -109,13 +119,21 @@
 ///         CrashWitness { parts: parts.clone(), begun: true, sent_at };
 ///     ledger.record_crash(&start, &witness, EpochMillis(crash * 1_000 + 50));
 /// }
-/// let now = EpochMillis(4_000);
+/// // Nothing has shown since that the runners hadn't ended.
+/// let now = EpochMillis(5_000);
+/// ledger.report(1, now);
 /// let admission = ledger.admit(&parts, |_| false, now);
 /// assert_eq!(admission, PartAdmission::Reject(PartId(0xb)));
 /// ```
 #[derive(Debug)]
 pub struct SuspectLedger {
     crashes: CrashLog,
+    /// Calls that ended with a runner whose end isn't settled yet.
+    unsettled: Vec<(CrashWitness, EpochMillis)>,
+    signs: SignLog,
+    /// Signs that are repeated to the other hosts, with the time of the sign
+    /// and the time until which it is repeated.
+    repeated_signs: Vec<(RunnerStart, RunnerSign, [EpochMillis; 2])>,
     sound: SoundLog,
     /// Parts of calls that ended with a runner and aren't cleared since, with
     /// the time at which the last such call was sent.
@@ -126,6 +144,10 @@
     phase: f64,
     /// Time from which the verdicts in force are repeated.
     repeat_at: EpochMillis,
+    /// Time at which news is told to all other hosts at once, if there is any.
+    tell_at: Option<EpochMillis>,
+    /// Time until which further news waits.
+    quiet_until: EpochMillis,
 }
 
 impl SuspectLedger {
@@ -134,12 +156,17 @@
     pub fn new(phase: f64, now: EpochMillis) -> SuspectLedger {
         SuspectLedger {
             crashes: CrashLog::default(),
+            unsettled: Vec::new(),
+            signs: SignLog::default(),
+            repeated_signs: Vec::new(),
             sound: SoundLog::default(),
             suspects: SortedTable::default(),
             cleared: SortedTable::default(),
             verdicts: SortedTable::default(),
             phase,
             repeat_at: now,
+            tell_at: None,
+            quiet_until: now,
         }
     }
 
@@ -156,9 +183,43 @@
             sound.last(part).is_none_or(|at| at < witness.sent_at)
         });
         let repeat_until = now.after(REPEAT_TIME);
+        if !witness.parts.is_empty() {
+            self.tell_soon(now);
+        }
         self.add_witness(start, &witness, (now, repeat_until), now)
     }
 
+    /// Returns the time at which the other hosts are to be told the news without
+    /// waiting for their turn, if there is any.
+    pub fn tell_at(&self) -> Option<EpochMillis> {
+        self.tell_at
+    }
+
+    /// Notes that the other hosts are told the news now.
+    pub fn begin_telling(&mut self, now: EpochMillis) {
+        self.tell_at = None;
+        self.quiet_until = now.after(MIN_TELL_PERIOD);
+    }
+
+    /// Records what a start of a runner did towards this host.
+    pub fn record_sign(
+        &mut self,
+        start: &RunnerStart,
+        sign: RunnerSign,
+        at: EpochMillis,
+        now: EpochMillis,
+    ) -> Vec<LedgerEvent> {
+        self.signs.record(start, sign, at);
+        if !self.apply_sign(start, sign, at) {
+            return Vec::new();
+        }
+        self.repeat_sign(start, sign, [at, now.after(REPEAT_TIME)]);
+        if sign == RunnerSign::Refused {
+            self.tell_soon(now);
+        }
+        self.weigh(now)
+    }
+
     /// Records that an answer of this host went on.
     pub fn record_sound(
         &mut self,
@@ -218,6 +279,11 @@
             let unrepeated = EpochMillis::default();
             events.extend(self.clear(*part, cleared, unrepeated));
         }
+        for SignRow { start, sign, ago_ms } in &report.signs {
+            let at = ago(*ago_ms);
+            self.signs.record(start, *sign, at);
+            self.apply_sign(start, *sign, at);
+        }
         for CrashRow { start, ended_ago_ms, witnesses } in &report.crashes {
             for WitnessRow { parts, begun, sent_ago_ms } in witnesses {
                 let witness = CrashWitness {
@@ -232,6 +298,7 @@
         for row in &report.verdicts {
             events.extend(self.adopt(row, now));
         }
+        events.extend(self.weigh(now));
         events
     }
 
@@ -274,7 +341,7 @@
     /// one: no part of its prompt may be the cause of the first one's end.
     pub fn allows_further_send(&self, parts: &SharedParts) -> bool {
         let mut parts = parts.iter();
-        parts.all(|part| self.trials(part).trials < TRIALS_TO_HOLD)
+        parts.all(|part| self.trials(part, None).trials < TRIALS_TO_HOLD)
     }
 
     /// Iterates over the verdicts in force, sorted by part.
@@ -293,7 +360,8 @@
         hosts: usize,
         now: EpochMillis,
     ) -> (EvidenceReport, Vec<LedgerEvent>) {
-        let events = self.advance(now);
+        let mut events = self.advance(now);
+        events.extend(self.weigh(now));
         let repeats_all = self.repeat_at <= now;
         let period = MIN_REPEAT_PERIOD
             .max(REPEAT_PERIOD_PER_HOST * u32::try_from(hosts).unwrap_or(1));
@@ -324,6 +392,14 @@
             })
             .take(MAX_ROWS)
             .collect();
+        let signs = self.repeated_signs.iter();
+        let signs = signs
+            .map(|(start, sign, [at, _])| SignRow {
+                start: start.clone(),
+                sign: *sign,
+                ago_ms: ago(*at),
+            })
+            .collect();
         let mut crashes: Vec<CrashRow> = Vec::new();
         let repeated = self.crashes.repeated(now).take(MAX_ROWS);
         for (start, ended_at, witness) in repeated {
@@ -341,7 +417,7 @@
                 }),
             }
         }
-        (EvidenceReport { crashes, cleared, verdicts }, events)
+        (EvidenceReport { crashes, signs, cleared, verdicts }, events)
     }
 
     /// Adds a call that ended with its runner, and weighs its parts. `ended`
@@ -354,15 +430,68 @@
         now: EpochMillis,
     ) -> Vec<LedgerEvent> {
         let (ended_at, repeat_until) = ended;
-        if witness.parts.is_empty()
-            || !self.crashes.record(start, witness, ended_at, repeat_until)
+        if witness.parts.is_empty() {
+            return Vec::new();
+        }
+        if let Some(answered) = self.signs.last(start, RunnerSign::Answered)
+            && ended_at < answered
         {
+            let times = [answered, now.after(REPEAT_TIME)];
+            self.repeat_sign(start, RunnerSign::Answered, times);
+            return Vec::new();
+        }
+        if !self.crashes.record(start, witness, ended_at, repeat_until) {
             return Vec::new();
         }
+        if let Some(refused) = self.signs.last(start, RunnerSign::Refused)
+            && self.crashes.confirm(start, refused)
+        {
+            let times = [refused, now.after(REPEAT_TIME)];
+            self.repeat_sign(start, RunnerSign::Refused, times);
+        }
         for part in witness.parts.iter() {
             self.suspect(part, witness.sent_at, now);
         }
-        self.weigh(witness, now)
+        if MAX_UNSETTLED <= self.unsettled.len() {
+            self.unsettled.remove(0);
+        }
+        self.unsettled.push((witness.clone(), now.after(WEIGH_TIME)));
+        self.weigh(now)
+    }
+
+    /// Lets the other hosts be told the news at once. What a crash ends within
+    /// moments is told together.
+    fn tell_soon(&mut self, now: EpochMillis) {
+        let at = now.after(GATHER_TIME).max(self.quiet_until);
+        self.tell_at.get_or_insert(at);
+    }
+
+    /// Applies a sign to the crash of its runner, if there is one. Returns
+    /// whether that is new.
+    fn apply_sign(
+        &mut self,
+        start: &RunnerStart,
+        sign: RunnerSign,
+        at: EpochMillis,
+    ) -> bool {
+        match sign {
+            RunnerSign::Answered => self.crashes.disprove(start, at),
+            RunnerSign::Refused => self.crashes.confirm(start, at),
+        }
+    }
+
+    /// Repeats a sign to the other hosts.
+    fn repeat_sign(
+        &mut self,
+        start: &RunnerStart,
+        sign: RunnerSign,
+        times: [EpochMillis; 2],
+    ) {
+        self.repeated_signs
+            .retain(|(known, kind, _)| known != start || *kind != sign);
+        if self.repeated_signs.len() < MAX_ROWS {
+            self.repeated_signs.push((start.clone(), sign, times));
+        }
     }
 
     /// Suspects a part, unless an answer on it went on since the call was sent.
@@ -393,42 +522,67 @@
         }
     }
 
-    /// Rejects the part of a prompt that explains the crashes best, if one has
-    /// enough trials: the one with most trials, then one on which no answer is
-    /// known to have gone on, then the one that the fewest calls share.
-    fn weigh(
-        &mut self,
-        witness: &CrashWitness,
+    /// Weighs the calls whose runners' ends may be settled by now. Rejects the
+    /// part that explains the crashes best, if one has enough trials, and then
+    /// the best for those crashes that it doesn't explain.
+    fn weigh(&mut self, now: EpochMillis) -> Vec<LedgerEvent> {
+        let mut events = Vec::new();
+        self.unsettled.retain(|(_, until)| now < *until);
+        let parts = self.unsettled_parts();
+        for (part, _) in &parts {
+            if self.verdicts.get(part).is_some() {
+                events.extend(self.confirm(*part, now));
+            }
+        }
+        while let Some((part, count)) = self.best_explanation(&parts, now) {
+            if MAX_VERDICTS <= self.verdicts.len() {
+                events.push(LedgerEvent::TableFull(part));
+                break;
+            }
+            let verdict =
+                PartVerdict::first(part, count.trials, count.sent_at, now);
+            let state = VerdictState::Rejected(verdict);
+            let repeat_until = now.after(REPEAT_TIME);
+            self.verdicts.insert(part, HeldVerdict { state, repeat_until });
+            self.tell_soon(now);
+            events.push(LedgerEvent::Rejected(verdict_row(part, &state, now)));
+        }
+        events
+    }
+
+    /// Returns the parts of the unsettled calls, each with its greatest depth in
+    /// a prompt.
+    fn unsettled_parts(&self) -> Vec<(PartId, usize)> {
+        let mut depths: SortedTable<PartId, usize> = SortedTable::default();
+        for (witness, _) in &self.unsettled {
+            for (depth, part) in witness.parts.iter().enumerate() {
+                let greatest = depths.entry(part, || depth);
+                *greatest = depth.max(*greatest);
+            }
+        }
+        depths.iter().map(|(part, depth)| (*part, *depth)).collect()
+    }
+
+    /// Returns the part with enough trials that explains the crashes best: the
+    /// one with most trials, then one on which no answer is known to have gone
+    /// on, then the deepest in its prompt, which the fewest calls share.
+    fn best_explanation(
+        &self,
+        parts: &[(PartId, usize)],
         now: EpochMillis,
-    ) -> Vec<LedgerEvent> {
-        let sentenced = witness
-            .parts
-            .iter()
-            .find(|part| self.verdicts.get(part).is_some());
-        if let Some(part) = sentenced {
-            return self
-                .confirm(part, witness.sent_at, now)
-                .into_iter()
-                .collect();
-        }
-        let candidates = witness.parts.iter().enumerate();
-        let candidates = candidates
-            .map(|(depth, part)| (part, depth, self.trials(part)))
+    ) -> Option<(PartId, TrialCount)> {
+        let unjudged =
+            parts.iter().filter(|(part, _)| self.verdicts.get(part).is_none());
+        let counted = unjudged
+            .map(|(part, depth)| {
+                (*part, *depth, self.trials(*part, Some(now)))
+            })
             .filter(|(_, _, count)| TRIALS_TO_REJECT <= count.trials);
-        let best = candidates.max_by_key(|(part, depth, count)| {
+        let best = counted.max_by_key(|(part, depth, count)| {
             let was_sound = self.cleared.get(part).is_some();
             (count.trials, Reverse(was_sound), *depth)
         });
-        let Some((part, _, count)) = best else { return Vec::new() };
-        if MAX_VERDICTS <= self.verdicts.len() {
-            return vec![LedgerEvent::TableFull(part)];
-        }
-        let verdict =
-            PartVerdict::first(part, count.trials, count.sent_at, now);
-        let state = VerdictState::Rejected(verdict);
-        let repeat_until = now.after(REPEAT_TIME);
-        self.verdicts.insert(part, HeldVerdict { state, repeat_until });
-        vec![LedgerEvent::Rejected(verdict_row(part, &state, now))]
+        best.map(|(part, _, count)| (part, count))
     }
 
     /// Applies another crash to a part with a verdict. During its term the
@@ -436,9 +590,9 @@
     fn confirm(
         &mut self,
         part: PartId,
-        sent_at: EpochMillis,
         now: EpochMillis,
     ) -> Option<LedgerEvent> {
+        let TrialCount { sent_at, .. } = self.trials(part, Some(now));
         let held = self.verdicts.get_mut(&part)?;
         if sent_at <= held.state.sent_at() {
             return None;
@@ -525,8 +679,12 @@
     }
 
     /// Counts the trials of a part, without the crashes that a rejected part
-    /// explains.
-    fn trials(&self, part: PartId) -> TrialCount {
+    /// explains; with `settled_at`, those that are settled by then.
+    fn trials(
+        &self,
+        part: PartId,
+        settled_at: Option<EpochMillis>,
+    ) -> TrialCount {
         if self.suspects.get(&part).is_none() {
             return TrialCount::default();
         }
@@ -535,7 +693,8 @@
                 other != part && self.verdicts.get(&other).is_some()
             })
         };
-        self.crashes.trials(part, self.cleared_at(part), is_explained)
+        let cleared_at = self.cleared_at(part);
+        self.crashes.trials(part, cleared_at, settled_at, is_explained)
     }
 
     /// Makes the transitions that are due.
--- a/crates/celerylead/src/quarantine/mod.rs
+++ b/crates/celerylead/src/quarantine/mod.rs
@@ -9,6 +9,9 @@
 //!   answers had got anywhere, and tells the other hosts ([`EvidenceReport`]).
 //!   A [`CrashLog`] joins what the hosts saw by the runner's start, so that a
 //!   crash counts once however many hosts report it.
+//! * A broken answer isn't the end of its runner. A runner that answers a call
+//!   sent after the break hadn't ended, whichever host sent it; one that refuses
+//!   a connection had. A crash without either sign counts after a while.
 //! * A part is suspected by *trials*: crashes of different runners, each of
 //!   which ended a call with the part that was sent after the crash before.
 //!   Runners that end together, for whatever reason, are one trial.
@@ -30,6 +33,7 @@
 mod ledger;
 mod part;
 mod report;
+mod signs;
 mod sound;
 #[cfg(test)]
 mod tests;
@@ -40,7 +44,8 @@
     ledger::{LedgerEvent, PartAdmission, SuspectLedger, TRIALS_TO_REJECT},
     part::{PartId, SharedParts},
     report::{
-        ClearanceBasis, ClearanceRow, CrashRow, EvidenceReport, VerdictRow,
-        WitnessRow,
+        ClearanceBasis, ClearanceRow, CrashRow, EvidenceReport, SignRow,
+        VerdictRow, WitnessRow,
     },
+    signs::RunnerSign,
 };
--- a/crates/celerylead/src/quarantine/report.rs
+++ b/crates/celerylead/src/quarantine/report.rs
@@ -4,7 +4,10 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::part::{PartId, SharedParts};
+use super::{
+    part::{PartId, SharedParts},
+    signs::RunnerSign,
+};
 use crate::roster::RunnerStart;
 
 /// A call that ended with its runner.
@@ -70,6 +73,19 @@
     pub left_ms: u64,
 }
 
+/// What a start of a runner was seen to do, where that decides whether it has
+/// ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct SignRow {
+    /// The start of the runner.
+    pub start: RunnerStart,
+    /// What it did.
+    pub sign: RunnerSign,
+    /// Time since then, in milliseconds.
+    pub ago_ms: u64,
+}
+
 /// What a host tells the others.
 ///
 /// # Examples
@@ -84,6 +100,8 @@
 pub struct EvidenceReport {
     /// Crashes that the host has just seen.
     pub crashes: Vec<CrashRow>,
+    /// Signs that confirm or disprove a crash.
+    pub signs: Vec<SignRow>,
     /// Parts that are cleared of suspicion.
     pub cleared: Vec<ClearanceRow>,
     /// Verdicts in force.
@@ -94,6 +112,7 @@
     /// Returns whether there is nothing to tell.
     pub fn is_empty(&self) -> bool {
         self.crashes.is_empty()
+            && self.signs.is_empty()
             && self.cleared.is_empty()
             && self.verdicts.is_empty()
     }
--- a/crates/celerylead/src/quarantine/tests.rs
+++ b/crates/celerylead/src/quarantine/tests.rs
@@ -4,7 +4,8 @@
 
 use super::{
     ClearanceBasis, ClearanceRow, CrashWitness, EvidenceReport, LedgerEvent,
-    PartAdmission, PartId, SharedParts, SuspectLedger, VerdictRow,
+    PartAdmission, PartId, RunnerSign, SharedParts, SignRow, SuspectLedger,
+    VerdictRow,
 };
 use crate::{clock::EpochMillis, roster::RunnerStart};
 
@@ -19,6 +20,10 @@
     /// A call with these shared parts, sent and ended at these times, ended
     /// with the runner of this number.
     Crash(u64, &'static [u64], [u64; 2]),
+    /// The same, but nothing shows that the runner ended.
+    Break(u64, &'static [u64], [u64; 2]),
+    /// The runner of this number answered a call that was sent at this time.
+    Answer(u64, u64),
     /// The same of a call whose answer hadn't begun.
     Unbegun(u64, &'static [u64], [u64; 2]),
     /// An answer on these parts went on.
@@ -34,24 +39,38 @@
     SuspectLedger::new(0.0, EpochMillis(0))
 }
 
+fn start(number: u64) -> RunnerStart {
+    RunnerStart { id: format!("i-{number}"), born: Some(number) }
+}
+
 impl Step {
     fn apply(self, ledger: &mut SuspectLedger) -> Vec<LedgerEvent> {
-        let (number, shared, [sent_at, ended_at], begun) = match self {
+        let (number, shared, times, begun) = match self {
             Step::Sound(shared, at) => {
                 return ledger.record_sound(&parts(shared), EpochMillis(at));
             }
-            Step::Crash(number, shared, times) => {
+            Step::Answer(number, at) => {
+                let (sign, at) = (RunnerSign::Answered, EpochMillis(at));
+                return ledger.record_sign(&start(number), sign, at, at);
+            }
+            Step::Crash(number, shared, times)
+            | Step::Break(number, shared, times) => {
                 (number, shared, times, true)
             }
             Step::Unbegun(number, shared, times) => {
                 (number, shared, times, false)
             }
         };
-        let start =
-            RunnerStart { id: format!("i-{number}"), born: Some(number) };
-        let sent_at = EpochMillis(sent_at);
+        let [sent_at, ended_at] = times.map(EpochMillis);
         let witness = CrashWitness { parts: parts(shared), begun, sent_at };
-        ledger.record_crash(&start, &witness, EpochMillis(ended_at))
+        let mut events =
+            ledger.record_crash(&start(number), &witness, ended_at);
+        if !matches!(self, Step::Break(..)) {
+            let sign = RunnerSign::Refused;
+            let at = ended_at.after(Duration::from_millis(5));
+            events.extend(ledger.record_sign(&start(number), sign, at, at));
+        }
+        events
     }
 }
 
@@ -68,8 +87,41 @@
         steps: &'static [Step],
         rejected: &'static [u64],
     }
-    use Step::{Crash, Sound, Unbegun};
+    use Step::{Answer, Break, Crash, Sound, Unbegun};
     let cases = [
+        Case {
+            name: "answers that break off at runners that go on",
+            steps: &[
+                Break(1, &[1], [100, 150]),
+                Answer(1, 155),
+                Break(2, &[1], [200, 250]),
+                Answer(2, 255),
+                Break(3, &[1], [300, 350]),
+                Break(4, &[1], [400, 450]),
+                Answer(3, 360),
+                Answer(4, 460),
+            ],
+            rejected: &[],
+        },
+        Case {
+            name: "an answer to a call sent before the break proves nothing",
+            steps: &[
+                Crash(1, &[DEADLY], [100, 150]),
+                Crash(2, &[DEADLY], [200, 250]),
+                Crash(3, &[DEADLY], [300, 350]),
+                Answer(3, 349),
+            ],
+            rejected: &[DEADLY],
+        },
+        Case {
+            name: "the last crash may still be disproved",
+            steps: &[
+                Crash(1, &[DEADLY], [100, 150]),
+                Crash(2, &[DEADLY], [200, 250]),
+                Break(3, &[DEADLY], [500, 550]),
+            ],
+            rejected: &[],
+        },
         Case {
             name: "three crashes, one after the other",
             steps: &[
@@ -154,6 +206,16 @@
             ],
             rejected: &[DEADLY],
         },
+        Case {
+            name: "a sound call ended with the first crash too",
+            steps: &[
+                Break(1, &[7], [110, 150]),
+                Break(1, &[7, DEADLY], [100, 150]),
+                Break(2, &[7, DEADLY], [200, 250]),
+                Break(3, &[7, DEADLY], [300, 350]),
+            ],
+            rejected: &[DEADLY],
+        },
         Case {
             name: "what the runner hadn't begun isn't evidence",
             steps: &[
@@ -206,7 +268,57 @@
         for step in steps {
             step.apply(&mut ledger);
         }
-        assert_eq!(rejected(&ledger, 1_000), expected, "{name}");
+        ledger.report(3, EpochMillis(1_400));
+        assert_eq!(rejected(&ledger, 1_400), expected, "{name}");
+    }
+}
+
+/// Guards against crashes that never count as nobody calls their runners again,
+/// and against such as count before a sign to the contrary could arrive.
+#[test]
+fn a_crash_without_signs_counts_after_a_while() {
+    struct Case {
+        name: &'static str,
+        /// Time from the last crash.
+        after: u64,
+        /// Whether another host says in time that the runner answered it.
+        answered: bool,
+        rejected: &'static [u64],
+    }
+    let cases = [
+        Case { name: "early", after: 500, answered: false, rejected: &[] },
+        Case {
+            name: "late",
+            after: 1_100,
+            answered: false,
+            rejected: &[DEADLY],
+        },
+        Case {
+            name: "disproved",
+            after: 1_100,
+            answered: true,
+            rejected: &[],
+        },
+    ];
+    for Case { name, after, answered, rejected: expected } in cases {
+        let mut ledger = ledger();
+        for number in 1..=3 {
+            let times = [number * 100, number * 100 + 50];
+            Step::Break(number, &[DEADLY], times).apply(&mut ledger);
+        }
+        if answered {
+            let sign = SignRow {
+                start: start(3),
+                sign: RunnerSign::Answered,
+                ago_ms: 10,
+            };
+            let report =
+                EvidenceReport { signs: vec![sign], ..Default::default() };
+            ledger.merge(&report, EpochMillis(450));
+        }
+        let now = 350 + after;
+        ledger.report(3, EpochMillis(now));
+        assert_eq!(rejected(&ledger, now), expected, "{name}");
     }
 }
 
@@ -270,7 +382,7 @@
     }
 }
 
-/// Returns a ledger that has rejected [`DEADLY`] at 350 ms.
+/// Returns a ledger that has rejected [`DEADLY`] at 355 ms.
 fn rejecting_ledger() -> SuspectLedger {
     let mut ledger = ledger();
     for number in 1..=3 {
@@ -315,7 +427,7 @@
     let parts = parts(&[DEADLY]);
     for Case { name, after, is_prober, expected } in cases {
         let mut ledger = rejecting_ledger();
-        let now = EpochMillis(350).after(after);
+        let now = EpochMillis(355).after(after);
         assert_eq!(
             ledger.admit(&parts, |_| is_prober, now),
             expected,
@@ -324,7 +436,7 @@
     }
     // The second call isn't a probe while the first one is under way.
     let mut ledger = rejecting_ledger();
-    let now = EpochMillis(350).after(FIRST_TERM);
+    let now = EpochMillis(355).after(FIRST_TERM);
     ledger.admit(&parts, |_| true, now);
     ledger.begin_probe(PartId(DEADLY), now);
     assert_eq!(ledger.admit(&parts, |_| true, now), reject);
@@ -362,7 +474,7 @@
         ledger.admit(&parts(&[DEADLY]), |_| true, now);
         ledger.begin_probe(PartId(DEADLY), now);
         step.apply(&mut ledger);
-        let row = ledger.verdicts(EpochMillis(PROBED_AT + 50)).next();
+        let row = ledger.verdicts(EpochMillis(PROBED_AT + 55)).next();
         let found = row.map(|row| Duration::from_millis(row.left_ms));
         assert_eq!(found, left, "{name}");
     }
@@ -477,6 +589,7 @@
     };
     let report = EvidenceReport {
         crashes: Vec::new(),
+        signs: Vec::new(),
         cleared: vec![ClearanceRow {
             part,
             ago_ms: u64::MAX,
--- a/crates/celerylead/src/tasks/node/attempt.rs
+++ b/crates/celerylead/src/tasks/node/attempt.rs
@@ -6,7 +6,7 @@
 //! without running it. In any other case the request may be sent again only if
 //! it is idempotent.
 
-use std::time::Duration;
+use std::{io, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Full, Limited};
@@ -173,6 +173,9 @@
             Ok(link) => link,
             Err(error) => {
                 self.log_failure(&slot, "connect", &error);
+                if is_refused(&error) {
+                    slot.note_refused();
+                }
                 slot.finish(CallEnd::Unreachable, None);
                 return AttemptOutcome::Retry(request);
             }
@@ -431,6 +434,13 @@
     matches!(read, Ok(Ok(_))).then_some(link)
 }
 
+/// Returns whether a connection was refused, as by an address at which nothing
+/// listens.
+fn is_refused(error: &anyhow::Error) -> bool {
+    let error = error.downcast_ref::<io::Error>();
+    error.is_some_and(|error| error.kind() == io::ErrorKind::ConnectionRefused)
+}
+
 /// Returns how a call ended that failed with this error: whether its runner may
 /// have ended, or was late or sent what is no answer.
 fn end_by(error: &anyhow::Error) -> CallEnd {
--- a/crates/celerylead/src/tasks/node/gossip.rs
+++ b/crates/celerylead/src/tasks/node/gossip.rs
@@ -28,6 +28,7 @@
     model::ModelName,
     placement::{ModelDemand, ResidencyList, SequenceStatus, SequenceTracker},
     port::StorePort,
+    quarantine::EvidenceReport,
     roster::HeldModel,
     sorted::SortedTable,
     tasks::MAILBOX_CAPACITY,
@@ -67,6 +68,8 @@
 pub(crate) enum GossipEvent {
     /// Request an adapter that no runner of the service holds.
     RequestAdapter(ModelName),
+    /// Send evidence on parts of prompts to the other hosts at once.
+    Evidence(EvidenceReport),
     /// Deliver a message to all hosts, this one included.
     Broadcast(HostMessage),
     /// Send parts of the registry's feed to the other hosts of the zone.
@@ -110,6 +113,14 @@
         }
     }
 
+    /// Sends evidence on parts of prompts to the other hosts. It is repeated
+    /// with the digests, so a lost message costs only time.
+    pub(crate) fn send_evidence(&self, report: EvidenceReport) {
+        if self.sender.try_send(GossipEvent::Evidence(report)).is_err() {
+            tracing::debug!(event = "evidence_dropped");
+        }
+    }
+
     /// Sends a message to all hosts, this one included.
     pub(crate) async fn broadcast(&self, message: HostMessage) {
         let _ = self.sender.send(GossipEvent::Broadcast(message)).await;
@@ -245,9 +256,12 @@
                     self.send(&message, &neighbours).await;
                 }
             }
+            GossipEvent::Evidence(report) => {
+                let message = HostMessage::Evidence(report);
+                self.send(&message, &self.addresses()).await;
+            }
             GossipEvent::Broadcast(message) => {
-                let all: Vec<SocketAddr> =
-                    self.hosts.values().map(|host| host.address).collect();
+                let all = self.addresses();
                 self.send(&message, &all).await;
                 if let HostMessage::Residency {
                     lease,
@@ -269,6 +283,11 @@
         }
     }
 
+    /// Returns the addresses of all other hosts.
+    fn addresses(&self) -> Vec<SocketAddr> {
+        self.hosts.values().map(|host| host.address).collect()
+    }
+
     /// Applies a report of what runners hold. If this host has calls on a
     /// model or adapter that the report doesn't list, returns a digest for the
     /// lease holder, which waits for these calls to end before it orders an
--- a/crates/celerylead/src/tasks/node/quarantine.rs
+++ b/crates/celerylead/src/tasks/node/quarantine.rs
@@ -13,10 +13,11 @@
     membership,
     metrics::HostMetrics,
     quarantine::{
-        EvidenceReport, LedgerEvent, PartAdmission, PartId, SharedParts,
-        SuspectLedger, VerdictRow,
+        EvidenceReport, LedgerEvent, PartAdmission, PartId, RunnerSign,
+        SharedParts, SuspectLedger, VerdictRow,
     },
     request::{Refusal, RefusalCode},
+    roster::RunnerStart,
 };
 
 /// The ledger of one host.
@@ -88,6 +89,12 @@
         now: EpochMillis,
     ) {
         let trace = &completed.trace;
+        if trace.refused {
+            let start = completed.choice.start();
+            let sign = RunnerSign::Refused;
+            let events = self.ledger.record_sign(&start, sign, now, now);
+            self.announce(&events, now);
+        }
         if trace.parts.is_empty() {
             return;
         }
@@ -115,6 +122,19 @@
         self.announce(&events, now);
     }
 
+    /// Notes that a runner answered a call that was sent at `sent_at`.
+    pub(super) fn note_answer(
+        &mut self,
+        start: &RunnerStart,
+        sent_at: Instant,
+        now: EpochMillis,
+    ) {
+        let at = now.before(sent_at.elapsed());
+        let sign = RunnerSign::Answered;
+        let events = self.ledger.record_sign(start, sign, at, now);
+        self.announce(&events, now);
+    }
+
     /// Notes an answer that goes on.
     pub(super) fn note_sound(
         &mut self,
@@ -142,6 +162,24 @@
         report
     }
 
+    /// Returns the time at which [`news`](Self::news) is due.
+    pub(super) fn news_at(&self) -> Option<EpochMillis> {
+        self.ledger.tell_at()
+    }
+
+    /// Returns what all other hosts should be told at once, if that is due.
+    pub(super) fn news(
+        &mut self,
+        hosts: usize,
+        now: EpochMillis,
+    ) -> Option<EvidenceReport> {
+        if self.ledger.tell_at().is_none_or(|at| now < at) {
+            return None;
+        }
+        self.ledger.begin_telling(now);
+        Some(self.report(hosts, now))
+    }
+
     /// Returns the verdicts in force.
     pub(super) fn verdicts(&self, now: EpochMillis) -> Vec<VerdictRow> {
         self.ledger.verdicts(now).collect()
--- a/crates/celerylead/src/tasks/node/router.rs
+++ b/crates/celerylead/src/tasks/node/router.rs
@@ -144,7 +144,7 @@
                     let newest = roster.borrow_and_update().clone();
                     self.adopt_roster(&newest.unwrap_or_default());
                 }
-                () = tokio::time::sleep_until(wake) => self.retry_waiting(),
+                () = tokio::time::sleep_until(wake) => self.wake(),
             }
         }
     }
@@ -152,16 +152,28 @@
     fn next_wake(&self) -> Instant {
         let now = self.setup.clock.now();
         let limits = self.waiting.iter().map(|call| call.wait_until);
-        let next = limits.chain(self.retry_waiting_at).min();
+        let due = [self.retry_waiting_at, self.quarantine.news_at()];
+        let next = limits.chain(due.into_iter().flatten()).min();
         Instant::now() + next.map_or(IDLE_WAKE_INTERVAL, |at| now.until(at))
     }
 
+    /// Does what is due at this time.
+    fn wake(&mut self) {
+        let now = self.setup.clock.now();
+        let hosts = self.host_liveness.count();
+        if let Some(report) = self.quarantine.news(hosts, now) {
+            self.setup.gossip.send_evidence(report);
+        }
+        self.retry_waiting();
+    }
+
     fn handle(&mut self, event: RouterEvent) {
         let now = self.setup.clock.now();
         match event {
             RouterEvent::Route(call) => self.admit(call, now),
-            RouterEvent::AnswerHead { start, notice } => {
+            RouterEvent::AnswerHead { start, notice, sent_at } => {
                 self.table.note_head(&start, now);
+                self.quarantine.note_answer(&start, sent_at, now);
                 self.note_runner(&start, notice, now);
             }
             RouterEvent::StreamPace { runner, model, pace_us } => {
--- a/crates/celerylead/src/tasks/node/router_port.rs
+++ b/crates/celerylead/src/tasks/node/router_port.rs
@@ -30,8 +30,9 @@
 pub(crate) enum RouterEvent {
     /// Choose a runner for a call.
     Route(QueuedCall),
-    /// A runner has sent the head of an answer, with this notice.
-    AnswerHead { start: RunnerStart, notice: RunnerNotice },
+    /// A runner has sent the head of an answer, with this notice, to a call
+    /// that was sent to it at `sent_at`.
+    AnswerHead { start: RunnerStart, notice: RunnerNotice, sent_at: Instant },
     /// Pace of a stream of a runner, in microseconds per event.
     StreamPace { runner: String, model: String, pace_us: u64 },
     /// An answer has gone on for so long that these parts of its prompt can't
@@ -124,7 +125,8 @@
     pub(crate) async fn head_received(&mut self, notice: RunnerNotice) {
         self.trace.begun = true;
         let start = self.choice.start();
-        let event = RouterEvent::AnswerHead { start, notice };
+        let sent_at = self.trace.sent_at.unwrap_or_else(Instant::now);
+        let event = RouterEvent::AnswerHead { start, notice, sent_at };
         self.head_reported = if notice.is_empty() {
             self.sender.try_send(event).is_ok()
         } else {
@@ -137,6 +139,11 @@
         self.trace.sent_at = Some(Instant::now());
     }
 
+    /// Notes that the runner's address refused a connection.
+    pub(crate) fn note_refused(&mut self) {
+        self.trace.refused = true;
+    }
+
     /// Notes that a part of the answer's body arrived. Reports once that the
     /// answer goes on; a lost report is made up for by the end of the call.
     pub(crate) fn note_frame(&mut self) {
--- a/crates/celerylead/src/tasks/node/trace.rs
+++ b/crates/celerylead/src/tasks/node/trace.rs
@@ -22,6 +22,8 @@
     pub(super) sent_at: Option<Instant>,
     /// Whether the head of the answer arrived.
     pub(super) begun: bool,
+    /// Whether the runner's address refused a connection.
+    pub(super) refused: bool,
     first_frame_at: Option<Instant>,
     is_sound: bool,
 }
