Refuse requests that come after a leaving host has ended to accept callers

Report of another operator: requests that came late in the grace of a planned stop were taken and cut at its end with no answer (LOST). It could happen here, on both paths.

Cause: at the end of the time in which a leaving host accepts callers, the HTTP library is told to shut each connection down. It closes one on which nothing was sent, but one with half of a request waits for the rest and serves it, however late.

Change: a request whose head, or body at the platform's path, is complete only after that time is refused with 503, which says that it wasn't run, and closes the connection. It may be sent again at once: other hosts take it.

Ruled out: connections on which nothing was sent; they are closed unread.

A stream begun before the end of the grace goes on to its end as before. The own path's check doesn't cover a body that comes late after a timely head.

--- a/crates/celerylead/src/tasks/acceptor.rs
+++ b/crates/celerylead/src/tasks/acceptor.rs
@@ -95,9 +95,18 @@
         S: AsyncRead + AsyncWrite + Unpin + Send + 'static,
     {
         let CallerTask { context, mut phase } = self;
+        let phase_now = phase.clone();
         let service = service_fn(|request| {
             let context = context.clone();
-            async move { Ok::<_, Infallible>(handle(&context, request).await) }
+            let ending = *phase_now.borrow() == HostPhase::Ending;
+            async move {
+                let response = if ending {
+                    refuse_late(&context)
+                } else {
+                    handle(&context, request).await
+                };
+                Ok::<_, Infallible>(response)
+            }
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
@@ -120,6 +129,15 @@
     }
 }
 
+/// Refuses a request that came on an open connection after the host had ended
+/// to accept callers: a call that began now could outlast the process.
+fn refuse_late(context: &HostContext) -> Response<AnswerBody> {
+    let message = "the host is shutting down";
+    let refusal = Refusal::not_run(RefusalCode::NotReady, message);
+    let refusal = refusal.retry_at(Some(context.clock.now()));
+    refuse(context, &context.next_id(), &refusal)
+}
+
 /// Answers one request.
 async fn handle(
     context: &HostContext,
--- a/crates/celerylead/src/tasks/node/call.rs
+++ b/crates/celerylead/src/tasks/node/call.rs
@@ -9,7 +9,7 @@
 use hyper::{Request as HttpRequest, Response, body::Incoming, http::request};
 use tokio::time::Instant;
 
-use super::{NodeContext, attempt::CallAttempts, body::RelayBody};
+use super::{NodeContext, NodePhase, attempt::CallAttempts, body::RelayBody};
 use crate::{
     catalog::{BilledCustomer, CallRoute, ServiceCatalog},
     metrics::HostMetrics,
@@ -143,6 +143,13 @@
     let body =
         request_body::read_body(body, catalog.limits.body_bytes, deadline)
             .await?;
+    // Callers keep sending on connections that are open, and a call that began
+    // now could outlast the process.
+    if *context.phase.borrow() == NodePhase::Ending {
+        let message = "the host is shutting down";
+        let refusal = Refusal::not_run(RefusalCode::NotReady, message);
+        return Err(refusal.retry_at(Some(context.clock.now())));
+    }
     let record = CallRecord {
         id: call.id.clone(),
         route: route.name.clone(),
--- a/crates/celerylead/src/tasks/node/mod.rs
+++ b/crates/celerylead/src/tasks/node/mod.rs
@@ -61,7 +61,8 @@
     /// Reports itself as not ready, still accepts callers and closes each
     /// connection after its next answer.
     Leaving,
-    /// Accepts no callers and finishes the requests in flight.
+    /// Accepts no callers, refuses requests on connections that are open, and
+    /// finishes those in flight.
     Ending,
 }
 
--- a/crates/system-tests/tests/system/shutdown.rs
+++ b/crates/system-tests/tests/system/shutdown.rs
@@ -5,6 +5,10 @@
 
 use celerylead::settings::SettingsChange;
 use rustix::process::Signal;
+use tokio::{
+    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    net::TcpStream,
+};
 
 use crate::{
     client::{call, chat},
@@ -202,3 +206,38 @@
     })
     .await;
 }
+
+/// Guards against requests that are taken while a host only finishes what is in
+/// flight, and that its end would cut.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_request_after_the_drain_grace_is_refused() {
+    let mut fleet = two_hosts(&[20.0]).await;
+    let listen = fleet.hosts[0].listen.clone();
+    let mut open = TcpStream::connect(&listen).await.expect("a connection");
+    let body = r#"{"model":"outline","messages":[],"max_tokens":1}"#;
+    let head = format!(
+        "POST /v1/chat/completions HTTP/1.1\r\nHost: {listen}\r\n\
+         Authorization: Bearer {KEY}\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len(),
+    );
+    // A connection on which nothing was sent would be closed.
+    open.write_all(&head.as_bytes()[..40]).await.expect("it is open");
+    let stream = {
+        let listen = listen.clone();
+        let request = chat(KEY, "outline", 120, true);
+        tokio::spawn(async move { call(&listen, request).await })
+    };
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    fleet.hosts[0].signal(Signal::TERM);
+    // The stream keeps the host running for longer than its drain grace.
+    tokio::time::sleep(Duration::from_millis(3_000)).await;
+    open.write_all(&head.as_bytes()[40..]).await.expect("it is open");
+    let mut read = Vec::new();
+    let _ = open.read_to_end(&mut read).await;
+    let text = String::from_utf8_lossy(&read);
+    assert!(text.starts_with("HTTP/1.1 503"), "{text}");
+    assert!(text.contains("not-run"), "{text}");
+    let answer = stream.await.expect("a stream").expect("an answer");
+    assert!(answer.is_done(), "a stream was cut off");
+    assert!(fleet.hosts[0].wait_end().await, "the host ends cleanly");
+}
