Abort a stream that ends inside an event, however its end is framed

What callers saw: a stream without a length, whose runner ended it inside an event, was passed on in chunks and ended as if it were whole.

Cause: the end of the connection is such an answer's end, so that the HTTP library reports no error.

Change: a stream of events ends as whole only after a blank line, in chunks too; one without a length must have had an event. Such a complete end doesn't clear the parts of its prompt, as the end of its runner looks the same, unless its events had gone on before.

A stream without a length that is reset was aborted before.

Ruled out: an event's end that is written with returns only or both; all line ends of the format count.

Measured: 'stream, ends with its connection inside an event' ended as complete before, and so did one before its first event.

--- a/crates/celerylead/src/tasks/node/attempt.rs
+++ b/crates/celerylead/src/tasks/node/attempt.rs
@@ -31,6 +31,7 @@
     },
     relay::{CallEnd, CallHead, CallRequirements},
     request::{Admitted, Refusal, RefusalCode, Request, RunOutcome, Sent},
+    wire::answer::is_framed,
 };
 
 /// Longest wait for a connection to a runner. A connection opens within
@@ -302,12 +303,16 @@
         &self,
         head: &response::Parts,
         upstream: Incoming,
-        slot: RelaySlot,
+        mut slot: RelaySlot,
         link: (HttpLink, Instant),
     ) -> AttemptOutcome {
+        if !is_framed(head) {
+            slot.note_unframed();
+        }
         let record = self.record.clone();
+        let deadline = self.deadline;
         let body =
-            RelayStream::new(upstream, link, slot, record, self.deadline);
+            RelayStream::new(head, upstream, link, slot, record, deadline);
         let head = self.context.codec.answer_head(head);
         let body = RelayBody::Stream(Box::new(body));
         AttemptOutcome::Answered(Response::from_parts(head, body))
--- a/crates/celerylead/src/tasks/node/body.rs
+++ b/crates/celerylead/src/tasks/node/body.rs
@@ -12,7 +12,10 @@
     time::Duration,
 };
 
-use hyper::body::{Body as _, Frame, Incoming};
+use hyper::{
+    body::{Body as _, Frame, Incoming},
+    http::response,
+};
 use tokio::time::{Instant, Sleep};
 
 use super::{call::CallRecord, router_port::RelaySlot};
@@ -20,6 +23,7 @@
     port::HttpLink,
     relay::CallEnd,
     tasks::reply_body::{FramePoll, FrameSource, ReplyBody},
+    wire::answer::EventBoundary,
 };
 
 /// Number of events of a stream after which its latest pace is reported to
@@ -40,6 +44,9 @@
     link: Option<(HttpLink, Instant)>,
     slot: Option<RelaySlot>,
     record: CallRecord,
+    /// Whether the answer may end where it is; `None` if it isn't a stream of
+    /// events.
+    boundary: Option<EventBoundary>,
     /// Time from which no further frames are awaited: the call's deadline.
     deadline: Pin<Box<Sleep>>,
     started: Instant,
@@ -52,6 +59,7 @@
     /// the runner's connection, with the time until which it may be used
     /// again.
     pub(crate) fn new(
+        head: &response::Parts,
         upstream: Incoming,
         link: (HttpLink, Instant),
         slot: RelaySlot,
@@ -63,6 +71,7 @@
             link: Some(link),
             slot: Some(slot),
             record,
+            boundary: EventBoundary::of_answer(head),
             deadline: Box::pin(tokio::time::sleep_until(deadline)),
             started: Instant::now(),
             pace_since: Instant::now(),
@@ -81,8 +90,13 @@
         }
     }
 
-    /// Finishes an answer whose framing shows that it is complete.
+    /// Finishes an answer that ended by its framing or with its connection. A
+    /// stream that ended inside an event is aborted.
     fn finish(&mut self) -> FramePoll {
+        let boundary = self.boundary.as_ref();
+        if boundary.is_some_and(|boundary| !boundary.may_end()) {
+            return self.abort(CallEnd::Cut, "answer_cut", None);
+        }
         let latency_us =
             micros(self.started.elapsed() / self.record.frames.max(1));
         if let Some(slot) = self.slot.take() {
@@ -106,9 +120,7 @@
         self.record.log(code);
         let error = match error {
             Some(error) => anyhow::Error::new(error),
-            None => anyhow::anyhow!(
-                "the call's deadline passed before the answer ended"
-            ),
+            None => anyhow::anyhow!("the answer isn't complete: {code}"),
         };
         Poll::Ready(Some(Err(error)))
     }
@@ -152,6 +164,9 @@
                     // Trailers aren't passed on.
                     let Ok(bytes) = frame.into_data() else { continue };
                     self.record.frames += 1;
+                    if let Some(boundary) = &mut self.boundary {
+                        boundary.push(&bytes);
+                    }
                     if let Some(slot) = &mut self.slot {
                         slot.note_frame();
                     }
--- a/crates/celerylead/src/tasks/node/router_port.rs
+++ b/crates/celerylead/src/tasks/node/router_port.rs
@@ -144,6 +144,11 @@
         self.trace.refused = true;
     }
 
+    /// Notes that nothing but the end of the connection ends the answer.
+    pub(crate) fn note_unframed(&mut self) {
+        self.trace.is_unframed = true;
+    }
+
     /// Notes that a part of the answer's body arrived. Reports once that the
     /// answer goes on; a lost report is made up for by the end of the call.
     pub(crate) fn note_frame(&mut self) {
--- a/crates/celerylead/src/tasks/node/trace.rs
+++ b/crates/celerylead/src/tasks/node/trace.rs
@@ -24,6 +24,9 @@
     pub(super) begun: bool,
     /// Whether the runner's address refused a connection.
     pub(super) refused: bool,
+    /// Whether nothing but the end of the connection ends the answer, which
+    /// that of its runner does too.
+    pub(super) is_unframed: bool,
     first_frame_at: Option<Instant>,
     is_sound: bool,
 }
@@ -60,7 +63,8 @@
         end: CallEnd,
         (instant, now): (Instant, EpochMillis),
     ) -> TraceVerdict {
-        let is_whole = matches!(end, CallEnd::Complete { .. });
+        let is_whole =
+            matches!(end, CallEnd::Complete { .. }) && !self.is_unframed;
         if self.is_sound || (is_whole && self.first_frame_at.is_some()) {
             return TraceVerdict::Sound;
         }
--- a/crates/celerylead/src/wire/answer.rs
+++ b/crates/celerylead/src/wire/answer.rs
@@ -6,6 +6,10 @@
 //! can still be appended to a stream that breaks off.
 
 use bytes::{Bytes, BytesMut};
+use hyper::{
+    header::{CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING},
+    http::response,
+};
 
 use super::{
     engine::{UsageCount, parse_usage},
@@ -14,6 +18,8 @@
 
 /// Size limit of one event.
 const MAX_EVENT_BYTES: usize = 1 << 20;
+/// Media type of a stream of events.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
 /// Data of the event that ends a complete stream.
 const END_MARKER: &[u8] = b"[DONE]";
 
@@ -89,6 +95,55 @@
     }
 }
 
+/// Tells whether a stream of events has ended between two of them, without
+/// keeping any event.
+///
+/// A stream that ends inside an event was broken off, however its end was
+/// framed. One whose end is nothing but that of its connection must have had an
+/// event at least.
+#[derive(Debug)]
+pub(crate) struct EventBoundary {
+    /// The last bytes, of which the end of a blank line takes four at most.
+    tail: [u8; 4],
+    /// Whether the stream may end before its first event.
+    may_be_empty: bool,
+}
+
+impl EventBoundary {
+    /// Returns the tracker of a body, unless it isn't a stream of events.
+    pub(crate) fn of_answer(head: &response::Parts) -> Option<EventBoundary> {
+        let kind = head.headers.get(CONTENT_TYPE)?.as_bytes();
+        let is_events = kind
+            .get(..EVENT_STREAM.len())
+            .is_some_and(|kind| kind.eq_ignore_ascii_case(EVENT_STREAM));
+        let may_be_empty = is_framed(head);
+        is_events.then_some(EventBoundary { tail: [0; 4], may_be_empty })
+    }
+
+    /// Adds received bytes.
+    pub(crate) fn push(&mut self, bytes: &[u8]) {
+        let kept = bytes.len().min(self.tail.len());
+        self.tail.rotate_left(kept);
+        let start = self.tail.len() - kept;
+        self.tail[start..].copy_from_slice(&bytes[bytes.len() - kept..]);
+        self.may_be_empty &= bytes.is_empty();
+    }
+
+    /// Returns whether the stream may end here.
+    pub(crate) fn may_end(&self) -> bool {
+        let blank_lines: [&[u8]; 4] = [b"\n\n", b"\r\r", b"\n\r\n", b"\r\n\r"];
+        self.may_be_empty
+            || blank_lines.iter().any(|line| self.tail.ends_with(line))
+    }
+}
+
+/// Returns whether the end of an answer's body shows by itself: it has a length
+/// or comes in chunks.
+pub(crate) fn is_framed(head: &response::Parts) -> bool {
+    head.headers.contains_key(CONTENT_LENGTH)
+        || head.headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// Returns the offset after the blank line that ends the first event.
 fn first_event_end(buffer: &[u8], search_start: usize) -> Option<usize> {
     let tail = &buffer[search_start..];
--- a/crates/celerylead/src/wire/mod.rs
+++ b/crates/celerylead/src/wire/mod.rs
@@ -12,3 +12,5 @@
 pub(crate) mod peer;
 pub(crate) mod reply;
 pub(crate) mod table;
+#[cfg(test)]
+mod tests;
--- a/crates/stand-ins/src/raw_runner.rs
+++ b/crates/stand-ins/src/raw_runner.rs
@@ -8,6 +8,7 @@
 
 use serde::Deserialize;
 use serde_json::json;
+use socket2::SockRef;
 use tokio::{
     io::{AsyncReadExt as _, AsyncWriteExt as _},
     net::{TcpListener, TcpStream},
@@ -24,6 +25,8 @@
 const SLOW_EVENT_INTERVAL: Duration = Duration::from_millis(120);
 /// Time between two events of a stream during [`RunnerFault::VerySlow`].
 const VERY_SLOW_EVENT_INTERVAL: Duration = Duration::from_millis(900);
+/// Time from the last byte of an answer without a length to its end.
+const UNFRAMED_PAUSE: Duration = Duration::from_millis(200);
 /// Number of events of a stream.
 const STREAM_EVENT_COUNT: u32 = 4;
 /// Header line that is repeated in a head without end.
@@ -56,6 +59,21 @@
     /// Runs the call and closes the connection in the middle of the answer's
     /// body.
     TruncatedBody,
+    /// Runs the call, stops in the middle of its answer's head and closes the
+    /// connection.
+    TruncatedHead,
+    /// Runs the call and answers with neither a length nor chunks; the
+    /// connection ends with the answer.
+    Unframed,
+    /// The same, but a stream ends inside an event.
+    UnframedCut,
+    /// The same, but a stream ends before its first event.
+    UnframedEmpty,
+    /// The same as [`RunnerFault::Unframed`], but the connection is reset in
+    /// the middle of the body.
+    UnframedReset,
+    /// A stream in chunks ends in its framing, but inside an event.
+    ChunkedCut,
     /// Sends a second, unrequested answer right after the first. Streams are
     /// unaffected.
     ExtraAnswer,
@@ -590,6 +608,24 @@
             )
             .await;
         }
+        RunnerFault::TruncatedHead => {
+            let head = "HTTP/1.1 200 OK\r\ncontent-length: 13\r\n";
+            let text = format!("{head}{signature_headers}x-mo");
+            stream.write_all(text.as_bytes()).await?;
+            anyhow::bail!("simulated cut in the head");
+        }
+        RunnerFault::Unframed
+        | RunnerFault::UnframedCut
+        | RunnerFault::UnframedEmpty
+        | RunnerFault::UnframedReset => {
+            return write_unframed(
+                stream,
+                signature_headers,
+                is_stream,
+                fault,
+            )
+            .await;
+        }
         RunnerFault::TruncatedBody if !is_stream => {
             let head = "HTTP/1.1 200 OK\r\ncontent-length: 90\r\n";
             let text = format!("{head}{signature_headers}\r\nhalf");
@@ -658,6 +694,38 @@
     }
 }
 
+/// Writes an answer with neither a length nor chunks. Always returns an error,
+/// which closes the connection.
+async fn write_unframed(
+    stream: &mut TcpStream,
+    headers: &str,
+    is_stream: bool,
+    fault: RunnerFault,
+) -> anyhow::Result<()> {
+    let (kind, body) = match (is_stream, fault) {
+        (true, RunnerFault::UnframedEmpty) => ("text/event-stream", ""),
+        (true, RunnerFault::UnframedCut) => {
+            ("text/event-stream", "id: 1\ndata: x\n\nid: 2\nda")
+        }
+        (true, _) => {
+            ("text/event-stream", "id: 1\ndata: x\n\nid: 2\ndata: y\n\n")
+        }
+        (false, _) => ("application/json", "{\"done\":true}"),
+    };
+    let head = format!(
+        "HTTP/1.1 200 OK\r\ncontent-type: {kind}\r\n\
+         connection: close\r\n{headers}\r\n{body}"
+    );
+    stream.write_all(head.as_bytes()).await?;
+    // What was written is passed on before the end.
+    tokio::time::sleep(UNFRAMED_PAUSE).await;
+    if fault == RunnerFault::UnframedReset {
+        // Without lingering, a close resets the connection.
+        SockRef::from(&*stream).set_linger(Some(Duration::ZERO))?;
+    }
+    anyhow::bail!("the connection ends with the answer")
+}
+
 /// Writes an answer that is a stream of events, in HTTP chunks.
 async fn write_stream(
     stream: &mut TcpStream,
@@ -690,6 +758,9 @@
             () = tokio::time::sleep(interval) => {}
         }
     }
+    if fault == RunnerFault::ChunkedCut {
+        stream.write_all(b"5\r\nid: 9\r\n").await?;
+    }
     stream.write_all(b"0\r\n\r\n").await?;
     Ok(())
 }
