Split the quarantine's exchange off, and end the repetition of signs

Change: the schedule of news ends what it repeats; quarantine::exchange holds the schedule, the reports and their adoption; the gossip task's messages have a file of their own, as the router's do. Nothing else changes.

Measured: quarantine::tests::news_is_repeated_for_a_while_only fails without the end of the repetition and passes with it.

--- /dev/null
+++ b/crates/celerylead/src/quarantine/exchange.rs
@@ -0,0 +1,279 @@
+//! Exchange of evidence and verdicts with the other hosts.
+//!
+//! News is told to all hosts at once, and repeated with the gossip to each host
+//! for a while, so that a lost message costs only time. Verdicts in force are
+//! repeated for as long as they last.
+
+use std::time::Duration;
+
+use super::{
+    crash::CrashWitness,
+    ledger::{
+        HeldVerdict, LedgerEvent, MAX_VERDICTS, REPEAT_TIME, SuspectLedger,
+    },
+    part::PartId,
+    report::{
+        ClearanceRow, CrashRow, EvidenceReport, SignRow, VerdictRow,
+        WitnessRow,
+    },
+    signs::RunnerSign,
+    verdict::{MAX_TERM, PartVerdict, VerdictState},
+};
+use crate::{clock::EpochMillis, roster::RunnerStart};
+
+/// Time in which each other host is sent gossip at least once.
+const ROUND_TIME: Duration = Duration::from_millis(440);
+/// Shortest time between two repetitions of a verdict in force, for hosts that
+/// have started or were cut off since.
+const MIN_REPEAT_PERIOD: Duration = Duration::from_millis(1_000);
+/// Time between two repetitions by host of the fleet: a host hears twenty a
+/// second, however many hosts there are.
+const REPEAT_PERIOD_PER_HOST: Duration = Duration::from_millis(50);
+/// Difference between two ends of the same term that transfer may cause.
+const TERM_TOLERANCE: Duration = Duration::from_millis(1_000);
+/// Time for which news is gathered before it is told to all hosts at once.
+const GATHER_TIME: Duration = Duration::from_millis(10);
+/// Shortest time between two such tellings.
+const MIN_TELL_PERIOD: Duration = Duration::from_millis(100);
+/// Most rows of each kind in a report.
+const MAX_ROWS: usize = 48;
+
+/// When the other hosts are told what.
+#[derive(Debug)]
+pub(super) struct NewsSchedule {
+    /// Signs that are repeated to the other hosts, with the time of the sign
+    /// and the time until which it is repeated.
+    signs: Vec<(RunnerStart, RunnerSign, [EpochMillis; 2])>,
+    /// Position of this host in the period of repetitions, from 0 to 1.
+    phase: f64,
+    /// Time from which the verdicts in force are repeated.
+    repeat_at: EpochMillis,
+    /// Time at which news is told to all other hosts at once, if there is any.
+    tell_at: Option<EpochMillis>,
+    /// Time until which further news waits.
+    quiet_until: EpochMillis,
+}
+
+impl NewsSchedule {
+    pub(super) fn new(phase: f64, now: EpochMillis) -> NewsSchedule {
+        NewsSchedule {
+            signs: Vec::new(),
+            phase,
+            repeat_at: now,
+            tell_at: None,
+            quiet_until: now,
+        }
+    }
+
+    /// Lets the other hosts be told the news at once. What a crash ends within
+    /// moments is told together.
+    pub(super) fn tell_soon(&mut self, now: EpochMillis) {
+        let at = now.after(GATHER_TIME).max(self.quiet_until);
+        self.tell_at.get_or_insert(at);
+    }
+
+    /// Repeats a sign to the other hosts.
+    pub(super) fn repeat_sign(
+        &mut self,
+        start: &RunnerStart,
+        sign: RunnerSign,
+        times: [EpochMillis; 2],
+    ) {
+        self.signs.retain(|(known, kind, _)| known != start || *kind != sign);
+        if self.signs.len() < MAX_ROWS {
+            self.signs.push((start.clone(), sign, times));
+        }
+    }
+
+    /// Ends the repetitions that are over.
+    pub(super) fn advance(&mut self, now: EpochMillis) {
+        self.signs.retain(|(_, _, [_, until])| now < *until);
+    }
+
+    /// Returns the signs that are repeated.
+    fn signs(&self, now: EpochMillis) -> Vec<SignRow> {
+        let signs = self.signs.iter();
+        signs
+            .map(|(start, sign, [at, _])| SignRow {
+                start: start.clone(),
+                sign: *sign,
+                ago_ms: ago_ms(*at, now),
+            })
+            .collect()
+    }
+
+    /// Returns whether all verdicts in force are repeated now, in a fleet of
+    /// this many hosts, and plans the next time.
+    fn repeats_all(&mut self, hosts: usize, now: EpochMillis) -> bool {
+        let repeats_all = self.repeat_at <= now;
+        if self.repeat_at.after(ROUND_TIME) <= now {
+            let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
+            let period = REPEAT_PERIOD_PER_HOST.saturating_mul(hosts);
+            // The first pause has a random length, so that hosts which adopted
+            // a verdict together don't repeat it together.
+            let pause =
+                MIN_REPEAT_PERIOD.max(period).mul_f64(0.5 + self.phase);
+            self.phase = 0.5;
+            self.repeat_at = now.after(pause);
+        }
+        repeats_all
+    }
+}
+
+impl SuspectLedger {
+    /// Returns the time at which the other hosts are to be told the news without
+    /// waiting for their turn, if there is any.
+    pub fn tell_at(&self) -> Option<EpochMillis> {
+        self.news.tell_at
+    }
+
+    /// Notes that the other hosts are told the news now.
+    pub fn begin_telling(&mut self, now: EpochMillis) {
+        self.news.tell_at = None;
+        self.news.quiet_until = now.after(MIN_TELL_PERIOD);
+    }
+
+    /// Applies what another host reports.
+    pub fn merge(
+        &mut self,
+        report: &EvidenceReport,
+        now: EpochMillis,
+    ) -> Vec<LedgerEvent> {
+        let ago = |ms| now.before(Duration::from_millis(ms));
+        let mut events = Vec::new();
+        for ClearanceRow { part, ago_ms, basis } in &report.cleared {
+            let cleared = (ago(*ago_ms), *basis);
+            let unrepeated = EpochMillis::default();
+            events.extend(self.clear(*part, cleared, unrepeated));
+        }
+        for SignRow { start, sign, ago_ms } in &report.signs {
+            let at = ago(*ago_ms);
+            self.signs.record(start, *sign, at);
+            self.apply_sign(start, *sign, at);
+        }
+        for CrashRow { start, ended_ago_ms, witnesses } in &report.crashes {
+            for WitnessRow { parts, begun, sent_ago_ms } in witnesses {
+                let witness = CrashWitness {
+                    parts: parts.clone(),
+                    begun: *begun,
+                    sent_at: ago(*sent_ago_ms),
+                };
+                let ended = (ago(*ended_ago_ms), EpochMillis::default());
+                events.extend(self.add_witness(start, &witness, ended, now));
+            }
+        }
+        for row in &report.verdicts {
+            events.extend(self.adopt(row, now));
+        }
+        events.extend(self.weigh(now));
+        events
+    }
+
+    /// Returns what the other hosts, `hosts` with this one, should be told,
+    /// and makes the transitions that are due.
+    pub fn report(
+        &mut self,
+        hosts: usize,
+        now: EpochMillis,
+    ) -> (EvidenceReport, Vec<LedgerEvent>) {
+        let mut events = self.advance(now);
+        events.extend(self.weigh(now));
+        let repeats_all = self.news.repeats_all(hosts, now);
+        let repeated = |until: EpochMillis| now < until;
+        let ago = |at: EpochMillis| ago_ms(at, now);
+        let verdicts = self.verdicts.iter().filter(|(_, held)| {
+            held.state.until().is_some()
+                && (repeats_all || repeated(held.repeat_until))
+        });
+        let verdicts = verdicts
+            .map(|(part, held)| verdict_row(*part, &held.state, now))
+            .take(MAX_ROWS)
+            .collect();
+        let cleared = self.cleared.iter();
+        let cleared = cleared.filter(|(_, held)| repeated(held.repeat_until));
+        let cleared = cleared
+            .map(|(part, held)| ClearanceRow {
+                part: *part,
+                ago_ms: ago(held.at),
+                basis: held.basis,
+            })
+            .take(MAX_ROWS)
+            .collect();
+        let signs = self.news.signs(now);
+        let mut crashes: Vec<CrashRow> = Vec::new();
+        let repeated = self.crashes.repeated(now).take(MAX_ROWS);
+        for (start, ended_at, witness) in repeated {
+            let row = WitnessRow {
+                parts: witness.parts.clone(),
+                begun: witness.begun,
+                sent_ago_ms: ago(witness.sent_at),
+            };
+            match crashes.last_mut() {
+                Some(last) if last.start == *start => last.witnesses.push(row),
+                _ => crashes.push(CrashRow {
+                    start: start.clone(),
+                    ended_ago_ms: ago(ended_at),
+                    witnesses: vec![row],
+                }),
+            }
+        }
+        (EvidenceReport { crashes, signs, cleared, verdicts }, events)
+    }
+
+    /// Adopts a verdict of another host, unless this host knows better.
+    fn adopt(
+        &mut self,
+        row: &VerdictRow,
+        now: EpochMillis,
+    ) -> Option<LedgerEvent> {
+        let sent_at = now.before(Duration::from_millis(row.sent_ago_ms));
+        let left = Duration::from_millis(row.left_ms).min(MAX_TERM);
+        let until = now.after(left);
+        if let Some(held) = self.cleared.get_mut(&row.part)
+            && sent_at <= held.at
+        {
+            held.repeat_until = now.after(REPEAT_TIME);
+            return None;
+        }
+        if let Some(held) = self.verdicts.get(&row.part) {
+            let is_longer = held
+                .state
+                .until()
+                .is_some_and(|own| own.after(TERM_TOLERANCE) < until);
+            if row.terms <= held.state.counts().1 && !is_longer {
+                return None;
+            }
+        } else if MAX_VERDICTS <= self.verdicts.len() {
+            return Some(LedgerEvent::TableFull(row.part));
+        }
+        let VerdictRow { part, trials, terms, .. } = *row;
+        let verdict =
+            PartVerdict::reported(part, (trials, terms), sent_at, until);
+        let state = VerdictState::Rejected(verdict);
+        let repeat_until = EpochMillis::default();
+        self.verdicts.insert(part, HeldVerdict { state, repeat_until });
+        Some(LedgerEvent::Adopted(*row))
+    }
+}
+
+/// Describes a verdict at `now`.
+pub(super) fn verdict_row(
+    part: PartId,
+    state: &VerdictState,
+    now: EpochMillis,
+) -> VerdictRow {
+    let (trials, terms) = state.counts();
+    let left = state.until().map_or(Duration::ZERO, |until| now.until(until));
+    VerdictRow {
+        part,
+        trials,
+        terms,
+        sent_ago_ms: state.sent_at().until(now).as_millis() as u64,
+        left_ms: left.as_millis() as u64,
+    }
+}
+
+/// Returns the time from `at` to `now`, in milliseconds.
+fn ago_ms(at: EpochMillis, now: EpochMillis) -> u64 {
+    at.until(now).as_millis() as u64
+}
--- a/crates/celerylead/src/quarantine/ledger.rs
+++ b/crates/celerylead/src/quarantine/ledger.rs
@@ -6,14 +6,12 @@
 
 use super::{
     crash::{CrashLog, CrashWitness, TrialCount},
+    exchange::{NewsSchedule, verdict_row},
     part::{PartId, SharedParts},
-    report::{
-        ClearanceBasis, ClearanceRow, CrashRow, EvidenceReport, SignRow,
-        VerdictRow, WitnessRow,
-    },
+    report::{ClearanceBasis, VerdictRow},
     signs::{RunnerSign, SignLog},
     sound::SoundLog,
-    verdict::{MAX_TERM, PartVerdict, VerdictState},
+    verdict::{PartVerdict, VerdictState},
 };
 use crate::{clock::EpochMillis, roster::RunnerStart, sorted::SortedTable};
 
@@ -24,34 +22,18 @@
 const TRIALS_TO_HOLD: u32 = 2;
 /// Time for which news is repeated to the other hosts, each of which is sent
 /// gossip at least twice within it.
-const REPEAT_TIME: Duration = Duration::from_millis(1_000);
-/// Time in which each other host is sent gossip at least once.
-const ROUND_TIME: Duration = Duration::from_millis(440);
-/// Shortest time between two repetitions of a verdict in force, for hosts that
-/// have started or were cut off since.
-const MIN_REPEAT_PERIOD: Duration = Duration::from_millis(1_000);
-/// Time between two repetitions by host of the fleet: a host hears twenty a
-/// second, however many hosts there are.
-const REPEAT_PERIOD_PER_HOST: Duration = Duration::from_millis(50);
-/// Difference between two ends of the same term that transfer may cause.
-const TERM_TOLERANCE: Duration = Duration::from_millis(1_000);
+pub(super) const REPEAT_TIME: Duration = Duration::from_millis(1_000);
 /// Most parts with a verdict; further ones aren't rejected.
-const MAX_VERDICTS: usize = 64;
+pub(super) const MAX_VERDICTS: usize = 64;
 /// Most suspected and most cleared parts; the oldest are forgotten first.
 const MAX_SUSPECTS: usize = 512;
 /// Time for which a clearance is remembered.
 const CLEARANCE_MEMORY: Duration = Duration::from_secs(600);
-/// Time for which news is gathered before it is told to all hosts at once.
-const GATHER_TIME: Duration = Duration::from_millis(10);
-/// Shortest time between two such tellings.
-const MIN_TELL_PERIOD: Duration = Duration::from_millis(100);
 /// Time for which a call that ended with its runner is weighed again: until the
 /// end of the runner is settled and has been told.
 const WEIGH_TIME: Duration = Duration::from_millis(2_000);
 /// Most calls that are weighed again.
 const MAX_UNSETTLED: usize = 64;
-/// Most rows of each kind in a report.
-const MAX_ROWS: usize = 48;
 
 /// What the ledger says of a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -84,18 +66,18 @@
 
 /// A verdict, and how long this host repeats it to the others.
 #[derive(Clone, Copy, Debug)]
-struct HeldVerdict {
-    state: VerdictState,
-    repeat_until: EpochMillis,
+pub(super) struct HeldVerdict {
+    pub(super) state: VerdictState,
+    pub(super) repeat_until: EpochMillis,
 }
 
 /// When a suspected part was last seen to be sound.
 #[derive(Clone, Copy, Debug)]
-struct Clearance {
-    at: EpochMillis,
-    basis: ClearanceBasis,
+pub(super) struct Clearance {
+    pub(super) at: EpochMillis,
+    pub(super) basis: ClearanceBasis,
     /// Not after the epoch for what another host saw.
-    repeat_until: EpochMillis,
+    pub(super) repeat_until: EpochMillis,
 }
 
 /// Evidence and verdicts of one host.
@@ -127,27 +109,17 @@
 /// ```
 #[derive(Debug)]
 pub struct SuspectLedger {
-    crashes: CrashLog,
+    pub(super) crashes: CrashLog,
     /// Calls that ended with a runner whose end isn't settled yet.
     unsettled: Vec<(CrashWitness, EpochMillis)>,
-    signs: SignLog,
-    /// Signs that are repeated to the other hosts, with the time of the sign
-    /// and the time until which it is repeated.
-    repeated_signs: Vec<(RunnerStart, RunnerSign, [EpochMillis; 2])>,
+    pub(super) signs: SignLog,
     sound: SoundLog,
     /// Parts of calls that ended with a runner and aren't cleared since, with
     /// the time at which the last such call was sent.
     suspects: SortedTable<PartId, EpochMillis>,
-    cleared: SortedTable<PartId, Clearance>,
-    verdicts: SortedTable<PartId, HeldVerdict>,
-    /// Position of this host in the period of repetitions, from 0 to 1.
-    phase: f64,
-    /// Time from which the verdicts in force are repeated.
-    repeat_at: EpochMillis,
-    /// Time at which news is told to all other hosts at once, if there is any.
-    tell_at: Option<EpochMillis>,
-    /// Time until which further news waits.
-    quiet_until: EpochMillis,
+    pub(super) cleared: SortedTable<PartId, Clearance>,
+    pub(super) verdicts: SortedTable<PartId, HeldVerdict>,
+    pub(super) news: NewsSchedule,
 }
 
 impl SuspectLedger {
@@ -158,15 +130,11 @@
             crashes: CrashLog::default(),
             unsettled: Vec::new(),
             signs: SignLog::default(),
-            repeated_signs: Vec::new(),
             sound: SoundLog::default(),
             suspects: SortedTable::default(),
             cleared: SortedTable::default(),
             verdicts: SortedTable::default(),
-            phase,
-            repeat_at: now,
-            tell_at: None,
-            quiet_until: now,
+            news: NewsSchedule::new(phase, now),
         }
     }
 
@@ -184,23 +152,11 @@
         });
         let repeat_until = now.after(REPEAT_TIME);
         if !witness.parts.is_empty() {
-            self.tell_soon(now);
+            self.news.tell_soon(now);
         }
         self.add_witness(start, &witness, (now, repeat_until), now)
     }
 
-    /// Returns the time at which the other hosts are to be told the news without
-    /// waiting for their turn, if there is any.
-    pub fn tell_at(&self) -> Option<EpochMillis> {
-        self.tell_at
-    }
-
-    /// Notes that the other hosts are told the news now.
-    pub fn begin_telling(&mut self, now: EpochMillis) {
-        self.tell_at = None;
-        self.quiet_until = now.after(MIN_TELL_PERIOD);
-    }
-
     /// Records what a start of a runner did towards this host.
     pub fn record_sign(
         &mut self,
@@ -213,9 +169,9 @@
         if !self.apply_sign(start, sign, at) {
             return Vec::new();
         }
-        self.repeat_sign(start, sign, [at, now.after(REPEAT_TIME)]);
+        self.news.repeat_sign(start, sign, [at, now.after(REPEAT_TIME)]);
         if sign == RunnerSign::Refused {
-            self.tell_soon(now);
+            self.news.tell_soon(now);
         }
         self.weigh(now)
     }
@@ -266,42 +222,6 @@
         }
     }
 
-    /// Applies what another host reports.
-    pub fn merge(
-        &mut self,
-        report: &EvidenceReport,
-        now: EpochMillis,
-    ) -> Vec<LedgerEvent> {
-        let ago = |ms| now.before(Duration::from_millis(ms));
-        let mut events = Vec::new();
-        for ClearanceRow { part, ago_ms, basis } in &report.cleared {
-            let cleared = (ago(*ago_ms), *basis);
-            let unrepeated = EpochMillis::default();
-            events.extend(self.clear(*part, cleared, unrepeated));
-        }
-        for SignRow { start, sign, ago_ms } in &report.signs {
-            let at = ago(*ago_ms);
-            self.signs.record(start, *sign, at);
-            self.apply_sign(start, *sign, at);
-        }
-        for CrashRow { start, ended_ago_ms, witnesses } in &report.crashes {
-            for WitnessRow { parts, begun, sent_ago_ms } in witnesses {
-                let witness = CrashWitness {
-                    parts: parts.clone(),
-                    begun: *begun,
-                    sent_at: ago(*sent_ago_ms),
-                };
-                let ended = (ago(*ended_ago_ms), EpochMillis::default());
-                events.extend(self.add_witness(start, &witness, ended, now));
-            }
-        }
-        for row in &report.verdicts {
-            events.extend(self.adopt(row, now));
-        }
-        events.extend(self.weigh(now));
-        events
-    }
-
     /// Decides whether a call may be sent to a runner. `is_prober` says
     /// whether this host is the one that probes a part.
     pub fn admit(
@@ -353,76 +273,9 @@
         verdicts.map(move |(part, held)| verdict_row(*part, &held.state, now))
     }
 
-    /// Returns what the other hosts, `hosts` with this one, should be told,
-    /// and makes the transitions that are due.
-    pub fn report(
-        &mut self,
-        hosts: usize,
-        now: EpochMillis,
-    ) -> (EvidenceReport, Vec<LedgerEvent>) {
-        let mut events = self.advance(now);
-        events.extend(self.weigh(now));
-        let repeats_all = self.repeat_at <= now;
-        let period = MIN_REPEAT_PERIOD
-            .max(REPEAT_PERIOD_PER_HOST * u32::try_from(hosts).unwrap_or(1));
-        if self.repeat_at.after(ROUND_TIME) <= now {
-            // The first pause has a random length, so that hosts which adopted
-            // a verdict together don't repeat it together.
-            let pause = period.mul_f64(0.5 + self.phase);
-            self.phase = 0.5;
-            self.repeat_at = now.after(pause);
-        }
-        let repeated = |until: EpochMillis| now < until;
-        let ago = |at: EpochMillis| at.until(now).as_millis() as u64;
-        let verdicts = self.verdicts.iter().filter(|(_, held)| {
-            held.state.until().is_some()
-                && (repeats_all || repeated(held.repeat_until))
-        });
-        let verdicts = verdicts
-            .map(|(part, held)| verdict_row(*part, &held.state, now))
-            .take(MAX_ROWS)
-            .collect();
-        let cleared = self.cleared.iter();
-        let cleared = cleared.filter(|(_, held)| repeated(held.repeat_until));
-        let cleared = cleared
-            .map(|(part, held)| ClearanceRow {
-                part: *part,
-                ago_ms: ago(held.at),
-                basis: held.basis,
-            })
-            .take(MAX_ROWS)
-            .collect();
-        let signs = self.repeated_signs.iter();
-        let signs = signs
-            .map(|(start, sign, [at, _])| SignRow {
-                start: start.clone(),
-                sign: *sign,
-                ago_ms: ago(*at),
-            })
-            .collect();
-        let mut crashes: Vec<CrashRow> = Vec::new();
-        let repeated = self.crashes.repeated(now).take(MAX_ROWS);
-        for (start, ended_at, witness) in repeated {
-            let row = WitnessRow {
-                parts: witness.parts.clone(),
-                begun: witness.begun,
-                sent_ago_ms: ago(witness.sent_at),
-            };
-            match crashes.last_mut() {
-                Some(last) if last.start == *start => last.witnesses.push(row),
-                _ => crashes.push(CrashRow {
-                    start: start.clone(),
-                    ended_ago_ms: ago(ended_at),
-                    witnesses: vec![row],
-                }),
-            }
-        }
-        (EvidenceReport { crashes, signs, cleared, verdicts }, events)
-    }
-
     /// Adds a call that ended with its runner, and weighs its parts. `ended`
     /// holds the time of the end and the time until which it is repeated.
-    fn add_witness(
+    pub(super) fn add_witness(
         &mut self,
         start: &RunnerStart,
         witness: &CrashWitness,
@@ -437,7 +290,7 @@
             && ended_at < answered
         {
             let times = [answered, now.after(REPEAT_TIME)];
-            self.repeat_sign(start, RunnerSign::Answered, times);
+            self.news.repeat_sign(start, RunnerSign::Answered, times);
             return Vec::new();
         }
         if !self.crashes.record(start, witness, ended_at, repeat_until) {
@@ -447,7 +300,7 @@
             && self.crashes.confirm(start, refused)
         {
             let times = [refused, now.after(REPEAT_TIME)];
-            self.repeat_sign(start, RunnerSign::Refused, times);
+            self.news.repeat_sign(start, RunnerSign::Refused, times);
         }
         for part in witness.parts.iter() {
             self.suspect(part, witness.sent_at, now);
@@ -459,16 +312,9 @@
         self.weigh(now)
     }
 
-    /// Lets the other hosts be told the news at once. What a crash ends within
-    /// moments is told together.
-    fn tell_soon(&mut self, now: EpochMillis) {
-        let at = now.after(GATHER_TIME).max(self.quiet_until);
-        self.tell_at.get_or_insert(at);
-    }
-
     /// Applies a sign to the crash of its runner, if there is one. Returns
     /// whether that is new.
-    fn apply_sign(
+    pub(super) fn apply_sign(
         &mut self,
         start: &RunnerStart,
         sign: RunnerSign,
@@ -480,20 +326,6 @@
         }
     }
 
-    /// Repeats a sign to the other hosts.
-    fn repeat_sign(
-        &mut self,
-        start: &RunnerStart,
-        sign: RunnerSign,
-        times: [EpochMillis; 2],
-    ) {
-        self.repeated_signs
-            .retain(|(known, kind, _)| known != start || *kind != sign);
-        if self.repeated_signs.len() < MAX_ROWS {
-            self.repeated_signs.push((start.clone(), sign, times));
-        }
-    }
-
     /// Suspects a part, unless an answer on it went on since the call was sent.
     fn suspect(
         &mut self,
@@ -525,7 +357,7 @@
     /// Weighs the calls whose runners' ends may be settled by now. Rejects the
     /// part that explains the crashes best, if one has enough trials, and then
     /// the best for those crashes that it doesn't explain.
-    fn weigh(&mut self, now: EpochMillis) -> Vec<LedgerEvent> {
+    pub(super) fn weigh(&mut self, now: EpochMillis) -> Vec<LedgerEvent> {
         let mut events = Vec::new();
         self.unsettled.retain(|(_, until)| now < *until);
         let parts = self.unsettled_parts();
@@ -544,7 +376,7 @@
             let state = VerdictState::Rejected(verdict);
             let repeat_until = now.after(REPEAT_TIME);
             self.verdicts.insert(part, HeldVerdict { state, repeat_until });
-            self.tell_soon(now);
+            self.news.tell_soon(now);
             events.push(LedgerEvent::Rejected(verdict_row(part, &state, now)));
         }
         events
@@ -606,43 +438,8 @@
         Some(LedgerEvent::Rejected(verdict_row(part, &held.state, now)))
     }
 
-    /// Adopts a verdict of another host, unless this host knows better.
-    fn adopt(
-        &mut self,
-        row: &VerdictRow,
-        now: EpochMillis,
-    ) -> Option<LedgerEvent> {
-        let sent_at = now.before(Duration::from_millis(row.sent_ago_ms));
-        let left = Duration::from_millis(row.left_ms).min(MAX_TERM);
-        let until = now.after(left);
-        if let Some(held) = self.cleared.get_mut(&row.part)
-            && sent_at <= held.at
-        {
-            held.repeat_until = now.after(REPEAT_TIME);
-            return None;
-        }
-        if let Some(held) = self.verdicts.get(&row.part) {
-            let is_longer = held
-                .state
-                .until()
-                .is_some_and(|own| own.after(TERM_TOLERANCE) < until);
-            if row.terms <= held.state.counts().1 && !is_longer {
-                return None;
-            }
-        } else if MAX_VERDICTS <= self.verdicts.len() {
-            return Some(LedgerEvent::TableFull(row.part));
-        }
-        let VerdictRow { part, trials, terms, .. } = *row;
-        let verdict =
-            PartVerdict::reported(part, (trials, terms), sent_at, until);
-        let state = VerdictState::Rejected(verdict);
-        let repeat_until = EpochMillis::default();
-        self.verdicts.insert(part, HeldVerdict { state, repeat_until });
-        Some(LedgerEvent::Adopted(*row))
-    }
-
     /// Records that a part was cleared at a time, and on what basis.
-    fn clear(
+    pub(super) fn clear(
         &mut self,
         part: PartId,
         (at, basis): (EpochMillis, ClearanceBasis),
@@ -698,7 +495,7 @@
     }
 
     /// Makes the transitions that are due.
-    fn advance(&mut self, now: EpochMillis) -> Vec<LedgerEvent> {
+    pub(super) fn advance(&mut self, now: EpochMillis) -> Vec<LedgerEvent> {
         let mut dropped = Vec::new();
         self.verdicts.retain(|part, held| match held.state.advance(now) {
             Some(state) => {
@@ -711,23 +508,7 @@
             }
         });
         self.cleared.retain(|_, held| now < held.at.after(CLEARANCE_MEMORY));
+        self.news.advance(now);
         dropped
     }
 }
-
-/// Describes a verdict at `now`.
-fn verdict_row(
-    part: PartId,
-    state: &VerdictState,
-    now: EpochMillis,
-) -> VerdictRow {
-    let (trials, terms) = state.counts();
-    let left = state.until().map_or(Duration::ZERO, |until| now.until(until));
-    VerdictRow {
-        part,
-        trials,
-        terms,
-        sent_ago_ms: state.sent_at().until(now).as_millis() as u64,
-        left_ms: left.as_millis() as u64,
-    }
-}
--- a/crates/celerylead/src/quarantine/mod.rs
+++ b/crates/celerylead/src/quarantine/mod.rs
@@ -30,6 +30,7 @@
 //! as only calls that ended with a runner enter, nor displace a verdict.
 
 mod crash;
+mod exchange;
 mod ledger;
 mod part;
 mod report;
--- a/crates/celerylead/src/quarantine/tests.rs
+++ b/crates/celerylead/src/quarantine/tests.rs
@@ -644,3 +644,28 @@
         assert_eq!(rejected(ledger, 900), [0; 0], "{name}");
     }
 }
+
+/// Guards against news that is sent with every digest for good.
+#[test]
+fn news_is_repeated_for_a_while_only() {
+    struct Case {
+        name: &'static str,
+        step: Step,
+    }
+    let cases = [
+        Case { name: "a crash", step: Step::Break(1, &[1], [100, 150]) },
+        Case {
+            name: "a crash and its sign",
+            step: Step::Crash(1, &[1], [100, 150]),
+        },
+    ];
+    for Case { name, step } in cases {
+        let mut ledger = ledger();
+        step.apply(&mut ledger);
+        ledger.record_sound(&parts(&[1]), EpochMillis(300));
+        let (early, _) = ledger.report(8, EpochMillis(400));
+        assert!(!early.is_empty(), "{name}");
+        let (late, _) = ledger.report(8, EpochMillis(3_000));
+        assert!(late.is_empty(), "{name}: {late:?}");
+    }
+}
--- a/crates/celerylead/src/tasks/node/mod.rs
+++ b/crates/celerylead/src/tasks/node/mod.rs
@@ -20,6 +20,7 @@
 mod call;
 mod control;
 mod gossip;
+mod gossip_port;
 mod host_rows;
 mod lease;
 mod links;
--- a/crates/celerylead/src/tasks/node/placer.rs
+++ b/crates/celerylead/src/tasks/node/placer.rs
@@ -16,7 +16,7 @@
 
 use super::{
     CatalogWatch, NodePhase, RosterWatch,
-    gossip::{GossipPort, PlacerEvent},
+    gossip_port::{GossipPort, PlacerEvent},
     lease::{LeaseCall, LeaseKeeper},
     orders::{self, LeaseOutcome},
 };
--- a/crates/celerylead/src/tasks/node/registry.rs
+++ b/crates/celerylead/src/tasks/node/registry.rs
@@ -15,7 +15,7 @@
 
 use super::{
     CatalogWatch, control,
-    gossip::GossipPort,
+    gossip_port::GossipPort,
     watcher::{FeedPosition, FeedStep, WatcherSetup, pick_seed, revision},
 };
 use crate::{
--- a/crates/celerylead/src/tasks/node/router.rs
+++ b/crates/celerylead/src/tasks/node/router.rs
@@ -12,7 +12,7 @@
 
 use super::{
     CatalogWatch, RosterWatch,
-    gossip::GossipPort,
+    gossip_port::GossipPort,
     links::IdleLinks,
     quarantine::QuarantineDesk,
     router_port::{
--- a/crates/celerylead/src/tasks/node/run.rs
+++ b/crates/celerylead/src/tasks/node/run.rs
@@ -13,6 +13,7 @@
 use super::{
     NodeContext, NodePhase, acceptor, control, gossip,
     gossip::GossipSetup,
+    gossip_port,
     placer::{self, PlacerSetup},
     registry::{self, ZoneFeed},
     router,
@@ -113,7 +114,7 @@
         watch::channel(PeerContact::default());
     let (is_reader, reader_receiver) = watch::channel(true);
     let (excerpt_sender, excerpts) = mpsc::channel(registry::MAX_EXCERPTS);
-    let (gossip_port, gossip_inbox) = gossip::mailbox();
+    let (gossip_port, gossip_inbox) = gossip_port::mailbox();
     let zone_feed = ZoneFeed {
         is_reader: reader_receiver,
         excerpts,
--- a/crates/celerylead/src/tasks/node/tests.rs
+++ b/crates/celerylead/src/tasks/node/tests.rs
@@ -5,7 +5,7 @@
 use tokio::{sync::watch, time::Instant};
 
 use super::{
-    gossip,
+    gossip_port,
     router::{self, RetryAllowance, RouterSetup},
     router_port::{self, RouterEvent, RouterPort},
 };
@@ -68,7 +68,7 @@
             clock: clock.clone(),
             catalog: catalog_receiver,
             roster: roster_receiver,
-            gossip: gossip::mailbox().0,
+            gossip: gossip_port::mailbox().0,
             allowance: RetryAllowance {
                 share: 0.2,
                 slack: 50.0,
