Log each turn of the plan, and the models in demand that no runner holds

The log told orders and refusals, but not whether the lease holder knew of the demand, planned a place, was held back by the limit of loads, or held the model without any host being told.

Ruled out: lines at each host for each model, which would be 295 times as many for what only the lease holder decides; callers' side stands in `request_refused` already, with the model.

Change: `plan_turn` (duration, steps, loads held back, models missing, sources and age of the demand, runners whose change no host was told) and `model_reach` (a model in demand is missing, held again, unwanted; time to its first order). `ReachLog` is the record behind it.

--- a/crates/celerylead/src/placement/broadcast.rs
+++ b/crates/celerylead/src/placement/broadcast.rs
@@ -129,6 +129,12 @@
         entry.is_none_or(|entry| entry.repeats < CHANGE_REPEATS)
     }
 
+    /// Returns the number of runners whose current state wasn't sent yet.
+    pub fn unannounced(&self) -> usize {
+        let entries = self.runners.values();
+        entries.filter(|entry| entry.repeats == CHANGE_REPEATS).count()
+    }
+
     /// Schedules the next message for the earliest allowed time.
     pub fn send_soon(&mut self) {
         self.heartbeat_at = EpochMillis::default();
--- a/crates/celerylead/src/placement/mod.rs
+++ b/crates/celerylead/src/placement/mod.rs
@@ -31,6 +31,7 @@
 mod managed;
 mod order;
 mod plan;
+mod reach;
 mod table;
 mod uses;
 
@@ -53,6 +54,7 @@
         LastReplica, ModelNeed, PlacementPlan, PlanPace, RunnerCapacity,
         next_plan,
     },
-    table::{OrderStep, RunnerTable, SendOutcome},
+    reach::{MissingModel, ReachChange, ReachLog},
+    table::{OrderStep, RunnerTable, SendOutcome, StateCounts},
     uses::UseTable,
 };
--- a/crates/celerylead/src/placement/table.rs
+++ b/crates/celerylead/src/placement/table.rs
@@ -52,6 +52,19 @@
     Lost,
 }
 
+/// Number of runners in each state.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StateCounts {
+    /// Runners whose report is awaited.
+    pub needs_report: usize,
+    /// Runners that take an order.
+    pub idle: usize,
+    /// Runners with an order in progress.
+    pub pending: usize,
+    /// Runners with an unanswered order.
+    pub unanswered: usize,
+}
+
 /// The runners that take orders, by state.
 #[derive(Clone, Debug, Default)]
 pub struct RunnerTable {
@@ -104,6 +117,16 @@
         self.adopt(&facts.iter().collect::<Vec<_>>(), now);
     }
 
+    /// Returns the number of runners in each state.
+    pub fn state_counts(&self) -> StateCounts {
+        StateCounts {
+            needs_report: self.needs_report.len(),
+            idle: self.idle.len(),
+            pending: self.pending.len(),
+            unanswered: self.unanswered.len(),
+        }
+    }
+
     /// Returns the runners that take an order now.
     pub fn idle(&self) -> impl Iterator<Item = &ManagedRunner<Idle>> {
         self.idle.values()
--- a/crates/celerylead/src/placement/tests.rs
+++ b/crates/celerylead/src/placement/tests.rs
@@ -2,6 +2,7 @@
 mod broadcast;
 mod loads;
 mod managed;
+mod reach;
 
 use super::{
     LastReplica, ModelNeed, PlacementPlan, PlanPace, RunnerCapacity, next_plan,
--- a/crates/celerylead/src/tasks/node/mod.rs
+++ b/crates/celerylead/src/tasks/node/mod.rs
@@ -25,6 +25,7 @@
 mod lease;
 mod links;
 mod orders;
+mod placement_log;
 mod placer;
 mod quarantine;
 mod registry;
--- a/crates/celerylead/src/tasks/node/placer.rs
+++ b/crates/celerylead/src/tasks/node/placer.rs
@@ -19,16 +19,17 @@
     gossip_port::{GossipPort, PlacerEvent},
     lease::{LeaseCall, LeaseKeeper},
     orders::{self, LeaseOutcome},
+    placement_log::{self, PlanTurn},
 };
 use crate::{
-    catalog::{EngineSpec, ServiceCatalog},
+    catalog::{EngineSpec, ServiceCatalog, ServiceSpec},
     clock::{EpochMillis, HostClock},
     membership::{HostMessage, HostRow},
     model::ModelName,
     placement::{
         AdapterAction, AdapterPlanner, FleetPlan, LoadLimiter, LoadSource,
-        ModelDemand, OrderAttempt, OrderStep, ResidencyBroadcast, RunnerTable,
-        SendOutcome, UseTable,
+        ModelDemand, OrderAttempt, OrderStep, ReachLog, ResidencyBroadcast,
+        RunnerTable, SendOutcome, UseTable,
     },
     port::{EdgeCodec, EngineReport, PlacementOrder, StorePort},
     roster::RunnerFacts,
@@ -91,6 +92,7 @@
     loads: LoadLimiter,
     demand: SortedTable<String, (EpochMillis, ModelDemand)>,
     broadcast: ResidencyBroadcast,
+    reach: ReachLog,
     tick_count: u32,
     /// Whether a tick is due once the pause is over.
     tick_due: bool,
@@ -118,6 +120,7 @@
         loads: LoadLimiter::new(setup.load_window, setup.clock.now()),
         demand: SortedTable::default(),
         broadcast: ResidencyBroadcast::default(),
+        reach: ReachLog::default(),
         tick_count: 0,
         tick_due: false,
         paused_until: now,
@@ -403,25 +406,70 @@
 
     fn order_models(
         &mut self,
-        service: &crate::catalog::ServiceSpec,
+        service: &ServiceSpec,
         engine: &EngineSpec,
         demand: &ModelDemand,
         fencing: u64,
         now: EpochMillis,
     ) {
+        let began = Instant::now();
         let plan = self.plan.advance(service, &self.runners, demand);
         let Some(plan) = plan else { return };
         self.runners.cancel_drains(|runner, model| plan.wants(runner, model));
-        for step in plan.next_steps(&self.runners) {
+        let steps = plan.next_steps(&self.runners);
+        let mut turn = PlanTurn { steps: steps.len(), ..PlanTurn::default() };
+        for step in steps {
             if step.source == Some(LoadSource::Store)
                 && !self.loads.allows(engine.loads_per_second, now)
             {
+                turn.held_back += 1;
                 continue;
             }
             let name = ModelName { model: step.model, adapter: None };
             let order = (step.kind, step.source);
-            self.issue_order(&step.runner, order, &name, fencing, now);
+            if self.issue_order(&step.runner, order, &name, fencing, now) {
+                turn.ordered += 1;
+                if step.kind == OrderKind::Load {
+                    self.reach.record_order(&name.model, now);
+                }
+            }
+        }
+        self.log_turn(service, turn, began, demand, now);
+    }
+
+    /// Logs a turn of the plan, and which models in demand have become missing
+    /// or are held again.
+    fn log_turn(
+        &mut self,
+        service: &ServiceSpec,
+        mut turn: PlanTurn,
+        began: Instant,
+        demand: &ModelDemand,
+        now: EpochMillis,
+    ) {
+        let mut held: Vec<String> = self
+            .runners
+            .usable()
+            .filter(|(facts, _)| facts.service == service.name)
+            .flat_map(|(_, models)| models)
+            .map(|model| model.name)
+            .collect();
+        held.sort_unstable();
+        held.dedup();
+        turn.held_models = held.len();
+        let is_held = |model: &str| {
+            held.binary_search_by(|name| name.as_str().cmp(model)).is_ok()
+        };
+        for change in self.reach.update(demand, is_held, now) {
+            placement_log::log_reach(&change, now);
         }
+        turn.missing_models = self.reach.missing().count();
+        turn.hosts = self.demand.len();
+        let ages = self.demand.values().map(|(at, _)| at.until(now));
+        turn.oldest_demand = ages.max().unwrap_or_default();
+        turn.open_loads = self.loads.open_count();
+        turn.unannounced = self.broadcast.unannounced();
+        placement_log::log_turn(&turn, self.runners.state_counts(), began);
     }
 
     fn order_adapters(
