Start as many loads as the weight store allows, the most urgent first

Cause: the lease holder's token bucket held two loads, whatever the rate, and is used once a turn of the plan (0.4 s), so five loads a second started at most where the store allows 28; a turn also added two replicas at most. The loads that went first were those of the runners whose names sort first, asked for or not. The class: a constant for each turn of a loop where the stated limit grows with the fleet, and head-of-line blocking within the loop.

Ruled out as the cause of those: the plan (every missing model had a step), the window (two of 140 loads counted).

Change: the burst is the store's allowance for half a second, two at the least, and a turn adds the replicas of 0.4 s, two at the least; deployments with up to four loads a second keep what they had. Steps are ordered by the demand that one more replica relieves, four times as heavy where no runner holds the model.

Tests: `placement::tests::fleet` plays 9 to 192 runners in simulated time. Red before: 10 of 50 models still missing at 60 runners after the store's time for them and half as much again; the model most asked for not among the first loads.

--- a/crates/celerylead/src/placement/fleet.rs
+++ b/crates/celerylead/src/placement/fleet.rs
@@ -1,6 +1,8 @@
 //! Plans which models are resident on which runner of a service, over all
 //! zones.
 
+use std::cmp::Reverse;
+
 use crate::{
     catalog::{EngineSpec, ServiceSpec},
     placement::{
@@ -15,8 +17,13 @@
     sorted::SortedTable,
 };
 
-/// Maximum number of replicas that one planning turn adds.
-const MAX_REPLICAS_PER_TURN: usize = 2;
+/// Fewest replicas that one planning turn may add.
+const MIN_REPLICAS_PER_TURN: usize = 2;
+/// Part of a second's loads from the weight store that one planning turn may
+/// add as replicas: turns are 400 ms apart.
+const TURN_LOAD_SHARE: f64 = 0.4;
+/// Weight of the demand for a model that no runner holds.
+const MISSING_WEIGHT: u64 = 4;
 /// Fraction of a runner's token capacity that demand has to request per second
 /// before a model replaces another model's replica. Calls last about two
 /// seconds, so a replica at this demand is one eighth full.
@@ -34,6 +41,9 @@
     plan: &'a PlacementPlan,
     engine: &'a EngineSpec,
     service: &'a str,
+    /// Demand by model that one more replica would relieve, in tokens per
+    /// second.
+    urgency: SortedTable<&'a str, u64>,
 }
 
 /// An order for a model.
@@ -84,24 +94,49 @@
             .collect();
         let plan = self.services.entry(name.to_owned(), Default::default);
         let pace = PlanPace {
-            changes: MAX_REPLICAS_PER_TURN,
+            changes: replicas_per_turn(engine.loads_per_second),
             swap_demand: engine.token_capacity as f64 * SWAP_SHARE,
             last_replica: LastReplica::Yields,
         };
         *plan = next_plan(plan, &capacities, &needs, pace);
-        Some(ServicePlan { plan, engine, service: name })
+        let mut replicas: SortedTable<String, u64> = SortedTable::default();
+        for model in capacities.into_iter().flat_map(|runner| runner.resident)
+        {
+            *replicas.entry(model, || 0) += 1;
+        }
+        let urgency = engine.models.iter().map(|model| {
+            let rate = demand.get(&model.name).copied().unwrap_or(0);
+            let urgency = match replicas.get(&model.name) {
+                Some(count) => rate / count,
+                None => rate.saturating_mul(MISSING_WEIGHT),
+            };
+            (model.name.as_str(), urgency)
+        });
+        let urgency = urgency.collect();
+        Some(ServicePlan { plan, engine, service: name, urgency })
     }
 }
 
 impl ServicePlan<'_> {
     /// Returns the orders that bring runners closer to the plan, at most one
-    /// per runner.
+    /// per runner, the most urgent ones first: the weight store may not allow
+    /// all loads.
     pub fn next_steps(&self, runners: &RunnerTable) -> Vec<ModelStep> {
-        runners
+        let mut steps: Vec<ModelStep> = runners
             .idle()
             .filter(|managed| managed.facts.service == self.service)
             .filter_map(|managed| self.step_at(managed, runners))
-            .collect()
+            .collect();
+        steps.sort_by_key(|step| match step.kind {
+            OrderKind::Load => Reverse(self.urgency(&step.model)),
+            // An unload makes room for a load and needs no allowance.
+            OrderKind::Unload | OrderKind::Fence => Reverse(u64::MAX),
+        });
+        steps
+    }
+
+    fn urgency(&self, model: &str) -> u64 {
+        self.urgency.get(model).copied().unwrap_or(0)
     }
 
     /// Returns whether the plan places a model on a runner.
@@ -122,7 +157,8 @@
         let is_resident = |model: &str| {
             managed.models.iter().any(|held_model| held_model.name == model)
         };
-        let missing = target.iter().find(|model| !is_resident(model))?;
+        let missing = target.iter().filter(|model| !is_resident(model));
+        let missing = missing.max_by_key(|model| self.urgency(model))?;
         let size = self.engine.model(missing)?.size_mb;
         let runner = managed.facts.id.clone();
         if size <= self.free_mb(&managed.models) {
@@ -182,6 +218,13 @@
     }
 }
 
+/// Returns how many replicas one planning turn may add, where the weight store
+/// allows this many loads per second.
+fn replicas_per_turn(loads_per_second: f64) -> usize {
+    let share = (loads_per_second * TURN_LOAD_SHARE).floor();
+    MIN_REPLICAS_PER_TURN.max(share as usize)
+}
+
 /// Returns the memory reserved for adapters: all slots at the largest adapter
 /// size.
 fn adapter_reserve_mb(engine: &EngineSpec) -> f64 {
--- a/crates/celerylead/src/placement/loads.rs
+++ b/crates/celerylead/src/placement/loads.rs
@@ -14,9 +14,12 @@
 
 use crate::{clock::EpochMillis, sorted::SortedTable};
 
-/// Loads that may start at once after a pause. More simultaneous loads slow
-/// each other down at the weight store.
-const BURST: f64 = 2.0;
+/// Fewest loads that may start at once after a pause.
+const MIN_BURST: f64 = 2.0;
+/// Time whose loads may start at once after a pause: somewhat more than the
+/// time between two turns of the plan, or turns would leave loads unused that
+/// the weight store allows. More simultaneous loads slow each other down there.
+const BURST_TIME: Duration = Duration::from_millis(500);
 /// Longest time after sending within which an unanswered order may still be
 /// carried out. The platform's list of faults states up to 12 s.
 const MAX_START_DELAY: Duration = Duration::from_millis(13_000);
@@ -117,7 +120,8 @@
     pub fn allows(&mut self, per_second: f64, now: EpochMillis) -> bool {
         let seconds = self.refilled_at.until(now).as_secs_f64();
         self.refilled_at = now;
-        self.tokens = (self.tokens + per_second * seconds).min(BURST);
+        let burst = MIN_BURST.max(per_second * BURST_TIME.as_secs_f64());
+        self.tokens = (self.tokens + per_second * seconds).min(burst);
         let window = self.window;
         self.started.retain(|at| now < at.after(window));
         self.open.retain(|_, until| now < until.after(window));
--- a/crates/celerylead/src/placement/tests.rs
+++ b/crates/celerylead/src/placement/tests.rs
@@ -1,5 +1,6 @@
 mod adapters;
 mod broadcast;
+mod fleet;
 mod loads;
 mod managed;
 mod reach;
