Choose the adapter steps of a turn together, and replicas only where they fit

Ruled out: the broadcast of what runners hold, whose cost doesn't grow with the orders.

Change: the adapter planner returns the steps of a turn, each at another runner, from one count of the replicas and one index of the runners by model; a drain ends the list, as it changes what the others are chosen by. A plan's turn looks for room only for models that fit somewhere, and not again once there was none. What is chosen doesn't change: the tables of cases of both are as before.

--- a/crates/celerylead/src/placement/adapters.rs
+++ b/crates/celerylead/src/placement/adapters.rs
@@ -76,8 +76,16 @@
     runners: &'a RunnerTable,
     engine: &'a EngineSpec,
     demand: &'a ModelDemand,
+    /// Adapters in demand, in descending order of demand.
+    in_demand: Vec<(ModelName, u64)>,
+    /// Adapters that calls wait for.
+    awaited: Vec<&'a ModelName>,
     /// Number of runners that hold each adapter or are loading it.
     replicas: SortedTable<ModelName, usize>,
+    /// Idle runners that hold each model.
+    holders: SortedTable<&'a str, Vec<&'a ManagedRunner<Idle>>>,
+    /// Runners with a step.
+    taken: Vec<String>,
     planner: &'a AdapterPlanner,
     uses: &'a UseTable,
     now: EpochMillis,
@@ -96,49 +104,50 @@
         self.loaded_at.insert(name.clone(), now);
     }
 
-    /// Returns the next step, if one is due. The keys of `demand` are both
-    /// models and pairs of model and adapter.
-    pub fn next_step(
+    /// Returns the steps that are due, each at another runner. The keys of
+    /// `demand` are both models and pairs of model and adapter. A drain changes
+    /// what other steps are chosen by, so none follows it.
+    pub fn next_steps(
         &self,
         runners: &RunnerTable,
         engine: &EngineSpec,
         demand: &ModelDemand,
         uses: &UseTable,
         now: EpochMillis,
-    ) -> Option<AdapterStep> {
-        let replicas = count_replicas(runners);
-        let planner = self;
-        let view = AdapterView {
+    ) -> Vec<AdapterStep> {
+        let mut holders: SortedTable<&str, Vec<&ManagedRunner<Idle>>> =
+            SortedTable::default();
+        for managed in runners.idle() {
+            for model in &managed.models {
+                let holders = holders.entry(model.name.as_str(), Vec::new);
+                holders.push(managed);
+            }
+        }
+        let awaited = self.misses.iter();
+        let awaited = awaited.filter(|(_, at)| now < at.after(MISS_MAX_AGE));
+        let mut view = AdapterView {
             runners,
             engine,
             demand,
-            replicas,
-            planner,
+            in_demand: in_demand(demand),
+            awaited: awaited.map(|(name, _)| name).collect(),
+            replicas: count_replicas(runners),
+            holders,
+            taken: Vec::new(),
+            planner: self,
             uses,
             now,
         };
-        let awaited: Vec<ModelName> = self
-            .misses
-            .iter()
-            .filter(|(name, at)| {
-                now < at.after(MISS_MAX_AGE) && view.replicas(name) == 0
-            })
-            .map(|(name, _)| name.clone())
-            .collect();
-        let mut in_demand = view.in_demand();
-        in_demand.retain(|(name, _)| view.replicas(name) == 0);
-        let in_demand = in_demand.iter().map(|(name, _)| name);
-        awaited
-            .iter()
-            .chain(in_demand.clone())
-            .find_map(|name| view.load_into_free_slot(name))
-            .or_else(|| view.unload_drained())
-            .or_else(|| view.evict_for_waiting_calls(&awaited))
-            .or_else(|| {
-                in_demand.clone().find_map(|name| view.evict_for_demand(name))
-            })
-            .or_else(|| view.add_replica())
-            .or_else(|| view.preload())
+        let mut steps = Vec::new();
+        while let Some(step) = view.next_step() {
+            let is_last = step.kind == AdapterAction::Drain;
+            view.note_step(&step);
+            steps.push(step);
+            if is_last {
+                break;
+            }
+        }
+        steps
     }
 }
 
@@ -154,18 +163,40 @@
 }
 
 impl<'a> AdapterView<'a> {
-    /// Returns the adapters in demand, in descending order of demand.
-    fn in_demand(&self) -> Vec<(ModelName, u64)> {
-        let mut in_demand: Vec<(ModelName, u64)> = self
-            .demand
-            .iter()
-            .filter_map(|(text, rate)| {
-                let name: ModelName = text.parse().ok()?;
-                name.adapter.is_some().then_some((name, *rate))
+    /// Returns the next step at a runner without one, if one is due.
+    fn next_step(&self) -> Option<AdapterStep> {
+        let is_missing = |name: &&ModelName| self.replicas(name) == 0;
+        let awaited = self.awaited.iter().copied().filter(is_missing);
+        let in_demand = self.in_demand.iter().map(|(name, _)| name);
+        let in_demand = in_demand.filter(is_missing);
+        awaited
+            .clone()
+            .chain(in_demand.clone())
+            .find_map(|name| self.load_into_free_slot(name))
+            .or_else(|| self.unload_drained())
+            .or_else(|| {
+                let awaited: Vec<&ModelName> = awaited.collect();
+                self.evict_for_waiting_calls(&awaited)
+            })
+            .or_else(|| {
+                in_demand.clone().find_map(|name| self.evict_for_demand(name))
             })
-            .collect();
-        in_demand.sort_by_key(|(_, rate)| std::cmp::Reverse(*rate));
-        in_demand
+            .or_else(|| self.add_replica())
+            .or_else(|| self.preload())
+    }
+
+    /// Accounts for a step, so that the next one is chosen with it.
+    fn note_step(&mut self, step: &AdapterStep) {
+        if let Err(index) = self.taken.binary_search(&step.runner) {
+            self.taken.insert(index, step.runner.clone());
+        }
+        if step.kind == AdapterAction::Load {
+            *self.replicas.entry(step.name.clone(), || 0) += 1;
+        }
+    }
+
+    fn is_taken(&self, managed: &ManagedRunner<Idle>) -> bool {
+        self.taken.binary_search(&managed.facts.id).is_ok()
     }
 
     /// Returns the demand for an adapter, in tokens per second.
@@ -194,9 +225,11 @@
 
     /// Returns an unload of a drained adapter that no call uses any more.
     fn unload_drained(&self) -> Option<AdapterStep> {
-        self.runners.idle().find_map(|managed| {
+        let mut idle =
+            self.runners.idle().filter(|managed| !self.is_taken(managed));
+        idle.find_map(|managed| {
             let runner = managed.facts.id.as_str();
-            let mut names = held_adapters(&managed.models);
+            let mut names = draining_adapters(managed);
             let name = names.find(|name| {
                 let used = self.is_used(runner, name);
                 managed.is_drained(name, used, self.now)
@@ -212,11 +245,11 @@
     /// the model that calls wait for.
     fn evict_for_waiting_calls(
         &self,
-        awaited: &[ModelName],
+        awaited: &[&ModelName],
     ) -> Option<AdapterStep> {
         awaited.iter().find_map(|name| {
-            let same_model = |other: &&ModelName| other.model == name.model;
-            let waiting = awaited.iter().filter(same_model).count();
+            let is_same = |other: &&&ModelName| other.model == name.model;
+            let waiting = awaited.iter().filter(is_same).count();
             let draining =
                 self.runners_with_model(name).flat_map(draining_adapters);
             if waiting <= draining.count() {
@@ -293,7 +326,7 @@
     /// Returns a load of a further replica of an adapter in demand, if a slot
     /// is free.
     fn add_replica(&self) -> Option<AdapterStep> {
-        self.in_demand()
+        self.in_demand
             .iter()
             .find_map(|(name, _)| self.load_into_free_slot(name))
     }
@@ -322,17 +355,35 @@
         name: &ModelName,
     ) -> impl Iterator<Item = &'a ManagedRunner<Idle>> {
         let model = ModelName { adapter: None, ..name.clone() };
-        self.runners.idle().filter(move |managed| {
-            holds(&managed.models, &model) && !managed.is_draining(&model)
+        let holders = self.holders.get(name.model.as_str());
+        let holders = holders.into_iter().flatten().copied();
+        holders.filter(move |managed| {
+            !managed.is_draining(&model) && !self.is_taken(managed)
         })
     }
 }
 
+/// Returns the adapters in demand, in descending order of demand.
+fn in_demand(demand: &ModelDemand) -> Vec<(ModelName, u64)> {
+    let mut in_demand: Vec<(ModelName, u64)> = demand
+        .iter()
+        .filter_map(|(text, rate)| {
+            let name: ModelName = text.parse().ok()?;
+            name.adapter.is_some().then_some((name, *rate))
+        })
+        .collect();
+    in_demand.sort_by_key(|(_, rate)| std::cmp::Reverse(*rate));
+    in_demand
+}
+
 /// Returns the adapters that are draining on a runner.
 fn draining_adapters(
     managed: &ManagedRunner<Idle>,
 ) -> impl Iterator<Item = ModelName> {
-    held_adapters(&managed.models).filter(|name| managed.is_draining(name))
+    let names = managed.draining.keys();
+    let names = names
+        .filter(|name| name.adapter.is_some() && holds(&managed.models, name));
+    names.cloned()
 }
 
 fn adapter_count(models: &[HeldModel]) -> usize {
--- a/crates/celerylead/src/placement/plan.rs
+++ b/crates/celerylead/src/placement/plan.rs
@@ -134,8 +134,11 @@
     };
     draft.carry_over(current);
     draft.place_missing();
+    let mut has_room = true;
     for _ in 0..pace.changes {
-        if !draft.add_replica() && !draft.swap_replica() {
+        // A swap leaves no room for a further replica.
+        has_room = has_room && draft.add_replica();
+        if !has_room && !draft.swap_replica() {
             break;
         }
     }
@@ -202,16 +205,18 @@
 
     /// Adds a replica of the model in highest demand that fits on a runner.
     fn add_replica(&mut self) -> bool {
-        let mut wanted: Vec<&ModelNeed> = self
+        let largest_mb = self.capacities.iter();
+        let largest_mb = largest_mb.map(|capacity| self.free_mb(capacity));
+        let largest_mb = largest_mb.max().unwrap_or(0);
+        let mut wanted: Vec<(f64, &ModelNeed)> = self
             .needs
             .iter()
-            .filter(|need| MIN_REPLICA_DEMAND <= self.demand_per_replica(need))
+            .filter(|need| need.size_mb <= largest_mb)
+            .map(|need| (self.demand_per_replica(need), need))
+            .filter(|(demand, _)| MIN_REPLICA_DEMAND <= *demand)
             .collect();
-        wanted.sort_by(|one, other| {
-            let demand = self.demand_per_replica(other);
-            demand.total_cmp(&self.demand_per_replica(one))
-        });
-        for need in wanted {
+        wanted.sort_by(|(one, _), (other, _)| other.total_cmp(one));
+        for (_, need) in wanted {
             if let Some(capacity) = self.most_free(need) {
                 self.place(&capacity.name.clone(), &need.name);
                 return true;
--- a/crates/celerylead/src/placement/tests/adapters.rs
+++ b/crates/celerylead/src/placement/tests/adapters.rs
@@ -207,7 +207,8 @@
         };
         let mut uses = UseTable::default();
         uses.update("front-1", &[load], EpochMillis(9_800));
-        let step = planner.next_step(&runners, &engine, &demand, &uses, now);
+        let steps = planner.next_steps(&runners, &engine, &demand, &uses, now);
+        let step = steps.into_iter().next();
         let step = step.map(|step| (step.kind, step.name.adapter.unwrap()));
         let expected =
             case.step.map(|(kind, adapter)| (kind, adapter.to_owned()));
--- a/crates/celerylead/src/tasks/node/placer.rs
+++ b/crates/celerylead/src/tasks/node/placer.rs
@@ -479,29 +479,40 @@
         fencing: u64,
         now: EpochMillis,
     ) {
-        while let Some(step) = self.adapter_planner.next_step(
-            &self.runners,
-            engine,
-            demand,
-            &self.uses,
-            now,
-        ) {
-            let kind = match step.kind {
-                AdapterAction::Load => {
-                    self.adapter_planner.record_load(&step.name, now);
-                    OrderKind::Load
-                }
-                AdapterAction::Unload => OrderKind::Unload,
-                AdapterAction::Drain => {
-                    self.runners.drain(&step.runner, &step.name, true, now);
-                    continue;
-                }
-            };
-            let order = (kind, None);
-            if !self.issue_order(&step.runner, order, &step.name, fencing, now)
-            {
+        loop {
+            let steps = self.adapter_planner.next_steps(
+                &self.runners,
+                engine,
+                demand,
+                &self.uses,
+                now,
+            );
+            if steps.is_empty() {
                 return;
             }
+            for step in steps {
+                let kind = match step.kind {
+                    AdapterAction::Load => {
+                        self.adapter_planner.record_load(&step.name, now);
+                        OrderKind::Load
+                    }
+                    AdapterAction::Unload => OrderKind::Unload,
+                    AdapterAction::Drain => {
+                        self.runners.drain(
+                            &step.runner,
+                            &step.name,
+                            true,
+                            now,
+                        );
+                        continue;
+                    }
+                };
+                let (runner, name) = (&step.runner, &step.name);
+                let order = (kind, None);
+                if !self.issue_order(runner, order, name, fencing, now) {
+                    return;
+                }
+            }
         }
     }
 
