Drop the rows of the registry that were written again without a change

Every host of the large deployment took in each heartbeat of 197 runners: the reader of a zone sent some 160 rows a second to each of 58 hosts, 37 Mbit/s where its link may have 20. Excerpts were lost, hosts that missed one read the registry themselves, and each answer made the roster, the relay table and the waiting calls be gone through anew.

Ruled out: shorter excerpts by splitting, which they are already.

Change: a host remembers the last value of each row; a row with the same value isn't passed on and changes nothing. That holds for each follower too, as it has applied what lies before the excerpt's position. The comparison of two rosters for the log no longer grows with their square.

--- a/crates/celerylead/src/roster/mod.rs
+++ b/crates/celerylead/src/roster/mod.rs
@@ -17,6 +17,7 @@
 
 mod entry;
 mod list;
+mod repeats;
 #[cfg(test)]
 mod tests;
 
@@ -25,4 +26,5 @@
         HeldModel, Lapsed, Listed, RosterEntry, RunnerFacts, RunnerStart,
     },
     list::{RosterChange, RunnerRoster},
+    repeats::RepeatFilter,
 };
--- a/crates/celerylead/src/tasks/node/registry.rs
+++ b/crates/celerylead/src/tasks/node/registry.rs
@@ -27,7 +27,8 @@
     port::{
         EdgeCodec, RowChange, StoreError, StoreReading, StoreRow, StoreTable,
     },
-    roster::{RosterChange, RunnerFacts, RunnerRoster},
+    roster::{RepeatFilter, RosterChange, RunnerFacts, RunnerRoster},
+    sorted::SortedTable,
 };
 
 /// Excerpts that wait for the task; further ones are dropped.
@@ -72,6 +73,7 @@
         last_answer: EpochMillis::default(),
         setup: setup.clone(),
         entries: RunnerRoster::default(),
+        repeats: RepeatFilter::default(),
         contact,
         gap_began: None,
         roster,
@@ -88,6 +90,7 @@
     /// Time of the last own answer of the store, by the store's clock.
     last_answer: EpochMillis,
     entries: RunnerRoster,
+    repeats: RepeatFilter,
     contact: watch::Sender<RegistryContact>,
     /// Time of the last answer before a gap in the contact with the registry;
     /// set while entries may be missing only because they lapsed in the gap.
@@ -118,7 +121,7 @@
         let after = self.feed.after;
         let wait = READER_WAIT.min(self.until_expiry());
         let step = self.feed.step(&self.setup, wait).await;
-        match step {
+        match step.map(|step| self.without_repeats(step)) {
             Ok(step) => {
                 let now = self.setup.clock.now();
                 let (FeedStep::Snapshot(reading) | FeedStep::Changes(reading)) =
@@ -227,14 +230,32 @@
         self.feed.after = Some(excerpt.version);
         let rows = excerpt.rows.into_iter();
         let rows = rows.filter(|row| after < row.version).map(row_change);
-        self.adopt(&FeedStep::Changes(StoreReading {
+        let step = self.without_repeats(FeedStep::Changes(StoreReading {
             rows: rows.collect(),
             version: excerpt.version,
             store_time: excerpt.store_time,
         }));
+        self.adopt(&step);
         true
     }
 
+    /// Drops the rows that were written again without a change: they say nothing
+    /// new to this host, nor to another one at the same position.
+    fn without_repeats(&mut self, mut step: FeedStep) -> FeedStep {
+        if let FeedStep::Snapshot(_) = &step {
+            self.repeats = RepeatFilter::default();
+        }
+        let (FeedStep::Snapshot(reading) | FeedStep::Changes(reading)) =
+            &mut step;
+        reading.rows.retain(|row| match row {
+            RowChange::Written(row) => {
+                self.repeats.admit(&row.key, Some(&row.value))
+            }
+            RowChange::Removed { key, .. } => self.repeats.admit(key, None),
+        });
+        step
+    }
+
     /// Returns the time until the next entry expires, which bounds all waits.
     fn until_expiry(&self) -> Duration {
         let now = self.setup.clock.now();
@@ -335,8 +356,12 @@
     /// gone.
     fn log_changes(&self, facts: &[RunnerFacts]) {
         let former = self.roster.borrow().clone().unwrap_or_default();
+        let former: SortedTable<&str, &RunnerFacts> =
+            former.iter().map(|facts| (facts.id.as_str(), facts)).collect();
+        let listed: SortedTable<&str, ()> =
+            facts.iter().map(|facts| (facts.id.as_str(), ())).collect();
         for facts in facts {
-            let known = former.iter().find(|previous| previous.id == facts.id);
+            let known = former.get(facts.id.as_str());
             let same = known.is_some_and(|previous| {
                 previous.leaving == facts.leaving
                     && previous.is_same_start(facts)
@@ -351,9 +376,9 @@
                 );
             }
         }
-        for previous in former.iter() {
-            if !facts.iter().any(|facts| facts.id == previous.id) {
-                tracing::info!(event = "runner_gone", runner = previous.id);
+        for runner in former.keys() {
+            if listed.get(runner).is_none() {
+                tracing::info!(event = "runner_gone", runner);
             }
         }
     }
