Exchange the hosts' state through one aggregator a zone in a large fleet

Callers of the large deployment were refused for models and adapters that runners held, and for places that were free: hosts learned late, or never, what runners hold, and the host that orders was out of processor time and bandwidth.

Cause: each of 295 hosts told each other all it had, several times a second, and one host told 294 others each change of 192 runners over its own link. The class: every host does for itself what a fleet should do once, and a view of the whole fleet is older than what it is used for.

Change: from 48 hosts on, the hosts of a zone are ranked by their part of a core and by rendezvous. The best adds up the digests of its zone, exchanges the sums with those of the other zones, tells each host what all others do, and passes on what the lease holder and the registry say; the next two stand by. The typestate `ZoneAggregator<Gathering -> Publishing>` keeps one that knows too little from publishing. A change of aggregators counts the others as spending the whole rate in between. Only hosts that may be aggregators take the orders lease; a new holder waits a second for the demand.

--- a/crates/celerylead/src/customer/fleet.rs
+++ b/crates/celerylead/src/customer/fleet.rs
@@ -14,6 +14,10 @@
 //! beyond the share already debited is debited too; a share that it didn't
 //! use isn't refunded.
 //!
+//! In a large fleet an aggregator reports one total of all other hosts. Another
+//! aggregator counts from another start, so what the others spent between the
+//! reports of the two isn't known, and is taken to be all that the rate yielded.
+//!
 //! A bucket starts empty and adopts the level in the first report that holds
 //! one. If no host reports a level, all hosts were started together. The
 //! bucket is then filled to half its burst, as the spending before the start
@@ -47,6 +51,18 @@
     assumed: f64,
 }
 
+/// The last total of all other hosts that an aggregator reported.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+struct ReportedSum {
+    /// Incarnation of the aggregator's process.
+    source: u64,
+    total: i64,
+    reported_at: EpochMillis,
+    /// Units debited for silent hosts since this report.
+    assumed: f64,
+}
+
 /// Token bucket of one customer's rate over all hosts.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -62,6 +78,7 @@
     /// Units that this host has spent since its start.
     spent: i64,
     reported: SortedTable<String, ReportedTotal>,
+    reported_sum: Option<ReportedSum>,
 }
 
 impl FleetBucket {
@@ -74,6 +91,7 @@
             assume_level_at: Some(now.after(LEVEL_TIMEOUT)),
             spent: 0,
             reported: SortedTable::default(),
+            reported_sum: None,
         }
     }
 
@@ -160,6 +178,33 @@
         *last = fresh;
     }
 
+    /// Debits the growth of the total of all other hosts that an aggregator
+    /// reports. Between the reports of two aggregators, the others are taken
+    /// to have spent the whole rate.
+    pub fn record_sum(
+        &mut self,
+        source: u64,
+        total: i64,
+        level: Option<i64>,
+        now: EpochMillis,
+    ) {
+        if let Some(level) = level
+            && self.assume_level_at.take().is_some()
+        {
+            self.level = level as f64;
+        }
+        let fresh =
+            ReportedSum { source, total, reported_at: now, assumed: 0.0 };
+        let Some(last) = self.reported_sum.replace(fresh) else { return };
+        let grown = if last.source == source {
+            total.saturating_sub(last.total) as f64
+        } else {
+            let gap = last.reported_at.until(now).as_secs_f64();
+            self.rate.per_second as f64 * gap
+        };
+        self.level -= (grown - last.assumed).max(grown.min(0.0));
+    }
+
     /// Returns the units that may be spent, as of the last refill. A negative
     /// level is a debt.
     pub fn level(&self) -> i64 {
@@ -194,7 +239,9 @@
         let mut silent = 0.0;
         for host in hosts.silent(now) {
             silent += share;
-            if let Some(reported) = self.reported.get_mut(host) {
+            if let Some(sum) = &mut self.reported_sum {
+                sum.assumed += share;
+            } else if let Some(reported) = self.reported.get_mut(host) {
                 reported.assumed += share;
             }
         }
@@ -234,6 +281,15 @@
         self.hosts.insert(host.to_owned(), now);
     }
 
+    /// Records a report on all hosts but the `absent` ones, which are sorted.
+    pub fn record_reports(&mut self, absent: &[String], now: EpochMillis) {
+        for (host, reported_at) in self.hosts.iter_mut() {
+            if absent.binary_search(host).is_err() {
+                *reported_at = now;
+            }
+        }
+    }
+
     /// Removes a host that is gone for good.
     pub fn remove_host(&mut self, host: &str) {
         self.hosts.remove(host);
--- a/crates/celerylead/src/membership/digest.rs
+++ b/crates/celerylead/src/membership/digest.rs
@@ -6,7 +6,11 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{excerpt::FeedExcerpt, orders::OrdersRow};
+use super::{
+    excerpt::FeedExcerpt,
+    orders::OrdersRow,
+    zone_digest::{FleetDigest, ZoneDigest, ZonePart},
+};
 use crate::{
     model::ModelName,
     placement::{ModelDemand, ResidencyList},
@@ -95,6 +99,19 @@
     /// Evidence and verdicts on parts of prompts that crash runners. Hosts of a
     /// version without this message ignore it.
     Evidence(EvidenceReport),
+    /// Digest of a host for an aggregator of its zone.
+    Member(HostDigest),
+    /// Sums of a zone, for the aggregators of other zones.
+    Zone(ZoneDigest),
+    /// What all other hosts do, from the aggregator of the receiver's zone.
+    Fleet(FleetDigest),
+    /// Demand and uses of a zone, for the lease holder.
+    Part(ZonePart),
+    /// Answer of a host to the lease holder: its calls still use what the
+    /// holder no longer lists. The aggregator of its zone reports them later.
+    StillUsed(HostDigest),
+    /// A message that the aggregator passes on to each host of its zone.
+    Forward(Box<HostMessage>),
 }
 
 /// Row of a host, with the address at which other hosts reach it.
@@ -109,4 +126,18 @@
     pub address: String,
     /// Random number that identifies the host's process.
     pub incarnation: u64,
+    /// What the host may use of its machine; `None` for a host of a version
+    /// that sends its digest to every other host itself.
+    #[serde(default)]
+    pub capacity: Option<HostCapacity>,
+}
+
+/// What a host may use of its machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct HostCapacity {
+    /// Share of a processor core, in thousandths.
+    pub core_permille: u32,
+    /// Bandwidth of the machine's link, in kbit/s.
+    pub link_kbps: u32,
 }
--- a/crates/celerylead/src/membership/mod.rs
+++ b/crates/celerylead/src/membership/mod.rs
@@ -13,8 +13,12 @@
 //! Hosts behind a platform adapter don't use this lease. They send each other
 //! a [`HostDigest`] several times a second. One of them holds the
 //! [`OrdersLease`] and sends the orders to the runners. One of each zone reads
-//! the registry for the others and passes it on as [`FeedExcerpt`]s.
+//! the registry for the others and passes it on as [`FeedExcerpt`]s. In a large
+//! fleet, digests go through a [`ZoneAggregator`] in each zone.
 
+mod aggregator;
+mod aggregator_choice;
+mod aggregator_seat;
 mod contact;
 mod digest;
 mod excerpt;
@@ -22,13 +26,19 @@
 mod lease;
 mod orders;
 mod rendezvous;
+mod zone_digest;
 
 #[cfg(test)]
 mod tests;
 
 pub use self::{
+    aggregator::{FleetTotal, Gathering, Publishing, ZoneAggregator},
+    aggregator_choice::{AggregatorCandidate, AggregatorChoice},
+    aggregator_seat::{AggregatorSeat, SeatChange},
     contact::{PeerContact, RegistryContact},
-    digest::{HostDigest, HostMessage, HostRow, RunnerLoad, SpentTotal},
+    digest::{
+        HostCapacity, HostDigest, HostMessage, HostRow, RunnerLoad, SpentTotal,
+    },
     excerpt::{
         ExcerptRow, ExcerptVerdict, FeedExcerpt, FeedFollower, RevisionNews,
         is_zone_reader,
@@ -37,4 +47,5 @@
     lease::{HeldLease, HostLease, HostTag, LeasePhase, MAX_PAUSE},
     orders::{LeaseClaim, OrderPermit, OrdersLease, OrdersRow, RENEW_PERIOD},
     rendezvous::{best_host, rendezvous_weight},
+    zone_digest::{AggregateSource, FleetDigest, ZoneDigest, ZonePart},
 };
--- a/crates/celerylead/src/membership/tests.rs
+++ b/crates/celerylead/src/membership/tests.rs
@@ -1,3 +1,4 @@
+mod aggregation;
 mod excerpt;
 mod gossip;
 mod orders;
--- a/crates/celerylead/src/placement/broadcast.rs
+++ b/crates/celerylead/src/placement/broadcast.rs
@@ -1,7 +1,8 @@
 //! Messages by which the lease holder tells the other hosts what the runners
 //! hold.
 //!
-//! Every message costs as many datagrams as there are hosts. In a large fleet,
+//! Every message costs as many datagrams as there are hosts, from the sender or,
+//! in a large fleet, from the aggregators that pass it on. In a large fleet,
 //! a host that sent the full state on each change would saturate its own link,
 //! and could then neither renew its lease nor receive answers to its orders in
 //! time. A message therefore contains few runners: first the changed ones,
@@ -26,13 +27,53 @@
 /// runners that are due to be repeated. A message of this size fits into one
 /// frame, so it can't lose a fragment.
 const MAX_MESSAGE_BYTES: usize = 1_200;
-/// Bandwidth for messages, in bytes per second: a fifth of a link of 10
-/// Mbit/s, the slowest of the deployments.
-const MAX_BYTES_PER_SECOND: f64 = 250_000.0;
+/// Bandwidth for messages, in bytes per second, while that of the sender's link
+/// isn't known: a fifth of a link of 10 Mbit/s.
+const DEFAULT_BYTES_PER_SECOND: u64 = 250_000;
+/// Most bytes per second of messages that a host spends on a fast link; each
+/// message also costs every receiver processor time.
+const MAX_BYTES_PER_SECOND: u64 = 1_000_000;
+/// Part of a link that messages may take.
+const LINK_PART: u64 = 5;
 /// Time between two messages while nothing changes. These messages are the
 /// heartbeat by which other hosts know that the lease holder is alive.
 const HEARTBEAT_PERIOD: Duration = Duration::from_millis(1_000);
 
+/// How messages reach the other hosts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BroadcastFanout {
+    /// Most copies of a message that one host sends.
+    pub copies: usize,
+    /// Bandwidth that this host may use for them, in bytes per second.
+    pub bytes_per_second: u64,
+}
+
+impl BroadcastFanout {
+    /// Returns the fan-out of a host that sends `copies` over a link of this
+    /// bandwidth, in kbit/s.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celerylead::placement::BroadcastFanout;
+    ///
+    /// let fanout = BroadcastFanout::over_link(58, 20_000);
+    /// assert_eq!(fanout.bytes_per_second, 500_000);
+    /// ```
+    pub fn over_link(copies: usize, link_kbps: u32) -> BroadcastFanout {
+        let bytes = u64::from(link_kbps) * 1_000 / 8 / LINK_PART;
+        let bytes_per_second = bytes.min(MAX_BYTES_PER_SECOND);
+        BroadcastFanout { copies, bytes_per_second }
+    }
+
+    /// Returns the fan-out of a host that sends `copies` over a link of unknown
+    /// bandwidth.
+    pub fn direct(copies: usize) -> BroadcastFanout {
+        let bytes_per_second = DEFAULT_BYTES_PER_SECOND;
+        BroadcastFanout { copies, bytes_per_second }
+    }
+}
+
 /// What was sent about one runner.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 struct AnnouncedRunner {
@@ -75,13 +116,16 @@
 /// use std::time::Duration;
 ///
 /// use celerylead::{
-///     EpochMillis, placement::ResidencyBroadcast, roster::HeldModel,
+///     EpochMillis,
+///     placement::{BroadcastFanout, ResidencyBroadcast},
+///     roster::HeldModel,
 /// };
 ///
 /// let bend = HeldModel { name: "bend".to_owned(), adapters: Vec::new() };
 /// let mut broadcast = ResidencyBroadcast::default();
+/// let fanout = BroadcastFanout::direct(8);
 /// broadcast.update(vec![("i-1".to_owned(), vec![bend])]);
-/// let (sequence, held) = broadcast.poll(8, EpochMillis(0)).unwrap();
+/// let (sequence, held) = broadcast.poll(fanout, EpochMillis(0)).unwrap();
 /// assert_eq!((sequence, held.len()), (1, 1));
 /// ```
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -141,10 +185,9 @@
     }
 
     /// Returns the message that is due, if any, with its sequence number.
-    /// `receivers` is the number of hosts to which the message is sent.
     pub fn poll(
         &mut self,
-        receivers: usize,
+        fanout: BroadcastFanout,
         now: EpochMillis,
     ) -> Option<(u64, ResidencyList)> {
         let changed = self.runners.values().any(|entry| 0 < entry.repeats);
@@ -174,9 +217,9 @@
             entry.sequence = self.sequence;
             residency.push((runner, entry.models.clone()));
         }
-        let cost_bytes = bytes * receivers;
-        let pause =
-            Duration::from_secs_f64(cost_bytes as f64 / MAX_BYTES_PER_SECOND);
+        let cost_bytes = (bytes * fanout.copies) as f64;
+        let bytes_per_second = fanout.bytes_per_second.max(1) as f64;
+        let pause = Duration::from_secs_f64(cost_bytes / bytes_per_second);
         self.allowed_at = now.after(pause);
         self.heartbeat_at = now.after(HEARTBEAT_PERIOD.max(pause));
         Some((self.sequence, residency))
--- a/crates/celerylead/src/placement/mod.rs
+++ b/crates/celerylead/src/placement/mod.rs
@@ -41,7 +41,8 @@
 pub use self::{
     adapters::{AdapterAction, AdapterPlanner, AdapterStep},
     broadcast::{
-        ResidencyBroadcast, ResidencyList, SequenceStatus, SequenceTracker,
+        BroadcastFanout, ResidencyBroadcast, ResidencyList, SequenceStatus,
+        SequenceTracker,
     },
     demand::{DemandMeter, ModelDemand},
     fleet::{FleetPlan, ModelStep, ServicePlan},
--- a/crates/celerylead/src/placement/tests/broadcast.rs
+++ b/crates/celerylead/src/placement/tests/broadcast.rs
@@ -5,7 +5,8 @@
 use crate::{
     EpochMillis, SortedTable,
     placement::{
-        ResidencyBroadcast, ResidencyList, SequenceStatus, SequenceTracker,
+        BroadcastFanout, ResidencyBroadcast, ResidencyList, SequenceStatus,
+        SequenceTracker,
     },
     roster::HeldModel,
 };
@@ -72,7 +73,8 @@
             }
             sender.update(fleet.list());
             let now = EpochMillis(tick * 50);
-            let Some((sequence, residency)) = sender.poll(8, now) else {
+            let fanout = BroadcastFanout::direct(8);
+            let Some((sequence, residency)) = sender.poll(fanout, now) else {
                 continue;
             };
             for (runner, models) in &residency {
@@ -126,7 +128,8 @@
             fleet.model_numbers[index] += 1;
             sender.update(fleet.list());
             let now = EpochMillis(tick as u64 * 50);
-            let Some((_, residency)) = sender.poll(receivers, now) else {
+            let fanout = BroadcastFanout::direct(receivers);
+            let Some((_, residency)) = sender.poll(fanout, now) else {
                 continue;
             };
             last = postcard::to_stdvec(&residency).unwrap().len() * receivers;
--- a/crates/celerylead/src/sorted.rs
+++ b/crates/celerylead/src/sorted.rs
@@ -97,7 +97,7 @@
     }
 
     /// Returns an iterator over the rows, sorted by key.
-    pub fn iter(&self) -> impl Iterator<Item = (&K, &V)> {
+    pub fn iter(&self) -> impl Iterator<Item = (&K, &V)> + Clone {
         self.rows.iter().map(|(key, value)| (key, value))
     }
 
@@ -107,12 +107,12 @@
     }
 
     /// Returns an iterator over the keys, sorted.
-    pub fn keys(&self) -> impl Iterator<Item = &K> {
+    pub fn keys(&self) -> impl Iterator<Item = &K> + Clone {
         self.rows.iter().map(|(key, _)| key)
     }
 
     /// Returns an iterator over the values, sorted by key.
-    pub fn values(&self) -> impl Iterator<Item = &V> {
+    pub fn values(&self) -> impl Iterator<Item = &V> + Clone {
         self.rows.iter().map(|(_, value)| value)
     }
 
--- a/crates/celerylead/src/tasks/node/gossip.rs
+++ b/crates/celerylead/src/tasks/node/gossip.rs
@@ -2,7 +2,8 @@
 //!
 //! The task sends digests of this host's load to the other hosts. The sends
 //! are spread over time, and hosts of the same availability zone get digests
-//! more often than hosts of other zones. Received messages are passed on to
+//! more often than hosts of other zones. In a large fleet they go through the
+//! aggregators of the zones instead. Received messages are passed on to
 //! the router and the placer. The other hosts are those in the hosts' table;
 //! each host writes its own row there when the row is missing.
 
@@ -15,6 +16,7 @@
 };
 
 use super::{
+    aggregation::AggregationDesk,
     gossip_port::{GossipEvent, PlacerEvent},
     host_rows,
     router_port::{RouterEvent, RouterPort, RouterReport},
@@ -22,12 +24,15 @@
 use crate::{
     clock::HostClock,
     membership::{
-        FeedExcerpt, GOSSIP_TICK, GossipTick, HostDigest, HostMessage,
-        HostRow, PeerContact, RegistryContact, is_zone_reader,
+        FeedExcerpt, GOSSIP_TICK, GossipTick, HostCapacity, HostDigest,
+        HostMessage, HostRow, PeerContact, RegistryContact, is_zone_reader,
     },
     metrics::HostMetrics,
     model::ModelName,
-    placement::{ModelDemand, ResidencyList, SequenceStatus, SequenceTracker},
+    placement::{
+        BroadcastFanout, ModelDemand, ResidencyList, SequenceStatus,
+        SequenceTracker,
+    },
     port::StorePort,
     roster::HeldModel,
     sorted::SortedTable,
@@ -61,35 +66,43 @@
     pub(crate) is_reader: watch::Sender<bool>,
     /// Receives what another host of the zone read from the registry.
     pub(crate) excerpts: mpsc::Sender<FeedExcerpt>,
+    /// Number of hosts from which digests go through aggregators.
+    pub(crate) aggregation_from: usize,
+    /// How broadcasts of this host reach the others.
+    pub(crate) fanout: watch::Sender<BroadcastFanout>,
+    /// Whether this host may take the orders lease.
+    pub(crate) may_order: watch::Sender<bool>,
 }
 
 /// Another host, as listed in the hosts' table.
-struct KnownHost {
-    zone: String,
-    address: SocketAddr,
+pub(super) struct KnownHost {
+    pub(super) zone: String,
+    pub(super) address: SocketAddr,
+    pub(super) capacity: Option<HostCapacity>,
     /// Version of the host's row.
     version: u64,
     /// Time at which the host's last digest arrived, or at which the host was
     /// first listed.
-    last_digest_at: Instant,
+    pub(super) last_digest_at: Instant,
 }
 
-struct GossipTask {
-    setup: GossipSetup,
+pub(super) struct GossipTask {
+    pub(super) setup: GossipSetup,
     socket: UdpSocket,
-    router: RouterPort,
-    placer: mpsc::Sender<PlacerEvent>,
-    hosts: SortedTable<String, KnownHost>,
+    pub(super) router: RouterPort,
+    pub(super) placer: mpsc::Sender<PlacerEvent>,
+    pub(super) hosts: SortedTable<String, KnownHost>,
+    pub(super) aggregation: AggregationDesk,
     /// Host that last reported what runners hold: the holder of the orders
     /// lease.
-    lease_holder: Option<String>,
+    pub(super) lease_holder: Option<String>,
     /// Sequence number of the last report of what runners hold.
     residency_sequence: SequenceTracker,
     /// Number of the next tick of the gossip schedule.
     tick_number: usize,
     /// Demand of this host's calls at the start of the round. The demand is
     /// computed once a round, as that takes longer than the rest of a digest.
-    demand: ModelDemand,
+    pub(super) demand: ModelDemand,
     /// Hosts that sent a digest and aren't in the table, with the time from
     /// which the table may be read for them again.
     unknown_hosts: SortedTable<String, Instant>,
@@ -110,7 +123,11 @@
     let row_maintenance =
         host_rows::maintain_row(setup.clone(), row_sender, early_read.clone());
     crate::tasks::spawn(row_maintenance);
+    let now = setup.clock.now();
+    let min_hosts = setup.aggregation_from;
+    let aggregation = AggregationDesk::new(&setup.row, min_hosts, now);
     let task = GossipTask {
+        aggregation,
         setup,
         socket,
         router,
@@ -118,7 +135,7 @@
         hosts: SortedTable::default(),
         lease_holder: None,
         residency_sequence: SequenceTracker::default(),
-        tick_number: 0,
+        tick_number: rand::random_range(0..1_000),
         demand: ModelDemand::default(),
         unknown_hosts: SortedTable::default(),
         early_read,
@@ -132,11 +149,20 @@
         mut inbox: mpsc::Receiver<GossipEvent>,
         mut row_receiver: mpsc::Receiver<Vec<(HostRow, u64)>>,
     ) {
-        let mut interval = tokio::time::interval(GOSSIP_TICK);
+        // Hosts that start together don't send at the same moments.
+        let phase = GOSSIP_TICK.mul_f64(rand::random());
+        let mut interval =
+            tokio::time::interval_at(Instant::now() + phase, GOSSIP_TICK);
         interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
         loop {
+            let burst_at = self.aggregation.next_burst_at();
+            let (burst_due, burst_at) =
+                (burst_at.is_some(), burst_at.unwrap_or_else(Instant::now));
             tokio::select! {
+                () = tokio::time::sleep_until(burst_at), if burst_due => {
+                    self.send_burst().await;
+                }
                 event = inbox.recv() => match event {
                     Some(event) => self.handle(event).await,
                     None => return,
@@ -175,15 +201,8 @@
                 }
             }
             GossipEvent::Excerpts(excerpts) => {
-                let zone = &self.setup.row.zone;
-                let hosts = self.hosts.values();
-                let neighbours: Vec<SocketAddr> = hosts
-                    .filter(|host| host.zone == *zone)
-                    .map(|host| host.address)
-                    .collect();
                 for excerpt in excerpts {
-                    let message = HostMessage::Registry(excerpt);
-                    self.send(&message, &neighbours).await;
+                    self.forward(&HostMessage::Registry(excerpt));
                 }
             }
             GossipEvent::Evidence(report) => {
@@ -191,8 +210,7 @@
                 self.send(&message, &self.addresses()).await;
             }
             GossipEvent::Broadcast(message) => {
-                let all = self.addresses();
-                self.send(&message, &all).await;
+                self.send_to_all(&message).await;
                 if let HostMessage::Residency {
                     lease,
                     sequence,
@@ -205,8 +223,12 @@
                     if let Some(digest) =
                         self.apply_residency(fenced_sequence, residency).await
                     {
-                        let _ =
-                            self.placer.try_send(PlacerEvent::Digest(digest));
+                        let event = if self.aggregates() {
+                            PlacerEvent::StillUsed(digest)
+                        } else {
+                            PlacerEvent::Digest(digest)
+                        };
+                        let _ = self.placer.try_send(event);
                     }
                 }
             }
@@ -214,7 +236,7 @@
     }
 
     /// Returns the addresses of all other hosts.
-    fn addresses(&self) -> Vec<SocketAddr> {
+    pub(super) fn addresses(&self) -> Vec<SocketAddr> {
         self.hosts.values().map(|host| host.address).collect()
     }
 
@@ -261,7 +283,7 @@
 
     /// Returns what the other hosts are to know, with the digest of this host
     /// without the demand.
-    async fn report(&self) -> Option<RouterReport> {
+    pub(super) async fn report(&self) -> Option<RouterReport> {
         let event = RouterEvent::ReadReport;
         let report = crate::tasks::ask(&self.router.sender, event).await?;
         let RouterReport { digest, departures, evidence } = report;
@@ -279,6 +301,17 @@
     async fn send_digests(&mut self) {
         let tick = GossipTick::new(self.tick_number, self.hosts.len());
         self.tick_number = self.tick_number.wrapping_add(1);
+        if tick.begins_round() {
+            self.choose_reader();
+            self.update_placer();
+            let event = RouterEvent::ReadDemand;
+            let reply = crate::tasks::ask(&self.router.sender, event).await;
+            self.demand = reply.unwrap_or_default();
+        }
+        if self.aggregates() {
+            self.exchange_sums(tick).await;
+            return;
+        }
         let (mut digest_recipients, mut demand_recipients) =
             (Vec::new(), Vec::new());
         for (index, (name, host)) in self.hosts.iter().enumerate() {
@@ -293,16 +326,9 @@
                 digest_recipients.push(host.address);
             }
         }
-        if tick.begins_round() {
-            self.choose_reader();
-            let reply = crate::tasks::ask(
-                &self.router.sender,
-                RouterEvent::ReadDemand,
-            )
-            .await;
-            self.demand = reply.unwrap_or_default();
-        } else if digest_recipients.is_empty() && demand_recipients.is_empty()
-        {
+        let no_recipient =
+            digest_recipients.is_empty() && demand_recipients.is_empty();
+        if no_recipient && !tick.begins_round() {
             return;
         }
         let Some(report) = self.report().await else { return };
@@ -330,16 +356,15 @@
     /// Determines whether this host reads the registry for its zone.
     fn choose_reader(&self) {
         let row = &self.setup.row;
-        let is_live = |host: &KnownHost| {
-            host.zone == row.zone
-                && host.last_digest_at.elapsed() < LIVENESS_TIMEOUT
+        let neighbours = self.live_hosts();
+        let neighbours = neighbours.filter(|(_, host)| host.zone == row.zone);
+        let neighbours = neighbours.map(|(name, _)| name);
+        // An aggregator's link carries the excerpts to a large zone.
+        let chosen = if self.aggregates() {
+            self.aggregation.is_publishing()
+        } else {
+            is_zone_reader(&row.host, neighbours)
         };
-        let neighbours = self
-            .hosts
-            .iter()
-            .filter(|(_, host)| is_live(host))
-            .map(|(name, _)| name.as_str());
-        let chosen = is_zone_reader(&row.host, neighbours);
         self.setup.is_reader.send_if_modified(|is_reader| {
             let changed = *is_reader != chosen;
             if changed {
@@ -350,35 +375,63 @@
         });
     }
 
-    async fn send(&self, message: &HostMessage, recipients: &[SocketAddr]) {
+    /// Iterates over the other hosts that aren't silent.
+    pub(super) fn live_hosts(
+        &self,
+    ) -> impl Iterator<Item = (&str, &KnownHost)> {
+        let hosts = self.hosts.iter().filter(|(_, host)| {
+            host.last_digest_at.elapsed() < LIVENESS_TIMEOUT
+        });
+        hosts.map(|(name, host)| (name.as_str(), host))
+    }
+
+    pub(super) async fn send(
+        &self,
+        message: &HostMessage,
+        recipients: &[SocketAddr],
+    ) {
         if recipients.is_empty() {
             return;
         }
-        let bytes = match postcard::to_stdvec(message) {
-            Ok(bytes) => bytes,
+        match postcard::to_stdvec(message) {
+            Ok(bytes) => self.send_bytes(&bytes, recipients).await,
             Err(error) => {
                 tracing::error!(event = "message_unwritable", %error);
-                return;
             }
-        };
+        }
+    }
+
+    pub(super) async fn send_bytes(
+        &self,
+        bytes: &[u8],
+        recipients: &[SocketAddr],
+    ) {
         let sent = bytes.len() as u64 * recipients.len() as u64;
         self.setup.metrics.peer_bytes.inc_by(sent);
         for address in recipients {
-            if let Err(error) = self.socket.send_to(&bytes, address).await {
+            if let Err(error) = self.socket.send_to(bytes, address).await {
                 tracing::debug!(event = "send_failed", %address, %error);
             }
         }
     }
 
     async fn receive(&mut self, bytes: &[u8]) {
-        let message = match postcard::from_bytes(bytes) {
-            Ok(message) => message,
+        match postcard::from_bytes(bytes) {
+            Ok(HostMessage::Forward(message)) => {
+                self.forward(&message);
+                self.apply(*message).await;
+            }
+            Ok(message) => self.apply(message).await,
             Err(error) => {
                 let bytes = bytes.len();
                 tracing::info!(event = "message_unreadable", bytes, %error);
-                return;
             }
-        };
+        }
+    }
+
+    /// Applies a message of another host. One that should have been forwarded
+    /// isn't expected within another one, and is ignored.
+    async fn apply(&mut self, message: HostMessage) {
         match message {
             HostMessage::Digest(digest) => {
                 match self.hosts.get_mut(&digest.host) {
@@ -396,6 +449,9 @@
                 let event = RouterEvent::Digest { digest, at };
                 let _ = self.router.sender.send(event).await;
             }
+            // An aggregator passes this host's own messages on to it too.
+            HostMessage::Residency { lease, .. }
+                if lease.holder == self.setup.row.host => {}
             HostMessage::Residency { lease, version, sequence, residency } => {
                 let fenced_sequence = (lease.fencing, sequence);
                 let known = self.hosts.get(&lease.holder);
@@ -407,7 +463,11 @@
                 let digest =
                     self.apply_residency(fenced_sequence, residency).await;
                 if let (Some(digest), Some(address)) = (digest, address) {
-                    let message = HostMessage::Digest(digest);
+                    let message = if self.aggregates() {
+                        HostMessage::StillUsed(digest)
+                    } else {
+                        HostMessage::Digest(digest)
+                    };
                     self.send(&message, &[address]).await;
                 }
             }
@@ -434,12 +494,20 @@
                 let event = RouterEvent::Departing(starts);
                 let _ = self.router.sender.send(event).await;
             }
+            HostMessage::StillUsed(digest) => {
+                let _ = self.placer.try_send(PlacerEvent::StillUsed(digest));
+            }
+            HostMessage::Fleet(digest) => self.follow(digest).await,
+            HostMessage::Member(_)
+            | HostMessage::Zone(_)
+            | HostMessage::Part(_) => self.receive_digest(message),
+            HostMessage::Forward(_) => {}
         }
     }
 
     /// Triggers a read of the table for a host that isn't listed: a new host
     /// receives no messages until the others know its address.
-    fn note_unknown_host(&mut self, host: &str) {
+    pub(super) fn note_unknown_host(&mut self, host: &str) {
         let now = Instant::now();
         let known = self.unknown_hosts.get(host).copied();
         let is_new = known.is_none();
@@ -480,8 +548,9 @@
             let known = self.hosts.get(&row.host);
             let last_digest_at =
                 known.map_or_else(Instant::now, |host| host.last_digest_at);
-            let zone = row.zone;
-            let host = KnownHost { zone, address, version, last_digest_at };
+            let (zone, capacity) = (row.zone, row.capacity);
+            let host =
+                KnownHost { zone, address, capacity, version, last_digest_at };
             hosts.insert(row.host, host);
         }
         for host in self.hosts.keys() {
@@ -492,6 +561,7 @@
             }
         }
         self.hosts = hosts;
+        self.rank_hosts();
         self.log_liveness();
         self.remove_silent_hosts();
     }
--- a/crates/celerylead/src/tasks/node/gossip_port.rs
+++ b/crates/celerylead/src/tasks/node/gossip_port.rs
@@ -4,7 +4,7 @@
 use tokio::sync::mpsc;
 
 use crate::{
-    membership::{FeedExcerpt, HostDigest, HostMessage, OrdersRow},
+    membership::{FeedExcerpt, HostDigest, HostMessage, OrdersRow, ZonePart},
     model::ModelName,
     quarantine::EvidenceReport,
     tasks::MAILBOX_CAPACITY,
@@ -26,6 +26,10 @@
 pub(crate) enum PlacerEvent {
     /// Digest of another host or of this one.
     Digest(HostDigest),
+    /// Answer of a host to a drain, whose digests go through an aggregator.
+    StillUsed(HostDigest),
+    /// Demand and uses of a zone.
+    Part(ZonePart),
     /// An adapter is missing and a call waits for it.
     AdapterRequested(ModelName),
     /// Another host holds the orders lease; the lease's row and its version.
--- a/crates/celerylead/src/tasks/node/host_rows.rs
+++ b/crates/celerylead/src/tasks/node/host_rows.rs
@@ -17,6 +17,9 @@
 /// Time between two reads of the hosts' table while nothing requires an
 /// earlier one.
 const READ_PERIOD: Duration = Duration::from_millis(10_000);
+/// The same in a large fleet for a host that isn't an aggregator, which sends
+/// digests to few others.
+const RELAXED_READ_PERIOD: Duration = Duration::from_millis(30_000);
 /// Time until the next read after a failed read, after a read in which this
 /// host's row was missing or outdated, or when a digest arrives from a host
 /// that isn't in the table. Also the shortest time between two reads.
@@ -31,7 +34,8 @@
 ) {
     loop {
         let due = match sync_rows(&setup, &row_sender).await {
-            Ok(true) => READ_PERIOD,
+            Ok(true) if *setup.may_order.borrow() => READ_PERIOD,
+            Ok(true) => RELAXED_READ_PERIOD,
             Ok(false) => RETRY_PERIOD,
             Err(error) => {
                 tracing::info!(event = "store_failed", source = "hosts", %error);
--- a/crates/celerylead/src/tasks/node/lease.rs
+++ b/crates/celerylead/src/tasks/node/lease.rs
@@ -23,6 +23,11 @@
 /// calls of hosts that start together or learn at the same time that the lease
 /// is free.
 const JITTER_MS: u64 = 400;
+/// Longest further delay of a host with a small part of a processor core, as the
+/// holder has to keep up with all runners.
+const WEAK_DELAY: Duration = Duration::from_millis(800);
+/// Part of a core from which a host isn't delayed, in thousandths.
+const FULL_CORE_PERMILLE: u32 = 250;
 /// Time between two reads of the lease's row.
 const READ_PERIOD: Duration = Duration::from_millis(1_000);
 
@@ -64,7 +69,7 @@
             lease: OrdersLease::default(),
             permit: watch::channel(OrderPermit::default()).0,
             call_pending: false,
-            next_call_at: Instant::now() + jitter(),
+            next_call_at: Instant::now() + claim_delay(&row),
             renewed_at: EpochMillis::default(),
             previous_holder: None,
             row,
@@ -116,7 +121,14 @@
     pub(super) fn holder_released(&mut self, fencing: u64, now: EpochMillis) {
         self.lease.record_release(fencing, now);
         let handover = OrdersLease::handover_delay(self.alternation_window);
-        self.next_call_at = Instant::now() + handover + jitter();
+        self.next_call_at = Instant::now() + handover + claim_delay(&self.row);
+    }
+
+    /// Puts off the next store call of a host that doesn't take the lease.
+    pub(super) fn defer(&mut self) {
+        if self.next_call_at <= Instant::now() {
+            self.next_call_at = Instant::now() + READ_PERIOD;
+        }
     }
 
     /// Gives up the lease; returns the fencing token that was held, if any.
@@ -210,6 +222,12 @@
     }
 }
 
-fn jitter() -> Duration {
-    Duration::from_millis(rand::random_range(0..JITTER_MS))
+/// Returns a random delay, which is longer for a host with less of a processor
+/// core.
+fn claim_delay(row: &HostRow) -> Duration {
+    let jitter = Duration::from_millis(rand::random_range(0..JITTER_MS));
+    let core = row.capacity.map(|capacity| capacity.core_permille);
+    let core = core.unwrap_or(FULL_CORE_PERMILLE).min(FULL_CORE_PERMILLE);
+    let lacking = 1.0 - f64::from(core) / f64::from(FULL_CORE_PERMILLE);
+    jitter + WEAK_DELAY.mul_f64(lacking)
 }
--- a/crates/celerylead/src/tasks/node/mod.rs
+++ b/crates/celerylead/src/tasks/node/mod.rs
@@ -15,6 +15,7 @@
 //! because every call reads them and only the watcher replaces them.
 
 mod acceptor;
+mod aggregation;
 mod attempt;
 mod body;
 mod call;
--- a/crates/celerylead/src/tasks/node/placer.rs
+++ b/crates/celerylead/src/tasks/node/placer.rs
@@ -27,9 +27,9 @@
     membership::{HostMessage, HostRow},
     model::ModelName,
     placement::{
-        AdapterAction, AdapterPlanner, FleetPlan, LoadLimiter, LoadSource,
-        ModelDemand, OrderAttempt, OrderStep, ReachLog, ResidencyBroadcast,
-        RunnerTable, SendOutcome, UseTable,
+        AdapterAction, AdapterPlanner, BroadcastFanout, FleetPlan,
+        LoadLimiter, LoadSource, ModelDemand, OrderAttempt, OrderStep,
+        ReachLog, ResidencyBroadcast, RunnerTable, SendOutcome, UseTable,
     },
     port::{EdgeCodec, EngineReport, PlacementOrder, StorePort},
     roster::RunnerFacts,
@@ -51,6 +51,9 @@
 /// deployment starts, the runners register over some seconds, and a model that
 /// seems to be missing may be at a runner that isn't listed yet.
 const STARTUP_SETTLE_TIME: Duration = Duration::from_millis(6_000);
+/// Time after taking the lease in which the holder moves no models: it knows no
+/// demand before the other hosts know of it.
+const DEMAND_SETTLE_TIME: Duration = Duration::from_millis(1_000);
 /// Age from which the demand in a host's digest is ignored.
 const MAX_DEMAND_AGE: Duration = Duration::from_millis(2_000);
 
@@ -69,6 +72,11 @@
     pub(crate) alternation_window: Duration,
     /// Window over which the platform counts loads from the weight store.
     pub(crate) load_window: Duration,
+    /// How broadcasts reach the other hosts.
+    pub(crate) fanout: watch::Receiver<BroadcastFanout>,
+    /// Whether this host may take the lease: in a large fleet only hosts that
+    /// may be aggregators do.
+    pub(crate) may_order: watch::Receiver<bool>,
 }
 
 /// How an order, a report request or a store call ended.
@@ -83,8 +91,8 @@
     lease: LeaseKeeper,
     /// Whether this host held the orders lease at its last tick.
     holds_lease: bool,
-    /// Time at which the process started.
-    started: Instant,
+    /// Time from which the process moves models.
+    settled_at: Instant,
     runners: RunnerTable,
     plan: FleetPlan,
     adapter_planner: AdapterPlanner,
@@ -112,7 +120,7 @@
     let task = PlacerTask {
         lease: LeaseKeeper::new(setup.row.clone(), setup.alternation_window),
         holds_lease: false,
-        started: now,
+        settled_at: now + STARTUP_SETTLE_TIME,
         runners: RunnerTable::default(),
         plan: FleetPlan::default(),
         adapter_planner: AdapterPlanner::default(),
@@ -194,6 +202,16 @@
                 }
                 false
             }
+            PlacerEvent::StillUsed(digest) => {
+                self.uses.record_answer(&digest.host, &digest.loads, now);
+                false
+            }
+            PlacerEvent::Part(part) => {
+                let source = format!("{}/{}", part.zone, part.part);
+                self.uses.update(&source, &part.uses, now);
+                self.demand.insert(source, (now, part.demand.clone()));
+                false
+            }
             PlacerEvent::AdapterRequested(name) => {
                 self.adapter_planner.record_miss(name, now);
                 self.holds_lease
@@ -225,6 +243,8 @@
         };
         if !self.holds_lease {
             self.holds_lease = true;
+            let settled_at = Instant::now() + DEMAND_SETTLE_TIME;
+            self.settled_at = self.settled_at.max(settled_at);
             self.broadcast.restart();
             self.runners.reset(now);
             self.adopted = None;
@@ -315,6 +335,10 @@
             return;
         }
         let now = self.setup.clock.now();
+        if !self.holds_lease && !*self.setup.may_order.borrow() {
+            self.lease.defer();
+            return;
+        }
         let open_loads = self.loads.open_count() as u32;
         let call = self.lease.next_call(open_loads, now);
         let Some(call) = call else { return };
@@ -396,7 +420,7 @@
         let demand = self.total_demand(now);
         for service in catalog.services() {
             let Some(engine) = &service.engine else { continue };
-            let settled = self.started + STARTUP_SETTLE_TIME <= Instant::now();
+            let settled = self.settled_at <= Instant::now();
             if settled && self.tick_count.is_multiple_of(TICKS_PER_PLAN) {
                 self.order_models(service, engine, &demand, fencing, now);
             }
@@ -624,9 +648,8 @@
         self.broadcast.update(residency.collect());
         let Some((lease, version)) = self.lease.row() else { return };
         let lease = lease.clone();
-        // Number of hosts with a recent digest, this one included.
-        let recipients = self.demand.len();
-        let Some((sequence, residency)) = self.broadcast.poll(recipients, now)
+        let fanout = *self.setup.fanout.borrow();
+        let Some((sequence, residency)) = self.broadcast.poll(fanout, now)
         else {
             return;
         };
--- a/crates/celerylead/src/tasks/node/router.rs
+++ b/crates/celerylead/src/tasks/node/router.rs
@@ -24,7 +24,7 @@
     catalog::ServiceCatalog,
     clock::{EpochMillis, HostClock},
     customer::{FleetBucket, HostLiveness},
-    membership::{HostDigest, SpentTotal},
+    membership::{FleetDigest, HostDigest, RunnerLoad, SpentTotal},
     metrics::HostMetrics,
     model::ModelName,
     placement::DemandMeter,
@@ -55,6 +55,9 @@
 /// repeated because one may be lost.
 const ADAPTER_REQUEST_INTERVAL: Duration = Duration::from_millis(150);
 
+/// Name under which the calls of all other hosts are kept; no host has it.
+const OTHER_HOSTS: &str = "";
+
 /// The platform's retry allowance for each service, over all hosts.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct RetryAllowance {
@@ -192,6 +195,9 @@
                 let _ = reply.send(self.quarantine.lift(part, now));
             }
             RouterEvent::Digest { digest, at } => self.merge(&digest, at),
+            RouterEvent::FleetDigest { digest, absent, at } => {
+                self.merge_fleet(&digest, &absent, at);
+            }
             RouterEvent::Departing(starts) => {
                 self.note_departures(&starts, now);
             }
@@ -539,14 +545,7 @@
     /// Applies the digest of another host, received at `at`.
     fn merge(&mut self, digest: &HostDigest, at: EpochMillis) {
         self.host_liveness.record_report(&digest.host, at);
-        let load_fell =
-            self.table.update_peer_loads(&digest.host, &digest.loads, at);
-        if load_fell && !self.waiting.is_empty() {
-            let retry_at = at.after(RETRY_WAITING_DELAY);
-            let next =
-                self.retry_waiting_at.map_or(retry_at, |at| at.min(retry_at));
-            self.retry_waiting_at = Some(next);
-        }
+        self.update_peer_loads(&digest.host, &digest.loads, at);
         for spent in &digest.spent {
             if let Some(bucket) = self.buckets.get_mut(&spent.customer) {
                 let SpentTotal { total, level, .. } = *spent;
@@ -556,6 +555,38 @@
         }
     }
 
+    /// Applies an aggregator's digest of all other hosts, received at `at`.
+    fn merge_fleet(
+        &mut self,
+        digest: &FleetDigest,
+        absent: &[String],
+        at: EpochMillis,
+    ) {
+        self.host_liveness.record_reports(absent, at);
+        self.update_peer_loads(OTHER_HOSTS, &digest.loads, at);
+        let source = digest.source.incarnation;
+        for SpentTotal { customer, total, level } in &digest.spent {
+            if let Some(bucket) = self.buckets.get_mut(customer) {
+                bucket.record_sum(source, *total, *level, at);
+            }
+        }
+    }
+
+    fn update_peer_loads(
+        &mut self,
+        source: &str,
+        loads: &[RunnerLoad],
+        at: EpochMillis,
+    ) {
+        let load_fell = self.table.update_peer_loads(source, loads, at);
+        if load_fell && !self.waiting.is_empty() {
+            let retry_at = at.after(RETRY_WAITING_DELAY);
+            let next =
+                self.retry_waiting_at.map_or(retry_at, |at| at.min(retry_at));
+            self.retry_waiting_at = Some(next);
+        }
+    }
+
     /// Returns the load and the spending of this host, for its digest.
     fn digest(&self) -> HostDigest {
         HostDigest {
--- a/crates/celerylead/src/tasks/node/router_port.rs
+++ b/crates/celerylead/src/tasks/node/router_port.rs
@@ -10,7 +10,7 @@
 use super::trace::CallTrace;
 use crate::{
     clock::EpochMillis,
-    membership::HostDigest,
+    membership::{FleetDigest, HostDigest},
     model::ModelName,
     placement::ModelDemand,
     port::HttpLink,
@@ -46,6 +46,13 @@
     LiftVerdict(PartId, oneshot::Sender<bool>),
     /// Digest of another host, received at `at`.
     Digest { digest: Box<HostDigest>, at: EpochMillis },
+    /// What all other hosts but the `absent` ones do, which are sorted, received
+    /// at `at`.
+    FleetDigest {
+        digest: Box<FleetDigest>,
+        absent: Vec<String>,
+        at: EpochMillis,
+    },
     /// Another host was told by these runners that they are leaving.
     Departing(Vec<RunnerStart>),
     /// Another host has joined.
--- a/crates/celerylead/src/tasks/node/run.rs
+++ b/crates/celerylead/src/tasks/node/run.rs
@@ -23,8 +23,9 @@
 };
 use crate::{
     clock::HostClock,
-    membership::{HostRow, PeerContact},
+    membership::{HostCapacity, HostRow, PeerContact},
     metrics::HostMetrics,
+    placement::BroadcastFanout,
     port::{EdgeCodec, StorePort},
     step::{StepContext as _, StepName},
 };
@@ -53,6 +54,12 @@
     pub peers: String,
     /// Control addresses of other hosts.
     pub seeds: Vec<String>,
+    /// What the host may use of its machine; `None` if that isn't known, and
+    /// then the host is never an aggregator.
+    pub capacity: Option<HostCapacity>,
+    /// Number of hosts from which they exchange their state through one
+    /// aggregator a zone.
+    pub aggregation_from: usize,
     /// Time from SIGTERM until the platform kills the process.
     pub grace: Duration,
     /// Time after a fault of the store or the network from which the platform
@@ -154,7 +161,10 @@
         zone: options.zone.clone(),
         address: options.peers.clone(),
         incarnation: rand::random(),
+        capacity: options.capacity,
     };
+    let (fanout, fanout_receiver) = watch::channel(BroadcastFanout::direct(1));
+    let (may_order, may_order_receiver) = watch::channel(true);
     let (placer_sender, placer_inbox) = mpsc::channel(placer::MAILBOX);
     let setup = PlacerSetup {
         row: row.clone(),
@@ -167,6 +177,8 @@
         phase: phase_receiver.clone(),
         alternation_window: options.order_alternation_window,
         load_window: options.load_window,
+        fanout: fanout_receiver,
+        may_order: may_order_receiver,
     };
     placer::start(setup, placer_inbox);
     let setup = GossipSetup {
@@ -178,6 +190,9 @@
         peer_contact: contact_sender,
         is_reader,
         excerpts: excerpt_sender,
+        aggregation_from: options.aggregation_from,
+        fanout,
+        may_order,
     };
     gossip::start(
         setup,
