Send an aggregator's digests before the registry's changes

Change: two queues, digests first; excerpts may wait in larger numbers, since a host that misses one reads the registry itself. Encoded messages are shared by their recipients. Bursts of 16 kB in place of 8, still at most half of the link.

--- a/crates/celerylead/src/tasks/node/aggregation.rs
+++ b/crates/celerylead/src/tasks/node/aggregation.rs
@@ -7,6 +7,7 @@
 
 use std::{collections::VecDeque, net::SocketAddr, time::Duration};
 
+use bytes::Bytes;
 use tokio::time::Instant;
 
 use super::{
@@ -29,9 +30,12 @@
 /// Time between two bursts of paced datagrams.
 const BURST_PERIOD: Duration = Duration::from_millis(4);
 /// Most bytes in a burst: queues on the way drop the end of larger ones.
-const MAX_BURST_BYTES: usize = 8_000;
-/// Most datagrams that wait for their burst; the oldest are dropped.
-const MAX_OUTBOX: usize = 512;
+const MAX_BURST_BYTES: usize = 16_000;
+/// Most digests that wait for their burst; the oldest are dropped.
+const MAX_DIGESTS: usize = 512;
+/// Most datagrams with the registry's changes that wait for their burst. A host
+/// that misses one has to read the registry itself.
+const MAX_EXCERPTS: usize = 4_096;
 
 /// What this host knows of aggregators, and the sums if it may be one.
 pub(super) struct AggregationDesk {
@@ -40,11 +44,12 @@
     source: AggregateSource,
     zone: String,
     /// Messages of this round that go to every host, encoded.
-    news: Vec<Vec<u8>>,
+    news: Vec<Bytes>,
     /// Hosts that weren't heard according to the last digest followed.
     absent: Vec<String>,
-    /// Datagrams that are sent in small bursts.
-    outbox: VecDeque<(SocketAddr, Vec<u8>)>,
+    /// Datagrams that are sent in small bursts, digests first.
+    digests: VecDeque<(SocketAddr, Bytes)>,
+    excerpts: VecDeque<(SocketAddr, Bytes)>,
     /// Bytes in a burst: half of what the link carries until the next one.
     burst_bytes: usize,
     next_burst_at: Instant,
@@ -73,7 +78,8 @@
             zone: row.zone.clone(),
             news: Vec::new(),
             absent: Vec::new(),
-            outbox: VecDeque::new(),
+            digests: VecDeque::new(),
+            excerpts: VecDeque::new(),
             burst_bytes: (carried / 2).min(MAX_BURST_BYTES),
             next_burst_at: Instant::now(),
         }
@@ -81,23 +87,32 @@
 
     /// Returns the time of the next burst, if there is anything to send.
     pub(super) fn next_burst_at(&self) -> Option<Instant> {
-        (!self.outbox.is_empty()).then_some(self.next_burst_at)
+        let is_idle = self.digests.is_empty() && self.excerpts.is_empty();
+        (!is_idle).then_some(self.next_burst_at)
     }
 
-    /// Queues a message for these recipients. What wasn't sent within a round is
-    /// outdated, so that the queue holds no more than that.
+    /// Queues a message for these recipients.
     fn post(&mut self, message: &HostMessage, recipients: &[SocketAddr]) {
         let Some(bytes) = encode(message) else { return };
+        let (queue, limit) = match message {
+            HostMessage::Registry(_) => (&mut self.excerpts, MAX_EXCERPTS),
+            _ => (&mut self.digests, MAX_DIGESTS),
+        };
         let datagrams =
             recipients.iter().map(|address| (*address, bytes.clone()));
-        self.outbox.extend(datagrams);
-        let outdated = self.outbox.len().saturating_sub(MAX_OUTBOX);
+        queue.extend(datagrams);
+        let outdated = queue.len().saturating_sub(limit);
         if 0 < outdated {
-            self.outbox.drain(..outdated);
+            queue.drain(..outdated);
             tracing::info!(event = "datagrams_outdated", outdated);
         }
     }
 
+    /// Returns the next datagram to send.
+    fn next_datagram(&mut self) -> Option<(SocketAddr, Bytes)> {
+        self.digests.pop_front().or_else(|| self.excerpts.pop_front())
+    }
+
     fn seat_mut(&mut self, now: EpochMillis) -> &mut AggregatorSeat {
         let (zone, source) = (&self.zone, &self.source);
         self.seat.get_or_insert_with(|| {
@@ -315,8 +330,7 @@
     /// Sends the datagrams of one burst.
     pub(super) async fn send_burst(&mut self) {
         let mut left = self.aggregation.burst_bytes;
-        while let Some((address, bytes)) = self.aggregation.outbox.pop_front()
-        {
+        while let Some((address, bytes)) = self.aggregation.next_datagram() {
             self.send_bytes(&bytes, &[address]).await;
             let Some(rest) = left.checked_sub(bytes.len()) else { break };
             left = rest;
@@ -434,10 +448,10 @@
     }
 }
 
-fn encode(message: &HostMessage) -> Option<Vec<u8>> {
+fn encode(message: &HostMessage) -> Option<Bytes> {
     let encoded = postcard::to_stdvec(message);
     let log = |error: &postcard::Error| {
         tracing::error!(event = "message_unwritable", %error);
     };
-    encoded.inspect_err(log).ok()
+    encoded.inspect_err(log).ok().map(Bytes::from)
 }
