Bound what a connection buffers of answers without end

Reported by other operators: a faulty runner sent bytes without end until its caller closed; the machine kept them and ran out of memory. Here no answer is kept whole without a limit, but each connection buffered up to 417 KB on the side of the runner and as much on the side of a caller that doesn't read. 600 such calls took 186,532 KB, where the smallest machine has 120 MB.

Ruled out: heads without end (26,448 KB at the peak: the connection ends at its limit), bodies of refusals, reports, orders and the store's answers, which have limits and deadlines.

Change: connections to servers, and callers' connections, buffer 32 KB (a caller's at least as much as its head may have).

--- a/crates/celerylead/src/tasks/acceptor.rs
+++ b/crates/celerylead/src/tasks/acceptor.rs
@@ -111,6 +111,7 @@
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(HEAD_TIMEOUT)
+            .max_buf_size(MAX_HEAD_BYTES)
             .max_header_size(MAX_HEAD_BYTES)
             .serve_connection(TokioIo::new(stream), service);
         tokio::pin!(connection);
--- a/crates/celerylead/src/tasks/node/acceptor.rs
+++ b/crates/celerylead/src/tasks/node/acceptor.rs
@@ -67,6 +67,8 @@
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
+        // The head has to fit.
+        .max_buf_size(link::READ_BUFFER_BYTES.max(limits.head_bytes))
         .max_header_size(limits.head_bytes)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
--- a/crates/celerylead/src/wire/link.rs
+++ b/crates/celerylead/src/wire/link.rs
@@ -62,6 +62,10 @@
     socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
 }
 
+/// Most bytes that a connection buffers: the head of an answer, or what of its
+/// body the caller hasn't taken. Hundreds of connections may be full at once.
+pub(crate) const READ_BUFFER_BYTES: usize = 32 << 10;
+
 /// An open connection to a server.
 #[derive(Debug)]
 pub struct HttpLink {
@@ -109,7 +113,9 @@
                 .at(StepName::Connect, peer)?
                 .at(StepName::Connect, peer)?;
         set_socket_options(&stream).at(StepName::Connect, peer)?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(READ_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .at(StepName::Connect, peer)?;
         // The task that drives the connection owns the socket. It ends when
