Keep the rank of hosts that an aggregator doesn't hear

Cause: a host that the followed aggregator doesn't hear lost its rank, and was sent no digest any more. Two aggregators that started with different lists of a zone each took the other half for gone; as nobody then told the other half anything, it stayed so. Likewise two zones that hadn't heard each other for a moment. The class is a metastable failure: the view that something is gone causes its absence.

Ruled out: lost datagrams (none outdated, halves constant), processor time.

Change: hosts keep their rank while they are listed. Absent ones are passed over when someone has to take over, but the best two of all listed hosts are always among those who get digests and sums.

Test: `a_zone_that_was_cut_in_two_has_one_aggregator_again` cuts each zone in two for four seconds.

--- a/crates/celerylead/src/membership/aggregator_choice.rs
+++ b/crates/celerylead/src/membership/aggregator_choice.rs
@@ -3,6 +3,11 @@
 //! Every host ranks the hosts of each zone by the same rule, so that they agree
 //! without a message. They disagree while they know different hosts or hear
 //! different ones; a host then follows the best one of those that it hears.
+//!
+//! A host may be absent according to one aggregator only because it follows
+//! another one. Absent hosts are therefore passed over when someone has to take
+//! over, but keep their rank, and are sent digests as long as they are listed: or
+//! two halves of a zone would each take the other half for gone, for good.
 
 use std::time::Duration;
 
@@ -33,6 +38,8 @@
     pub zone: &'a str,
     /// Share of a processor core, in thousandths.
     pub core_permille: u32,
+    /// Whether the followed aggregator doesn't hear it.
+    pub is_absent: bool,
 }
 
 /// The aggregators as one host knows them.
@@ -49,6 +56,7 @@
 ///     host,
 ///     zone: "kgn",
 ///     core_permille,
+///     is_absent: false,
 /// };
 /// let mut choice = AggregatorChoice::new("kgn-1", "kgn", 2, EpochMillis(0));
 /// let hosts = [candidate("kgn-1", 90), candidate("kgn-2", 500)];
@@ -67,8 +75,8 @@
     /// Number of hosts from which digests go through aggregators.
     min_hosts: usize,
     hosts: usize,
-    /// Hosts of each zone, best first.
-    ranked: SortedTable<String, Vec<String>>,
+    /// Hosts of each zone, best first, each with whether it is absent.
+    ranked: SortedTable<String, Vec<(String, bool)>>,
     /// The aggregator that this host follows, and the time at which it was last
     /// heard.
     followed: Option<(String, EpochMillis)>,
@@ -102,26 +110,31 @@
         }
     }
 
-    /// Replaces the hosts that can be aggregators: this one, and all others
-    /// that aren't known to be silent.
+    /// Replaces the hosts that can be aggregators: this one, and all others that
+    /// are listed.
     pub fn set_candidates<'a>(
         &mut self,
         candidates: impl Iterator<Item = AggregatorCandidate<'a>>,
     ) {
-        let mut zones: SortedTable<String, Vec<(u32, u64, &str)>> =
+        type Ranked<'a> = (u32, u64, &'a str, bool);
+        let mut zones: SortedTable<&str, Vec<Ranked<'_>>> =
             SortedTable::default();
         self.hosts = 0;
-        for AggregatorCandidate { host, zone, core_permille } in candidates {
+        for candidate in candidates {
+            let AggregatorCandidate { host, zone, core_permille, is_absent } =
+                candidate;
             self.hosts += 1;
             let weight = rendezvous_weight(host, AGGREGATOR_ROLE);
-            let hosts = zones.entry(zone.to_owned(), Vec::new);
-            hosts.push((core_permille, weight, host));
+            let hosts = zones.entry(zone, Vec::new);
+            hosts.push((core_permille, weight, host, is_absent));
         }
         self.ranked = SortedTable::default();
         for (zone, hosts) in zones.iter_mut() {
             hosts.sort_unstable_by(|one, other| other.cmp(one));
-            let names = hosts.iter().map(|(_, _, host)| (*host).to_owned());
-            self.ranked.insert(zone.clone(), names.collect());
+            let ranked = hosts.iter().map(|(_, _, host, is_absent)| {
+                ((*host).to_owned(), *is_absent)
+            });
+            self.ranked.insert((*zone).to_owned(), ranked.collect());
         }
     }
 
@@ -171,30 +184,34 @@
 
     /// Returns whether this host ranks high enough to take over.
     pub fn is_candidate(&self) -> bool {
-        self.rank(&self.own) < CANDIDATES
+        self.present_rank() < CANDIDATES
     }
 
     /// Returns whether this host is to be the aggregator of its zone.
     pub fn leads(&self, now: EpochMillis) -> bool {
-        let rank = self.rank(&self.own);
-        let Some(lower) = rank.checked_sub(1) else { return true };
+        let rank = self.present_rank();
         if CANDIDATES <= rank {
             return false;
         }
-        let patience = FOLLOW_TIMEOUT + RANK_DELAY * lower as u32;
-        let quiet_since = match &self.followed {
-            Some((followed, at)) if self.rank(followed) < rank => *at,
+        let better = self.followed.as_ref();
+        let better = better.filter(|(followed, _)| {
+            self.rank(followed) < self.rank(&self.own)
+        });
+        let quiet_since = match better {
+            Some((_, heard_at)) => *heard_at,
             // Follows itself or one that ranks lower.
-            Some(_) => return true,
+            None if self.followed.is_some() || rank == 0 => return true,
             None => self.started_at,
         };
+        let lower = rank.saturating_sub(1) as u32;
+        let patience = FOLLOW_TIMEOUT + RANK_DELAY * lower;
         quiet_since.after(patience) <= now
     }
 
     /// Returns the other hosts of the zone that need this host's digest: the
     /// aggregator that it follows and those that may take over.
     pub fn targets(&self, now: EpochMillis) -> Vec<&str> {
-        let mut targets = self.best(&self.own_zone, STANDBYS);
+        let mut targets = self.successors(&self.own_zone);
         if let Some((followed, at)) = &self.followed
             && now < at.after(FOLLOW_TIMEOUT)
             && !targets.contains(&followed.as_str())
@@ -216,7 +233,7 @@
         let heard = heard.filter(|(_, at)| now < at.after(FOLLOW_TIMEOUT));
         match heard {
             Some((source, _)) => vec![source.as_str()],
-            None => self.best(zone, STANDBYS),
+            None => self.successors(zone),
         }
     }
 
@@ -225,18 +242,38 @@
         self.ranked.keys().map(String::as_str)
     }
 
-    fn best(&self, zone: &str, count: usize) -> Vec<&str> {
-        let ranked = self.ranked.get(zone).map_or(&[][..], Vec::as_slice);
-        ranked.iter().take(count).map(String::as_str).collect()
+    /// Returns the hosts of a zone that may be its aggregator: the best ones that
+    /// aren't absent, and the best ones of all.
+    fn successors(&self, zone: &str) -> Vec<&str> {
+        let listed = self.hosts_of(zone).iter();
+        let present = listed.clone().filter(|(_, is_absent)| !is_absent);
+        let mut hosts: Vec<&str> = Vec::new();
+        for (host, _) in present.take(STANDBYS).chain(listed.take(STANDBYS)) {
+            if !hosts.contains(&host.as_str()) {
+                hosts.push(host);
+            }
+        }
+        hosts
+    }
+
+    fn hosts_of(&self, zone: &str) -> &[(String, bool)] {
+        self.ranked.get(zone).map_or(&[], Vec::as_slice)
     }
 
     /// Returns the rank of a host of this zone, from 0; hosts that aren't
-    /// ranked come last.
+    /// listed come last.
     fn rank(&self, host: &str) -> usize {
-        let Some(ranked) = self.ranked.get(&self.own_zone) else {
-            return usize::MAX;
-        };
-        let found = ranked.iter().position(|name| name == host);
+        let listed = self.hosts_of(&self.own_zone).iter();
+        let found = listed.enumerate().find(|(_, (name, _))| name == host);
+        found.map_or(usize::MAX, |(rank, _)| rank)
+    }
+
+    /// Returns the rank of this host among those of its zone that aren't absent.
+    fn present_rank(&self) -> usize {
+        let listed = self.hosts_of(&self.own_zone).iter();
+        let mut present =
+            listed.filter(|(host, is_absent)| !is_absent || *host == self.own);
+        let found = present.position(|(host, _)| *host == self.own);
         found.unwrap_or(usize::MAX)
     }
 }
--- a/crates/celerylead/src/membership/tests/aggregation.rs
+++ b/crates/celerylead/src/membership/tests/aggregation.rs
@@ -47,6 +47,9 @@
     hosts: Vec<SimulatedHost>,
     /// Messages under way, by index of the receiver.
     wires: Vec<(usize, HostMessage)>,
+    /// Whether each zone is cut in two halves, which
+    /// don't hear each other.
+    is_cut: bool,
     tick: usize,
     admitted: Vec<(EpochMillis, u64)>,
 }
@@ -85,6 +88,7 @@
             identities,
             hosts,
             wires: Vec::new(),
+            is_cut: false,
             tick: 0,
             admitted: Vec::new(),
         }
@@ -183,6 +187,9 @@
             }
         }
         host.messages += sent.len();
+        let half = |index: usize| index / ZONES % 2;
+        let is_cut = self.is_cut;
+        sent.retain(|(to, _)| !is_cut || half(*to) == half(index));
         self.wires.extend(sent);
     }
 
@@ -330,14 +337,13 @@
     identities: &'a [HostIdentity],
     absent: &'a [String],
 ) -> impl Iterator<Item = AggregatorCandidate<'a>> {
-    let present = identities.iter().enumerate();
-    present.filter(|(_, (host, _))| !absent.contains(host)).map(
-        |(index, (host, zone))| AggregatorCandidate {
-            host,
-            zone,
-            core_permille: if index < 2 * ZONES { 500 } else { 90 },
-        },
-    )
+    let listed = identities.iter().enumerate();
+    listed.map(|(index, (host, zone))| AggregatorCandidate {
+        host,
+        zone,
+        core_permille: if index < 2 * ZONES { 500 } else { 90 },
+        is_absent: absent.contains(host),
+    })
 }
 
 /// Guards against a host that takes runners for idle which others use, while
@@ -374,6 +380,23 @@
     }
 }
 
+/// Guards against two halves of a zone that each take the other one for gone, and
+/// go on so once they could hear each other again.
+#[test]
+fn a_zone_that_was_cut_in_two_has_one_aggregator_again() {
+    let mut fleet = SimulatedFleet::start(60);
+    fleet.play(3, None);
+    fleet.is_cut = true;
+    fleet.play(4, None);
+    fleet.is_cut = false;
+    fleet.play(3, None);
+    fleet.check_loads("after the cut");
+    let publishing = fleet.hosts.iter().filter(|host| {
+        matches!(host.seat, Some(AggregatorSeat::Publishing(_)))
+    });
+    assert_eq!(publishing.count(), ZONES, "aggregators");
+}
+
 /// Guards against a customer that exceeds its rate because what the others
 /// spend is lost between two aggregators.
 #[test]
--- a/crates/celerylead/src/tasks/node/aggregation.rs
+++ b/crates/celerylead/src/tasks/node/aggregation.rs
@@ -393,15 +393,16 @@
             host: &row.host,
             zone: &row.zone,
             core_permille: capacity.core_permille,
+            is_absent: false,
         });
         let absent = &self.aggregation.absent;
         let others = self.hosts.iter().filter_map(|(name, host)| {
             let capacity = host.capacity?;
-            let is_absent = absent.binary_search(name).is_ok();
-            (!is_absent).then_some(AggregatorCandidate {
+            Some(AggregatorCandidate {
                 host: name,
                 zone: &host.zone,
                 core_permille: capacity.core_permille,
+                is_absent: absent.binary_search(name).is_ok(),
             })
         });
         self.aggregation.choice.set_candidates(others.chain(own));
