Suspect the last part of a prompt too

Cause: the last part of a prompt was left out of the evidence, as one call has it alone. It is all that such requests have in common with each other and with nothing else: their first two parts are those of a session whose sound answers clear them, at 87 hosts several times a second. At the small site few answers do, and the second part was rejected in its place.

Ruled out: news that comes late or is lost: the hosts had each other's witnesses.

Change: all parts are suspects; the first sixteen and the last one of longer prompts. The record of sound parts still leaves the last ones out, which would push the others out of it. `SharedParts` is `PromptParts` now.

New: `a_prompt_that_is_sent_again_and_again_is_rejected_by_itself` (4 cases), red before.

--- a/crates/celerylead/src/quarantine/crash.rs
+++ b/crates/celerylead/src/quarantine/crash.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::part::{PartId, SharedParts};
+use super::part::{PartId, PromptParts};
 use crate::{clock::EpochMillis, roster::RunnerStart, sorted::SortedTable};
 
 /// Time for which a crash is remembered.
@@ -30,7 +30,7 @@
 #[serde(rename_all = "snake_case")]
 pub struct CrashWitness {
     /// Parts of its prompt that other calls may share.
-    pub parts: SharedParts,
+    pub parts: PromptParts,
     /// Whether the head of its answer had arrived, so that the runner had
     /// begun to answer it.
     pub begun: bool,
@@ -71,14 +71,14 @@
 /// ```
 /// use celerylead::{
 ///     EpochMillis,
-///     quarantine::{CrashLog, CrashWitness, SharedParts},
+///     quarantine::{CrashLog, CrashWitness, PromptParts},
 ///     roster::RunnerStart,
 /// };
 ///
 /// let mut log = CrashLog::default();
 /// let start = RunnerStart { id: "i-1".to_owned(), born: Some(5) };
 /// let witness = CrashWitness {
-///     parts: SharedParts::of_prompt([1, 2, 3]),
+///     parts: PromptParts::of_prompt([1, 2, 3]),
 ///     begun: true,
 ///     sent_at: EpochMillis(900),
 /// };
@@ -181,7 +181,7 @@
         part: PartId,
         cleared_at: Option<EpochMillis>,
         settled_at: Option<EpochMillis>,
-        is_explained: impl Fn(&SharedParts) -> bool,
+        is_explained: impl Fn(&PromptParts) -> bool,
     ) -> TrialCount {
         let mut trials: Vec<(EpochMillis, EpochMillis)> = Vec::new();
         let is_settled = |record: &&CrashRecord| {
--- a/crates/celerylead/src/quarantine/ledger.rs
+++ b/crates/celerylead/src/quarantine/ledger.rs
@@ -7,7 +7,7 @@
 use super::{
     crash::{CrashLog, CrashWitness, TrialCount},
     exchange::{NewsSchedule, verdict_row},
-    part::{PartId, SharedParts},
+    part::{PartId, PromptParts},
     report::{ClearanceBasis, VerdictRow},
     signs::{RunnerSign, SignLog},
     sound::SoundLog,
@@ -88,13 +88,13 @@
 /// use celerylead::{
 ///     EpochMillis,
 ///     quarantine::{CrashWitness, PartAdmission, PartId},
-///     quarantine::{SharedParts, SuspectLedger},
+///     quarantine::{PromptParts, SuspectLedger},
 ///     roster::RunnerStart,
 /// };
 ///
 /// let mut ledger = SuspectLedger::new(0.0, EpochMillis(0));
-/// let parts = SharedParts::of_prompt([0xa, 0xb, 0xc]);
 /// for crash in 1..=3 {
+///     let parts = PromptParts::of_prompt([0xa, 0xb, 0xc0 + crash]);
 ///     let start = RunnerStart { id: format!("i-{crash}"), born: None };
 ///     let sent_at = EpochMillis(crash * 1_000);
 ///     let witness =
@@ -104,6 +104,7 @@
 /// // Nothing has shown since that the runners hadn't ended.
 /// let now = EpochMillis(5_000);
 /// ledger.report(1, now);
+/// let parts = PromptParts::of_prompt([0xa, 0xb, 0xc0]);
 /// let admission = ledger.admit(&parts, |_| false, now);
 /// assert_eq!(admission, PartAdmission::Reject(PartId(0xb)));
 /// ```
@@ -180,7 +181,7 @@
     /// Records that an answer of this host went on.
     pub fn record_sound(
         &mut self,
-        parts: &SharedParts,
+        parts: &PromptParts,
         now: EpochMillis,
     ) -> Vec<LedgerEvent> {
         self.sound.record(parts, now);
@@ -210,7 +211,7 @@
 
     /// Records the end of a call that says nothing of its parts, for the case
     /// that it was a probe.
-    pub fn record_neutral(&mut self, parts: &SharedParts, now: EpochMillis) {
+    pub fn record_neutral(&mut self, parts: &PromptParts, now: EpochMillis) {
         if self.verdicts.is_empty() {
             return;
         }
@@ -227,7 +228,7 @@
     /// whether this host is the one that probes a part.
     pub fn admit(
         &mut self,
-        parts: &SharedParts,
+        parts: &PromptParts,
         is_prober: impl Fn(PartId) -> bool,
         now: EpochMillis,
     ) -> PartAdmission {
@@ -260,7 +261,7 @@
 
     /// Returns whether a call that was sent to a runner may be sent to another
     /// one: no part of its prompt may be the cause of the first one's end.
-    pub fn allows_further_send(&self, parts: &SharedParts) -> bool {
+    pub fn allows_further_send(&self, parts: &PromptParts) -> bool {
         let mut parts = parts.iter();
         parts.all(|part| self.trials(part, None).trials < TRIALS_TO_HOLD)
     }
@@ -488,7 +489,7 @@
         if self.suspects.get(&part).is_none() {
             return TrialCount::default();
         }
-        let is_explained = |parts: &SharedParts| {
+        let is_explained = |parts: &PromptParts| {
             parts.iter().any(|other| {
                 other != part && self.verdicts.get(&other).is_some()
             })
--- a/crates/celerylead/src/quarantine/mod.rs
+++ b/crates/celerylead/src/quarantine/mod.rs
@@ -43,7 +43,7 @@
 pub use self::{
     crash::{CrashLog, CrashWitness},
     ledger::{LedgerEvent, PartAdmission, SuspectLedger, TRIALS_TO_REJECT},
-    part::{PartId, SharedParts},
+    part::{PartId, PromptParts},
     report::{
         ClearanceBasis, ClearanceRow, CrashRow, EvidenceReport, SignRow,
         VerdictRow, WitnessRow,
--- a/crates/celerylead/src/quarantine/part.rs
+++ b/crates/celerylead/src/quarantine/part.rs
@@ -1,12 +1,12 @@
-//! The parts of a prompt that other calls may share.
+//! The parts of a prompt.
 
 use std::{fmt, num::ParseIntError, str::FromStr};
 
 use serde::{Deserialize, Serialize};
 
-/// Most parts of one call that are taken into account; the first ones, which
-/// are the ones that most calls share.
-const MAX_PARTS: usize = 16;
+/// Most parts of one call that are taken into account before its last one; the
+/// first ones, which are the ones that most calls share.
+const MAX_SHARED: usize = 16;
 
 /// Identifier of the content of a part of a prompt, written in hexadecimal.
 #[derive(
@@ -29,34 +29,44 @@
     }
 }
 
-/// The parts of a call's prompt except the last one, in the order of the
-/// prompt. The last part belongs to the call alone, so that nothing can be
-/// learned from it for other calls.
+/// The parts of a call's prompt, in the order of the prompt. The last part
+/// belongs to the call alone; it tells something where the same prompt is sent
+/// again.
 ///
 /// # Examples
 ///
 /// ```
-/// use celerylead::quarantine::{PartId, SharedParts};
+/// use celerylead::quarantine::{PartId, PromptParts};
 ///
-/// let parts = SharedParts::of_prompt([0x5c, 0x91, 0xe4]);
+/// let parts = PromptParts::of_prompt([0x5c, 0x91, 0xe4]);
 /// assert!(parts.contains(PartId(0x91)));
-/// assert!(!parts.contains(PartId(0xe4)));
-/// assert_eq!(parts.to_string(), "5c,91");
+/// assert_eq!(parts.shared().last(), Some(PartId(0x91)));
+/// assert_eq!(parts.to_string(), "5c,91,e4");
 /// ```
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(transparent)]
-pub struct SharedParts(Vec<PartId>);
+pub struct PromptParts(Vec<PartId>);
 
-impl SharedParts {
-    /// Returns the shared parts of a prompt with these parts.
-    pub fn of_prompt(ids: impl IntoIterator<Item = u64>) -> SharedParts {
+impl PromptParts {
+    /// Returns the parts of a prompt.
+    pub fn of_prompt(ids: impl IntoIterator<Item = u64>) -> PromptParts {
+        let mut ids = ids.into_iter().map(PartId);
         let mut parts: Vec<PartId> =
-            ids.into_iter().take(MAX_PARTS + 1).map(PartId).collect();
-        parts.pop();
-        SharedParts(parts)
+            ids.by_ref().take(MAX_SHARED + 1).collect();
+        if let Some(last) = ids.last() {
+            parts.truncate(MAX_SHARED);
+            parts.push(last);
+        }
+        PromptParts(parts)
+    }
+
+    /// Iterates over the parts that other calls may share.
+    pub fn shared(&self) -> impl Iterator<Item = PartId> {
+        let (_, shared) = self.0.split_last().unwrap_or((&PartId(0), &[]));
+        shared.iter().copied()
     }
 
-    /// Returns whether the prompt has no shared part.
+    /// Returns whether the prompt has no part.
     pub fn is_empty(&self) -> bool {
         self.0.is_empty()
     }
@@ -77,7 +87,7 @@
     }
 }
 
-impl fmt::Display for SharedParts {
+impl fmt::Display for PromptParts {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         for (index, part) in self.0.iter().enumerate() {
             let separator = if index == 0 { "" } else { "," };
--- a/crates/celerylead/src/quarantine/report.rs
+++ b/crates/celerylead/src/quarantine/report.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    part::{PartId, SharedParts},
+    part::{PartId, PromptParts},
     signs::RunnerSign,
 };
 use crate::roster::RunnerStart;
@@ -15,7 +15,7 @@
 #[serde(rename_all = "snake_case")]
 pub struct WitnessRow {
     /// Parts of its prompt that other calls may share.
-    pub parts: SharedParts,
+    pub parts: PromptParts,
     /// Whether the head of its answer had arrived.
     pub begun: bool,
     /// Time since the call was sent, in milliseconds.
--- a/crates/celerylead/src/quarantine/sound.rs
+++ b/crates/celerylead/src/quarantine/sound.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::part::{PartId, SharedParts};
+use super::part::{PartId, PromptParts};
 use crate::{clock::EpochMillis, sorted::SortedTable};
 
 /// Most parts that are remembered; those longest unused are forgotten first.
@@ -17,9 +17,10 @@
 }
 
 impl SoundLog {
-    /// Records an answer that went on.
-    pub(super) fn record(&mut self, parts: &SharedParts, now: EpochMillis) {
-        for part in parts.iter() {
+    /// Records an answer that went on, for the parts that other calls may share:
+    /// the last parts of all calls would push those out.
+    pub(super) fn record(&mut self, parts: &PromptParts, now: EpochMillis) {
+        for part in parts.shared() {
             if MAX_PARTS <= self.parts.len() && self.parts.get(&part).is_none()
             {
                 self.forget_older_half(now);
--- a/crates/celerylead/src/quarantine/tests.rs
+++ b/crates/celerylead/src/quarantine/tests.rs
@@ -4,7 +4,7 @@
 
 use super::{
     ClearanceBasis, ClearanceRow, CrashWitness, EvidenceReport, LedgerEvent,
-    PartAdmission, PartId, RunnerSign, SharedParts, SignRow, SuspectLedger,
+    PartAdmission, PartId, PromptParts, RunnerSign, SignRow, SuspectLedger,
     VerdictRow,
 };
 use crate::{clock::EpochMillis, roster::RunnerStart};
@@ -31,8 +31,15 @@
 }
 
 /// Returns the parts of a prompt whose last part is its own.
-fn parts(shared: &[u64]) -> SharedParts {
-    SharedParts::of_prompt(shared.iter().copied().chain([0xffff]))
+fn parts(shared: &[u64]) -> PromptParts {
+    parts_of_call(shared, 0)
+}
+
+/// Returns the parts of the prompt of a call sent at this time; no two calls have
+/// the same last part.
+fn parts_of_call(shared: &[u64], sent_at: u64) -> PromptParts {
+    let own = 0xffff_0000 + sent_at;
+    PromptParts::of_prompt(shared.iter().copied().chain([own]))
 }
 
 fn ledger() -> SuspectLedger {
@@ -62,7 +69,8 @@
             }
         };
         let [sent_at, ended_at] = times.map(EpochMillis);
-        let witness = CrashWitness { parts: parts(shared), begun, sent_at };
+        let parts = parts_of_call(shared, times[0]);
+        let witness = CrashWitness { parts, begun, sent_at };
         let mut events =
             ledger.record_crash(&start(number), &witness, ended_at);
         if !matches!(self, Step::Break(..)) {
@@ -669,3 +677,59 @@
         assert!(late.is_empty(), "{name}: {late:?}");
     }
 }
+
+/// Guards against a prompt that is sent again and again and ends a runner each
+/// time: its shared parts are cleared by the sound calls of the same session.
+#[test]
+fn a_prompt_that_is_sent_again_and_again_is_rejected_by_itself() {
+    struct Case {
+        name: &'static str,
+        /// Shared parts of the prompt.
+        shared: &'static [u64],
+        /// Whether sound calls with the same shared parts go on in between.
+        sound_between: bool,
+    }
+    let cases = [
+        Case {
+            name: "beside sound calls",
+            shared: &[1, 2],
+            sound_between: true,
+        },
+        Case { name: "by itself", shared: &[1, 2], sound_between: false },
+        Case {
+            name: "without shared parts",
+            shared: &[],
+            sound_between: false,
+        },
+        Case {
+            name: "behind more parts than are looked at",
+            shared: &[
+                1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17,
+            ],
+            sound_between: true,
+        },
+    ];
+    for Case { name, shared, sound_between } in cases {
+        let mut ledger = ledger();
+        let ids = shared.iter().copied().chain([DEADLY]);
+        let deadly = PromptParts::of_prompt(ids);
+        for crash in 1..=3 {
+            let sent_at = EpochMillis(crash * 1_000);
+            let ended_at = sent_at.after(Duration::from_millis(50));
+            let witness =
+                CrashWitness { parts: deadly.clone(), begun: true, sent_at };
+            ledger.record_crash(&start(crash), &witness, ended_at);
+            let sign = RunnerSign::Refused;
+            ledger.record_sign(&start(crash), sign, ended_at, ended_at);
+            if sound_between {
+                let at = ended_at.after(Duration::from_millis(300));
+                let call = parts_of_call(shared, at.0);
+                ledger.record_sound(&call, at);
+            }
+        }
+        assert_eq!(rejected(&ledger, 4_000), [DEADLY], "{name}");
+        let now = EpochMillis(4_000);
+        let admission = ledger.admit(&parts(shared), |_| false, now);
+        assert_eq!(admission, PartAdmission::Admit, "{name}: a sound call");
+    }
+}
--- a/crates/celerylead/src/relay/call.rs
+++ b/crates/celerylead/src/relay/call.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     clock::EpochMillis, customer::CallerKey, model::ModelName,
-    quarantine::SharedParts, request::RequestId,
+    quarantine::PromptParts, request::RequestId,
 };
 
 /// A part of a prompt that calls may share.
@@ -45,8 +45,8 @@
     }
 
     /// Returns the parts of the prompt that other calls may share.
-    pub fn shared_parts(&self) -> SharedParts {
-        SharedParts::of_prompt(self.parts.iter().map(|part| part.id))
+    pub fn shared_parts(&self) -> PromptParts {
+        PromptParts::of_prompt(self.parts.iter().map(|part| part.id))
     }
 }
 
@@ -73,5 +73,5 @@
     /// Time after which the caller has no use for an answer.
     pub deadline: EpochMillis,
     /// Parts of its prompt that other calls may share.
-    pub parts: SharedParts,
+    pub parts: PromptParts,
 }
--- a/crates/celerylead/src/relay/tests.rs
+++ b/crates/celerylead/src/relay/tests.rs
@@ -9,7 +9,7 @@
     clock::EpochMillis,
     membership::RunnerLoad,
     model::ModelName,
-    quarantine::SharedParts,
+    quarantine::PromptParts,
     request::RequestId,
     roster::{HeldModel, RunnerFacts, RunnerStart},
 };
@@ -79,7 +79,7 @@
         tried: Vec::new(),
         sent: false,
         deadline: EpochMillis(110_000),
-        parts: SharedParts::default(),
+        parts: PromptParts::default(),
     }
 }
 
--- a/crates/celerylead/src/tasks/node/call.rs
+++ b/crates/celerylead/src/tasks/node/call.rs
@@ -14,7 +14,7 @@
     catalog::{BilledCustomer, CallRoute, ServiceCatalog},
     metrics::HostMetrics,
     port::EdgeCodec,
-    quarantine::SharedParts,
+    quarantine::PromptParts,
     relay::{CallHead, LoadBasis},
     request::{Refusal, RefusalCode, RequestId},
     tasks::request_body,
@@ -39,7 +39,7 @@
     /// Load figures on which the choice of the runner was based.
     pub(super) basis: LoadBasis,
     /// Parts of the prompt that other calls may share.
-    pub(super) parts: SharedParts,
+    pub(super) parts: PromptParts,
     pub(super) started: Instant,
     pub(super) first_byte_at: Option<Instant>,
     /// Frames of the answer's body that were passed on.
--- a/crates/celerylead/src/tasks/node/quarantine.rs
+++ b/crates/celerylead/src/tasks/node/quarantine.rs
@@ -13,8 +13,8 @@
     membership,
     metrics::HostMetrics,
     quarantine::{
-        EvidenceReport, LedgerEvent, PartAdmission, PartId, RunnerSign,
-        SharedParts, SuspectLedger, VerdictRow,
+        EvidenceReport, LedgerEvent, PartAdmission, PartId, PromptParts,
+        RunnerSign, SuspectLedger, VerdictRow,
     },
     request::{Refusal, RefusalCode},
     roster::RunnerStart,
@@ -138,7 +138,7 @@
     /// Notes an answer that goes on.
     pub(super) fn note_sound(
         &mut self,
-        parts: &SharedParts,
+        parts: &PromptParts,
         now: EpochMillis,
     ) {
         let events = self.ledger.record_sound(parts, now);
--- a/crates/celerylead/src/tasks/node/router_port.rs
+++ b/crates/celerylead/src/tasks/node/router_port.rs
@@ -14,7 +14,7 @@
     model::ModelName,
     placement::ModelDemand,
     port::HttpLink,
-    quarantine::{EvidenceReport, PartId, SharedParts, VerdictRow},
+    quarantine::{EvidenceReport, PartId, PromptParts, VerdictRow},
     relay::{CallEnd, CallRequirements, RelayChoice, RunnerNotice},
     request::{Refusal, RefusalCode},
     roster::RunnerStart,
@@ -37,7 +37,7 @@
     StreamPace { runner: String, model: String, pace_us: u64 },
     /// An answer has gone on for so long that these parts of its prompt can't
     /// crash a runner.
-    SoundAnswer(SharedParts),
+    SoundAnswer(PromptParts),
     /// Evidence of another host, received at `at`.
     Evidence { report: Box<EvidenceReport>, at: EpochMillis },
     /// Request for the verdicts on parts of prompts.
--- a/crates/celerylead/src/tasks/node/tests.rs
+++ b/crates/celerylead/src/tasks/node/tests.rs
@@ -14,7 +14,7 @@
     clock::HostClock,
     membership::{HostDigest, RunnerLoad},
     metrics::HostMetrics,
-    quarantine::SharedParts,
+    quarantine::PromptParts,
     relay::CallRequirements,
     request::RequestId,
     roster::RunnerFacts,
@@ -115,7 +115,7 @@
             tried: Vec::new(),
             sent: false,
             deadline: now.after(timeout),
-            parts: SharedParts::default(),
+            parts: PromptParts::default(),
         };
         let began = Instant::now();
         assert!(self.port.route(&requirements, None, now).await.is_ok());
--- a/crates/celerylead/src/tasks/node/trace.rs
+++ b/crates/celerylead/src/tasks/node/trace.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     clock::EpochMillis,
-    quarantine::{CrashWitness, SharedParts},
+    quarantine::{CrashWitness, PromptParts},
     relay::CallEnd,
 };
 
@@ -17,7 +17,7 @@
 /// The course of a call at a runner.
 #[derive(Debug, Default)]
 pub(super) struct CallTrace {
-    pub(super) parts: SharedParts,
+    pub(super) parts: PromptParts,
     /// Time at which the call was written.
     pub(super) sent_at: Option<Instant>,
     /// Whether the head of the answer arrived.
@@ -43,7 +43,7 @@
 
 impl CallTrace {
     /// Begins the trace of a call with these parts in its prompt.
-    pub(super) fn of(parts: &SharedParts) -> CallTrace {
+    pub(super) fn of(parts: &PromptParts) -> CallTrace {
         CallTrace { parts: parts.clone(), ..CallTrace::default() }
     }
 
