Let an operator's lift settle crashes that are told after it

`quarantine::an_operator_sees_a_verdict_and_lifts_it_at_all_hosts` failed now and then: ten seconds after a lift, calls were still rejected.

Cause: hosts repeat a crash to each other for a second. A report that came after the lift put the settled crashes back, without the part that explained them, so that the first part of the prompts was rejected in its place, which all calls share. Shown by a table of cases: [7], a part that was merely there, was rejected.

Ruled out: verdicts of other hosts (an older one isn't adopted after a clearance).

Change: a clearance keeps the time up to which an operator has settled crashes, which a sound answer later doesn't overwrite and hosts tell each other; a witness of a crash up to then is ignored, whenever it is told.

--- a/crates/celerylead/src/quarantine/exchange.rs
+++ b/crates/celerylead/src/quarantine/exchange.rs
@@ -9,12 +9,13 @@
 use super::{
     crash::CrashWitness,
     ledger::{
-        HeldVerdict, LedgerEvent, MAX_VERDICTS, REPEAT_TIME, SuspectLedger,
+        Clearance, HeldVerdict, LedgerEvent, MAX_VERDICTS, REPEAT_TIME,
+        SuspectLedger,
     },
     part::PartId,
     report::{
-        ClearanceRow, CrashRow, EvidenceReport, SignRow, VerdictRow,
-        WitnessRow,
+        ClearanceBasis, ClearanceRow, CrashRow, EvidenceReport, SignRow,
+        VerdictRow, WitnessRow,
     },
     signs::RunnerSign,
     verdict::{MAX_TERM, PartVerdict, VerdictState},
@@ -192,11 +193,7 @@
         let cleared = self.cleared.iter();
         let cleared = cleared.filter(|(_, held)| repeated(held.repeat_until));
         let cleared = cleared
-            .map(|(part, held)| ClearanceRow {
-                part: *part,
-                ago_ms: ago(held.at),
-                basis: held.basis,
-            })
+            .flat_map(|(part, held)| clearance_rows(*part, held, now))
             .take(MAX_ROWS)
             .collect();
         let signs = self.news.signs(now);
@@ -256,6 +253,24 @@
     }
 }
 
+/// Describes a clearance at `now`, and an operator's that came before it.
+fn clearance_rows(
+    part: PartId,
+    held: &Clearance,
+    now: EpochMillis,
+) -> impl Iterator<Item = ClearanceRow> {
+    let lifted = (held.settled_until, ClearanceBasis::Operator);
+    let is_lifted = held.settled_until != EpochMillis::default();
+    let rows = is_lifted.then_some(lifted).into_iter();
+    let latest = (held.at, held.basis);
+    let rows = rows.chain((!is_lifted || latest != lifted).then_some(latest));
+    rows.map(move |(at, basis)| ClearanceRow {
+        part,
+        ago_ms: ago_ms(at, now),
+        basis,
+    })
+}
+
 /// Describes a verdict at `now`.
 pub(super) fn verdict_row(
     part: PartId,
--- a/crates/celerylead/src/quarantine/ledger.rs
+++ b/crates/celerylead/src/quarantine/ledger.rs
@@ -27,6 +27,9 @@
 pub(super) const MAX_VERDICTS: usize = 64;
 /// Most suspected and most cleared parts; the oldest are forgotten first.
 const MAX_SUSPECTS: usize = 512;
+/// Difference that transfer may cause between the times of two events, as hosts
+/// tell each other how long ago these were.
+const TRANSFER_TOLERANCE: Duration = Duration::from_millis(50);
 /// Time for which a clearance is remembered.
 const CLEARANCE_MEMORY: Duration = Duration::from_secs(600);
 /// Time for which a call that ended with its runner is weighed again: until the
@@ -76,6 +79,9 @@
 pub(super) struct Clearance {
     pub(super) at: EpochMillis,
     pub(super) basis: ClearanceBasis,
+    /// Time up to which an operator has settled the crashes that ended a call
+    /// with the part; the epoch without an operator.
+    pub(super) settled_until: EpochMillis,
     /// Not after the epoch for what another host saw.
     pub(super) repeat_until: EpochMillis,
 }
@@ -285,7 +291,7 @@
         now: EpochMillis,
     ) {
         let (ended_at, repeat_until) = ended;
-        if witness.parts.is_empty() {
+        if witness.parts.is_empty() || self.is_settled(witness, ended_at) {
             return;
         }
         if let Some(answered) = self.signs.last(start, RunnerSign::Answered)
@@ -452,8 +458,15 @@
         if basis == ClearanceBasis::Operator {
             self.crashes.settle(part, at);
         }
-        let held =
-            self.cleared.entry(part, || Clearance { at, basis, repeat_until });
+        let held = self.cleared.entry(part, || Clearance {
+            at,
+            basis,
+            settled_until: EpochMillis::default(),
+            repeat_until,
+        });
+        if basis == ClearanceBasis::Operator {
+            held.settled_until = held.settled_until.max(at);
+        }
         if held.at <= at {
             held.at = at;
             held.basis = basis;
@@ -475,6 +488,22 @@
         None
     }
 
+    /// Returns whether an operator has settled the crash that ended a call, as
+    /// it is told only now.
+    fn is_settled(
+        &self,
+        witness: &CrashWitness,
+        ended_at: EpochMillis,
+    ) -> bool {
+        witness.parts.iter().any(|part| {
+            let held = self.cleared.get(&part);
+            held.is_some_and(|held| {
+                ended_at <= held.settled_until.after(TRANSFER_TOLERANCE)
+                    && held.settled_until != EpochMillis::default()
+            })
+        })
+    }
+
     fn cleared_at(&self, part: PartId) -> Option<EpochMillis> {
         self.cleared.get(&part).map(|held| held.at)
     }
--- a/crates/celerylead/src/quarantine/tests.rs
+++ b/crates/celerylead/src/quarantine/tests.rs
@@ -617,20 +617,45 @@
 }
 
 /// Guards against a lifted verdict whose evidence falls on a part that was
-/// merely there.
+/// merely there, also where other hosts tell it only after the lift.
 #[test]
 fn a_lifted_verdict_settles_its_crashes() {
     struct Case {
         name: &'static str,
         /// Whether the host learns of the lift from another one.
         reported: bool,
+        /// Whether an answer on the part goes on right after the lift.
+        sound: bool,
+        /// Whether a third host tells the crashes after that.
+        told_late: bool,
     }
+    let case =
+        Case { name: "", reported: false, sound: false, told_late: false };
     let cases = [
-        Case { name: "at the host itself", reported: false },
-        Case { name: "at another host", reported: true },
+        Case { name: "at the host itself", ..case },
+        Case { name: "at another host", reported: true, ..case },
+        Case { name: "crashes told late", told_late: true, ..case },
+        Case {
+            name: "at another host, crashes told late",
+            reported: true,
+            told_late: true,
+            ..case
+        },
+        Case {
+            name: "crashes told after a sound answer",
+            sound: true,
+            told_late: true,
+            ..case
+        },
+        Case {
+            name: "at another host, after a sound answer there",
+            reported: true,
+            sound: true,
+            told_late: true,
+        },
     ];
-    for Case { name, reported } in cases {
-        let mut ledgers = [ledger(), ledger()];
+    for Case { name, reported, sound, told_late } in cases {
+        let mut ledgers = [ledger(), ledger(), ledger()];
         for ledger in &mut ledgers {
             for number in 1..=4 {
                 let times = [number * 100, number * 100 + 50];
@@ -638,14 +663,27 @@
             }
             assert_eq!(rejected(ledger, 500), [DEADLY], "{name}");
         }
-        let [ledger, other] = &mut ledgers;
+        let [ledger, other, third] = &mut ledgers;
         let now = EpochMillis(600);
+        let lifting = if reported { &mut *other } else { &mut *ledger };
+        lifting.lift(PartId(DEADLY), now);
+        if sound {
+            let parts = parts_of_call(&[7, DEADLY], 620);
+            lifting.record_sound(&parts, EpochMillis(650));
+        }
         if reported {
-            other.lift(PartId(DEADLY), now);
-            let (report, _) = other.report(2, now);
+            let now = EpochMillis(660);
+            let (report, _) = other.report(3, now);
+            ledger.merge(&report, now);
+        }
+        if told_late {
+            let now = EpochMillis(680);
+            let (report, _) = third.report(3, now);
+            assert!(
+                !report.crashes.is_empty(),
+                "{name}: the crashes are told"
+            );
             ledger.merge(&report, now);
-        } else {
-            ledger.lift(PartId(DEADLY), now);
         }
         Step::Crash(5, &[7, DEADLY], [700, 750]).apply(ledger);
         Step::Crash(6, &[7], [800, 850]).apply(ledger);
