Give back a runner whose caller left before it took notice

Cause: the router counted a call at its runner and answered the caller's task; the guard that gives the place back was made by that task on receipt. A caller that left in between, so that the answer was delivered and never received, left its call counted at the runner for good, and told to all other hosts with each digest.

Ruled out: the case in which the answer can't be delivered, which was handled.

Change: the router makes the guard, with the room for the report of the call's end that the caller has reserved, and sends the guard itself; wherever it is dropped, the call ends. The special case is gone.

Test: `callers_that_leave_at_any_step_free_their_runner` (10,000 callers that leave after 0 to 4 steps of the router). Red before: the runner counts as full and no call is routed any more.

--- a/crates/celerylead/src/tasks/node/router.rs
+++ b/crates/celerylead/src/tasks/node/router.rs
@@ -16,7 +16,7 @@
     links::IdleLinks,
     quarantine::QuarantineDesk,
     router_port::{
-        CompletedCall, QueuedCall, RoutedCall, RouterEvent, RouterInbox,
+        CompletedCall, QueuedCall, RelaySlot, RouterEvent, RouterInbox,
         RouterReport,
     },
 };
@@ -391,26 +391,19 @@
                 if let Some(part) = probed {
                     self.quarantine.begin_probe(part, now);
                 }
-                self.assign(call, choice, now);
+                self.assign(call, choice);
             }
             Err(fault) => self.enqueue(call, fault, now),
         }
     }
 
-    /// Answers a call with the runner chosen for it.
-    fn assign(
-        &mut self,
-        call: QueuedCall,
-        choice: RelayChoice,
-        now: EpochMillis,
-    ) {
+    /// Answers a call with the runner chosen for it. If its caller has left, the
+    /// guard ends the call wherever it is dropped.
+    fn assign(&mut self, call: QueuedCall, choice: RelayChoice) {
         let link = self.links.take(&choice.runner);
-        let routed = RoutedCall { choice, link };
-        if let Err(Ok(undelivered)) = call.reply.send(Ok(routed)) {
-            // The caller disconnected while its call waited.
-            let choice = &undelivered.choice;
-            self.table.end_call(choice, false, CallEnd::Neutral, now);
-        }
+        let parts = &call.requirements.parts;
+        let slot = RelaySlot::new(choice, link, call.seat, parts);
+        let _ = call.reply.send(Ok(slot));
     }
 
     /// Lets a call wait for a runner, or refuses the call if it has waited as
--- a/crates/celerylead/src/tasks/node/router_port.rs
+++ b/crates/celerylead/src/tasks/node/router_port.rs
@@ -88,13 +88,16 @@
     /// Customer and cost of the charge that a refusal gives back.
     pub(super) refundable: Option<(String, u64)>,
     pub(super) wait_until: EpochMillis,
-    pub(super) reply: oneshot::Sender<Result<RoutedCall, Refusal>>,
+    pub(super) reply: oneshot::Sender<Result<RelaySlot, Refusal>>,
+    /// Room for the report of the call's end.
+    pub(super) seat: SlotSeat,
 }
 
-/// The chosen runner, with an idle connection to it if there is one.
-pub(super) struct RoutedCall {
-    pub(super) choice: RelayChoice,
-    pub(super) link: Option<HttpLink>,
+/// Room in the router's mailbox for the report of a call's end, reserved before
+/// the call gets a runner, so that its end never waits.
+pub(super) struct SlotSeat {
+    sender: mpsc::Sender<RouterEvent>,
+    permit: mpsc::OwnedPermit<CompletedCall>,
 }
 
 /// How a routed call ended. `link` is its connection with the time until which
@@ -126,6 +129,24 @@
 }
 
 impl RelaySlot {
+    /// Creates the guard of a call that was counted at the chosen runner. `link`
+    /// is an idle connection to it, if there is one.
+    pub(super) fn new(
+        choice: RelayChoice,
+        link: Option<HttpLink>,
+        seat: SlotSeat,
+        parts: &PromptParts,
+    ) -> RelaySlot {
+        RelaySlot {
+            choice,
+            link,
+            sender: seat.sender,
+            head_reported: false,
+            trace: CallTrace::of(parts),
+            permit: Some(seat.permit),
+        }
+    }
+
     /// Reports that the head of the answer has been received. If the mailbox
     /// of the router is full, the end of the call reports it, unless the head
     /// carries a notice, which can't wait for that.
@@ -212,10 +233,9 @@
         refundable: Option<(String, u64)>,
         now: EpochMillis,
     ) -> Result<RelaySlot, Refusal> {
-        // Mailbox capacity for the end is reserved first, so that the end of
-        // a call never waits.
         let permit = self.completion_sender.clone().reserve_owned().await;
         let permit = permit.map_err(|_| shutting_down())?;
+        let seat = SlotSeat { sender: self.sender.clone(), permit };
         let left = now.until(requirements.deadline).mul_f64(QUEUE_WAIT_SHARE);
         let event = |reply| {
             RouterEvent::Route(QueuedCall {
@@ -223,16 +243,11 @@
                 refundable,
                 wait_until: now.after(left.min(MAX_QUEUE_WAIT)),
                 reply,
+                seat,
             })
         };
         let routed = crate::tasks::ask(&self.sender, event).await;
-        let RoutedCall { choice, link } =
-            routed.ok_or_else(shutting_down)??;
-        let sender = self.sender.clone();
-        let permit = Some(permit);
-        let head_reported = false;
-        let trace = CallTrace::of(&requirements.parts);
-        Ok(RelaySlot { choice, link, sender, head_reported, trace, permit })
+        routed.ok_or_else(shutting_down)?
     }
 }
 
--- a/crates/celerylead/src/tasks/node/tests.rs
+++ b/crates/celerylead/src/tasks/node/tests.rs
@@ -1,6 +1,11 @@
 //! Tests of the router through its messages only.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    future::{Future as _, poll_fn},
+    sync::Arc,
+    task::Poll,
+    time::Duration,
+};
 
 use tokio::{sync::watch, time::Instant};
 
@@ -103,10 +108,10 @@
         self.port.sender.send(event).await.unwrap();
     }
 
-    /// Routes a call with this timeout; returns how long the routing took.
-    async fn route(&self, timeout: Duration) -> Duration {
+    /// Returns the requirements of a call with this timeout.
+    fn requirements(&self, timeout: Duration) -> CallRequirements {
         let now = self.clock.now();
-        let requirements = CallRequirements {
+        CallRequirements {
             id: RequestId::from_caller("r-1"),
             service: "ledger".to_owned(),
             model: None,
@@ -116,7 +121,13 @@
             sent: false,
             deadline: now.after(timeout),
             parts: PromptParts::default(),
-        };
+        }
+    }
+
+    /// Routes a call with this timeout; returns how long the routing took.
+    async fn route(&self, timeout: Duration) -> Duration {
+        let now = self.clock.now();
+        let requirements = self.requirements(timeout);
         let began = Instant::now();
         assert!(self.port.route(&requirements, None, now).await.is_ok());
         began.elapsed()
@@ -142,3 +153,30 @@
     let (took, ()) = tokio::join!(router.route(CALL_TIMEOUT), freed);
     assert!(FREED_AFTER <= took && took < FREED_AFTER * 5, "{took:?}");
 }
+
+/// Guards against calls that count at a runner for good, as their callers left
+/// after a runner was chosen and before they took notice.
+#[tokio::test]
+async fn callers_that_leave_at_any_step_free_their_runner() {
+    const CALLERS: usize = 10_000;
+    /// Most steps of the router that a caller waits for.
+    const STEPS: usize = 5;
+    let router = TestRouter::start().await;
+    for number in 0..CALLERS {
+        let requirements = router.requirements(Duration::from_secs(60));
+        let now = router.clock.now();
+        let mut call = Box::pin(router.port.route(&requirements, None, now));
+        // Sends the call to the router.
+        poll_fn(|context| {
+            let _ = call.as_mut().poll(context);
+            Poll::Ready(())
+        })
+        .await;
+        for _ in 0..number % STEPS {
+            tokio::task::yield_now().await;
+        }
+        drop(call);
+    }
+    let took = router.route(Duration::from_secs(5)).await;
+    assert!(took < Duration::from_millis(100), "{took:?}");
+}
