Announce a free lease only when no order of its holder is under way

Cause: what the lease protects was given back before its effects were over.

Change: a holder that stops waits for the answers to the orders that it has sent. If one of them went unanswered, it gives up its permit without telling the others, who take the lease after its term, the margin and the window of turns, 5.5 s after its last renewal. With all orders answered nothing changes.

--- a/crates/celerylead/src/placement/table.rs
+++ b/crates/celerylead/src/placement/table.rs
@@ -127,6 +127,18 @@
         }
     }
 
+    /// Returns whether an order was sent whose answer may still come.
+    pub fn awaits_answers(&self) -> bool {
+        let mut pending = self.pending.values();
+        pending.any(|managed| managed.state.effective_at.is_none())
+    }
+
+    /// Returns whether an order may still arrive at its runner, as it went
+    /// unanswered.
+    pub fn has_unanswered(&self) -> bool {
+        !self.unanswered.is_empty()
+    }
+
     /// Returns the runners that take an order now.
     pub fn idle(&self) -> impl Iterator<Item = &ManagedRunner<Idle>> {
         self.idle.values()
--- a/crates/celerylead/src/tasks/node/placer.rs
+++ b/crates/celerylead/src/tasks/node/placer.rs
@@ -236,7 +236,8 @@
         let leaving = *self.setup.phase.borrow() != NodePhase::Serving;
         let fencing = self.lease.fencing(now).filter(|_| !leaving);
         let Some(fencing) = fencing else {
-            if std::mem::take(&mut self.holds_lease) {
+            if self.holds_lease && !self.runners.awaits_answers() {
+                self.holds_lease = false;
                 self.release_lease().await;
             }
             return;
@@ -310,8 +311,9 @@
         Some(previous.open_loads)
     }
 
-    /// Gives up the lease and announces this to the other hosts, which then
-    /// don't have to wait until the lease expires.
+    /// Gives up the lease, and announces this to the other hosts, which then
+    /// don't have to wait until the lease expires. An order that went unanswered
+    /// may still reach its runner, so that the lease isn't announced as free.
     async fn release_lease(&mut self) {
         let Some(fencing) = self.lease.relinquish() else { return };
         let now = self.setup.clock.now();
@@ -321,7 +323,11 @@
             fencing,
             leaving,
             renewal_ms = self.lease.renewal_age(now).as_millis() as u64,
+            announced = !self.runners.has_unanswered(),
         );
+        if self.runners.has_unanswered() {
+            return;
+        }
         let message = HostMessage::Released { fencing };
         self.setup.gossip.broadcast(message).await;
     }
--- a/crates/celerylead/src/tasks/node/router.rs
+++ b/crates/celerylead/src/tasks/node/router.rs
@@ -29,8 +29,8 @@
     model::ModelName,
     placement::DemandMeter,
     relay::{
-        CallEnd, CallRequirements, LoadBasis, PickFault, RelayChoice,
-        RelayTable, RunnerNotice,
+        CallRequirements, LoadBasis, PickFault, RelayChoice, RelayTable,
+        RunnerNotice,
     },
     request::{Refusal, RefusalCode, RetryWindow},
     roster::RunnerStart,
