Split the orders, the known hosts and the digests off their tasks

Moved as they were, into `ordering`, `known_hosts` and `router_digests`; the constants go with their users.

Ruled out: smaller public surfaces by new types, which the next change of these tasks would have to undo.

--- a/crates/celerylead/src/tasks/node/gossip.rs
+++ b/crates/celerylead/src/tasks/node/gossip.rs
@@ -7,7 +7,7 @@
 //! the router and the placer. The other hosts are those in the hosts' table;
 //! each host writes its own row there when the row is missing.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc};
 
 use tokio::{
     net::UdpSocket,
@@ -25,7 +25,7 @@
     clock::HostClock,
     membership::{
         FeedExcerpt, GOSSIP_TICK, GossipTick, HostCapacity, HostDigest,
-        HostMessage, HostRow, PeerContact, RegistryContact, is_zone_reader,
+        HostMessage, HostRow, PeerContact, RegistryContact,
     },
     metrics::HostMetrics,
     model::ModelName,
@@ -38,16 +38,6 @@
     sorted::SortedTable,
 };
 
-/// Time between two early reads for the same host that sends digests and has
-/// no row yet.
-const UNKNOWN_HOST_READ_PERIOD: Duration = Duration::from_millis(2_000);
-/// Most hosts without a row that are remembered.
-const MAX_UNKNOWN_HOSTS: usize = 64;
-/// Silence after which the row of a host is removed, by a host that receives
-/// digests from at least one other host.
-const ROW_REMOVAL_SILENCE: Duration = Duration::from_millis(30_000);
-/// Time without a digest from which a host counts as silent.
-const LIVENESS_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Largest datagram that is received; digests are a few hundred bytes.
 const MAX_DATAGRAM_BYTES: usize = 16 << 10;
 
@@ -80,7 +70,7 @@
     pub(super) address: SocketAddr,
     pub(super) capacity: Option<HostCapacity>,
     /// Version of the host's row.
-    version: u64,
+    pub(super) version: u64,
     /// Time at which the host's last digest arrived, or at which the host was
     /// first listed.
     pub(super) last_digest_at: Instant,
@@ -105,9 +95,9 @@
     pub(super) demand: ModelDemand,
     /// Hosts that sent a digest and aren't in the table, with the time from
     /// which the table may be read for them again.
-    unknown_hosts: SortedTable<String, Instant>,
+    pub(super) unknown_hosts: SortedTable<String, Instant>,
     /// Triggers a read of the table before its time.
-    early_read: Arc<Notify>,
+    pub(super) early_read: Arc<Notify>,
 }
 
 /// Starts the task.
@@ -353,38 +343,6 @@
         self.send(&HostMessage::Digest(with_demand), &demand_recipients).await;
     }
 
-    /// Determines whether this host reads the registry for its zone.
-    fn choose_reader(&self) {
-        let row = &self.setup.row;
-        let neighbours = self.live_hosts();
-        let neighbours = neighbours.filter(|(_, host)| host.zone == row.zone);
-        let neighbours = neighbours.map(|(name, _)| name);
-        // An aggregator's link carries the excerpts to a large zone.
-        let chosen = if self.aggregates() {
-            self.aggregation.is_publishing()
-        } else {
-            is_zone_reader(&row.host, neighbours)
-        };
-        self.setup.is_reader.send_if_modified(|is_reader| {
-            let changed = *is_reader != chosen;
-            if changed {
-                tracing::info!(event = "zone_reader", chosen);
-            }
-            *is_reader = chosen;
-            changed
-        });
-    }
-
-    /// Iterates over the other hosts that aren't silent.
-    pub(super) fn live_hosts(
-        &self,
-    ) -> impl Iterator<Item = (&str, &KnownHost)> {
-        let hosts = self.hosts.iter().filter(|(_, host)| {
-            host.last_digest_at.elapsed() < LIVENESS_TIMEOUT
-        });
-        hosts.map(|(name, host)| (name.as_str(), host))
-    }
-
     pub(super) async fn send(
         &self,
         message: &HostMessage,
@@ -504,104 +462,6 @@
             HostMessage::Forward(_) => {}
         }
     }
-
-    /// Triggers a read of the table for a host that isn't listed: a new host
-    /// receives no messages until the others know its address.
-    pub(super) fn note_unknown_host(&mut self, host: &str) {
-        let now = Instant::now();
-        let known = self.unknown_hosts.get(host).copied();
-        let is_new = known.is_none();
-        if known.is_some_and(|read_after| now < read_after)
-            || (is_new && MAX_UNKNOWN_HOSTS <= self.unknown_hosts.len())
-        {
-            return;
-        }
-        tracing::info!(event = "stranger_heard", peer = host);
-        let read_after = now + UNKNOWN_HOST_READ_PERIOD;
-        self.unknown_hosts.insert(host.to_owned(), read_after);
-        self.early_read.notify_one();
-    }
-
-    async fn adopt(&mut self, rows: Vec<(HostRow, u64)>) {
-        for (row, _) in &rows {
-            self.unknown_hosts.remove(&row.host);
-        }
-        let mut hosts = SortedTable::default();
-        for (row, version) in rows {
-            if row.host == self.setup.row.host {
-                continue;
-            }
-            let Ok(address) = row.address.parse() else {
-                tracing::warn!(event = "host_unreadable", peer = row.host);
-                continue;
-            };
-            if self.hosts.get(&row.host).is_none() {
-                tracing::info!(
-                    event = "host_known",
-                    peer = row.host,
-                    peer_zone = row.zone,
-                    peer_address = row.address,
-                );
-                let event = RouterEvent::HostAdded(row.host.clone());
-                let _ = self.router.sender.send(event).await;
-            }
-            let known = self.hosts.get(&row.host);
-            let last_digest_at =
-                known.map_or_else(Instant::now, |host| host.last_digest_at);
-            let (zone, capacity) = (row.zone, row.capacity);
-            let host =
-                KnownHost { zone, address, capacity, version, last_digest_at };
-            hosts.insert(row.host, host);
-        }
-        for host in self.hosts.keys() {
-            if hosts.get(host).is_none() {
-                tracing::info!(event = "host_gone", peer = host.as_str());
-                let event = RouterEvent::HostRemoved(host.clone());
-                let _ = self.router.sender.send(event).await;
-            }
-        }
-        self.hosts = hosts;
-        self.rank_hosts();
-        self.log_liveness();
-        self.remove_silent_hosts();
-    }
-
-    /// Logs for each zone how many hosts are known and how many are silent,
-    /// after each read of the table.
-    fn log_liveness(&self) {
-        let silent = |host: &&KnownHost| {
-            LIVENESS_TIMEOUT <= host.last_digest_at.elapsed()
-        };
-        let mut zone_counts: SortedTable<String, (u32, u32)> =
-            SortedTable::default();
-        for host in self.hosts.values() {
-            let zone = zone_counts.entry(host.zone.clone(), || (0, 0));
-            zone.0 += 1;
-            zone.1 += u32::from(silent(&host));
-        }
-        for (peer_zone, (known, silent)) in zone_counts.iter() {
-            tracing::info!(event = "hosts_heard", peer_zone, known, silent);
-        }
-    }
-
-    /// Removes the rows of hosts that have been silent for
-    /// [`ROW_REMOVAL_SILENCE`]. A removed host that is still alive writes its
-    /// row again. A host that receives no digest from any other host removes
-    /// no row, as it is more likely to be cut off itself.
-    fn remove_silent_hosts(&self) {
-        let silence = |host: &KnownHost| host.last_digest_at.elapsed();
-        let is_alive = |host: &KnownHost| silence(host) < LIVENESS_TIMEOUT;
-        if !self.hosts.values().any(is_alive) {
-            return;
-        }
-        for (name, host) in self.hosts.iter() {
-            if silence(host) < ROW_REMOVAL_SILENCE {
-                continue;
-            }
-            tracing::info!(event = "host_removed", peer = name.as_str());
-            host_rows::remove_row(&self.setup.store, name, host.version);
-        }
-    }
 }
 
 /// Returns the names of models and of their adapters.
--- /dev/null
+++ b/crates/celerylead/src/tasks/node/known_hosts.rs
@@ -0,0 +1,159 @@
+//! The part of the gossip task that knows the other hosts and whether they are
+//! heard.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::{
+    gossip::{GossipTask, KnownHost},
+    host_rows,
+    router_port::RouterEvent,
+};
+use crate::{
+    membership::{HostRow, is_zone_reader},
+    sorted::SortedTable,
+};
+
+/// Time between two early reads for the same host that sends digests and has
+/// no row yet.
+const UNKNOWN_HOST_READ_PERIOD: Duration = Duration::from_millis(2_000);
+/// Most hosts without a row that are remembered.
+const MAX_UNKNOWN_HOSTS: usize = 64;
+/// Silence after which the row of a host is removed, by a host that receives
+/// digests from at least one other host.
+const ROW_REMOVAL_SILENCE: Duration = Duration::from_millis(30_000);
+/// Time without a digest from which a host counts as silent.
+const LIVENESS_TIMEOUT: Duration = Duration::from_millis(2_000);
+
+impl GossipTask {
+    /// Determines whether this host reads the registry for its zone.
+    pub(super) fn choose_reader(&self) {
+        let row = &self.setup.row;
+        let neighbours = self.live_hosts();
+        let neighbours = neighbours.filter(|(_, host)| host.zone == row.zone);
+        let neighbours = neighbours.map(|(name, _)| name);
+        // An aggregator's link carries the excerpts to a large zone.
+        let chosen = if self.aggregates() {
+            self.aggregation.is_publishing()
+        } else {
+            is_zone_reader(&row.host, neighbours)
+        };
+        self.setup.is_reader.send_if_modified(|is_reader| {
+            let changed = *is_reader != chosen;
+            if changed {
+                tracing::info!(event = "zone_reader", chosen);
+            }
+            *is_reader = chosen;
+            changed
+        });
+    }
+
+    /// Iterates over the other hosts that aren't silent.
+    pub(super) fn live_hosts(
+        &self,
+    ) -> impl Iterator<Item = (&str, &KnownHost)> {
+        let hosts = self.hosts.iter().filter(|(_, host)| {
+            host.last_digest_at.elapsed() < LIVENESS_TIMEOUT
+        });
+        hosts.map(|(name, host)| (name.as_str(), host))
+    }
+
+    /// Triggers a read of the table for a host that isn't listed: a new host
+    /// receives no messages until the others know its address.
+    pub(super) fn note_unknown_host(&mut self, host: &str) {
+        let now = Instant::now();
+        let known = self.unknown_hosts.get(host).copied();
+        let is_new = known.is_none();
+        if known.is_some_and(|read_after| now < read_after)
+            || (is_new && MAX_UNKNOWN_HOSTS <= self.unknown_hosts.len())
+        {
+            return;
+        }
+        tracing::info!(event = "stranger_heard", peer = host);
+        let read_after = now + UNKNOWN_HOST_READ_PERIOD;
+        self.unknown_hosts.insert(host.to_owned(), read_after);
+        self.early_read.notify_one();
+    }
+
+    pub(super) async fn adopt(&mut self, rows: Vec<(HostRow, u64)>) {
+        for (row, _) in &rows {
+            self.unknown_hosts.remove(&row.host);
+        }
+        let mut hosts = SortedTable::default();
+        for (row, version) in rows {
+            if row.host == self.setup.row.host {
+                continue;
+            }
+            let Ok(address) = row.address.parse() else {
+                tracing::warn!(event = "host_unreadable", peer = row.host);
+                continue;
+            };
+            if self.hosts.get(&row.host).is_none() {
+                tracing::info!(
+                    event = "host_known",
+                    peer = row.host,
+                    peer_zone = row.zone,
+                    peer_address = row.address,
+                );
+                let event = RouterEvent::HostAdded(row.host.clone());
+                let _ = self.router.sender.send(event).await;
+            }
+            let known = self.hosts.get(&row.host);
+            let last_digest_at =
+                known.map_or_else(Instant::now, |host| host.last_digest_at);
+            let (zone, capacity) = (row.zone, row.capacity);
+            let host =
+                KnownHost { zone, address, capacity, version, last_digest_at };
+            hosts.insert(row.host, host);
+        }
+        for host in self.hosts.keys() {
+            if hosts.get(host).is_none() {
+                tracing::info!(event = "host_gone", peer = host.as_str());
+                let event = RouterEvent::HostRemoved(host.clone());
+                let _ = self.router.sender.send(event).await;
+            }
+        }
+        self.hosts = hosts;
+        self.rank_hosts();
+        self.log_liveness();
+        self.remove_silent_hosts();
+    }
+
+    /// Logs for each zone how many hosts are known and how many are silent,
+    /// after each read of the table.
+    fn log_liveness(&self) {
+        let silent = |host: &&KnownHost| {
+            LIVENESS_TIMEOUT <= host.last_digest_at.elapsed()
+        };
+        let mut zone_counts: SortedTable<String, (u32, u32)> =
+            SortedTable::default();
+        for host in self.hosts.values() {
+            let zone = zone_counts.entry(host.zone.clone(), || (0, 0));
+            zone.0 += 1;
+            zone.1 += u32::from(silent(&host));
+        }
+        for (peer_zone, (known, silent)) in zone_counts.iter() {
+            tracing::info!(event = "hosts_heard", peer_zone, known, silent);
+        }
+    }
+
+    /// Removes the rows of hosts that have been silent for
+    /// [`ROW_REMOVAL_SILENCE`]. A removed host that is still alive writes its
+    /// row again. A host that receives no digest from any other host removes
+    /// no row, as it is more likely to be cut off itself.
+    fn remove_silent_hosts(&self) {
+        let silence = |host: &KnownHost| host.last_digest_at.elapsed();
+        let is_alive = |host: &KnownHost| silence(host) < LIVENESS_TIMEOUT;
+        if !self.hosts.values().any(is_alive) {
+            return;
+        }
+        for (name, host) in self.hosts.iter() {
+            if silence(host) < ROW_REMOVAL_SILENCE {
+                continue;
+            }
+            tracing::info!(event = "host_removed", peer = name.as_str());
+            host_rows::remove_row(&self.setup.store, name, host.version);
+        }
+    }
+}
--- a/crates/celerylead/src/tasks/node/mod.rs
+++ b/crates/celerylead/src/tasks/node/mod.rs
@@ -23,14 +23,17 @@
 mod gossip;
 mod gossip_port;
 mod host_rows;
+mod known_hosts;
 mod lease;
 mod links;
+mod ordering;
 mod orders;
 mod placement_log;
 mod placer;
 mod quarantine;
 mod registry;
 mod router;
+mod router_digests;
 mod router_port;
 mod run;
 #[cfg(test)]
--- a/crates/celerylead/src/tasks/node/placer.rs
+++ b/crates/celerylead/src/tasks/node/placer.rs
@@ -19,17 +19,15 @@
     gossip_port::{GossipPort, PlacerEvent},
     lease::{LeaseCall, LeaseKeeper},
     orders::{self, LeaseOutcome},
-    placement_log::{self, PlanTurn},
 };
 use crate::{
-    catalog::{EngineSpec, ServiceCatalog, ServiceSpec},
+    catalog::ServiceCatalog,
     clock::{EpochMillis, HostClock},
     membership::{HostMessage, HostRow},
-    model::ModelName,
     placement::{
-        AdapterAction, AdapterPlanner, BroadcastFanout, FleetPlan,
-        LoadLimiter, LoadSource, ModelDemand, OrderAttempt, OrderStep,
-        ReachLog, ResidencyBroadcast, RunnerTable, SendOutcome, UseTable,
+        AdapterPlanner, BroadcastFanout, FleetPlan, LoadLimiter, ModelDemand,
+        OrderAttempt, OrderStep, ReachLog, ResidencyBroadcast, RunnerTable,
+        SendOutcome, UseTable,
     },
     port::{EdgeCodec, EngineReport, PlacementOrder, StorePort},
     roster::RunnerFacts,
@@ -45,8 +43,6 @@
 /// [`TICK_PERIOD`]: in a large fleet many orders end at once, and the host's
 /// lease, callers and answers need the processor too.
 const TICK_PAUSE_FACTOR: u32 = 4;
-/// Ticks between two updates of the plan.
-const TICKS_PER_PLAN: u32 = 8;
 /// Time after the start of a process in which it moves no models: when a
 /// deployment starts, the runners register over some seconds, and a model that
 /// seems to be missing may be at a runner that isn't listed yet.
@@ -54,8 +50,6 @@
 /// Time after taking the lease in which the holder moves no models: it knows no
 /// demand before the other hosts know of it.
 const DEMAND_SETTLE_TIME: Duration = Duration::from_millis(1_000);
-/// Age from which the demand in a host's digest is ignored.
-const MAX_DEMAND_AGE: Duration = Duration::from_millis(2_000);
 
 /// Configuration and handles with which the task is started.
 pub(crate) struct PlacerSetup<C> {
@@ -86,22 +80,22 @@
     Lease(LeaseOutcome),
 }
 
-struct PlacerTask<C> {
-    setup: PlacerSetup<C>,
+pub(super) struct PlacerTask<C> {
+    pub(super) setup: PlacerSetup<C>,
     lease: LeaseKeeper,
     /// Whether this host held the orders lease at its last tick.
     holds_lease: bool,
     /// Time from which the process moves models.
-    settled_at: Instant,
-    runners: RunnerTable,
-    plan: FleetPlan,
-    adapter_planner: AdapterPlanner,
-    uses: UseTable,
-    loads: LoadLimiter,
-    demand: SortedTable<String, (EpochMillis, ModelDemand)>,
-    broadcast: ResidencyBroadcast,
-    reach: ReachLog,
-    tick_count: u32,
+    pub(super) settled_at: Instant,
+    pub(super) runners: RunnerTable,
+    pub(super) plan: FleetPlan,
+    pub(super) adapter_planner: AdapterPlanner,
+    pub(super) uses: UseTable,
+    pub(super) loads: LoadLimiter,
+    pub(super) demand: SortedTable<String, (EpochMillis, ModelDemand)>,
+    pub(super) broadcast: ResidencyBroadcast,
+    pub(super) reach: ReachLog,
+    pub(super) tick_count: u32,
     /// Whether a tick is due once the pause is over.
     tick_due: bool,
     paused_until: Instant,
@@ -415,194 +409,9 @@
         Duration::from_millis(millis)
     }
 
-    /// Issues the orders that are due, each to a runner without an order in
-    /// progress.
-    fn issue_orders(
-        &mut self,
-        catalog: &ServiceCatalog,
-        fencing: u64,
-        now: EpochMillis,
-    ) {
-        let demand = self.total_demand(now);
-        for service in catalog.services() {
-            let Some(engine) = &service.engine else { continue };
-            let settled = self.settled_at <= Instant::now();
-            if settled && self.tick_count.is_multiple_of(TICKS_PER_PLAN) {
-                self.order_models(service, engine, &demand, fencing, now);
-            }
-            self.order_adapters(engine, &demand, fencing, now);
-        }
-    }
-
-    fn order_models(
-        &mut self,
-        service: &ServiceSpec,
-        engine: &EngineSpec,
-        demand: &ModelDemand,
-        fencing: u64,
-        now: EpochMillis,
-    ) {
-        let began = Instant::now();
-        let plan = self.plan.advance(service, &self.runners, demand);
-        let Some(plan) = plan else { return };
-        self.runners.cancel_drains(|runner, model| plan.wants(runner, model));
-        let steps = plan.next_steps(&self.runners);
-        let mut turn = PlanTurn { steps: steps.len(), ..PlanTurn::default() };
-        for step in steps {
-            if step.source == Some(LoadSource::Store)
-                && !self.loads.allows(engine.loads_per_second, now)
-            {
-                turn.held_back += 1;
-                continue;
-            }
-            let name = ModelName { model: step.model, adapter: None };
-            let order = (step.kind, step.source);
-            if self.issue_order(&step.runner, order, &name, fencing, now) {
-                turn.ordered += 1;
-                if step.kind == OrderKind::Load {
-                    self.reach.record_order(&name.model, now);
-                }
-            }
-        }
-        self.log_turn(service, turn, began, demand, now);
-    }
-
-    /// Logs a turn of the plan, and which models in demand have become missing
-    /// or are held again.
-    fn log_turn(
-        &mut self,
-        service: &ServiceSpec,
-        mut turn: PlanTurn,
-        began: Instant,
-        demand: &ModelDemand,
-        now: EpochMillis,
-    ) {
-        let mut held: Vec<String> = self
-            .runners
-            .usable()
-            .filter(|(facts, _)| facts.service == service.name)
-            .flat_map(|(_, models)| models)
-            .map(|model| model.name)
-            .collect();
-        held.sort_unstable();
-        held.dedup();
-        turn.held_models = held.len();
-        let is_held = |model: &str| {
-            held.binary_search_by(|name| name.as_str().cmp(model)).is_ok()
-        };
-        for change in self.reach.update(demand, is_held, now) {
-            placement_log::log_reach(&change, now);
-        }
-        turn.missing_models = self.reach.missing().count();
-        turn.hosts = self.demand.len();
-        let ages = self.demand.values().map(|(at, _)| at.until(now));
-        turn.oldest_demand = ages.max().unwrap_or_default();
-        turn.open_loads = self.loads.open_count();
-        turn.unannounced = self.broadcast.unannounced();
-        placement_log::log_turn(&turn, self.runners.state_counts(), began);
-    }
-
-    fn order_adapters(
-        &mut self,
-        engine: &EngineSpec,
-        demand: &ModelDemand,
-        fencing: u64,
-        now: EpochMillis,
-    ) {
-        loop {
-            let steps = self.adapter_planner.next_steps(
-                &self.runners,
-                engine,
-                demand,
-                &self.uses,
-                now,
-            );
-            if steps.is_empty() {
-                return;
-            }
-            for step in steps {
-                let kind = match step.kind {
-                    AdapterAction::Load => {
-                        self.adapter_planner.record_load(&step.name, now);
-                        OrderKind::Load
-                    }
-                    AdapterAction::Unload => OrderKind::Unload,
-                    AdapterAction::Drain => {
-                        self.runners.drain(
-                            &step.runner,
-                            &step.name,
-                            true,
-                            now,
-                        );
-                        continue;
-                    }
-                };
-                let (runner, name) = (&step.runner, &step.name);
-                let order = (kind, None);
-                if !self.issue_order(runner, order, name, fencing, now) {
-                    return;
-                }
-            }
-        }
-    }
-
-    /// Issues an order if the runner is idle; returns whether the order was
-    /// issued. Before an unload, the model or adapter is drained: the unload
-    /// is issued only once no call uses the model or adapter and a broadcast
-    /// has told the other hosts not to use it.
-    fn issue_order(
-        &mut self,
-        runner: &str,
-        (kind, source): (OrderKind, Option<LoadSource>),
-        name: &ModelName,
-        fencing: u64,
-        now: EpochMillis,
-    ) -> bool {
-        if kind == OrderKind::Unload {
-            let used = self.uses.is_in_use(runner, name, now);
-            let drained = self.runners.drain(runner, name, used, now);
-            if !drained || !self.broadcast.is_announced(runner) {
-                return false;
-            }
-        }
-        let managed =
-            self.runners.idle().find(|managed| managed.facts.id == runner);
-        let Some(managed) = managed else { return false };
-        let order = PlacementOrder {
-            runner: runner.to_owned(),
-            kind,
-            model: name.model.clone(),
-            adapter: name.adapter.clone(),
-            expected: managed.accepted_orders(),
-            holder: self.setup.row.host.clone(),
-            fencing,
-        };
-        let step = self.runners.start_order(&order, source, now);
-        let ordered = step.is_some();
-        if ordered && source == Some(LoadSource::Store) {
-            self.loads.record_order(runner, order.expected, now);
-        }
-        step.into_iter().for_each(|step| self.send(step));
-        ordered
-    }
-
-    /// Returns the total demand of the hosts whose digests are recent.
-    fn total_demand(&mut self, now: EpochMillis) -> ModelDemand {
-        let mut total = ModelDemand::default();
-        self.demand.retain(|_, (received_at, _)| {
-            now <= received_at.after(MAX_DEMAND_AGE)
-        });
-        for (_, demand) in self.demand.values() {
-            for (model, rate) in demand.iter() {
-                *total.entry(model.clone(), || 0) += rate;
-            }
-        }
-        total
-    }
-
     /// Sends the order or report request of a step. The order permit is
     /// checked once more just before the order is written.
-    fn send(&self, step: OrderStep) {
+    pub(super) fn send(&self, step: OrderStep) {
         let codec = self.setup.codec.clone();
         let outcome_sender = self.outcome_sender.clone();
         let clock = self.setup.clock.clone();
--- a/crates/celerylead/src/tasks/node/router.rs
+++ b/crates/celerylead/src/tasks/node/router.rs
@@ -24,7 +24,6 @@
     catalog::ServiceCatalog,
     clock::{EpochMillis, HostClock},
     customer::{FleetBucket, HostLiveness},
-    membership::{FleetDigest, HostDigest, RunnerLoad, SpentTotal},
     metrics::HostMetrics,
     model::ModelName,
     placement::DemandMeter,
@@ -41,10 +40,6 @@
 const RETRY_AFTER: Duration = Duration::from_millis(150);
 /// Share of the platform's retry allowance that the hosts use.
 const RETRY_BUDGET_SHARE: f64 = 0.8;
-/// Delay from a digest that shows freed capacity until the waiting calls are
-/// tried again. Without the delay they would be tried with each of the
-/// hundreds of digests that arrive per second.
-const RETRY_WAITING_DELAY: Duration = Duration::from_millis(20);
 /// Time after which the task wakes up if nothing is due.
 const IDLE_WAKE_INTERVAL: Duration = Duration::from_secs(60);
 /// Half-life of past demand for a model; demand shifts within seconds.
@@ -55,9 +50,6 @@
 /// repeated because one may be lost.
 const ADAPTER_REQUEST_INTERVAL: Duration = Duration::from_millis(150);
 
-/// Name under which the calls of all other hosts are kept; no host has it.
-const OTHER_HOSTS: &str = "";
-
 /// The platform's retry allowance for each service, over all hosts.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) struct RetryAllowance {
@@ -81,20 +73,20 @@
     pub(crate) metrics: HostMetrics,
 }
 
-struct RouterTask {
+pub(super) struct RouterTask {
     setup: RouterSetup,
     catalog: Arc<ServiceCatalog>,
-    table: RelayTable,
-    buckets: SortedTable<String, FleetBucket>,
-    host_liveness: HostLiveness,
+    pub(super) table: RelayTable,
+    pub(super) buckets: SortedTable<String, FleetBucket>,
+    pub(super) host_liveness: HostLiveness,
     budgets: SortedTable<String, RetryWindow>,
     demand: DemandMeter,
     quarantine: QuarantineDesk,
     links: IdleLinks,
-    waiting: Vec<QueuedCall>,
+    pub(super) waiting: Vec<QueuedCall>,
     /// Time at which the waiting calls are tried again, after a digest that
     /// showed freed capacity or at the end of a runner's pause.
-    retry_waiting_at: Option<EpochMillis>,
+    pub(super) retry_waiting_at: Option<EpochMillis>,
     /// Missing adapters that were requested, with the time of the request.
     requested_adapters: SortedTable<ModelName, EpochMillis>,
 }
@@ -534,68 +526,6 @@
         }
         self.retry_waiting();
     }
-
-    /// Applies the digest of another host, received at `at`.
-    fn merge(&mut self, digest: &HostDigest, at: EpochMillis) {
-        self.host_liveness.record_report(&digest.host, at);
-        self.update_peer_loads(&digest.host, &digest.loads, at);
-        for spent in &digest.spent {
-            if let Some(bucket) = self.buckets.get_mut(&spent.customer) {
-                let SpentTotal { total, level, .. } = *spent;
-                let incarnation = digest.incarnation;
-                bucket.record_total(&digest.host, incarnation, total, level);
-            }
-        }
-    }
-
-    /// Applies an aggregator's digest of all other hosts, received at `at`.
-    fn merge_fleet(
-        &mut self,
-        digest: &FleetDigest,
-        absent: &[String],
-        at: EpochMillis,
-    ) {
-        self.host_liveness.record_reports(absent, at);
-        self.update_peer_loads(OTHER_HOSTS, &digest.loads, at);
-        let source = digest.source.incarnation;
-        for SpentTotal { customer, total, level } in &digest.spent {
-            if let Some(bucket) = self.buckets.get_mut(customer) {
-                bucket.record_sum(source, *total, *level, at);
-            }
-        }
-    }
-
-    fn update_peer_loads(
-        &mut self,
-        source: &str,
-        loads: &[RunnerLoad],
-        at: EpochMillis,
-    ) {
-        let load_fell = self.table.update_peer_loads(source, loads, at);
-        if load_fell && !self.waiting.is_empty() {
-            let retry_at = at.after(RETRY_WAITING_DELAY);
-            let next =
-                self.retry_waiting_at.map_or(retry_at, |at| at.min(retry_at));
-            self.retry_waiting_at = Some(next);
-        }
-    }
-
-    /// Returns the load and the spending of this host, for its digest.
-    fn digest(&self) -> HostDigest {
-        HostDigest {
-            loads: self.table.loads(),
-            spent: self
-                .buckets
-                .iter()
-                .map(|(customer, bucket)| SpentTotal {
-                    customer: customer.clone(),
-                    total: bucket.spent(),
-                    level: bucket.known_level(),
-                })
-                .collect(),
-            ..HostDigest::default()
-        }
-    }
 }
 
 fn log_departure(start: &RunnerStart, source: &str) {
