Begin rounds at random only where digests go through an aggregator

Change: a host takes its random phase when it first uses an aggregator. Why the phases cost small fleets so much isn't traced.

--- a/crates/celerylead/src/tasks/node/gossip.rs
+++ b/crates/celerylead/src/tasks/node/gossip.rs
@@ -125,7 +125,7 @@
         hosts: SortedTable::default(),
         lease_holder: None,
         residency_sequence: SequenceTracker::default(),
-        tick_number: rand::random_range(0..1_000),
+        tick_number: 0,
         demand: ModelDemand::default(),
         unknown_hosts: SortedTable::default(),
         early_read,
@@ -139,10 +139,8 @@
         mut inbox: mpsc::Receiver<GossipEvent>,
         mut row_receiver: mpsc::Receiver<Vec<(HostRow, u64)>>,
     ) {
-        // Hosts that start together don't send at the same moments.
-        let phase = GOSSIP_TICK.mul_f64(rand::random());
-        let mut interval =
-            tokio::time::interval_at(Instant::now() + phase, GOSSIP_TICK);
+        let mut interval = tokio::time::interval(GOSSIP_TICK);
+        let mut has_phase = false;
         interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
         loop {
@@ -166,7 +164,17 @@
                         }
                     }
                 }
-                _ = interval.tick() => self.send_digests().await,
+                _ = interval.tick() => {
+                    if !has_phase && self.aggregates() {
+                        // Hosts that start together don't send to their
+                        // aggregator at the same moments.
+                        has_phase = true;
+                        self.tick_number = rand::random_range(0..1_000);
+                        let phase = GOSSIP_TICK.mul_f64(rand::random());
+                        interval.reset_after(phase);
+                    }
+                    self.send_digests().await;
+                }
             }
         }
     }
