Log what each retry was granted from

The logs told which calls were sent again, not what their budget was granted from, so they told none of the hypotheses apart. Each decision has a line now (requests and retries of the process in the window, the slack of the host, the hosts it knows), each granted retry one when it gets a runner, with the time that it waited, and a counter by service and outcome. No decision changes; the budgets move to a file of their own, and a call's message to the router is boxed, as it has grown.

--- a/crates/celerylead/src/metrics.rs
+++ b/crates/celerylead/src/metrics.rs
@@ -25,6 +25,13 @@
     pub(crate) code: String,
 }
 
+/// Labels of the counter of retries.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct RetryLabels {
+    pub(crate) service: String,
+    pub(crate) outcome: &'static str,
+}
+
 /// Labels of the counter of tokens.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct TokenLabels {
@@ -43,6 +50,7 @@
 pub(crate) struct HostMetrics {
     registry: Arc<Registry>,
     pub(crate) answers: Family<AnswerLabels, Counter>,
+    pub(crate) retries: Family<RetryLabels, Counter>,
     pub(crate) tokens: Family<TokenLabels, Counter>,
     pub(crate) waiting: Gauge,
     pub(crate) in_flight: Gauge,
@@ -61,6 +69,7 @@
     fn default() -> Self {
         let mut registry = Registry::with_prefix("celerylead");
         let answers = Family::default();
+        let retries = Family::default();
         let tokens = Family::default();
         let waiting = Gauge::default();
         let in_flight = Gauge::default();
@@ -79,6 +88,11 @@
             "Answers by customer and code; ok is a whole answer",
             answers.clone(),
         );
+        registry.register(
+            "retries",
+            "Further sends of calls by service: granted and denied",
+            retries.clone(),
+        );
         registry.register(
             "tokens",
             "Tokens by customer: reserved, used and refused",
@@ -142,6 +156,7 @@
         HostMetrics {
             registry: Arc::new(registry),
             answers,
+            retries,
             tokens,
             waiting,
             in_flight,
@@ -168,6 +183,13 @@
         self.answers.get_or_create(&labels).inc();
     }
 
+    /// Counts a decision on a further send of a call to a service.
+    pub(crate) fn count_retry(&self, service: &str, outcome: &'static str) {
+        let service = service.to_owned();
+        let labels = RetryLabels { service, outcome };
+        self.retries.get_or_create(&labels).inc();
+    }
+
     /// Records that a read of a table was answered at `at`.
     pub(crate) fn note_reading(&self, table: &'static str, at: EpochMillis) {
         let seconds = i64::try_from(at.0 / 1_000).unwrap_or(i64::MAX);
--- a/crates/celerylead/src/request/allowance.rs
+++ b/crates/celerylead/src/request/allowance.rs
@@ -69,16 +69,21 @@
     /// Counts a retry and returns `true`, if the retries of the window stay
     /// within `share` of its requests plus `slack`.
     pub fn spend(&mut self, share: f64, slack: f64, now: EpochMillis) -> bool {
-        self.slice(now);
-        let requests: u32 =
-            self.slices.iter().map(|slice| slice.requests).sum();
-        let retries: u32 = self.slices.iter().map(|slice| slice.retries).sum();
+        let (requests, retries) = self.counts(now);
         let allowed = f64::from(requests) * share + slack;
         let granted = f64::from(retries) + 1.0 <= allowed;
         self.slice(now).retries += u32::from(granted);
         granted
     }
 
+    /// Returns the requests and the retries in the window.
+    pub fn counts(&mut self, now: EpochMillis) -> (u32, u32) {
+        self.slice(now);
+        let requests = self.slices.iter().map(|slice| slice.requests).sum();
+        let retries = self.slices.iter().map(|slice| slice.retries).sum();
+        (requests, retries)
+    }
+
     /// Returns the slice for `now`, and drops the slices that have left the
     /// window.
     fn slice(&mut self, now: EpochMillis) -> &mut WindowSlice {
--- a/crates/celerylead/src/tasks/node/mod.rs
+++ b/crates/celerylead/src/tasks/node/mod.rs
@@ -32,6 +32,7 @@
 mod placer;
 mod quarantine;
 mod registry;
+mod retries;
 mod router;
 mod router_digests;
 mod router_port;
--- a/crates/celerylead/src/tasks/node/router.rs
+++ b/crates/celerylead/src/tasks/node/router.rs
@@ -15,6 +15,7 @@
     gossip_port::GossipPort,
     links::IdleLinks,
     quarantine::QuarantineDesk,
+    retries::{RetryAllowance, RetryDesk},
     router_port::{
         CompletedCall, QueuedCall, RelaySlot, RouterEvent, RouterInbox,
         RouterReport,
@@ -31,15 +32,13 @@
         CallRequirements, LoadBasis, PickFault, RelayChoice, RelayTable,
         RunnerNotice,
     },
-    request::{Refusal, RefusalCode, RetryWindow},
+    request::{Refusal, RefusalCode},
     roster::RunnerStart,
     sorted::SortedTable,
 };
 
 /// Time after which the caller of a call that got no runner may retry.
 const RETRY_AFTER: Duration = Duration::from_millis(150);
-/// Share of the platform's retry allowance that the hosts use.
-const RETRY_BUDGET_SHARE: f64 = 0.8;
 /// Time after which the task wakes up if nothing is due.
 const IDLE_WAKE_INTERVAL: Duration = Duration::from_secs(60);
 /// Half-life of past demand for a model; demand shifts within seconds.
@@ -50,17 +49,6 @@
 /// repeated because one may be lost.
 const ADAPTER_REQUEST_INTERVAL: Duration = Duration::from_millis(150);
 
-/// The platform's retry allowance for each service, over all hosts.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub(crate) struct RetryAllowance {
-    /// Retries allowed per call.
-    pub(crate) share: f64,
-    /// Retries allowed beyond `share` in the window.
-    pub(crate) slack: f64,
-    /// Window over which calls and retries are counted.
-    pub(crate) window: Duration,
-}
-
 /// Configuration and handles with which the task is started.
 pub(crate) struct RouterSetup {
     pub(crate) host: String,
@@ -79,7 +67,7 @@
     pub(super) table: RelayTable,
     pub(super) buckets: SortedTable<String, FleetBucket>,
     pub(super) host_liveness: HostLiveness,
-    budgets: SortedTable<String, RetryWindow>,
+    retries: RetryDesk,
     demand: DemandMeter,
     quarantine: QuarantineDesk,
     links: IdleLinks,
@@ -98,7 +86,7 @@
         table: RelayTable::new(&setup.zone),
         buckets: SortedTable::default(),
         host_liveness: HostLiveness::default(),
-        budgets: SortedTable::default(),
+        retries: RetryDesk::new(setup.allowance, setup.metrics.clone()),
         demand: DemandMeter::new(DEMAND_HALF_LIFE),
         quarantine: QuarantineDesk::new(
             &setup.host,
@@ -165,7 +153,7 @@
     fn handle(&mut self, event: RouterEvent) {
         let now = self.setup.clock.now();
         match event {
-            RouterEvent::Route(call) => self.admit(call, now),
+            RouterEvent::Route(call) => self.admit(*call, now),
             RouterEvent::AnswerHead { start, notice, sent_at } => {
                 self.table.note_head(&start, now);
                 self.quarantine.note_answer(&start, sent_at, now);
@@ -303,19 +291,15 @@
             self.send_refusal(call, refusal);
             return;
         }
-        let RetryAllowance { share, slack, window } = self.setup.allowance;
-        let share = share * RETRY_BUDGET_SHARE;
-        let slack =
-            slack * RETRY_BUDGET_SHARE / self.host_liveness.count() as f64;
-        let budget =
-            self.budgets.entry(call.requirements.service.clone(), || {
-                RetryWindow::new(window)
-            });
         if call.requirements.tried.is_empty() {
-            budget.record_request(now);
-        } else if call.requirements.sent && !budget.spend(share, slack, now) {
-            self.refuse(call, "the budget of further sends is spent", now);
-            return;
+            self.retries.record_request(&call.requirements.service, now);
+        } else if call.requirements.sent {
+            let hosts = self.host_liveness.count();
+            if !self.retries.grant(&call.requirements, hosts, now) {
+                self.refuse(call, "the budget of further sends is spent", now);
+                return;
+            }
+            call.retry_granted_at = Some(now);
         }
         if let Some((customer, cost)) = call.requirements.charge.take() {
             let bucket = self.buckets.get(&customer);
@@ -383,7 +367,7 @@
                 if let Some(part) = probed {
                     self.quarantine.begin_probe(part, now);
                 }
-                self.assign(call, choice);
+                self.assign(call, choice, now);
             }
             Err(fault) => self.enqueue(call, fault, now),
         }
@@ -391,7 +375,20 @@
 
     /// Answers a call with the runner chosen for it. If its caller has left, the
     /// guard ends the call wherever it is dropped.
-    fn assign(&mut self, call: QueuedCall, choice: RelayChoice) {
+    fn assign(
+        &mut self,
+        call: QueuedCall,
+        choice: RelayChoice,
+        now: EpochMillis,
+    ) {
+        if let Some(at) = call.retry_granted_at {
+            tracing::info!(
+                event = "retry_sent",
+                request_id = call.requirements.id.as_str(),
+                service = call.requirements.service,
+                waited_ms = at.until(now).as_millis() as u64,
+            );
+        }
         let link = self.links.take(&choice.runner);
         let parts = &call.requirements.parts;
         let slot = RelaySlot::new(choice, link, call.seat, parts);
--- a/crates/celerylead/src/tasks/node/router_port.rs
+++ b/crates/celerylead/src/tasks/node/router_port.rs
@@ -29,7 +29,7 @@
 /// Message to the router.
 pub(crate) enum RouterEvent {
     /// Choose a runner for a call.
-    Route(QueuedCall),
+    Route(Box<QueuedCall>),
     /// A runner has sent the head of an answer, with this notice, to a call
     /// that was sent to it at `sent_at`.
     AnswerHead { start: RunnerStart, notice: RunnerNotice, sent_at: Instant },
@@ -88,6 +88,8 @@
     /// Customer and cost of the charge that a refusal gives back.
     pub(super) refundable: Option<(String, u64)>,
     pub(super) wait_until: EpochMillis,
+    /// Time at which a further send of the call was granted.
+    pub(super) retry_granted_at: Option<EpochMillis>,
     pub(super) reply: oneshot::Sender<Result<RelaySlot, Refusal>>,
     /// Room for the report of the call's end.
     pub(super) seat: SlotSeat,
@@ -238,13 +240,14 @@
         let seat = SlotSeat { sender: self.sender.clone(), permit };
         let left = now.until(requirements.deadline).mul_f64(QUEUE_WAIT_SHARE);
         let event = |reply| {
-            RouterEvent::Route(QueuedCall {
+            RouterEvent::Route(Box::new(QueuedCall {
                 requirements: requirements.clone(),
                 refundable,
                 wait_until: now.after(left.min(MAX_QUEUE_WAIT)),
+                retry_granted_at: None,
                 reply,
                 seat,
-            })
+            }))
         };
         let routed = crate::tasks::ask(&self.sender, event).await;
         routed.ok_or_else(shutting_down)?
--- a/crates/celerylead/src/tasks/node/run.rs
+++ b/crates/celerylead/src/tasks/node/run.rs
@@ -16,8 +16,9 @@
     gossip_port,
     placer::{self, PlacerSetup},
     registry::{self, ZoneFeed},
+    retries::RetryAllowance,
     router,
-    router::{RetryAllowance, RouterSetup},
+    router::RouterSetup,
     router_port,
     watcher::{self, WatcherSetup, WatcherViews},
 };
--- a/crates/celerylead/src/tasks/node/tests.rs
+++ b/crates/celerylead/src/tasks/node/tests.rs
@@ -11,7 +11,8 @@
 
 use super::{
     gossip_port,
-    router::{self, RetryAllowance, RouterSetup},
+    retries::RetryAllowance,
+    router::{self, RouterSetup},
     router_port::{self, RouterEvent, RouterPort},
 };
 use crate::{
