--- a/crates/stand-ins/src/raw_runner.rs
+++ b/crates/stand-ins/src/raw_runner.rs
@@ -148,6 +148,8 @@
     deadly_part: Option<&'static str>,
     /// Calls received, run or not.
     calls: Vec<RecordedRequest>,
+    /// Time at which each of `calls` was received.
+    call_times: Vec<Instant>,
     /// Calls that ran.
     runs: Vec<RecordedRequest>,
     /// Calls that crashed the runner, with the times at which they began.
@@ -183,6 +185,7 @@
             extra_headers: "",
             deadly_part: None,
             calls: Vec::new(),
+            call_times: Vec::new(),
             runs: Vec::new(),
             deadly_runs: Vec::new(),
             orders: Vec::new(),
@@ -352,6 +355,12 @@
         self.state.with(|state| state.calls.clone()).await
     }
 
+    /// Returns the times at which the calls of [`calls`](Self::calls) were
+    /// received.
+    pub async fn call_times(&self) -> Vec<Instant> {
+        self.state.with(|state| state.call_times.clone()).await
+    }
+
     /// Returns the calls that the runner ran.
     pub async fn runs(&self) -> Vec<RecordedRequest> {
         self.state.with(|state| state.runs.clone()).await
@@ -459,7 +468,12 @@
             continue;
         }
         let recorded = request.clone();
-        state.with(move |state| state.calls.push(recorded)).await;
+        state
+            .with(move |state| {
+                state.calls.push(recorded);
+                state.call_times.push(Instant::now());
+            })
+            .await;
         if fault == RunnerFault::RepeatedRejection {
             if has_rejected {
                 state.with(move |state| state.runs.push(request)).await;
