Claim retries before a host makes them, so that its next process knows them

Callers saw: a service that fails gets more further sends than the platform allows (BUDGET), when hosts start again meanwhile. Cause: the retry budget was kept in the memory of each process. A host may retry at once what the calls of the past 10 s and its part of the slack allow; its next process knew nothing of that and granted anew. Class: a promise of the whole fleet that each process keeps by its own memory, which a start empties. A process that had not read the list of hosts would also have taken the whole slack; it has none now.

Change: up to two retries are saved from calls, which is safe to forget. What goes beyond is claimed in lots in the host's row of the store, with the counts of the window. The next process continues with those counts and takes what was claimed for made; until it has read its row, or a window has passed, it grants nothing. Weighed and not taken, see docs/PLATFORM.md: no slack after a start (gives retries up), memory of the other hosts (gone if all end).

With the former claims ignored, the unit test fails (364 of 250) and so do three of four cases of the process test (220 of 179, 292 of 134, 246 of 176).

The test of a window moves to the ledger with its cases and bounds.

--- a/crates/celerylead/src/membership/digest.rs
+++ b/crates/celerylead/src/membership/digest.rs
@@ -15,6 +15,7 @@
     model::ModelName,
     placement::{ModelDemand, ResidencyList},
     quarantine::EvidenceReport,
+    request::RetryClaim,
     roster::RunnerStart,
 };
 
@@ -130,6 +131,10 @@
     /// that sends its digest to every other host itself.
     #[serde(default)]
     pub capacity: Option<HostCapacity>,
+    /// Claims of retries by this process and by the host's earlier ones, with
+    /// times of the store's clock.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub retry_claims: Vec<RetryClaim>,
 }
 
 /// What a host may use of its machine.
--- a/crates/celerylead/src/metrics.rs
+++ b/crates/celerylead/src/metrics.rs
@@ -90,7 +90,7 @@
         );
         registry.register(
             "retries",
-            "Further sends of calls by service: granted and denied",
+            "Decisions on further sends of calls by service",
             retries.clone(),
         );
         registry.register(
--- a/crates/celerylead/src/request/mod.rs
+++ b/crates/celerylead/src/request/mod.rs
@@ -13,13 +13,15 @@
 mod life;
 mod queue;
 mod refusal;
+mod retry_claim;
+mod retry_ledger;
 mod route;
 
 #[cfg(test)]
 mod tests;
 
 pub use self::{
-    allowance::RetryWindow,
+    allowance::{RetryWindow, WindowCounts, WindowSlice},
     budget::{RetryBudget, backoff},
     life::{
         Admitted, Answered, Received, RejectionProof, Request, RequestId,
@@ -27,5 +29,10 @@
     },
     queue::FairQueue,
     refusal::{Refusal, RefusalCode, RunOutcome},
+    retry_claim::RetryClaim,
+    retry_ledger::{
+        Granting, RetryAllowance, RetryBasis, RetryDenial, RetryGrant,
+        RetryLedger, Withheld,
+    },
     route::{RouteChoice, RouteQuery, RouteReason, RouteTable, RunResult},
 };
--- a/crates/celerylead/src/request/tests.rs
+++ b/crates/celerylead/src/request/tests.rs
@@ -1,8 +1,8 @@
-use std::time::Duration;
+mod retries;
 
 use super::{
-    FairQueue, Refusal, RefusalCode, Request, RequestId, RetryWindow,
-    RouteQuery, RouteTable, RunOutcome, RunResult, UnsentProof,
+    FairQueue, Refusal, RefusalCode, Request, RequestId, RouteQuery,
+    RouteTable, RunOutcome, RunResult, UnsentProof,
 };
 use crate::{
     clock::EpochMillis,
@@ -215,75 +215,3 @@
         assert_eq!(refusal.status(), status, "{code:?} {outcome:?}");
     }
 }
-
-/// Guards against retries that are refused during a fault although the
-/// requests of the window allow them, and against windows with more retries
-/// than the platform allows.
-#[test]
-fn retries_may_use_the_whole_window_but_no_more() {
-    const WINDOW: Duration = Duration::from_secs(10);
-    const SHARE: f64 = 0.16;
-    const SLACK: f64 = 2.0;
-    struct Case {
-        name: &'static str,
-        /// Requests per second; each request from `from` to `to` seconds asks
-        /// for a retry.
-        per_second: u64,
-        from: u64,
-        to: u64,
-        /// Least number of retries to be granted.
-        granted: usize,
-    }
-    let cases = [
-        // 16 for the 100 requests of 10 seconds, plus the slack of 2.
-        Case {
-            name: "a short burst of retries",
-            per_second: 10,
-            from: 20,
-            to: 22,
-            granted: 18,
-        },
-        Case {
-            name: "few requests",
-            per_second: 1,
-            from: 20,
-            to: 30,
-            granted: 3,
-        },
-        // The allowance of three windows.
-        Case {
-            name: "a long fault",
-            per_second: 10,
-            from: 20,
-            to: 50,
-            granted: 48,
-        },
-        Case {
-            name: "a fault at the start",
-            per_second: 10,
-            from: 0,
-            to: 1,
-            granted: 3,
-        },
-    ];
-    for Case { name, per_second, from, to, granted } in cases {
-        let mut window = RetryWindow::new(WINDOW);
-        let mut spent = Vec::new();
-        for tick in 0..60 * per_second {
-            let at = EpochMillis(tick * 1_000 / per_second);
-            window.record_request(at);
-            let wanted = (from * 1_000..to * 1_000).contains(&at.0);
-            if wanted && window.spend(SHARE, SLACK, at) {
-                spent.push(at);
-            }
-        }
-        assert!(granted <= spent.len(), "{name}: {}", spent.len());
-        // The platform allows a fifth of the requests, plus the slack.
-        let allowed = 0.2 * 10.0 * per_second as f64 + SLACK;
-        for first in &spent {
-            let until = first.after(WINDOW);
-            let within = spent.iter().filter(|at| first <= at && **at < until);
-            assert!(within.count() as f64 <= allowed, "{name}");
-        }
-    }
-}
--- a/crates/celerylead/src/tasks/node/gossip.rs
+++ b/crates/celerylead/src/tasks/node/gossip.rs
@@ -18,7 +18,7 @@
 use super::{
     aggregation::AggregationDesk,
     gossip_port::{GossipEvent, PlacerEvent},
-    host_rows,
+    host_rows::{self, HostsReading},
     router_port::{RouterEvent, RouterPort, RouterReport},
 };
 use crate::{
@@ -34,6 +34,7 @@
         SequenceTracker,
     },
     port::StorePort,
+    request::RetryClaim,
     roster::HeldModel,
     sorted::SortedTable,
 };
@@ -62,6 +63,8 @@
     pub(crate) fanout: watch::Sender<BroadcastFanout>,
     /// Whether this host may take the orders lease.
     pub(crate) may_order: watch::Sender<bool>,
+    /// Claims of retries that this host's row is to hold.
+    pub(crate) claims: watch::Receiver<Vec<RetryClaim>>,
 }
 
 /// Another host, as listed in the hosts' table.
@@ -110,8 +113,12 @@
 ) {
     let (row_sender, row_receiver) = mpsc::channel(1);
     let early_read = Arc::new(Notify::new());
-    let row_maintenance =
-        host_rows::maintain_row(setup.clone(), row_sender, early_read.clone());
+    let row_maintenance = host_rows::maintain_row(
+        setup.clone(),
+        row_sender,
+        early_read.clone(),
+        router.clone(),
+    );
     crate::tasks::spawn(row_maintenance);
     let now = setup.clock.now();
     let min_hosts = setup.aggregation_from;
@@ -137,7 +144,7 @@
     async fn run(
         mut self,
         mut inbox: mpsc::Receiver<GossipEvent>,
-        mut row_receiver: mpsc::Receiver<Vec<(HostRow, u64)>>,
+        mut row_receiver: mpsc::Receiver<HostsReading>,
     ) {
         let mut interval = tokio::time::interval(GOSSIP_TICK);
         let mut has_phase = false;
@@ -155,7 +162,9 @@
                     Some(event) => self.handle(event).await,
                     None => return,
                 },
-                Some(rows) = row_receiver.recv() => self.adopt(rows).await,
+                Some(reading) = row_receiver.recv() => {
+                    self.adopt(reading).await;
+                },
                 received = self.socket.recv_from(&mut buffer) => {
                     match received {
                         Ok((len, _)) => self.receive(&buffer[..len]).await,
--- a/crates/celerylead/src/tasks/node/host_rows.rs
+++ b/crates/celerylead/src/tasks/node/host_rows.rs
@@ -8,10 +8,15 @@
     time::Instant,
 };
 
-use super::gossip::GossipSetup;
+use super::{
+    gossip::GossipSetup,
+    router_port::{RouterEvent, RouterPort},
+};
 use crate::{
+    clock::EpochMillis,
     membership::HostRow,
     port::{RowChange, RowKey, RowPut, StorePort, StoreTable},
+    request::RetryClaim,
 };
 
 /// Time between two reads of the hosts' table while nothing requires an
@@ -25,16 +30,52 @@
 /// that isn't in the table. Also the shortest time between two reads.
 const RETRY_PERIOD: Duration = Duration::from_millis(700);
 
+/// What a read of the hosts' table has shown.
+pub(super) struct HostsReading {
+    /// Rows with their versions.
+    pub(super) rows: Vec<(HostRow, u64)>,
+    /// Claims of retries by earlier processes of this host, in the first
+    /// reading.
+    pub(super) former_claims: Option<Vec<RetryClaim>>,
+}
+
+/// The task that keeps this host's row.
+struct RowKeeper {
+    setup: GossipSetup,
+    /// The row as this process writes it.
+    row: HostRow,
+    /// Version of the row in the table; 0 if there is none.
+    version: u64,
+    /// Whether the table holds the row as this process writes it.
+    in_place: bool,
+    /// Whether the claims of earlier processes have been read.
+    has_read: bool,
+    /// A time of the store's clock, and a time of the host's clock that isn't
+    /// after it.
+    store_time: (EpochMillis, EpochMillis),
+}
+
 /// Reads the hosts' table every [`READ_PERIOD`], or earlier on request, and
-/// writes this host's row if it is missing or was written by another process.
+/// writes this host's row if it is missing or was written by another process,
+/// or when the router claims retries.
 pub(super) async fn maintain_row(
     setup: GossipSetup,
-    row_sender: mpsc::Sender<Vec<(HostRow, u64)>>,
+    row_sender: mpsc::Sender<HostsReading>,
     early_read: Arc<Notify>,
+    router: RouterPort,
 ) {
+    let mut claims = setup.claims.clone();
+    let mut keeper = RowKeeper {
+        row: setup.row.clone(),
+        version: 0,
+        in_place: false,
+        has_read: false,
+        store_time: (EpochMillis::default(), EpochMillis::default()),
+        setup,
+    };
     loop {
-        let due = match sync_rows(&setup, &row_sender).await {
-            Ok(true) if *setup.may_order.borrow() => READ_PERIOD,
+        let due = match keeper.sync(&row_sender).await {
+            Ok(true) if *keeper.setup.may_order.borrow() => READ_PERIOD,
             Ok(true) => RELAXED_READ_PERIOD,
             Ok(false) => RETRY_PERIOD,
             Err(error) => {
@@ -44,11 +85,23 @@
         };
         let jitter = rand::random_range(0.8..1.2);
         let read_at = Instant::now();
-        tokio::select! {
-            () = tokio::time::sleep_until(read_at + due.mul_f64(jitter)) => {}
-            () = early_read.notified() => {
-                let soonest = read_at + RETRY_PERIOD.mul_f64(jitter);
-                tokio::time::sleep_until(soonest).await;
+        let mut next_read = read_at + due.mul_f64(jitter);
+        loop {
+            tokio::select! {
+                () = tokio::time::sleep_until(next_read) => break,
+                () = early_read.notified() => {
+                    let soonest = read_at + RETRY_PERIOD.mul_f64(jitter);
+                    next_read = next_read.min(soonest);
+                }
+                Ok(()) = claims.changed() => {
+                    let claimed = claims.borrow_and_update().clone();
+                    let is_written = keeper.write_claims(claimed).await;
+                    let event = RouterEvent::ClaimsWritten(is_written);
+                    let _ = router.sender.send(event).await;
+                    if !is_written {
+                        next_read = next_read.min(read_at + RETRY_PERIOD);
+                    }
+                }
             }
         }
         if row_sender.is_closed() {
@@ -57,44 +110,109 @@
     }
 }
 
-/// Reads the hosts' table and writes this host's row if necessary; returns
-/// whether the row was already in place.
-async fn sync_rows(
-    setup: &GossipSetup,
-    row_sender: &mpsc::Sender<Vec<(HostRow, u64)>>,
-) -> anyhow::Result<bool> {
-    let read = setup.store.read(StoreTable::Hosts).await;
-    let reading = read.map_err(|fault| anyhow::anyhow!("{fault}"))?;
-    let mut known = Vec::new();
-    let mut version = 0;
-    for row in &reading.rows {
-        let RowChange::Written(row) = row else { continue };
-        match serde_json::from_slice::<HostRow>(&row.value) {
-            Ok(host) => {
-                if host.host == setup.row.host {
-                    version = row.version;
+impl RowKeeper {
+    /// Reads the hosts' table and writes this host's row if necessary; returns
+    /// whether the row was already in place.
+    async fn sync(
+        &mut self,
+        row_sender: &mpsc::Sender<HostsReading>,
+    ) -> anyhow::Result<bool> {
+        let asked_at = self.setup.clock.now();
+        let read = self.setup.store.read(StoreTable::Hosts).await;
+        let reading = read.map_err(|fault| anyhow::anyhow!("{fault}"))?;
+        self.store_time = (reading.store_time, asked_at);
+        let mut known = Vec::new();
+        let mut former = None;
+        self.version = 0;
+        for row in &reading.rows {
+            let RowChange::Written(row) = row else { continue };
+            match serde_json::from_slice::<HostRow>(&row.value) {
+                Ok(host) => {
+                    if host.host == self.row.host {
+                        self.version = row.version;
+                        former = Some(host.clone());
+                    }
+                    known.push((host, row.version));
+                }
+                Err(error) => {
+                    tracing::warn!(event = "host_unreadable", row = row.key, %error);
                 }
-                known.push((host, row.version));
-            }
-            Err(error) => {
-                tracing::warn!(event = "host_unreadable", row = row.key, %error);
             }
         }
+        let in_place = former.as_ref() == Some(&self.row);
+        let mut former_claims = None;
+        if !self.has_read {
+            self.has_read = true;
+            let former = former.map(|row| row.retry_claims);
+            self.row.retry_claims = former.unwrap_or_default();
+            let claims = self.row.retry_claims.iter();
+            let claims =
+                claims.map(|claim| claim.at_clock(|at| self.host_time(at)));
+            former_claims = Some(claims.collect());
+        }
+        self.in_place = in_place;
+        let _ =
+            row_sender.send(HostsReading { rows: known, former_claims }).await;
+        if !in_place {
+            self.write().await?;
+        }
+        Ok(in_place)
+    }
+
+    /// Writes the row with these claims, which have times of the host's clock.
+    /// Returns whether it is certainly written.
+    async fn write_claims(&mut self, claims: Vec<RetryClaim>) -> bool {
+        let claims = claims
+            .iter()
+            .map(|claim| claim.at_clock(|at| self.store_time_at(at)));
+        self.row.retry_claims = claims.collect();
+        if !self.has_read {
+            return false;
+        }
+        let written = self.write().await;
+        let failure = written.as_ref().err().map(ToString::to_string);
+        if let Some(error) = failure {
+            tracing::info!(event = "store_failed", source = "claims", error);
+        }
+        self.in_place = matches!(written, Ok(true));
+        self.in_place
     }
-    let in_place = known.iter().any(|(host, _)| *host == setup.row);
-    let _ = row_sender.send(known).await;
-    if !in_place {
-        let key = setup.row.host.clone();
-        let value = serde_json::to_vec(&setup.row)?;
+
+    /// Writes the row if its version hasn't changed since the last read.
+    async fn write(&mut self) -> anyhow::Result<bool> {
+        let key = self.row.host.clone();
+        let value = serde_json::to_vec(&self.row)?;
         let put = RowPut {
             row: RowKey { table: StoreTable::Hosts, key },
-            expected: version,
+            expected: self.version,
             value: Some(Bytes::from(value)),
         };
-        let written = setup.store.write(put).await;
-        written.map_err(|fault| anyhow::anyhow!("{fault}"))?;
+        let written = self.setup.store.write(put).await;
+        let version = written.map_err(|fault| anyhow::anyhow!("{fault}"))?;
+        self.version = version.unwrap_or(self.version);
+        Ok(version.is_some())
+    }
+
+    /// Converts a time of the store's clock; the result isn't too early.
+    fn host_time(&self, at: EpochMillis) -> EpochMillis {
+        let (store, _) = self.store_time;
+        let now = self.setup.clock.now();
+        if store <= at {
+            now.after(store.until(at))
+        } else {
+            now.before(at.until(store))
+        }
+    }
+
+    /// Converts a time of the host's clock; the result isn't too early.
+    fn store_time_at(&self, at: EpochMillis) -> EpochMillis {
+        let (store, host) = self.store_time;
+        if host <= at {
+            store.after(host.until(at))
+        } else {
+            store.before(at.until(host))
+        }
     }
-    Ok(in_place)
 }
 
 /// Removes the row of a host, unless it was written since this version.
--- a/crates/celerylead/src/tasks/node/known_hosts.rs
+++ b/crates/celerylead/src/tasks/node/known_hosts.rs
@@ -7,13 +7,10 @@
 
 use super::{
     gossip::{GossipTask, KnownHost},
-    host_rows,
+    host_rows::{self, HostsReading},
     router_port::RouterEvent,
 };
-use crate::{
-    membership::{HostRow, is_zone_reader},
-    sorted::SortedTable,
-};
+use crate::{membership::is_zone_reader, sorted::SortedTable};
 
 /// Time between two early reads for the same host that sends digests and has
 /// no row yet.
@@ -76,7 +73,8 @@
         self.early_read.notify_one();
     }
 
-    pub(super) async fn adopt(&mut self, rows: Vec<(HostRow, u64)>) {
+    pub(super) async fn adopt(&mut self, reading: HostsReading) {
+        let HostsReading { rows, former_claims } = reading;
         for (row, _) in &rows {
             self.unknown_hosts.remove(&row.host);
         }
@@ -114,6 +112,8 @@
                 let _ = self.router.sender.send(event).await;
             }
         }
+        let event = RouterEvent::HostsListed { former_claims };
+        let _ = self.router.sender.send(event).await;
         self.hosts = hosts;
         self.rank_hosts();
         self.log_liveness();
--- a/crates/celerylead/src/tasks/node/mod.rs
+++ b/crates/celerylead/src/tasks/node/mod.rs
@@ -4,7 +4,7 @@
 //! | task | owns |
 //! |---|---|
 //! | `acceptor` | the callers' listener; starts a task for each connection |
-//! | `router` | the relay table, token buckets, idle connections to runners |
+//! | `router` | the relay table, token buckets, retry budgets, idle connections to runners |
 //! | `watcher` | the position in the feed of the configuration |
 //! | `registry` | the position in the feed of the registry, the roster |
 //! | `gossip` | the UDP socket between hosts, the list of known hosts |
--- a/crates/celerylead/src/tasks/node/router.rs
+++ b/crates/celerylead/src/tasks/node/router.rs
@@ -8,14 +8,14 @@
 
 use std::{sync::Arc, time::Duration};
 
-use tokio::time::Instant;
+use tokio::{sync::watch, time::Instant};
 
 use super::{
     CatalogWatch, RosterWatch,
     gossip_port::GossipPort,
     links::IdleLinks,
     quarantine::QuarantineDesk,
-    retries::{RetryAllowance, RetryDesk},
+    retries::{RetryDecision, RetryDesk},
     router_port::{
         CompletedCall, QueuedCall, RelaySlot, RouterEvent, RouterInbox,
         RouterReport,
@@ -32,7 +32,7 @@
         CallRequirements, LoadBasis, PickFault, RelayChoice, RelayTable,
         RunnerNotice,
     },
-    request::{Refusal, RefusalCode},
+    request::{Refusal, RefusalCode, RetryAllowance, RetryClaim},
     roster::RunnerStart,
     sorted::SortedTable,
 };
@@ -58,6 +58,8 @@
     pub(crate) roster: RosterWatch,
     pub(crate) gossip: GossipPort,
     pub(crate) allowance: RetryAllowance,
+    /// Receives the claims of retries that are to be written.
+    pub(crate) claims: watch::Sender<Vec<RetryClaim>>,
     pub(crate) metrics: HostMetrics,
 }
 
@@ -86,7 +88,12 @@
         table: RelayTable::new(&setup.zone),
         buckets: SortedTable::default(),
         host_liveness: HostLiveness::default(),
-        retries: RetryDesk::new(setup.allowance, setup.metrics.clone()),
+        retries: RetryDesk::new(
+            setup.allowance,
+            setup.claims.clone(),
+            setup.metrics.clone(),
+            setup.clock.now(),
+        ),
         demand: DemandMeter::new(DEMAND_HALF_LIFE),
         quarantine: QuarantineDesk::new(
             &setup.host,
@@ -135,7 +142,11 @@
     fn next_wake(&self) -> Instant {
         let now = self.setup.clock.now();
         let limits = self.waiting.iter().map(|call| call.wait_until);
-        let due = [self.retry_waiting_at, self.quarantine.news_at()];
+        let due = [
+            self.retry_waiting_at,
+            self.quarantine.news_at(),
+            self.retries.next_overdue_at(),
+        ];
         let next = limits.chain(due.into_iter().flatten()).min();
         Instant::now() + next.map_or(IDLE_WAKE_INTERVAL, |at| now.until(at))
     }
@@ -147,6 +158,9 @@
         if let Some(report) = self.quarantine.news(hosts, now) {
             self.setup.gossip.send_evidence(report);
         }
+        for call in self.retries.take_overdue(now) {
+            self.refuse(call, "no retry could be claimed in time", now);
+        }
         self.retry_waiting();
     }
 
@@ -185,6 +199,17 @@
             RouterEvent::HostRemoved(host) => {
                 self.host_liveness.remove_host(&host);
             }
+            RouterEvent::HostsListed { former_claims } => {
+                self.retries.set_hosts(self.host_liveness.count());
+                if let Some(former) = former_claims {
+                    self.retries.open(&former, now);
+                }
+            }
+            RouterEvent::ClaimsWritten(is_written) => {
+                for call in self.retries.conclude_claim(is_written, now) {
+                    self.admit(call, now);
+                }
+            }
             RouterEvent::RunnerModels { runner_models, others_unchanged } => {
                 if others_unchanged {
                     self.table.refresh_announced_models(now);
@@ -294,12 +319,17 @@
         if call.requirements.tried.is_empty() {
             self.retries.record_request(&call.requirements.service, now);
         } else if call.requirements.sent {
-            let hosts = self.host_liveness.count();
-            if !self.retries.grant(&call.requirements, hosts, now) {
-                self.refuse(call, "the budget of further sends is spent", now);
-                return;
+            match self.retries.decide(&call.requirements, now) {
+                RetryDecision::Granted(grant) => call.retry = Some(grant),
+                RetryDecision::Claiming => {
+                    self.retries.park(call, now);
+                    return;
+                }
+                RetryDecision::Denied(reason) => {
+                    self.refuse(call, reason, now);
+                    return;
+                }
             }
-            call.retry_granted_at = Some(now);
         }
         if let Some((customer, cost)) = call.requirements.charge.take() {
             let bucket = self.buckets.get(&customer);
@@ -352,6 +382,7 @@
     /// Assigns a call to a runner, or lets it wait for one.
     fn dispatch(&mut self, call: QueuedCall, now: EpochMillis) {
         if call.reply.is_closed() {
+            self.release_retry(&call);
             return;
         }
         let checked = self.quarantine.check(&call, &self.host_liveness, now);
@@ -381,13 +412,9 @@
         choice: RelayChoice,
         now: EpochMillis,
     ) {
-        if let Some(at) = call.retry_granted_at {
-            tracing::info!(
-                event = "retry_sent",
-                request_id = call.requirements.id.as_str(),
-                service = call.requirements.service,
-                waited_ms = at.until(now).as_millis() as u64,
-            );
+        if let Some(grant) = &call.retry {
+            let id = call.requirements.id.as_str();
+            self.retries.record_sent(id, grant, now);
         }
         let link = self.links.take(&choice.runner);
         let parts = &call.requirements.parts;
@@ -483,8 +510,16 @@
         self.send_refusal(call, refusal.retry_at(retry_at));
     }
 
+    /// Takes back the retry that was granted to a call, as it gets no runner.
+    fn release_retry(&mut self, call: &QueuedCall) {
+        if let Some(grant) = &call.retry {
+            self.retries.give_back(grant);
+        }
+    }
+
     /// Refuses a call, and refunds its charge if the charge is refundable.
     fn send_refusal(&mut self, call: QueuedCall, refusal: Refusal) {
+        self.release_retry(&call);
         if let Some((customer, cost)) = &call.refundable
             && let Some(bucket) = self.buckets.get_mut(customer)
         {
--- a/crates/celerylead/src/tasks/node/router_port.rs
+++ b/crates/celerylead/src/tasks/node/router_port.rs
@@ -16,7 +16,7 @@
     port::HttpLink,
     quarantine::{EvidenceReport, PartId, PromptParts, VerdictRow},
     relay::{CallEnd, CallRequirements, RelayChoice, RunnerNotice},
-    request::{Refusal, RefusalCode},
+    request::{Refusal, RefusalCode, RetryClaim, RetryGrant},
     roster::RunnerStart,
     tasks::{MAILBOX_CAPACITY, MAX_IN_FLIGHT},
 };
@@ -59,6 +59,12 @@
     HostAdded(String),
     /// Another host was removed.
     HostRemoved(String),
+    /// All changes of the list of hosts are told, with the claims of retries by
+    /// earlier processes of this host if they have been read for the first
+    /// time.
+    HostsListed { former_claims: Option<Vec<RetryClaim>> },
+    /// The claims of retries are written, or may not be.
+    ClaimsWritten(bool),
     /// Models and adapters held by some runners, as the lease holder reports
     /// them, and whether its earlier reports on the other runners are still
     /// valid.
@@ -88,8 +94,8 @@
     /// Customer and cost of the charge that a refusal gives back.
     pub(super) refundable: Option<(String, u64)>,
     pub(super) wait_until: EpochMillis,
-    /// Time at which a further send of the call was granted.
-    pub(super) retry_granted_at: Option<EpochMillis>,
+    /// The further send that was granted to the call.
+    pub(super) retry: Option<RetryGrant>,
     pub(super) reply: oneshot::Sender<Result<RelaySlot, Refusal>>,
     /// Room for the report of the call's end.
     pub(super) seat: SlotSeat,
@@ -244,7 +250,7 @@
                 requirements: requirements.clone(),
                 refundable,
                 wait_until: now.after(left.min(MAX_QUEUE_WAIT)),
-                retry_granted_at: None,
+                retry: None,
                 reply,
                 seat,
             }))
--- a/crates/celerylead/src/tasks/node/run.rs
+++ b/crates/celerylead/src/tasks/node/run.rs
@@ -16,7 +16,6 @@
     gossip_port,
     placer::{self, PlacerSetup},
     registry::{self, ZoneFeed},
-    retries::RetryAllowance,
     router,
     router::RouterSetup,
     router_port,
@@ -28,6 +27,7 @@
     metrics::HostMetrics,
     placement::BroadcastFanout,
     port::{EdgeCodec, StorePort},
+    request::RetryAllowance,
     step::{StepContext as _, StepName},
 };
 
@@ -141,6 +141,7 @@
         zone_feed,
     );
     let (phase, phase_receiver) = watch::channel(NodePhase::Serving);
+    let (claims, claims_receiver) = watch::channel(Vec::new());
     let (router_port, router_inbox) = router_port::mailbox();
     let setup = RouterSetup {
         host: options.host.clone(),
@@ -154,6 +155,7 @@
             slack: options.retry_slack,
             window: options.retry_window,
         },
+        claims,
         metrics: metrics.clone(),
     };
     router::start(setup, router_inbox);
@@ -163,6 +165,7 @@
         address: options.peers.clone(),
         incarnation: rand::random(),
         capacity: options.capacity,
+        retry_claims: Vec::new(),
     };
     let (fanout, fanout_receiver) = watch::channel(BroadcastFanout::direct(1));
     let (may_order, may_order_receiver) = watch::channel(true);
@@ -194,6 +197,7 @@
         aggregation_from: options.aggregation_from,
         fanout,
         may_order,
+        claims: claims_receiver,
     };
     gossip::start(
         setup,
--- a/crates/celerylead/src/tasks/node/tests.rs
+++ b/crates/celerylead/src/tasks/node/tests.rs
@@ -11,7 +11,6 @@
 
 use super::{
     gossip_port,
-    retries::RetryAllowance,
     router::{self, RouterSetup},
     router_port::{self, RouterEvent, RouterPort},
 };
@@ -22,7 +21,7 @@
     metrics::HostMetrics,
     quarantine::PromptParts,
     relay::CallRequirements,
-    request::RequestId,
+    request::{RequestId, RetryAllowance},
     roster::RunnerFacts,
 };
 
@@ -80,6 +79,7 @@
                 slack: 50.0,
                 window: Duration::from_secs(10),
             },
+            claims: watch::channel(Vec::new()).0,
             metrics: HostMetrics::default(),
         };
         router::start(setup, inbox);
