Keep customers to their rates while hosts start again

Cause: what a process knew of a bucket ended with it. Hosts that all start together filled it to half the burst, each time and each host by itself before it heard the others; a host that joined others took one host's level and missed what the rest had spent since; and the others never learned what an ended process spent after its last digest.

Change: nothing is assumed after a common start; the lowest level of the first reports holds; an ended process is taken to have spent once more what it spent between its last two digests, directly and through an aggregator. The case "a level that no host reports is assumed" wanted half a burst; it wants exactly the refill now.

--- a/crates/celerylead/src/customer/fleet.rs
+++ b/crates/celerylead/src/customer/fleet.rs
@@ -19,9 +19,11 @@
 //! reports of the two isn't known, and is taken to be all that the rate yielded.
 //!
 //! A bucket starts empty and adopts the level in the first report that holds
-//! one. If no host reports a level, all hosts were started together. The
-//! bucket is then filled to half its burst, as the spending before the start
-//! isn't known.
+//! one, and any lower one in the first report of each other host. If no host
+//! reports a level, all hosts were started together, and the bucket fills at the
+//! rate: what the hosts spent before isn't known, and a burst at each start would
+//! exceed the rate. The last spending of a process that has ended, after its
+//! last report, is taken for that between its last two reports.
 
 use std::time::Duration;
 
@@ -36,8 +38,8 @@
 /// of their reports is tolerated; hosts of other zones report every 400 ms.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// Time after which a new bucket is filled to half its burst if no host has
-/// reported a level. A report across zones takes 400 ms at most.
+/// Time after which the level of a new bucket counts as known if no host has
+/// reported one. A report across zones takes 400 ms at most.
 const LEVEL_TIMEOUT: Duration = Duration::from_millis(450);
 
 /// The last total that another host reported for a customer.
@@ -47,6 +49,8 @@
     /// Incarnation of the host's process; each one counts from zero.
     incarnation: u64,
     total: i64,
+    /// Units spent between the last two reports.
+    growth: f64,
     /// Units debited for the host since this report, while it was silent.
     assumed: f64,
 }
@@ -72,8 +76,8 @@
     /// after other hosts spent them.
     level: f64,
     refilled_at: EpochMillis,
-    /// Time from which a level is assumed if no host has reported one;
-    /// `None` once the level is known.
+    /// Time from which the level counts as known if no host has reported one;
+    /// `None` once it does.
     assume_level_at: Option<EpochMillis>,
     /// Units that this host has spent since its start.
     spent: i64,
@@ -165,17 +169,25 @@
         {
             self.level = level as f64;
         }
-        let fresh = ReportedTotal { incarnation, total, assumed: 0.0 };
+        let fresh =
+            ReportedTotal { incarnation, total, growth: 0.0, assumed: 0.0 };
         let Some(last) = self.reported.get_mut(host) else {
-            // Spending before a host's first report isn't debited here.
+            // Spending before a host's first report isn't debited here, but
+            // the host's own level includes it.
             self.reported.insert(host.to_owned(), fresh);
+            if let Some(level) = level {
+                self.level = self.level.min(level as f64);
+            }
             return;
         };
-        let before =
-            if last.incarnation == incarnation { last.total } else { 0 };
-        let grown = total.saturating_sub(before) as f64;
+        let grown = if last.incarnation == incarnation {
+            total.saturating_sub(last.total) as f64
+        } else {
+            // The former process has ended without a report of its last spending.
+            total as f64 + last.growth.max(0.0)
+        };
         self.level -= (grown - last.assumed).max(grown.min(0.0));
-        *last = fresh;
+        *last = ReportedTotal { growth: grown, ..fresh };
     }
 
     /// Debits the growth of the total of all other hosts that an aggregator
@@ -227,7 +239,6 @@
     fn refill(&mut self, hosts: &HostLiveness, now: EpochMillis) {
         if self.assume_level_at.is_some_and(|at| at <= now) {
             self.assume_level_at = None;
-            self.level = self.level.max(self.rate.burst as f64 / 2.0);
         }
         let seconds = self.refilled_at.until(now).as_secs_f64();
         if seconds <= 0.0 {
--- a/crates/celerylead/src/customer/tests.rs
+++ b/crates/celerylead/src/customer/tests.rs
@@ -1,3 +1,4 @@
 mod bucket;
 mod division;
 mod fleet;
+mod restarts;
--- a/crates/celerylead/src/customer/tests/fleet.rs
+++ b/crates/celerylead/src/customer/tests/fleet.rs
@@ -40,12 +40,13 @@
             ],
         },
         Case {
-            name: "a level that no host reports is assumed",
+            name: "nothing is assumed of a level that no host reports",
             steps: &[
                 (0, Step::Take(1, false)),
                 (449, Step::Take(450, false)),
-                (450, Step::Take(1_000, true)),
-                (450, Step::Take(2, false)),
+                (450, Step::Take(451, false)),
+                (450, Step::Take(450, true)),
+                (450, Step::Take(1, false)),
             ],
         },
         Case {
@@ -68,6 +69,17 @@
                 (1_000, Step::Take(700, true)),
             ],
         },
+        Case {
+            name: "the last spending of an ended process is debited",
+            steps: &[
+                (0, Step::Report(1, 0)),
+                (400, Step::Report(1, 0)),
+                (600, Step::Report(1, 200)),
+                (1_000, Step::Report(2, 300)),
+                (1_000, Step::Take(301, false)),
+                (1_000, Step::Take(300, true)),
+            ],
+        },
         Case {
             name: "a silent host is debited its share",
             steps: &[
--- a/crates/celerylead/src/membership/aggregator.rs
+++ b/crates/celerylead/src/membership/aggregator.rs
@@ -55,8 +55,9 @@
 struct MemberRecord {
     digest: HostDigest,
     heard_at: EpochMillis,
-    /// Consumption by customer since the start of this aggregator.
-    grown: SortedTable<String, i64>,
+    /// Consumption by customer since the start of this aggregator, and between
+    /// the last two digests.
+    grown: SortedTable<String, (i64, i64)>,
 }
 
 /// The last digest of another zone.
@@ -227,9 +228,10 @@
         let levels = aggregator.map_or(&[][..], |own| &own.digest.spent);
         let spent = total.spent.iter().map(|(customer, grown)| {
             let own = own.and_then(|own| own.grown.get(customer));
+            let own = own.map_or(0, |(grown, _)| *grown);
             SpentTotal {
                 customer: customer.clone(),
-                total: grown.saturating_sub(own.copied().unwrap_or(0)),
+                total: grown.saturating_sub(own),
                 level: find_spent(levels, customer).and_then(|s| s.level),
             }
         });
@@ -302,15 +304,21 @@
         };
         let is_same = record.digest.incarnation == digest.incarnation;
         for spent in &digest.spent {
-            let former = find_spent(&record.digest.spent, &spent.customer);
-            let former = former.filter(|_| is_same);
-            let before = former.map_or(0, |former| former.total);
-            let growth = spent.total.saturating_sub(before);
             let customer = &spent.customer;
-            for grown in [&mut record.grown, &mut self.grown] {
-                let sum = grown.entry(customer.clone(), || 0);
-                *sum = sum.saturating_add(growth);
-            }
+            let (sum, last) = record.grown.entry(customer.clone(), || (0, 0));
+            let growth = if is_same {
+                let former = find_spent(&record.digest.spent, customer);
+                let before = former.map_or(0, |former| former.total);
+                spent.total.saturating_sub(before)
+            } else {
+                // The former process has ended without a digest of its last
+                // consumption.
+                spent.total.saturating_add((*last).max(0))
+            };
+            *sum = sum.saturating_add(growth);
+            *last = growth;
+            let zone_sum = self.grown.entry(customer.clone(), || 0);
+            *zone_sum = zone_sum.saturating_add(growth);
         }
         record.heard_at = now;
         record.digest = digest;
