Keep verdicts on parts of prompts over the ends of all processes

Cause: a verdict was known to processes alone. Each start of all hosts had to find it again, at three crashes or more, and runners start empty. Change: the hosts that read the registry for their zones keep the verdicts in their rows of the store; a process reads all rows at its start, as before, and adopts them as it would another host's.

--- a/crates/celerylead/src/membership/digest.rs
+++ b/crates/celerylead/src/membership/digest.rs
@@ -14,7 +14,7 @@
 use crate::{
     model::ModelName,
     placement::{ModelDemand, ResidencyList},
-    quarantine::EvidenceReport,
+    quarantine::{EvidenceReport, KeptVerdict},
     request::RetryClaim,
     roster::RunnerStart,
 };
@@ -135,6 +135,10 @@
     /// times of the store's clock.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub retry_claims: Vec<RetryClaim>,
+    /// Verdicts on parts of prompts that crash runners, with times of the store's
+    /// clock.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub verdicts: Vec<KeptVerdict>,
 }
 
 /// What a host may use of its machine.
--- a/crates/celerylead/src/quarantine/mod.rs
+++ b/crates/celerylead/src/quarantine/mod.rs
@@ -45,8 +45,8 @@
     ledger::{LedgerEvent, PartAdmission, SuspectLedger, TRIALS_TO_REJECT},
     part::{PartId, PromptParts},
     report::{
-        ClearanceBasis, ClearanceRow, CrashRow, EvidenceReport, SignRow,
-        VerdictRow, WitnessRow,
+        ClearanceBasis, ClearanceRow, CrashRow, EvidenceReport, KeptVerdict,
+        SignRow, VerdictRow, WitnessRow,
     },
     signs::RunnerSign,
 };
--- a/crates/celerylead/src/quarantine/report.rs
+++ b/crates/celerylead/src/quarantine/report.rs
@@ -2,13 +2,15 @@
 //!
 //! Times are sent as ages, as the clocks of hosts differ.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
 use super::{
     part::{PartId, PromptParts},
     signs::RunnerSign,
 };
-use crate::roster::RunnerStart;
+use crate::{clock::EpochMillis, roster::RunnerStart};
 
 /// A call that ended with its runner.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -73,6 +75,49 @@
     pub left_ms: u64,
 }
 
+/// A verdict as the platform's store keeps it for hosts that start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct KeptVerdict {
+    /// The rejected part.
+    pub part: PartId,
+    /// Trials behind the verdict.
+    pub trials: u32,
+    /// Terms that the verdict has had, the present one included.
+    pub terms: u32,
+    /// Time at which the last call that crashed a runner was sent.
+    pub sent_at: EpochMillis,
+    /// Time from which the part may be probed.
+    pub until: EpochMillis,
+}
+
+impl KeptVerdict {
+    /// Converts a verdict as described at `now`.
+    pub fn of(row: &VerdictRow, now: EpochMillis) -> KeptVerdict {
+        let VerdictRow { part, trials, terms, sent_ago_ms, left_ms } = *row;
+        let sent_at = now.before(Duration::from_millis(sent_ago_ms));
+        let until = now.after(Duration::from_millis(left_ms));
+        KeptVerdict { part, trials, terms, sent_at, until }
+    }
+
+    /// Describes the verdict at `now`.
+    pub fn row(&self, now: EpochMillis) -> VerdictRow {
+        let KeptVerdict { part, trials, terms, sent_at, until } = *self;
+        let sent_ago_ms = sent_at.until(now).as_millis() as u64;
+        let left_ms = now.until(until).as_millis() as u64;
+        VerdictRow { part, trials, terms, sent_ago_ms, left_ms }
+    }
+
+    /// Returns the verdict with its times converted to another clock.
+    pub(crate) fn at_clock(
+        &self,
+        convert: impl Fn(EpochMillis) -> EpochMillis,
+    ) -> KeptVerdict {
+        let (sent_at, until) = (convert(self.sent_at), convert(self.until));
+        KeptVerdict { sent_at, until, ..*self }
+    }
+}
+
 /// What a start of a runner was seen to do, where that decides whether it has
 /// ended.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/celerylead/src/tasks/node/gossip.rs
+++ b/crates/celerylead/src/tasks/node/gossip.rs
@@ -34,6 +34,7 @@
         SequenceTracker,
     },
     port::StorePort,
+    quarantine::KeptVerdict,
     request::RetryClaim,
     roster::HeldModel,
     sorted::SortedTable,
@@ -65,6 +66,8 @@
     pub(crate) may_order: watch::Sender<bool>,
     /// Claims of retries that this host's row is to hold.
     pub(crate) claims: watch::Receiver<Vec<RetryClaim>>,
+    /// Verdicts that this host's row is to keep.
+    pub(crate) verdicts: watch::Receiver<Vec<KeptVerdict>>,
 }
 
 /// Another host, as listed in the hosts' table.
--- a/crates/celerylead/src/tasks/node/host_rows.rs
+++ b/crates/celerylead/src/tasks/node/host_rows.rs
@@ -10,12 +10,13 @@
 
 use super::{
     gossip::GossipSetup,
-    router_port::{RouterEvent, RouterPort},
+    router_port::{KeptState, RouterEvent, RouterPort},
 };
 use crate::{
     clock::EpochMillis,
     membership::HostRow,
     port::{RowChange, RowKey, RowPut, StorePort, StoreTable},
+    quarantine::KeptVerdict,
     request::RetryClaim,
 };
 
@@ -34,9 +35,8 @@
 pub(super) struct HostsReading {
     /// Rows with their versions.
     pub(super) rows: Vec<(HostRow, u64)>,
-    /// Claims of retries by earlier processes of this host, in the first
-    /// reading.
-    pub(super) former_claims: Option<Vec<RetryClaim>>,
+    /// What the rows keep for a process that starts, in the first reading.
+    pub(super) kept: Option<KeptState>,
 }
 
 /// The task that keeps this host's row.
@@ -48,7 +48,7 @@
     version: u64,
     /// Whether the table holds the row as this process writes it.
     in_place: bool,
-    /// Whether the claims of earlier processes have been read.
+    /// Whether the table has been read.
     has_read: bool,
     /// A time of the store's clock, and a time of the host's clock that isn't
     /// after it.
@@ -57,7 +57,7 @@
 
 /// Reads the hosts' table every [`READ_PERIOD`], or earlier on request, and
 /// writes this host's row if it is missing or was written by another process,
-/// or when the router claims retries.
+/// when the router claims retries, or when a verdict is to be kept.
 pub(super) async fn maintain_row(
     setup: GossipSetup,
     row_sender: mpsc::Sender<HostsReading>,
@@ -65,6 +65,7 @@
     router: RouterPort,
 ) {
     let mut claims = setup.claims.clone();
+    let mut verdicts = setup.verdicts.clone();
     let mut keeper = RowKeeper {
         row: setup.row.clone(),
         version: 0,
@@ -102,6 +103,12 @@
                         next_read = next_read.min(read_at + RETRY_PERIOD);
                     }
                 }
+                Ok(()) = verdicts.changed() => {
+                    let kept = verdicts.borrow_and_update().clone();
+                    if !keeper.write_verdicts(&kept).await {
+                        next_read = next_read.min(read_at + RETRY_PERIOD);
+                    }
+                }
             }
         }
         if row_sender.is_closed() {
@@ -140,25 +147,47 @@
             }
         }
         let in_place = former.as_ref() == Some(&self.row);
-        let mut former_claims = None;
-        if !self.has_read {
+        let kept = (!self.has_read).then(|| {
             self.has_read = true;
-            let former = former.map(|row| row.retry_claims);
-            self.row.retry_claims = former.unwrap_or_default();
-            let claims = self.row.retry_claims.iter();
-            let claims =
-                claims.map(|claim| claim.at_clock(|at| self.host_time(at)));
-            former_claims = Some(claims.collect());
-        }
+            if let Some(former) = former {
+                self.row.retry_claims = former.retry_claims;
+                self.row.verdicts = former.verdicts;
+            }
+            self.kept_state(&known)
+        });
         self.in_place = in_place;
-        let _ =
-            row_sender.send(HostsReading { rows: known, former_claims }).await;
+        let _ = row_sender.send(HostsReading { rows: known, kept }).await;
         if !in_place {
             self.write().await?;
         }
         Ok(in_place)
     }
 
+    /// Returns what the rows keep for this process, with times of its clock.
+    fn kept_state(&self, rows: &[(HostRow, u64)]) -> KeptState {
+        let claims = self.row.retry_claims.iter();
+        let claims = claims.map(|claim| claim.at_clock(|t| self.host_time(t)));
+        let verdicts = rows.iter().flat_map(|(row, _)| &row.verdicts);
+        let verdicts =
+            verdicts.map(|verdict| verdict.at_clock(|t| self.host_time(t)));
+        KeptState { claims: claims.collect(), verdicts: verdicts.collect() }
+    }
+
+    /// Writes the row with these verdicts, which have times of the host's clock,
+    /// if it is this host's to keep them or it holds others. Returns whether the
+    /// row is as it should be.
+    async fn write_verdicts(&mut self, verdicts: &[KeptVerdict]) -> bool {
+        let is_keeper = *self.setup.is_reader.borrow();
+        if !is_keeper && self.row.verdicts.is_empty() {
+            return true;
+        }
+        let verdicts = verdicts
+            .iter()
+            .map(|verdict| verdict.at_clock(|at| self.store_time_at(at)));
+        self.row.verdicts = verdicts.collect();
+        self.write_kept("verdicts").await
+    }
+
     /// Writes the row with these claims, which have times of the host's clock.
     /// Returns whether it is certainly written.
     async fn write_claims(&mut self, claims: Vec<RetryClaim>) -> bool {
@@ -166,13 +195,18 @@
             .iter()
             .map(|claim| claim.at_clock(|at| self.store_time_at(at)));
         self.row.retry_claims = claims.collect();
+        self.write_kept("claims").await
+    }
+
+    /// Writes the row once the table has been read; returns whether it is
+    /// certainly written.
+    async fn write_kept(&mut self, source: &str) -> bool {
         if !self.has_read {
             return false;
         }
         let written = self.write().await;
-        let failure = written.as_ref().err().map(ToString::to_string);
-        if let Some(error) = failure {
-            tracing::info!(event = "store_failed", source = "claims", error);
+        if let Err(error) = &written {
+            tracing::info!(event = "store_failed", source, %error);
         }
         self.in_place = matches!(written, Ok(true));
         self.in_place
--- a/crates/celerylead/src/tasks/node/known_hosts.rs
+++ b/crates/celerylead/src/tasks/node/known_hosts.rs
@@ -74,7 +74,7 @@
     }
 
     pub(super) async fn adopt(&mut self, reading: HostsReading) {
-        let HostsReading { rows, former_claims } = reading;
+        let HostsReading { rows, kept } = reading;
         for (row, _) in &rows {
             self.unknown_hosts.remove(&row.host);
         }
@@ -112,7 +112,7 @@
                 let _ = self.router.sender.send(event).await;
             }
         }
-        let event = RouterEvent::HostsListed { former_claims };
+        let event = RouterEvent::HostsListed { kept };
         let _ = self.router.sender.send(event).await;
         self.hosts = hosts;
         self.rank_hosts();
--- a/crates/celerylead/src/tasks/node/quarantine.rs
+++ b/crates/celerylead/src/tasks/node/quarantine.rs
@@ -1,7 +1,7 @@
 //! The router's view of prompt parts that crash runners: the ledger, and the
 //! log lines and metrics of what it finds.
 
-use tokio::time::Instant;
+use tokio::{sync::watch, time::Instant};
 
 use super::{
     router_port::{CompletedCall, QueuedCall},
@@ -13,8 +13,8 @@
     membership,
     metrics::HostMetrics,
     quarantine::{
-        EvidenceReport, LedgerEvent, PartAdmission, PartId, PromptParts,
-        RunnerSign, SuspectLedger, VerdictRow,
+        EvidenceReport, KeptVerdict, LedgerEvent, PartAdmission, PartId,
+        PromptParts, RunnerSign, SuspectLedger, VerdictRow,
     },
     request::{Refusal, RefusalCode},
     roster::RunnerStart,
@@ -24,17 +24,19 @@
 pub(super) struct QuarantineDesk {
     host: String,
     ledger: SuspectLedger,
+    kept: watch::Sender<Vec<KeptVerdict>>,
     metrics: HostMetrics,
 }
 
 impl QuarantineDesk {
     pub(super) fn new(
         host: &str,
+        kept: watch::Sender<Vec<KeptVerdict>>,
         metrics: HostMetrics,
         now: EpochMillis,
     ) -> QuarantineDesk {
         let ledger = SuspectLedger::new(rand::random(), now);
-        QuarantineDesk { host: host.to_owned(), ledger, metrics }
+        QuarantineDesk { host: host.to_owned(), ledger, kept, metrics }
     }
 
     /// Decides whether a call may be sent to a runner, for the first time or
@@ -151,6 +153,13 @@
         self.announce(&events, now);
     }
 
+    /// Adopts the verdicts that the hosts' rows keep.
+    pub(super) fn adopt(&mut self, kept: &[KeptVerdict], now: EpochMillis) {
+        let verdicts = kept.iter().map(|verdict| verdict.row(now)).collect();
+        let report = EvidenceReport { verdicts, ..EvidenceReport::default() };
+        self.merge(&report, now);
+    }
+
     /// Returns what the other hosts should be told.
     pub(super) fn report(
         &mut self,
@@ -214,6 +223,20 @@
         }
         let count = self.ledger.verdicts(now).count();
         self.metrics.rejected_parts.set(count as i64);
+        self.keep(now);
+    }
+
+    /// Publishes the verdicts that are to be kept, if others are in force.
+    fn keep(&self, now: EpochMillis) {
+        let rows = self.ledger.verdicts(now);
+        let kept: Vec<KeptVerdict> =
+            rows.map(|row| KeptVerdict::of(&row, now)).collect();
+        self.kept.send_if_modified(|former| {
+            let key = |verdict: &KeptVerdict| (verdict.part, verdict.terms);
+            let is_same = former.iter().map(key).eq(kept.iter().map(key));
+            *former = kept;
+            !is_same
+        });
     }
 }
 
--- a/crates/celerylead/src/tasks/node/router.rs
+++ b/crates/celerylead/src/tasks/node/router.rs
@@ -28,6 +28,7 @@
     metrics::HostMetrics,
     model::ModelName,
     placement::DemandMeter,
+    quarantine::KeptVerdict,
     relay::{
         CallRequirements, LoadBasis, PickFault, RelayChoice, RelayTable,
         RunnerNotice,
@@ -60,6 +61,8 @@
     pub(crate) allowance: RetryAllowance,
     /// Receives the claims of retries that are to be written.
     pub(crate) claims: watch::Sender<Vec<RetryClaim>>,
+    /// Receives the verdicts that are to be kept for hosts that start.
+    pub(crate) verdicts: watch::Sender<Vec<KeptVerdict>>,
     pub(crate) metrics: HostMetrics,
 }
 
@@ -97,6 +100,7 @@
         demand: DemandMeter::new(DEMAND_HALF_LIFE),
         quarantine: QuarantineDesk::new(
             &setup.host,
+            setup.verdicts.clone(),
             setup.metrics.clone(),
             setup.clock.now(),
         ),
@@ -199,10 +203,11 @@
             RouterEvent::HostRemoved(host) => {
                 self.host_liveness.remove_host(&host);
             }
-            RouterEvent::HostsListed { former_claims } => {
+            RouterEvent::HostsListed { kept } => {
                 self.retries.set_hosts(self.host_liveness.count());
-                if let Some(former) = former_claims {
-                    self.retries.open(&former, now);
+                if let Some(kept) = kept {
+                    self.retries.open(&kept.claims, now);
+                    self.quarantine.adopt(&kept.verdicts, now);
                 }
             }
             RouterEvent::ClaimsWritten(is_written) => {
--- a/crates/celerylead/src/tasks/node/router_port.rs
+++ b/crates/celerylead/src/tasks/node/router_port.rs
@@ -14,7 +14,9 @@
     model::ModelName,
     placement::ModelDemand,
     port::HttpLink,
-    quarantine::{EvidenceReport, PartId, PromptParts, VerdictRow},
+    quarantine::{
+        EvidenceReport, KeptVerdict, PartId, PromptParts, VerdictRow,
+    },
     relay::{CallEnd, CallRequirements, RelayChoice, RunnerNotice},
     request::{Refusal, RefusalCode, RetryClaim, RetryGrant},
     roster::RunnerStart,
@@ -59,10 +61,9 @@
     HostAdded(String),
     /// Another host was removed.
     HostRemoved(String),
-    /// All changes of the list of hosts are told, with the claims of retries by
-    /// earlier processes of this host if they have been read for the first
-    /// time.
-    HostsListed { former_claims: Option<Vec<RetryClaim>> },
+    /// All changes of the list of hosts are told, with what the hosts' rows keep
+    /// for a process that starts if they have been read for the first time.
+    HostsListed { kept: Option<KeptState> },
     /// The claims of retries are written, or may not be.
     ClaimsWritten(bool),
     /// Models and adapters held by some runners, as the lease holder reports
@@ -78,6 +79,14 @@
     ReadDemand(oneshot::Sender<ModelDemand>),
 }
 
+/// What the hosts' rows keep for a process that starts.
+pub(crate) struct KeptState {
+    /// Claims of retries by earlier processes of this host.
+    pub(super) claims: Vec<RetryClaim>,
+    /// Verdicts in the rows of all hosts.
+    pub(super) verdicts: Vec<KeptVerdict>,
+}
+
 /// What the other hosts are to know of the router's state.
 pub(crate) struct RouterReport {
     /// Digest of this host, without the demand.
--- a/crates/celerylead/src/tasks/node/run.rs
+++ b/crates/celerylead/src/tasks/node/run.rs
@@ -142,6 +142,7 @@
     );
     let (phase, phase_receiver) = watch::channel(NodePhase::Serving);
     let (claims, claims_receiver) = watch::channel(Vec::new());
+    let (verdicts, verdicts_receiver) = watch::channel(Vec::new());
     let (router_port, router_inbox) = router_port::mailbox();
     let setup = RouterSetup {
         host: options.host.clone(),
@@ -156,6 +157,7 @@
             window: options.retry_window,
         },
         claims,
+        verdicts,
         metrics: metrics.clone(),
     };
     router::start(setup, router_inbox);
@@ -166,6 +168,7 @@
         incarnation: rand::random(),
         capacity: options.capacity,
         retry_claims: Vec::new(),
+        verdicts: Vec::new(),
     };
     let (fanout, fanout_receiver) = watch::channel(BroadcastFanout::direct(1));
     let (may_order, may_order_receiver) = watch::channel(true);
@@ -198,6 +201,7 @@
         fanout,
         may_order,
         claims: claims_receiver,
+        verdicts: verdicts_receiver,
     };
     gossip::start(
         setup,
--- a/crates/celerylead/src/tasks/node/tests.rs
+++ b/crates/celerylead/src/tasks/node/tests.rs
@@ -80,6 +80,7 @@
                 window: Duration::from_secs(10),
             },
             claims: watch::channel(Vec::new()).0,
+            verdicts: watch::channel(Vec::new()).0,
             metrics: HostMetrics::default(),
         };
         router::start(setup, inbox);
