Close the store's idle connections when a call is given up

Its store connections had gone silent; the poll was given up at once, as the zone's reader told of a newer revision, and the next one went over an equally silent idle connection, as only failed calls closed those. Now the port tells the client when a caller gives a request up, before any later request, and the client closes its idle connections and that of the call.

Other pools: connections to runners are used again for 500 ms at most, less than any wait after which one is known to be silent; hosts exchange datagrams. A poll that news ends costs a new connection, one a host and change.

--- a/crates/celerylead/src/port/store.rs
+++ b/crates/celerylead/src/port/store.rs
@@ -144,6 +144,25 @@
         /// version.
         reply: oneshot::Sender<Result<Option<u64>, StoreError>>,
     },
+    /// A caller has given a request up before its answer came. The connections
+    /// may be dead, as nothing came over one of them.
+    GivenUp,
+}
+
+/// Guard of a request that waits for its answer; tells the client task if it is
+/// dropped before.
+struct PendingRequest<'a> {
+    /// `None` once the answer has come.
+    sender: Option<&'a mpsc::Sender<StoreRequest>>,
+}
+
+impl Drop for PendingRequest<'_> {
+    fn drop(&mut self) {
+        if let Some(sender) = self.sender {
+            // A full mailbox means that calls fail anyway.
+            let _ = sender.try_send(StoreRequest::GivenUp);
+        }
+    }
 }
 
 /// Handle for sending requests to the client task of the store.
@@ -206,7 +225,9 @@
             oneshot::Sender<Result<T, StoreError>>,
         ) -> StoreRequest,
     ) -> Result<T, StoreError> {
+        let mut guard = PendingRequest { sender: Some(&self.sender) };
         let answer = crate::tasks::ask(&self.sender, message).await;
+        guard.sender = None;
         answer.unwrap_or_else(|| {
             let error =
                 anyhow::anyhow!("the client task of the store has stopped");
