Take an unframed end for a crash if its runner is down right after

An answer without a length that ends between two events looks whole, so it told nothing. Now it is remembered for two seconds: if a host is refused a connection by that start of the runner, the call counts as one that ended with it; if the runner answers a later call, the answer was whole and clears its parts, which nothing did for short ones before.

A runner that comes back under a new start before any host is refused isn't covered.

--- a/crates/celerylead/src/quarantine/exchange.rs
+++ b/crates/celerylead/src/quarantine/exchange.rs
@@ -150,6 +150,7 @@
         for SignRow { start, sign, ago_ms } in &report.signs {
             let at = ago(*ago_ms);
             self.signs.record(start, *sign, at);
+            events.extend(self.explain_unframed(start, *sign, at, now));
             self.apply_sign(start, *sign, at);
         }
         for CrashRow { start, ended_ago_ms, witnesses } in &report.crashes {
--- a/crates/celerylead/src/quarantine/ledger.rs
+++ b/crates/celerylead/src/quarantine/ledger.rs
@@ -11,6 +11,7 @@
     report::{ClearanceBasis, VerdictRow},
     signs::{RunnerSign, SignLog},
     sound::SoundLog,
+    unframed::{UnframedEnd, UnframedEnds},
     verdict::{PartVerdict, VerdictState},
 };
 use crate::{clock::EpochMillis, roster::RunnerStart, sorted::SortedTable};
@@ -121,6 +122,7 @@
     unsettled: Vec<(CrashWitness, EpochMillis)>,
     pub(super) signs: SignLog,
     sound: SoundLog,
+    unframed: UnframedEnds,
     /// Parts of calls that ended with a runner and aren't cleared since, with
     /// the time at which the last such call was sent.
     suspects: SortedTable<PartId, EpochMillis>,
@@ -138,6 +140,7 @@
             unsettled: Vec::new(),
             signs: SignLog::default(),
             sound: SoundLog::default(),
+            unframed: UnframedEnds::default(),
             suspects: SortedTable::default(),
             cleared: SortedTable::default(),
             verdicts: SortedTable::default(),
@@ -165,6 +168,46 @@
         self.weigh(now)
     }
 
+    /// Records a call of this host whose answer ended with its connection, so
+    /// that its runner may have ended.
+    pub fn record_unframed(
+        &mut self,
+        start: &RunnerStart,
+        witness: &CrashWitness,
+        now: EpochMillis,
+    ) {
+        let (start, witness) = (start.clone(), witness.clone());
+        self.unframed.record(UnframedEnd { start, witness, ended_at: now });
+    }
+
+    /// Applies a sign to the answers of its runner that ended with their
+    /// connections: each was whole, or ended with the runner.
+    pub(super) fn explain_unframed(
+        &mut self,
+        start: &RunnerStart,
+        sign: RunnerSign,
+        at: EpochMillis,
+        now: EpochMillis,
+    ) -> Vec<LedgerEvent> {
+        let mut events = Vec::new();
+        for end in self.unframed.explained(start, sign, at) {
+            let UnframedEnd { start, witness, ended_at } = end;
+            match sign {
+                RunnerSign::Answered => {
+                    events.extend(self.record_sound(&witness.parts, ended_at));
+                }
+                RunnerSign::Refused => {
+                    let repeat_until = now.after(REPEAT_TIME);
+                    let ended = (ended_at, repeat_until);
+                    self.add_witness(&start, &witness, ended, now);
+                    self.news.tell_soon(now);
+                    events.extend(self.weigh(now));
+                }
+            }
+        }
+        events
+    }
+
     /// Records what a start of a runner did towards this host.
     pub fn record_sign(
         &mut self,
@@ -174,14 +217,16 @@
         now: EpochMillis,
     ) -> Vec<LedgerEvent> {
         self.signs.record(start, sign, at);
+        let mut events = self.explain_unframed(start, sign, at, now);
         if !self.apply_sign(start, sign, at) {
-            return Vec::new();
+            return events;
         }
         self.news.repeat_sign(start, sign, [at, now.after(REPEAT_TIME)]);
         if sign == RunnerSign::Refused {
             self.news.tell_soon(now);
         }
-        self.weigh(now)
+        events.extend(self.weigh(now));
+        events
     }
 
     /// Records that an answer of this host went on.
--- a/crates/celerylead/src/quarantine/mod.rs
+++ b/crates/celerylead/src/quarantine/mod.rs
@@ -38,6 +38,7 @@
 mod sound;
 #[cfg(test)]
 mod tests;
+mod unframed;
 mod verdict;
 
 pub use self::{
--- a/crates/celerylead/src/quarantine/tests.rs
+++ b/crates/celerylead/src/quarantine/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the evidence on parts of prompts and of the verdicts.
 
+mod unframed;
+
 use std::time::Duration;
 
 use super::{
--- a/crates/celerylead/src/tasks/node/quarantine.rs
+++ b/crates/celerylead/src/tasks/node/quarantine.rs
@@ -116,6 +116,12 @@
                 );
                 self.ledger.record_crash(&start, &witness, now)
             }
+            TraceVerdict::Unframed(witness) => {
+                let start = completed.choice.start();
+                self.ledger.record_unframed(&start, &witness, now);
+                self.ledger.record_neutral(&trace.parts, now);
+                return;
+            }
             TraceVerdict::Neutral => {
                 self.ledger.record_neutral(&trace.parts, now);
                 return;
--- a/crates/celerylead/src/tasks/node/trace.rs
+++ b/crates/celerylead/src/tasks/node/trace.rs
@@ -37,6 +37,9 @@
     Sound,
     /// It ended with its runner before its answer had got anywhere.
     Witness(CrashWitness),
+    /// Its answer ended with its connection, as a whole one does or one whose
+    /// runner ends.
+    Unframed(CrashWitness),
     /// Nothing.
     Neutral,
 }
@@ -68,11 +71,14 @@
         if self.is_sound || (is_whole && self.first_frame_at.is_some()) {
             return TraceVerdict::Sound;
         }
-        match (end, self.sent_at) {
-            (CallEnd::Cut, Some(sent_at)) => {
-                let sent_at = now.before(instant - sent_at);
-                let (parts, begun) = (self.parts.clone(), self.begun);
-                TraceVerdict::Witness(CrashWitness { parts, begun, sent_at })
+        let Some(sent_at) = self.sent_at else { return TraceVerdict::Neutral };
+        let sent_at = now.before(instant - sent_at);
+        let (parts, begun) = (self.parts.clone(), self.begun);
+        let witness = CrashWitness { parts, begun, sent_at };
+        match end {
+            CallEnd::Cut => TraceVerdict::Witness(witness),
+            CallEnd::Complete { .. } if self.is_unframed => {
+                TraceVerdict::Unframed(witness)
             }
             _ => TraceVerdict::Neutral,
         }
