Suspect all parts of a prompt, and no sound one for want of others

Only the first 16 parts were suspects, and sound ones were condemned if nothing else was left.

Now all parts of a head are looked at; 24 of a call at most are suspected and told, ranked; where some are left out, no part on which an answer ever went on is rejected.

--- a/crates/celerylead/src/quarantine/crash.rs
+++ b/crates/celerylead/src/quarantine/crash.rs
@@ -29,8 +29,10 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct CrashWitness {
-    /// Parts of its prompt that other calls may share.
+    /// Parts of its prompt that are suspected.
     pub parts: PromptParts,
+    /// Whether other parts of its prompt were left out, as there were too many.
+    pub is_partial: bool,
     /// Whether the head of its answer had arrived, so that the runner had
     /// begun to answer it.
     pub begun: bool,
@@ -62,6 +64,8 @@
     pub(super) trials: u32,
     /// Time at which the call of the last trial was sent.
     pub(super) sent_at: EpochMillis,
+    /// Whether a trial may be due to a part that its witnesses leave out.
+    pub(super) is_partial: bool,
 }
 
 /// The latest crashes, by start of the runner.
@@ -79,6 +83,7 @@
 /// let start = RunnerStart { id: "i-1".to_owned(), born: Some(5) };
 /// let witness = CrashWitness {
 ///     parts: PromptParts::of_prompt([1, 2, 3]),
+///     is_partial: false,
 ///     begun: true,
 ///     sent_at: EpochMillis(900),
 /// };
@@ -183,7 +188,7 @@
         settled_at: Option<EpochMillis>,
         is_explained: impl Fn(&PromptParts) -> bool,
     ) -> TrialCount {
-        let mut trials: Vec<(EpochMillis, EpochMillis)> = Vec::new();
+        let mut trials: Vec<(EpochMillis, EpochMillis, bool)> = Vec::new();
         let is_settled = |record: &&CrashRecord| {
             settled_at.is_none_or(|now| record.is_settled(now))
         };
@@ -192,17 +197,21 @@
             if candidates.clone().any(|held| is_explained(&held.parts)) {
                 continue;
             }
+            let is_partial = candidates.clone().any(|held| held.is_partial);
             let sent = candidates
                 .filter(|witness| witness.parts.contains(part))
                 .map(|witness| witness.sent_at)
                 .filter(|sent_at| cleared_at.is_none_or(|at| at < *sent_at))
                 .max();
-            trials.extend(sent.map(|sent_at| (record.ended_at, sent_at)));
+            trials.extend(
+                sent.map(|sent_at| (record.ended_at, sent_at, is_partial)),
+            );
         }
         trials.sort();
         let mut count = TrialCount::default();
         let mut last_end = EpochMillis::default();
-        for (ended_at, sent_at) in trials {
+        for (ended_at, sent_at, is_partial) in trials {
+            count.is_partial |= is_partial;
             if last_end < sent_at {
                 last_end = ended_at;
                 count.trials += 1;
--- a/crates/celerylead/src/quarantine/exchange.rs
+++ b/crates/celerylead/src/quarantine/exchange.rs
@@ -154,9 +154,11 @@
             self.apply_sign(start, *sign, at);
         }
         for CrashRow { start, ended_ago_ms, witnesses } in &report.crashes {
-            for WitnessRow { parts, begun, sent_ago_ms } in witnesses {
+            for row in witnesses {
+                let WitnessRow { parts, is_partial, begun, sent_ago_ms } = row;
                 let witness = CrashWitness {
                     parts: parts.clone(),
+                    is_partial: *is_partial,
                     begun: *begun,
                     sent_at: ago(*sent_ago_ms),
                 };
@@ -203,6 +205,7 @@
         for (start, ended_at, witness) in repeated {
             let row = WitnessRow {
                 parts: witness.parts.clone(),
+                is_partial: witness.is_partial,
                 begun: witness.begun,
                 sent_ago_ms: ago(witness.sent_at),
             };
--- a/crates/celerylead/src/quarantine/ledger.rs
+++ b/crates/celerylead/src/quarantine/ledger.rs
@@ -11,7 +11,7 @@
     report::{ClearanceBasis, VerdictRow},
     signs::{RunnerSign, SignLog},
     sound::SoundLog,
-    unframed::{UnframedEnd, UnframedEnds},
+    unframed::UnframedEnds,
     verdict::{PartVerdict, VerdictState},
 };
 use crate::{clock::EpochMillis, roster::RunnerStart, sorted::SortedTable};
@@ -105,7 +105,7 @@
 ///     let start = RunnerStart { id: format!("i-{crash}"), born: None };
 ///     let sent_at = EpochMillis(crash * 1_000);
 ///     let witness =
-///         CrashWitness { parts: parts.clone(), begun: true, sent_at };
+///         CrashWitness { parts, is_partial: false, begun: true, sent_at };
 ///     ledger.record_crash(&start, &witness, EpochMillis(crash * 1_000 + 50));
 /// }
 /// // Nothing has shown since that the runners hadn't ended.
@@ -121,11 +121,11 @@
     /// Calls that ended with a runner whose end isn't settled yet.
     unsettled: Vec<(CrashWitness, EpochMillis)>,
     pub(super) signs: SignLog,
-    sound: SoundLog,
-    unframed: UnframedEnds,
+    pub(super) sound: SoundLog,
+    pub(super) unframed: UnframedEnds,
     /// Parts of calls that ended with a runner and aren't cleared since, with
     /// the time at which the last such call was sent.
-    suspects: SortedTable<PartId, EpochMillis>,
+    pub(super) suspects: SortedTable<PartId, EpochMillis>,
     pub(super) cleared: SortedTable<PartId, Clearance>,
     pub(super) verdicts: SortedTable<PartId, HeldVerdict>,
     pub(super) news: NewsSchedule,
@@ -155,11 +155,7 @@
         witness: &CrashWitness,
         now: EpochMillis,
     ) -> Vec<LedgerEvent> {
-        let mut witness = witness.clone();
-        let sound = &self.sound;
-        witness.parts.retain(|part| {
-            sound.last(part).is_none_or(|at| at < witness.sent_at)
-        });
+        let witness = self.suspects_of(witness);
         let repeat_until = now.after(REPEAT_TIME);
         if !witness.parts.is_empty() {
             self.news.tell_soon(now);
@@ -168,46 +164,6 @@
         self.weigh(now)
     }
 
-    /// Records a call of this host whose answer ended with its connection, so
-    /// that its runner may have ended.
-    pub fn record_unframed(
-        &mut self,
-        start: &RunnerStart,
-        witness: &CrashWitness,
-        now: EpochMillis,
-    ) {
-        let (start, witness) = (start.clone(), witness.clone());
-        self.unframed.record(UnframedEnd { start, witness, ended_at: now });
-    }
-
-    /// Applies a sign to the answers of its runner that ended with their
-    /// connections: each was whole, or ended with the runner.
-    pub(super) fn explain_unframed(
-        &mut self,
-        start: &RunnerStart,
-        sign: RunnerSign,
-        at: EpochMillis,
-        now: EpochMillis,
-    ) -> Vec<LedgerEvent> {
-        let mut events = Vec::new();
-        for end in self.unframed.explained(start, sign, at) {
-            let UnframedEnd { start, witness, ended_at } = end;
-            match sign {
-                RunnerSign::Answered => {
-                    events.extend(self.record_sound(&witness.parts, ended_at));
-                }
-                RunnerSign::Refused => {
-                    let repeat_until = now.after(REPEAT_TIME);
-                    let ended = (ended_at, repeat_until);
-                    self.add_witness(&start, &witness, ended, now);
-                    self.news.tell_soon(now);
-                    events.extend(self.weigh(now));
-                }
-            }
-        }
-        events
-    }
-
     /// Records what a start of a runner did towards this host.
     pub fn record_sign(
         &mut self,
@@ -466,8 +422,11 @@
             })
             .filter(|(_, _, count)| TRIALS_TO_REJECT <= count.trials);
         let best = counted.max_by_key(|(part, depth, count)| {
-            let was_sound = self.cleared.get(part).is_some();
-            (count.trials, Reverse(was_sound), *depth)
+            (count.trials, Reverse(self.was_sound(*part)), *depth)
+        });
+        // A sound part is no explanation where another part may be left out.
+        let best = best.filter(|(part, _, count)| {
+            !(count.is_partial && self.was_sound(*part))
         });
         best.map(|(part, _, count)| (part, count))
     }
--- a/crates/celerylead/src/quarantine/mod.rs
+++ b/crates/celerylead/src/quarantine/mod.rs
@@ -25,6 +25,9 @@
 //!   call as a probe. If its answer goes on, the part is cleared; if its runner
 //!   ends, the next term is twice as long. An answer that was under way when
 //!   the verdict was found clears the part too, and so does an operator.
+//! * A call has as many suspects as its head names parts, if these are few. Of
+//!   many, those that can't be told from sound ones are left out, and then no
+//!   part on which an answer went on is rejected: the cause isn't known.
 //!
 //! Every table is bounded. A caller who makes up parts can neither fill them,
 //! as only calls that ended with a runner enter, nor displace a verdict.
@@ -36,6 +39,7 @@
 mod report;
 mod signs;
 mod sound;
+mod suspects;
 #[cfg(test)]
 mod tests;
 mod unframed;
--- a/crates/celerylead/src/quarantine/part.rs
+++ b/crates/celerylead/src/quarantine/part.rs
@@ -4,9 +4,11 @@
 
 use serde::{Deserialize, Serialize};
 
-/// Most parts of one call that are taken into account before its last one; the
-/// first ones, which are the ones that most calls share.
-const MAX_SHARED: usize = 16;
+/// Most parts of one call that are taken into account before its last one, more
+/// than a head of the usual size holds.
+const MAX_SHARED: usize = 2_048;
+/// Most parts that a text names.
+const MAX_NAMED: usize = 24;
 
 /// Identifier of the content of a part of a prompt, written in hexadecimal.
 #[derive(
@@ -76,6 +78,11 @@
         self.0.contains(&part)
     }
 
+    /// Returns the number of parts.
+    pub fn len(&self) -> usize {
+        self.0.len()
+    }
+
     /// Iterates over the parts in the order of the prompt.
     pub fn iter(&self) -> impl Iterator<Item = PartId> {
         self.0.iter().copied()
@@ -89,10 +96,13 @@
 
 impl fmt::Display for PromptParts {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for (index, part) in self.0.iter().enumerate() {
+        for (index, part) in self.0.iter().take(MAX_NAMED).enumerate() {
             let separator = if index == 0 { "" } else { "," };
             write!(formatter, "{separator}{part}")?;
         }
-        Ok(())
+        match self.0.len().checked_sub(MAX_NAMED) {
+            Some(more) if 0 < more => write!(formatter, ",and {more} more"),
+            _ => Ok(()),
+        }
     }
 }
--- a/crates/celerylead/src/quarantine/report.rs
+++ b/crates/celerylead/src/quarantine/report.rs
@@ -16,8 +16,10 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct WitnessRow {
-    /// Parts of its prompt that other calls may share.
+    /// Parts of its prompt that are suspected.
     pub parts: PromptParts,
+    /// Whether other parts of its prompt were left out.
+    pub is_partial: bool,
     /// Whether the head of its answer had arrived.
     pub begun: bool,
     /// Time since the call was sent, in milliseconds.
--- a/crates/celerylead/src/quarantine/sound.rs
+++ b/crates/celerylead/src/quarantine/sound.rs
@@ -6,7 +6,7 @@
 use crate::{clock::EpochMillis, sorted::SortedTable};
 
 /// Most parts that are remembered; those longest unused are forgotten first.
-const MAX_PARTS: usize = 2_048;
+const MAX_PARTS: usize = 4_096;
 /// Time for which a part is remembered after its last sound answer.
 const MEMORY: Duration = Duration::from_secs(120);
 
--- a/crates/celerylead/src/quarantine/tests.rs
+++ b/crates/celerylead/src/quarantine/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the evidence on parts of prompts and of the verdicts.
 
+mod prompts;
 mod unframed;
 
 use std::time::Duration;
@@ -72,7 +73,8 @@
         };
         let [sent_at, ended_at] = times.map(EpochMillis);
         let parts = parts_of_call(shared, times[0]);
-        let witness = CrashWitness { parts, begun, sent_at };
+        let witness =
+            CrashWitness { parts, is_partial: false, begun, sent_at };
         let mut events =
             ledger.record_crash(&start(number), &witness, ended_at);
         if !matches!(self, Step::Break(..)) {
@@ -573,8 +575,12 @@
                 RunnerStart { id: format!("j-{number}"), born: Some(number) };
             let made_up = parts(&[0x100_0000 + number]);
             let sent_at = EpochMillis(now.0 - 1);
-            let witness =
-                CrashWitness { parts: made_up, begun: true, sent_at };
+            let witness = CrashWitness {
+                parts: made_up,
+                is_partial: false,
+                begun: true,
+                sent_at,
+            };
             ledger.record_crash(&start, &witness, now);
         }
     }
@@ -756,8 +762,12 @@
         for crash in 1..=3 {
             let sent_at = EpochMillis(crash * 1_000);
             let ended_at = sent_at.after(Duration::from_millis(50));
-            let witness =
-                CrashWitness { parts: deadly.clone(), begun: true, sent_at };
+            let witness = CrashWitness {
+                parts: deadly.clone(),
+                is_partial: false,
+                begun: true,
+                sent_at,
+            };
             ledger.record_crash(&start(crash), &witness, ended_at);
             let sign = RunnerSign::Refused;
             ledger.record_sign(&start(crash), sign, ended_at, ended_at);
--- a/crates/celerylead/src/quarantine/tests/unframed.rs
+++ b/crates/celerylead/src/quarantine/tests/unframed.rs
@@ -61,6 +61,7 @@
             let ended_at = sent_at + 60;
             let witness = CrashWitness {
                 parts: parts_of_call(&[1, DEADLY], sent_at),
+                is_partial: false,
                 begun: true,
                 sent_at: EpochMillis(sent_at),
             };
--- a/crates/celerylead/src/quarantine/unframed.rs
+++ b/crates/celerylead/src/quarantine/unframed.rs
@@ -5,7 +5,11 @@
 
 use std::time::Duration;
 
-use super::{crash::CrashWitness, signs::RunnerSign};
+use super::{
+    crash::CrashWitness,
+    ledger::{LedgerEvent, REPEAT_TIME, SuspectLedger},
+    signs::RunnerSign,
+};
 use crate::{clock::EpochMillis, roster::RunnerStart};
 
 /// Time after which an end that no sign explains is forgotten: a runner that has
@@ -57,3 +61,46 @@
         self.ends.extract_if(.., is_explained).collect()
     }
 }
+
+impl SuspectLedger {
+    /// Records a call of this host whose answer ended with its connection, so
+    /// that its runner may have ended.
+    pub fn record_unframed(
+        &mut self,
+        start: &RunnerStart,
+        witness: &CrashWitness,
+        now: EpochMillis,
+    ) {
+        let (start, witness) = (start.clone(), witness.clone());
+        self.unframed.record(UnframedEnd { start, witness, ended_at: now });
+    }
+
+    /// Applies a sign to the answers of its runner that ended with their
+    /// connections: each was whole, or ended with the runner.
+    pub(super) fn explain_unframed(
+        &mut self,
+        start: &RunnerStart,
+        sign: RunnerSign,
+        at: EpochMillis,
+        now: EpochMillis,
+    ) -> Vec<LedgerEvent> {
+        let mut events = Vec::new();
+        for end in self.unframed.explained(start, sign, at) {
+            let UnframedEnd { start, witness, ended_at } = end;
+            match sign {
+                RunnerSign::Answered => {
+                    events.extend(self.record_sound(&witness.parts, ended_at));
+                }
+                RunnerSign::Refused => {
+                    let repeat_until = now.after(REPEAT_TIME);
+                    let ended = (ended_at, repeat_until);
+                    let witness = self.suspects_of(&witness);
+                    self.add_witness(&start, &witness, ended, now);
+                    self.news.tell_soon(now);
+                    events.extend(self.weigh(now));
+                }
+            }
+        }
+        events
+    }
+}
--- a/crates/celerylead/src/tasks/node/trace.rs
+++ b/crates/celerylead/src/tasks/node/trace.rs
@@ -74,7 +74,8 @@
         let Some(sent_at) = self.sent_at else { return TraceVerdict::Neutral };
         let sent_at = now.before(instant - sent_at);
         let (parts, begun) = (self.parts.clone(), self.begun);
-        let witness = CrashWitness { parts, begun, sent_at };
+        let is_partial = false;
+        let witness = CrashWitness { parts, is_partial, begun, sent_at };
         match end {
             CallEnd::Cut => TraceVerdict::Witness(witness),
             CallEnd::Complete { .. } if self.is_unframed => {
