--- a/crates/celerylead/src/customer/tests/fleet.rs
+++ b/crates/celerylead/src/customer/tests/fleet.rs
@@ -18,6 +18,8 @@
     Refund(u64),
     /// A report of the other host, with its incarnation and its total.
     Report(u64, i64),
+    /// The first report of a third host, with the level that it knows.
+    First(i64),
     /// A change of the rate and the burst by the operator.
     Resize(u64, u64),
 }
@@ -80,6 +82,16 @@
                 (1_000, Step::Take(300, true)),
             ],
         },
+        Case {
+            name: "what the first reporter didn't know yet is debited",
+            steps: &[
+                (0, Step::Report(1, 0)),
+                (500, Step::Take(0, true)),
+                (500, Step::First(100)),
+                (500, Step::Take(101, false)),
+                (500, Step::Take(100, true)),
+            ],
+        },
         Case {
             name: "a silent host is debited its share",
             steps: &[
@@ -168,6 +180,9 @@
                     bucket.record_total("other", *incarnation, *total, level);
                     liveness.record_report("other", now);
                 }
+                Step::First(level) => {
+                    bucket.record_total("third", 1, 0, Some(*level));
+                }
                 Step::Resize(per_second, burst) => {
                     let (per_second, burst) = (*per_second, *burst);
                     bucket.resize(TokenRate { per_second, burst, ..RATE });
