Shorten what a claim writes, and open the ledger without a placeholder

Reading the diff: a claim's slices carried a time that no reader uses, in a row that every host of the fleet reads every 10 to 30 s; the ledger was replaced by one that nobody needs while it is opened. No decision changes.

--- a/crates/celerylead/src/request/allowance.rs
+++ b/crates/celerylead/src/request/allowance.rs
@@ -19,7 +19,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct WindowSlice {
-    /// Time from which requests and retries belong to the next slice.
+    /// Time from which requests and retries belong to the next slice; a slice
+    /// that was read from a row has ended.
+    #[serde(skip)]
     ends_at: EpochMillis,
     /// Time from which its requests aren't in the window any more.
     requests_until: EpochMillis,
@@ -46,7 +48,7 @@
         convert: impl Fn(EpochMillis) -> EpochMillis,
     ) -> WindowSlice {
         WindowSlice {
-            ends_at: convert(self.ends_at),
+            ends_at: self.ends_at,
             requests_until: convert(self.requests_until),
             retries_until: convert(self.retries_until),
             counts: self.counts,
--- a/crates/celerylead/src/request/retry_ledger.rs
+++ b/crates/celerylead/src/request/retry_ledger.rs
@@ -254,11 +254,6 @@
 }
 
 impl<S> RetryLedger<S> {
-    /// Returns what the platform allows.
-    pub fn allowance(&self) -> RetryAllowance {
-        self.allowance
-    }
-
     /// Counts a request to a service.
     pub fn record_request(&mut self, service: &str, now: EpochMillis) {
         let saved = self.allowance.share * BUDGET_SHARE;
--- a/crates/celerylead/src/tasks/node/retries.rs
+++ b/crates/celerylead/src/tasks/node/retries.rs
@@ -80,11 +80,8 @@
                 spend_by_ms,
             );
         }
-        if let LedgerSeat::Withheld(ledger) = &mut self.seat {
-            let placeholder =
-                RetryLedger::new(ledger.allowance(), EpochMillis::default());
-            let ledger = mem::replace(ledger, placeholder);
-            self.seat = LedgerSeat::Granting(ledger.open(former));
+        if let LedgerSeat::Withheld(ledger) = &self.seat {
+            self.seat = LedgerSeat::Granting(ledger.clone().open(former));
         }
     }
 
