Write a host's row only when it has changed

The time that leaves out of the row stayed in the host's own copy, so the two never compared equal. Converted slices have none now. A claim that is written and read compares equal in the new test, which fails without the change.

--- a/crates/celerylead/src/request/allowance.rs
+++ b/crates/celerylead/src/request/allowance.rs
@@ -19,8 +19,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct WindowSlice {
-    /// Time from which requests and retries belong to the next slice; a slice
-    /// that was read from a row has ended.
+    /// Time from which requests and retries belong to the next slice; the epoch
+    /// in a row.
     #[serde(skip)]
     ends_at: EpochMillis,
     /// Time from which its requests aren't in the window any more.
@@ -42,13 +42,14 @@
         }
     }
 
-    /// Returns the slice with its times converted to another clock.
+    /// Returns the slice, which has ended, with its times converted to another
+    /// clock.
     pub(super) fn at_clock(
         self,
         convert: impl Fn(EpochMillis) -> EpochMillis,
     ) -> WindowSlice {
         WindowSlice {
-            ends_at: self.ends_at,
+            ends_at: EpochMillis::default(),
             requests_until: convert(self.requests_until),
             retries_until: convert(self.retries_until),
             counts: self.counts,
--- a/crates/celerylead/src/request/tests/retries.rs
+++ b/crates/celerylead/src/request/tests/retries.rs
@@ -310,3 +310,25 @@
         assert_eq!(10 <= again, granted, "{name}: {again}");
     }
 }
+
+/// Guards against a host that takes its row for another's and writes it again
+/// and again: what it writes is what it reads.
+#[test]
+fn claims_are_read_as_they_were_written() {
+    let allowance = RetryAllowance { share: 0.2, slack: 50.0, window: WINDOW };
+    let mut ledger = RetryLedger::new(allowance, EpochMillis(0)).open(&[]);
+    for at in (0..20_000).step_by(50).map(EpochMillis) {
+        ledger.record_request(SERVICE, at);
+        if let Ok(grant) = claim_and_grant(&mut ledger, 1, at) {
+            ledger.record_sent(&grant, at);
+        }
+    }
+    let claims = ledger.claims(EpochMillis(20_000));
+    assert!(!claims.is_empty());
+    for claim in claims {
+        let written = claim.at_clock(|at| at.after(WINDOW));
+        let row = serde_json::to_vec(&written).unwrap();
+        let read: RetryClaim = serde_json::from_slice(&row).unwrap();
+        assert_eq!(read, written);
+    }
+}
