--- a/crates/celerylead/src/customer/tests/restarts.rs
+++ b/crates/celerylead/src/customer/tests/restarts.rs
@@ -107,7 +107,7 @@
 
 /// Guards against rates that are exceeded while hosts start again: what a host
 /// has admitted since its last digest is known to no other, and a host that
-/// starts doesn't know what the others admit until it hears them.
+/// starts doesn't know what the others admit until it has their digests.
 #[test]
 fn a_rate_holds_while_hosts_start_again() {
     let case = Case {
--- a/crates/celerylead/src/port/store.rs
+++ b/crates/celerylead/src/port/store.rs
@@ -149,8 +149,8 @@
     GivenUp,
 }
 
-/// Guard of a request that waits for its answer; tells the client task if it is
-/// dropped before.
+/// Guard of a request that waits for its answer; notifies the client task if it
+/// is dropped before.
 struct PendingRequest<'a> {
     /// `None` once the answer has come.
     sender: Option<&'a mpsc::Sender<StoreRequest>>,
--- a/crates/celerylead/src/quarantine/mod.rs
+++ b/crates/celerylead/src/quarantine/mod.rs
@@ -26,7 +26,7 @@
 //!   ends, the next term is twice as long. An answer that was under way when
 //!   the verdict was found clears the part too, and so does an operator.
 //! * A call has as many suspects as its head names parts, if these are few. Of
-//!   many, those that can't be told from sound ones are left out, and then no
+//!   many, those that look like sound ones are left out, and then no
 //!   part on which an answer went on is rejected: the cause isn't known.
 //!
 //! Every table is bounded. A caller who makes up parts can neither fill them,
--- a/crates/celerylead/src/quarantine/suspects.rs
+++ b/crates/celerylead/src/quarantine/suspects.rs
@@ -2,13 +2,13 @@
 
 use super::{crash::CrashWitness, ledger::SuspectLedger, part::PartId};
 
-/// Most parts that are suspected for one call and told to the other hosts.
+/// Most parts that are suspected for one call and reported to the other hosts.
 const MAX_SUSPECTED: usize = 24;
 
 impl SuspectLedger {
     /// Returns the witness with the parts that may have ended its runner: those
     /// on which no answer went on since the call was sent. If there are too many
-    /// to tell, keeps those already suspected, then those on which no answer is
+    /// to report, keeps those already suspected, then those on which no answer is
     /// known to have gone on, and of each kind the deepest in the prompt.
     pub(super) fn suspects_of(&self, witness: &CrashWitness) -> CrashWitness {
         let CrashWitness { parts, is_partial, begun, sent_at } = witness;
--- a/crates/celerylead/src/quarantine/tests/unframed.rs
+++ b/crates/celerylead/src/quarantine/tests/unframed.rs
@@ -11,7 +11,7 @@
 enum Seen {
     /// This host, so long after the end of the answer.
     Here(RunnerSign, u64),
-    /// Another host, so long after it; it is told 20 ms later.
+    /// Another host, so long after it; it reports it 20 ms later.
     Elsewhere(RunnerSign, u64),
     Nobody,
 }
--- a/crates/celerylead/src/quarantine/unframed.rs
+++ b/crates/celerylead/src/quarantine/unframed.rs
@@ -1,7 +1,7 @@
 //! Answers that ended with their connections and nothing else.
 //!
 //! Such an end is that of a whole answer, or of the runner. What the runner is
-//! seen to do next tells them apart.
+//! seen to do next distinguishes them.
 
 use std::time::Duration;
 
--- a/crates/celerylead/src/request/retry_claim.rs
+++ b/crates/celerylead/src/request/retry_claim.rs
@@ -3,7 +3,7 @@
 //! A process may retry at once what the requests of the past window allow. If
 //! it ends then, its successor has to know, or the same requests would pay for
 //! retries twice within a window. So the process first claims the retries in
-//! its host's row on the platform, in small lots. The row tells the counts of
+//! its host's row on the platform, in small lots. The row holds the counts of
 //! its window too, with which the successor continues; what is claimed counts as
 //! made.
 
--- a/crates/celerylead/src/request/retry_ledger.rs
+++ b/crates/celerylead/src/request/retry_ledger.rs
@@ -208,7 +208,7 @@
         self.budget(service).claims.conclude(is_written, now);
     }
 
-    /// Returns what a successor of this process has to know.
+    /// Returns what a successor of this process needs.
     pub fn claims(&mut self, now: EpochMillis) -> Vec<RetryClaim> {
         let window = self.allowance.window;
         let claims = self.budgets.iter_mut().filter_map(|(name, budget)| {
--- a/crates/celerylead/src/tasks/node/retries.rs
+++ b/crates/celerylead/src/tasks/node/retries.rs
@@ -41,7 +41,7 @@
 }
 
 /// The retry budgets, and the calls that wait for a claim.
-pub(super) struct RetryDesk {
+pub(super) struct RetryKeeper {
     seat: LedgerSeat,
     /// Number of hosts that share the slack; 0 until the list is known.
     hosts: usize,
@@ -52,14 +52,14 @@
     metrics: HostMetrics,
 }
 
-impl RetryDesk {
+impl RetryKeeper {
     pub(super) fn new(
         allowance: RetryAllowance,
         claims: watch::Sender<Vec<RetryClaim>>,
         metrics: HostMetrics,
         now: EpochMillis,
-    ) -> RetryDesk {
-        RetryDesk {
+    ) -> RetryKeeper {
+        RetryKeeper {
             seat: LedgerSeat::Withheld(RetryLedger::new(allowance, now)),
             hosts: 0,
             claiming: None,
--- a/crates/celerylead/src/tasks/node/router.rs
+++ b/crates/celerylead/src/tasks/node/router.rs
@@ -15,7 +15,7 @@
     gossip_port::GossipPort,
     links::IdleLinks,
     quarantine::QuarantineDesk,
-    retries::{RetryDecision, RetryDesk},
+    retries::{RetryDecision, RetryKeeper},
     router_port::{
         CompletedCall, QueuedCall, RelaySlot, RouterEvent, RouterInbox,
         RouterReport,
@@ -72,7 +72,7 @@
     pub(super) table: RelayTable,
     pub(super) buckets: SortedTable<String, FleetBucket>,
     pub(super) host_liveness: HostLiveness,
-    retries: RetryDesk,
+    retries: RetryKeeper,
     demand: DemandMeter,
     quarantine: QuarantineDesk,
     links: IdleLinks,
@@ -91,7 +91,7 @@
         table: RelayTable::new(&setup.zone),
         buckets: SortedTable::default(),
         host_liveness: HostLiveness::default(),
-        retries: RetryDesk::new(
+        retries: RetryKeeper::new(
             setup.allowance,
             setup.claims.clone(),
             setup.metrics.clone(),
--- a/crates/celerylead/src/tasks/node/router_port.rs
+++ b/crates/celerylead/src/tasks/node/router_port.rs
@@ -61,8 +61,8 @@
     HostAdded(String),
     /// Another host was removed.
     HostRemoved(String),
-    /// All changes of the list of hosts are told, with what the hosts' rows keep
-    /// for a process that starts if they have been read for the first time.
+    /// The list of hosts was read and its changes were sent. Holds what the rows
+    /// keep for a process that starts, after the first reading.
     HostsListed { kept: Option<KeptState> },
     /// The claims of retries are written, or may not be.
     ClaimsWritten(bool),
