Use a runner's connection again for as long as the kind of call allows

Cause: the term of a connection began with the head of an answer, so it was over before the end of any stream longer than 300 ms; and it was as short for calls that may be repeated as for those that must not meet a closing connection. Ruled out: a longer term for all calls, since a call that must not be repeated would meet connections that the runner is closing. Change: the term begins when the connection becomes idle. It has two ends: until the first the connection is certain to be open, and calls that may run again use it up to 150 ms before the announced timeout. A runner that announces nothing keeps the 300 ms that it had.

--- a/crates/celerylead/src/port/codec.rs
+++ b/crates/celerylead/src/port/codec.rs
@@ -62,6 +62,8 @@
     Never,
     /// The connection may be reused while its idle time is less than this.
     Within(Duration),
+    /// The runner keeps the connection open, and doesn't say for how long.
+    Unstated,
 }
 
 /// An order sent to a runner.
--- a/crates/celerylead/src/tasks/node/attempt.rs
+++ b/crates/celerylead/src/tasks/node/attempt.rs
@@ -41,12 +41,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Largest non-streamed answer that is buffered before it is passed on.
 const MAX_BUFFERED_BYTES: u64 = 256 << 10;
-/// Longest idle time after which a connection to a runner is used again: a
-/// request that can't be repeated must not meet a connection that the runner
-/// is closing. Runners announce their idle timeout in whole seconds.
-const MAX_REUSE_IDLE: Duration = Duration::from_millis(500);
-/// Time before a runner's idle timeout from which a connection isn't used.
-const REUSE_MARGIN: Duration = Duration::from_millis(700);
+/// Longest time for which the rest of an answer that isn't passed on is read.
+const DRAIN_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// An admitted call and what its attempts need.
 pub(super) struct CallAttempts<'a, C> {
@@ -280,7 +276,7 @@
         let verdict =
             codec.classify_answer(request.id(), &head, link.last_use());
         self.record.status = head.status.as_u16();
-        let link = (link, self.reuse_until(&head));
+        let link = (link, codec.reuse(&head));
         match verdict {
             AnswerVerdict::Rejected(proof) => {
                 let error = anyhow::anyhow!("status {}", head.status);
@@ -310,23 +306,12 @@
         }
     }
 
-    /// Returns the time until which a connection may be used again.
-    fn reuse_until(&self, head: &response::Parts) -> Instant {
-        let now = Instant::now();
-        match self.context.codec.reuse(head) {
-            LinkReuse::Never => now,
-            LinkReuse::Within(span) => {
-                now + span.saturating_sub(REUSE_MARGIN).min(MAX_REUSE_IDLE)
-            }
-        }
-    }
-
     fn stream_answer(
         &self,
         head: &response::Parts,
         upstream: Incoming,
         mut slot: RelaySlot,
-        link: (HttpLink, Instant),
+        link: (HttpLink, LinkReuse),
     ) -> AttemptOutcome {
         if !is_framed(head) {
             slot.note_unframed();
@@ -349,7 +334,7 @@
         head: &response::Parts,
         upstream: Incoming,
         mut slot: RelaySlot,
-        link: (HttpLink, Instant),
+        link: (HttpLink, LinkReuse),
         sent_at: Instant,
     ) -> AttemptOutcome {
         let size = upstream.size_hint().upper();
@@ -380,7 +365,7 @@
         head: &response::Parts,
         upstream: Incoming,
         slot: RelaySlot,
-        link: (HttpLink, Instant),
+        link: (HttpLink, LinkReuse),
     ) -> AttemptOutcome {
         let bytes = match self.collect(upstream).await {
             Ok(bytes) => bytes,
@@ -450,13 +435,13 @@
 /// its connection can be used again.
 async fn drain_body(
     upstream: Incoming,
-    link: (HttpLink, Instant),
-) -> Option<(HttpLink, Instant)> {
+    link: (HttpLink, LinkReuse),
+) -> Option<(HttpLink, LinkReuse)> {
     let short = upstream.size_hint().upper();
     if short.is_none_or(|bytes| MAX_BUFFERED_BYTES < bytes) {
         return None;
     }
-    let limit = Instant::now() + MAX_REUSE_IDLE;
+    let limit = Instant::now() + DRAIN_TIMEOUT;
     let read = tokio::time::timeout_at(limit, upstream.collect()).await;
     matches!(read, Ok(Ok(_))).then_some(link)
 }
--- a/crates/celerylead/src/tasks/node/body.rs
+++ b/crates/celerylead/src/tasks/node/body.rs
@@ -20,7 +20,7 @@
 
 use super::{call::CallRecord, router_port::RelaySlot};
 use crate::{
-    port::HttpLink,
+    port::{HttpLink, LinkReuse},
     relay::CallEnd,
     tasks::reply_body::{FramePoll, FrameSource, ReplyBody},
     wire::answer::EventBoundary,
@@ -41,7 +41,7 @@
 /// Body of a runner's answer that is passed on frame by frame.
 pub(crate) struct RelayStream {
     upstream: Incoming,
-    link: Option<(HttpLink, Instant)>,
+    link: Option<(HttpLink, LinkReuse)>,
     slot: Option<RelaySlot>,
     record: CallRecord,
     /// Whether the answer may end where it is; `None` if it isn't a stream of
@@ -56,12 +56,12 @@
 
 impl RelayStream {
     /// Returns the body of an answer whose head has been received. `link` is
-    /// the runner's connection, with the time until which it may be used
-    /// again.
+    /// the runner's connection, with what the runner announced about its
+    /// further use.
     pub(crate) fn new(
         head: &response::Parts,
         upstream: Incoming,
-        link: (HttpLink, Instant),
+        link: (HttpLink, LinkReuse),
         slot: RelaySlot,
         record: CallRecord,
         deadline: Instant,
--- a/crates/celerylead/src/tasks/node/router.rs
+++ b/crates/celerylead/src/tasks/node/router.rs
@@ -421,7 +421,11 @@
             let id = call.requirements.id.as_str();
             self.retries.record_sent(id, grant, now);
         }
-        let link = self.links.take(&choice.runner);
+        let link = if call.requirements.profile.idempotent {
+            self.links.take_any(&choice.runner)
+        } else {
+            self.links.take_certain(&choice.runner)
+        };
         let parts = &call.requirements.parts;
         let slot = RelaySlot::new(choice, link, call.seat, parts);
         let _ = call.reply.send(Ok(slot));
@@ -556,10 +560,10 @@
             completed.end,
             now,
         );
-        if let Some((link, until)) = completed.link
+        if let Some((link, term)) = completed.link
             && self.table.takes_calls(&completed.choice.runner)
         {
-            self.links.keep(&completed.choice.runner, link, until);
+            self.links.keep(&completed.choice.runner, link, term);
         }
         self.retry_waiting();
     }
--- a/crates/celerylead/src/tasks/node/router_port.rs
+++ b/crates/celerylead/src/tasks/node/router_port.rs
@@ -7,13 +7,13 @@
     time::Instant,
 };
 
-use super::trace::CallTrace;
+use super::{links::LinkTerm, trace::CallTrace};
 use crate::{
     clock::EpochMillis,
     membership::{FleetDigest, HostDigest},
     model::ModelName,
     placement::ModelDemand,
-    port::HttpLink,
+    port::{HttpLink, LinkReuse},
     quarantine::{
         EvidenceReport, KeptVerdict, PartId, PromptParts, VerdictRow,
     },
@@ -117,14 +117,14 @@
     permit: mpsc::OwnedPermit<CompletedCall>,
 }
 
-/// How a routed call ended. `link` is its connection with the time until which
-/// it may be used again.
+/// How a routed call ended. `link` is its connection with the term for which it
+/// may be used again.
 pub(super) struct CompletedCall {
     pub(super) choice: RelayChoice,
     pub(super) head_reported: bool,
     pub(super) end: CallEnd,
     pub(super) trace: CallTrace,
-    pub(super) link: Option<(HttpLink, Instant)>,
+    pub(super) link: Option<(HttpLink, LinkTerm)>,
 }
 
 /// Handle with which other tasks send messages to the router.
@@ -204,12 +204,12 @@
         }
     }
 
-    /// Ends the call. `link` is its connection with the time until which it
-    /// may be used again, if it may.
+    /// Ends the call. `link` is its connection, which becomes idle, with what the
+    /// runner announced about its further use.
     pub(crate) fn finish(
         mut self,
         end: CallEnd,
-        link: Option<(HttpLink, Instant)>,
+        link: Option<(HttpLink, LinkReuse)>,
     ) {
         self.complete(end, link);
     }
@@ -225,11 +225,15 @@
     }
 
     /// Reports the end of the call to the router, once.
-    fn complete(&mut self, end: CallEnd, link: Option<(HttpLink, Instant)>) {
+    fn complete(&mut self, end: CallEnd, link: Option<(HttpLink, LinkReuse)>) {
         let Some(permit) = self.permit.take() else { return };
         let (choice, head_reported) =
             (self.choice.clone(), self.head_reported);
         let trace = std::mem::take(&mut self.trace);
+        let now = Instant::now();
+        let link = link.and_then(|(link, reuse)| {
+            Some((link, LinkTerm::begin(reuse, now)?))
+        });
         permit.send(CompletedCall { choice, head_reported, end, trace, link });
     }
 }
--- a/crates/stand-ins/src/raw_runner.rs
+++ b/crates/stand-ins/src/raw_runner.rs
@@ -146,6 +146,8 @@
     /// Part of prompts, in hexadecimal, on which the runner crashes as soon as
     /// it begins an answer.
     deadly_part: Option<&'static str>,
+    /// Connections on which calls were received.
+    connections: u32,
     /// Calls received, run or not.
     calls: Vec<RecordedRequest>,
     /// Time at which each of `calls` was received.
@@ -184,6 +186,7 @@
             fault: RunnerFault::None,
             extra_headers: "",
             deadly_part: None,
+            connections: 0,
             calls: Vec::new(),
             call_times: Vec::new(),
             runs: Vec::new(),
@@ -350,6 +353,11 @@
         self.state.with(move |state| state.extra_headers = lines).await;
     }
 
+    /// Returns the number of connections on which the runner received calls.
+    pub async fn connections(&self) -> u32 {
+        self.state.with(|state| state.connections).await
+    }
+
     /// Returns the calls that the runner received, run or not.
     pub async fn calls(&self) -> Vec<RecordedRequest> {
         self.state.with(|state| state.calls.clone()).await
@@ -439,6 +447,7 @@
     stream.set_nodelay(true)?;
     let mut buffer = Vec::new();
     let mut has_rejected = false;
+    let mut has_called = false;
     while let Some(request) = read_request(&mut stream, &mut buffer).await? {
         let fault = state.with(|state| state.fault).await;
         if request.line.starts_with("POST /-/order") {
@@ -468,8 +477,10 @@
             continue;
         }
         let recorded = request.clone();
+        let is_first = !std::mem::replace(&mut has_called, true);
         state
             .with(move |state| {
+                state.connections += u32::from(is_first);
                 state.calls.push(recorded);
                 state.call_times.push(Instant::now());
             })
