Spread replicas by load where models are scarce, and count demand as work

On a fleet whose memory holds little more than one replica of each model, half of the calls of the hottest model were late while the busiest runner had 2.1 to 2.9 times the mean load. Cause: a further replica went wherever a surplus replica was in least demand, so models in high demand met on the same runners; runners with last replicas only never took part; and demand counted tokens, though the calls of one model take a third of the time of another's. Ruled out: only the choice of the runner for a replica (the busiest runner stays at 2.0 to 2.3 times the mean in the new test, as runners that hold last replicas can't take one). Change: where one replica of each model takes more than half of the memory, the plan relieves the busiest runners: it adds a replica where the sum of squared loads falls, or exchanges a model in high demand for one in low demand. Demand is weighted by the pace of its model. Measured: the busiest runner falls to 1.5 times the mean or less in the three cases of placement::tests::spread, from 2.64 to 2.97 by memory in the first.

--- a/crates/celerylead/src/placement/fleet.rs
+++ b/crates/celerylead/src/placement/fleet.rs
@@ -7,7 +7,7 @@
     catalog::{EngineSpec, ServiceSpec},
     placement::{
         LastReplica, LoadSource, ModelDemand, ModelNeed, PlacementPlan,
-        PlanPace, RunnerCapacity,
+        PlanPace, ReplicaSpread, RunnerCapacity,
         managed::{Idle, ManagedRunner},
         next_plan,
         table::RunnerTable,
@@ -29,6 +29,10 @@
 /// seconds, so a replica at this demand is one eighth full.
 const SWAP_SHARE: f64 = 1.0 / 16.0;
 
+/// Share of the memory of a service's runners from which models are scarce, if
+/// one replica of each takes it.
+const SCARCE_SHARE: f64 = 0.5;
+
 /// The plans of all services.
 #[derive(Clone, Debug, Default)]
 pub struct FleetPlan {
@@ -97,6 +101,7 @@
             changes: replicas_per_turn(engine.loads_per_second),
             swap_demand: engine.token_capacity as f64 * SWAP_SHARE,
             last_replica: LastReplica::Yields,
+            spread: replica_spread(&capacities, &needs),
         };
         *plan = next_plan(plan, &capacities, &needs, pace);
         let mut replicas: SortedTable<String, u64> = SortedTable::default();
@@ -218,6 +223,22 @@
     }
 }
 
+/// Returns where further replicas go. Where one replica of each model takes more
+/// than [`SCARCE_SHARE`] of the memory, few models have several, and which runner
+/// holds two models in high demand decides how late their calls are.
+fn replica_spread(
+    capacities: &[RunnerCapacity],
+    needs: &[ModelNeed],
+) -> ReplicaSpread {
+    let memory_mb: u64 = capacities.iter().map(|c| c.memory_mb).sum();
+    let models_mb: u64 = needs.iter().map(|need| need.size_mb).sum();
+    if memory_mb as f64 * SCARCE_SHARE < models_mb as f64 {
+        ReplicaSpread::ByLoad
+    } else {
+        ReplicaSpread::ByMemory
+    }
+}
+
 /// Returns how many replicas one planning turn may add, where the weight store
 /// allows this many loads per second.
 fn replicas_per_turn(loads_per_second: f64) -> usize {
--- a/crates/celerylead/src/placement/mod.rs
+++ b/crates/celerylead/src/placement/mod.rs
@@ -52,8 +52,8 @@
     },
     order::{OrderDraft, OwnedRunner},
     plan::{
-        LastReplica, ModelNeed, PlacementPlan, PlanPace, RunnerCapacity,
-        next_plan,
+        LastReplica, ModelNeed, PlacementPlan, PlanPace, ReplicaSpread,
+        RunnerCapacity, next_plan,
     },
     reach::{MissingModel, ReachChange, ReachLog},
     table::{OrderStep, RunnerTable, SendOutcome, StateCounts},
--- a/crates/celerylead/src/placement/plan.rs
+++ b/crates/celerylead/src/placement/plan.rs
@@ -7,6 +7,16 @@
 /// Factor by which a model's demand per replica has to exceed the demand per
 /// replica that the evicted model has afterwards.
 const SWAP_FACTOR: f64 = 3.0;
+/// The same factor for a plan that spreads replicas by load: at 3, the replicas
+/// of one model may be three times as busy as those of another.
+const BALANCED_SWAP_FACTOR: f64 = 1.5;
+/// Factor by which the gain of a swap has to exceed its cost: demand fluctuates,
+/// and each swap loads weights.
+const BALANCE_GAIN: f64 = 1.25;
+/// Number of busiest runners, and of models in highest demand on each, that such
+/// a plan tries to relieve in a turn: some replicas can't be placed anywhere.
+const BUSIEST_RUNNERS: usize = 8;
+const BUSIEST_MODELS: usize = 2;
 /// Demand per replica at which a model gets a further replica, in tokens per
 /// second.
 const MIN_REPLICA_DEMAND: f64 = 1.0;
@@ -27,6 +37,29 @@
     Yields,
 }
 
+/// Where a further replica of a model goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ReplicaSpread {
+    /// To the runner with the most free memory, or in the place of the replica
+    /// in least demand.
+    ByMemory,
+    /// To the runner whose planned models are in the least demand together, so
+    /// that models in high demand don't share a runner.
+    ByLoad,
+}
+
+impl ReplicaSpread {
+    /// Returns the factor by which a model's demand per replica has to exceed
+    /// the demand per replica that the evicted model has afterwards.
+    fn swap_factor(self) -> f64 {
+        match self {
+            ReplicaSpread::ByMemory => SWAP_FACTOR,
+            ReplicaSpread::ByLoad => BALANCED_SWAP_FACTOR,
+        }
+    }
+}
+
 /// How fast a plan follows demand.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -39,6 +72,8 @@
     pub swap_demand: f64,
     /// What may happen to the last replica of a model.
     pub last_replica: LastReplica,
+    /// Where further replicas go.
+    pub spread: ReplicaSpread,
 }
 
 impl PlanPace {
@@ -49,6 +84,7 @@
             changes,
             swap_demand: MIN_REPLICA_DEMAND,
             last_replica: LastReplica::Stays,
+            spread: ReplicaSpread::ByMemory,
         }
     }
 }
@@ -128,6 +164,7 @@
         needs,
         swap_demand: pace.swap_demand,
         last_replica: pace.last_replica,
+        spread: pace.spread,
         plan: PlacementPlan::default(),
         replicas: SortedTable::default(),
         used_mb: SortedTable::default(),
@@ -145,11 +182,19 @@
     draft.plan
 }
 
+/// The replacement of one replica by another on a runner.
+struct ReplicaSwap {
+    runner: String,
+    evicted: String,
+    placed: String,
+}
+
 struct PlanDraft<'a> {
     capacities: &'a [RunnerCapacity],
     needs: &'a [ModelNeed],
     swap_demand: f64,
     last_replica: LastReplica,
+    spread: ReplicaSpread,
     plan: PlacementPlan,
     /// Planned replicas by model, and planned memory by runner in MB. Both are
     /// kept up to date rather than computed, as they are read far more often
@@ -217,7 +262,11 @@
             .collect();
         wanted.sort_by(|(one, _), (other, _)| other.total_cmp(one));
         for (_, need) in wanted {
-            if let Some(capacity) = self.most_free(need) {
+            let capacity = match self.spread {
+                ReplicaSpread::ByMemory => self.most_free(need),
+                ReplicaSpread::ByLoad => self.least_loaded(need),
+            };
+            if let Some(capacity) = capacity {
                 self.place(&capacity.name.clone(), &need.name);
                 return true;
             }
@@ -225,43 +274,169 @@
         false
     }
 
-    /// Replaces a replica of a model in low demand by one of the model in
-    /// highest demand.
+    /// Replaces a replica of a model in low demand by one of a model in high
+    /// demand.
     fn swap_replica(&mut self) -> bool {
-        let hottest = self.needs.iter().max_by(|one, other| {
+        let swaps = match self.spread {
+            ReplicaSpread::ByMemory => {
+                self.relieve_hottest_model().into_iter().collect()
+            }
+            ReplicaSpread::ByLoad => self.relieve_busiest_runner(),
+        };
+        for swap in &swaps {
+            self.remove(&swap.runner, &swap.evicted);
+        }
+        for swap in &swaps {
+            self.place(&swap.runner, &swap.placed);
+        }
+        !swaps.is_empty()
+    }
+
+    /// Returns a swap that widens the model in highest demand per replica.
+    fn relieve_hottest_model(&self) -> Option<ReplicaSwap> {
+        let hot = self.needs.iter().max_by(|one, other| {
             let demand = self.demand_per_replica(one);
             demand.total_cmp(&self.demand_per_replica(other))
-        });
-        let Some(hot) = hottest else { return false };
-        let limit = self.demand_per_replica(hot) / SWAP_FACTOR;
-        if self.demand_per_replica(hot) < self.swap_demand {
-            return false;
+        })?;
+        let demand = self.demand_per_replica(hot);
+        if demand < self.swap_demand {
+            return None;
+        }
+        let limit = demand / self.spread.swap_factor();
+        self.cheapest_swap(hot, limit).map(|(_, swap)| swap)
+    }
+
+    /// Returns the swaps that take load off one of the busiest runners: a further
+    /// replica of one of its models elsewhere, or the exchange of such a model
+    /// for one in less demand. The other runner stays below the load of the busy
+    /// one.
+    fn relieve_busiest_runner(&self) -> Vec<ReplicaSwap> {
+        let names = self.capacities.iter().map(|capacity| &capacity.name);
+        let mut busiest: Vec<(f64, &String)> =
+            names.map(|name| (self.load(name), name)).collect();
+        busiest.sort_by(|(one, _), (other, _)| other.total_cmp(one));
+        busiest.truncate(BUSIEST_RUNNERS);
+        busiest.retain(|(load, _)| self.swap_demand <= *load);
+        for (load, runner) in busiest {
+            let models = self.planned(runner).iter();
+            let mut models: Vec<(f64, &ModelNeed)> = models
+                .filter_map(|model| self.need(model))
+                .map(|need| (self.demand_per_replica(need), need))
+                .collect();
+            models.sort_by(|(one, _), (other, _)| other.total_cmp(one));
+            for (demand, hot) in models.into_iter().take(BUSIEST_MODELS) {
+                let limit = demand / self.spread.swap_factor();
+                let relief = 2.0 * load * self.share_of_next(hot);
+                let swap = self.cheapest_swap(hot, limit);
+                if let Some((cost, swap)) = swap
+                    && cost * BALANCE_GAIN < relief
+                {
+                    return vec![swap];
+                }
+                let swaps = self.exchange(runner, load, hot);
+                if !swaps.is_empty() {
+                    return swaps;
+                }
+            }
         }
-        let mut best: Option<(f64, String, String)> = None;
+        Vec::new()
+    }
+
+    /// Returns the swaps that exchange a model of a busy runner for one in less
+    /// demand on the least loaded runner that has one. Both models have as many
+    /// replicas afterwards as before.
+    fn exchange(
+        &self,
+        busy: &str,
+        busy_load: f64,
+        hot: &ModelNeed,
+    ) -> Vec<ReplicaSwap> {
+        let share = self.demand_per_replica(hot);
+        let mut best: Option<(f64, &str, &ModelNeed)> = None;
         for capacity in self.capacities {
+            let free_mb = self.free_mb(capacity);
             if capacity.group != hot.group
                 || self.holds(&capacity.name, &hot.name)
             {
                 continue;
             }
+            let load = self.load(&capacity.name);
+            for model in self.planned(&capacity.name) {
+                let Some(cold) = self.need(model) else { continue };
+                let fits = cold.size_mb <= hot.size_mb
+                    && hot.size_mb <= free_mb + cold.size_mb;
+                let gained = share - self.demand_per_replica(cold);
+                let highest = (load + gained).max(busy_load - gained);
+                let better =
+                    best.as_ref().is_none_or(|(least, ..)| highest < *least);
+                if fits && better && !self.holds(busy, model) {
+                    best = Some((highest, &capacity.name, cold));
+                }
+            }
+        }
+        let Some((highest, runner, cold)) = best else { return Vec::new() };
+        if busy_load <= highest * BALANCE_GAIN {
+            return Vec::new();
+        }
+        let swap = |runner: &str, evicted: &ModelNeed, placed: &ModelNeed| {
+            ReplicaSwap {
+                runner: runner.to_owned(),
+                evicted: evicted.name.clone(),
+                placed: placed.name.clone(),
+            }
+        };
+        vec![swap(busy, hot, cold), swap(runner, cold, hot)]
+    }
+
+    /// Returns the best place for a further replica of a model, where the demand
+    /// per replica of the evicted model stays below `limit`, with its cost. In a
+    /// plan that spreads replicas by load, that is the change in the sum of the
+    /// squares of all loads, without the relief of the model's other runners; the
+    /// other runners of the evicted model count as loaded like this one.
+    fn cheapest_swap(
+        &self,
+        hot: &ModelNeed,
+        limit: f64,
+    ) -> Option<(f64, ReplicaSwap)> {
+        let share = self.share_of_next(hot);
+        let mut best: Option<(f64, &str, &str)> = None;
+        for capacity in self.capacities {
+            if capacity.group != hot.group
+                || self.holds(&capacity.name, &hot.name)
+            {
+                continue;
+            }
+            let load = self.load(&capacity.name);
             for model in self.planned(&capacity.name) {
                 let Some(cold) = self.need(model) else { continue };
                 let freed_mb = self.free_mb(capacity) + cold.size_mb;
                 let after = self.demand_after_loss(cold);
-                let allowed =
-                    1 < self.replicas(model) && hot.size_mb <= freed_mb;
+                let allowed = 1 < self.replicas(model)
+                    && hot.size_mb <= freed_mb
+                    && after < limit;
+                let cost = match self.spread {
+                    ReplicaSpread::ByMemory => after,
+                    ReplicaSpread::ByLoad => {
+                        let moved = self.demand_per_replica(cold);
+                        let loaded = load - moved + share;
+                        loaded * loaded - load * load + 2.0 * load * moved
+                    }
+                };
                 let better =
-                    best.as_ref().is_none_or(|(least, ..)| after < *least);
-                if allowed && after < limit && better {
-                    best = Some((after, capacity.name.clone(), model.clone()));
+                    best.as_ref().is_none_or(|(least, ..)| cost < *least);
+                if allowed && better {
+                    best = Some((cost, &capacity.name, model));
                 }
             }
         }
-        let Some((_, runner, cold)) = best else { return false };
-        let hot = hot.name.clone();
-        self.remove(&runner, &cold);
-        self.place(&runner, &hot);
-        true
+        best.map(|(cost, runner, cold)| {
+            let swap = ReplicaSwap {
+                runner: runner.to_owned(),
+                evicted: cold.to_owned(),
+                placed: hot.name.clone(),
+            };
+            (cost, swap)
+        })
     }
 
     /// Finds a runner, and the replicas there to evict for a model that has no
@@ -279,7 +454,7 @@
                 .iter()
                 .filter_map(|model| self.need(model))
                 .filter(|other| {
-                    let limit = need.demand as f64 / SWAP_FACTOR;
+                    let limit = need.demand as f64 / self.spread.swap_factor();
                     let yields = self.last_replica == LastReplica::Yields
                         && self.demand_after_loss(other) < limit;
                     1 < self.replicas(&other.name) || yields
@@ -320,6 +495,31 @@
             .min_by_key(|capacity| std::cmp::Reverse(self.free_mb(capacity)))
     }
 
+    /// Returns the runner that can take a further replica and whose planned
+    /// models are in the least demand together.
+    fn least_loaded(&self, need: &ModelNeed) -> Option<&RunnerCapacity> {
+        self.capacities
+            .iter()
+            .filter(|capacity| capacity.group == need.group)
+            .filter(|capacity| !self.holds(&capacity.name, &need.name))
+            .filter(|capacity| need.size_mb <= self.free_mb(capacity))
+            .map(|capacity| (self.load(&capacity.name), capacity))
+            .min_by(|(one, _), (other, _)| one.total_cmp(other))
+            .map(|(_, capacity)| capacity)
+    }
+
+    /// Returns the demand for a model that a further replica of it would get.
+    fn share_of_next(&self, need: &ModelNeed) -> f64 {
+        need.demand as f64 / (self.replicas(&need.name) + 1) as f64
+    }
+
+    /// Returns the demand that the planned models bring to a runner.
+    fn load(&self, runner: &str) -> f64 {
+        let needs = self.planned(runner).iter();
+        let needs = needs.filter_map(|model| self.need(model));
+        needs.map(|need| self.demand_per_replica(need)).sum()
+    }
+
     fn need(&self, model: &str) -> Option<&ModelNeed> {
         let needs = self.needs;
         let index =
--- a/crates/celerylead/src/placement/tests.rs
+++ b/crates/celerylead/src/placement/tests.rs
@@ -4,6 +4,7 @@
 mod loads;
 mod managed;
 mod reach;
+mod spread;
 
 use super::{
     LastReplica, ModelNeed, PlacementPlan, PlanPace, RunnerCapacity, next_plan,
--- a/crates/celerylead/src/relay/mod.rs
+++ b/crates/celerylead/src/relay/mod.rs
@@ -23,6 +23,7 @@
 mod choice;
 mod life;
 mod notice;
+mod pace;
 mod table;
 #[cfg(test)]
 mod tests;
@@ -32,5 +33,6 @@
     call::{CallHead, CallProfile, CallRequirements, PromptPart},
     choice::{CandidateLoad, LoadBasis, PickFault, RelayChoice, RunnerView},
     notice::RunnerNotice,
+    pace::ModelPaces,
     table::RelayTable,
 };
--- a/crates/celerylead/src/tasks/node/router.rs
+++ b/crates/celerylead/src/tasks/node/router.rs
@@ -30,8 +30,8 @@
     placement::DemandMeter,
     quarantine::KeptVerdict,
     relay::{
-        CallRequirements, LoadBasis, PickFault, RelayChoice, RelayTable,
-        RunnerNotice,
+        CallEnd, CallRequirements, LoadBasis, ModelPaces, PickFault,
+        RelayChoice, RelayTable, RunnerNotice,
     },
     request::{Refusal, RefusalCode, RetryAllowance, RetryClaim},
     roster::RunnerStart,
@@ -74,6 +74,7 @@
     pub(super) host_liveness: HostLiveness,
     retries: RetryKeeper,
     demand: DemandMeter,
+    paces: ModelPaces,
     quarantine: QuarantineDesk,
     links: IdleLinks,
     pub(super) waiting: Vec<QueuedCall>,
@@ -98,6 +99,7 @@
             setup.clock.now(),
         ),
         demand: DemandMeter::new(DEMAND_HALF_LIFE),
+        paces: ModelPaces::default(),
         quarantine: QuarantineDesk::new(
             &setup.host,
             setup.verdicts.clone(),
@@ -179,6 +181,7 @@
             }
             RouterEvent::StreamPace { runner, model, pace_us } => {
                 self.table.record_latency(&runner, &model, pace_us);
+                self.paces.record(&model, pace_us);
             }
             RouterEvent::SoundAnswer(parts) => {
                 self.quarantine.note_sound(&parts, now);
@@ -378,9 +381,10 @@
         now: EpochMillis,
     ) {
         let Some(name) = &requirements.model else { return };
-        self.demand.record(&name.model, requirements.tokens, now);
+        let work = self.paces.weigh(&name.model, requirements.tokens);
+        self.demand.record(&name.model, work, now);
         if name.adapter.is_some() {
-            self.demand.record(&name.to_string(), requirements.tokens, now);
+            self.demand.record(&name.to_string(), work, now);
         }
     }
 
@@ -554,6 +558,11 @@
     fn complete(&mut self, completed: CompletedCall) {
         let now = self.setup.clock.now();
         self.quarantine.note_end(&completed, now);
+        if let CallEnd::Complete { latency_us } = completed.end
+            && completed.choice.name.is_some()
+        {
+            self.paces.record(completed.choice.model(), latency_us);
+        }
         self.table.end_call(
             &completed.choice,
             completed.head_reported,
