Bound what all hosts together send to a cold server

Cause: a server that has just started tolerates cold_per_s requests a second, and hosts sent it what its slots take: 35 in a second by the plan, where 32 are allowed. Ruled out: an even share for each host (under one request at 91 hosts), a lease for each server (a write at each start, nothing while the store is away), and a majority of the zone as a condition (a survivor would send nothing). Cold is a state beside Accepting and Departing. One owner in the server's zone, by rendezvous, sends half of the bound at the most. A server that refuses a connection counts as cold until its next start is listed, and the other hosts are told. The mechanism hasn't been taken out yet to see the host tests fail.

--- a/crates/celerylead/src/catalog/mod.rs
+++ b/crates/celerylead/src/catalog/mod.rs
@@ -21,7 +21,7 @@
 pub use self::{
     customer::{BilledCustomer, RateUnit, TokenRate},
     route::{CallRoute, RouteKind, SplitTarget},
-    service::{EngineModel, EngineSpec, ServiceSpec},
+    service::{ColdSpec, EngineModel, EngineSpec, ServiceSpec},
 };
 use crate::{
     customer::{CallerKey, KeyHash},
--- a/crates/celerylead/src/catalog/service.rs
+++ b/crates/celerylead/src/catalog/service.rs
@@ -51,6 +51,17 @@
     }
 }
 
+/// How much a runner tolerates while it is cold, which it is for some time
+/// after each start.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct ColdSpec {
+    /// Time for which a runner is cold after a start, in milliseconds.
+    pub span_ms: u64,
+    /// Calls that it tolerates per second, from all hosts together.
+    pub per_second: f64,
+}
+
 /// The configuration of a service.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -62,4 +73,8 @@
     pub max_links: u32,
     /// Properties of the runners, if they are model engines.
     pub engine: Option<EngineSpec>,
+    /// What its runners tolerate while they are cold; `None` if they never
+    /// are.
+    #[serde(default)]
+    pub cold: Option<ColdSpec>,
 }
--- a/crates/celerylead/src/customer/fleet.rs
+++ b/crates/celerylead/src/customer/fleet.rs
@@ -311,6 +311,17 @@
         self.hosts.len() + 1
     }
 
+    /// Returns whether a host has reported less than `span` ago.
+    pub fn is_heard(
+        &self,
+        host: &str,
+        span: Duration,
+        now: EpochMillis,
+    ) -> bool {
+        let reported_at = self.hosts.get(host);
+        reported_at.is_some_and(|at| now < at.after(span))
+    }
+
     /// Iterates over the other hosts that have reported lately.
     pub fn live(&self, now: EpochMillis) -> impl Iterator<Item = &str> {
         self.hosts
--- a/crates/celerylead/src/membership/digest.rs
+++ b/crates/celerylead/src/membership/digest.rs
@@ -113,6 +113,9 @@
     StillUsed(HostDigest),
     /// A message that the aggregator passes on to each host of its zone.
     Forward(Box<HostMessage>),
+    /// These starts of runners refused the sender a connection, and may have
+    /// ended. Hosts of a version without this message ignore it.
+    Unreachable(Vec<RunnerStart>),
 }
 
 /// Row of a host, with the address at which other hosts reach it.
--- a/crates/celerylead/src/metrics.rs
+++ b/crates/celerylead/src/metrics.rs
@@ -63,6 +63,9 @@
     pub(crate) first_byte: Histogram,
     pub(crate) crash_witnesses: Counter,
     pub(crate) rejected_parts: Gauge,
+    pub(crate) cold_runners: Gauge,
+    pub(crate) owned_cold_runners: Gauge,
+    pub(crate) cold_sends: Counter,
 }
 
 impl Default for HostMetrics {
@@ -83,6 +86,24 @@
         let first_byte = Histogram::new(buckets);
         let crash_witnesses = Counter::default();
         let rejected_parts = Gauge::default();
+        let cold_runners = Gauge::default();
+        let owned_cold_runners = Gauge::default();
+        let cold_sends = Counter::default();
+        registry.register(
+            "cold_runners",
+            "Runners that are cold, as this host knows",
+            cold_runners.clone(),
+        );
+        registry.register(
+            "owned_cold_runners",
+            "Cold runners to which this host may send requests",
+            owned_cold_runners.clone(),
+        );
+        registry.register(
+            "cold_sends",
+            "Requests for which a cold runner was chosen",
+            cold_sends.clone(),
+        );
         registry.register(
             "answers",
             "Answers by customer and code; ok is a whole answer",
@@ -169,6 +190,9 @@
             first_byte,
             crash_witnesses,
             rejected_parts,
+            cold_runners,
+            owned_cold_runners,
+            cold_sends,
         }
     }
 }
--- a/crates/celerylead/src/placement/tests/fleet.rs
+++ b/crates/celerylead/src/placement/tests/fleet.rs
@@ -53,6 +53,7 @@
             name: "advisor".to_owned(),
             max_links: 1_000,
             engine: Some(engine),
+            cold: None,
         };
         let held = (0..runners).map(|runner| {
             let models = [2 * runner, 2 * runner + 1];
@@ -191,6 +192,7 @@
         models: Vec::new(),
         copies: Vec::new(),
         orders: 0,
+        cold_until: EpochMillis::default(),
     }
 }
 
--- a/crates/celerylead/src/placement/tests/managed.rs
+++ b/crates/celerylead/src/placement/tests/managed.rs
@@ -25,6 +25,7 @@
         models: Vec::new(),
         copies: Vec::new(),
         orders: 0,
+        cold_until: EpochMillis::default(),
     }
 }
 
--- a/crates/celerylead/src/port/codec.rs
+++ b/crates/celerylead/src/port/codec.rs
@@ -183,7 +183,7 @@
         value: &[u8],
     ) -> anyhow::Result<Option<ServiceCatalog>>;
 
-    /// Decodes an entry of the registry.
+    /// Decodes an entry of the registry, which was read at `now`.
     ///
     /// # Errors
     ///
@@ -192,6 +192,7 @@
         &self,
         id: &str,
         value: &[u8],
+        now: EpochMillis,
     ) -> anyhow::Result<RunnerFacts>;
 
     /// Builds the request that sends an order to a runner.
--- a/crates/celerylead/src/relay/choice.rs
+++ b/crates/celerylead/src/relay/choice.rs
@@ -18,6 +18,10 @@
     pub name: Option<ModelName>,
     /// Tokens reserved at the runner.
     pub tokens: u64,
+    /// Time until which the call may be written to a runner that is cold;
+    /// `None` for other runners.
+    #[serde(default)]
+    pub send_by: Option<EpochMillis>,
     /// Load of the runner as known at the time of the choice.
     pub basis: LoadBasis,
 }
@@ -87,6 +91,9 @@
     /// Every runner that could take the call has asked for a pause; the
     /// earliest pause ends then.
     Paused(EpochMillis),
+    /// Every runner that could take the call is cold, and this host has no
+    /// share of its calls left; one may be free then.
+    Cold(EpochMillis),
 }
 
 impl PickFault {
@@ -100,6 +107,7 @@
             PickFault::TooLarge => "too_large",
             PickFault::AllTried => "all_tried",
             PickFault::Paused(_) => "paused",
+            PickFault::Cold(_) => "cold",
         }
     }
 }
--- a/crates/celerylead/src/relay/mod.rs
+++ b/crates/celerylead/src/relay/mod.rs
@@ -11,6 +11,8 @@
 //!   candidate. A runner may leave by the registry's word or by its own, in an
 //!   answer; its own holds for as long as this start of it lives.
 //! * A runner that asked for a pause is no candidate until the pause ends.
+//! * A runner that is cold gets calls only from its owner among the hosts, and
+//!   few of them.
 //! * A runner gets fewer calls the further its failure rate is above the mean
 //!   of the candidates. After several consecutive broken or rejected calls, or
 //!   one failure to connect, a runner is ejected: it gets no calls for a
@@ -21,6 +23,8 @@
 mod backend;
 mod call;
 mod choice;
+mod cold;
+mod cold_runners;
 mod life;
 mod notice;
 mod table;
@@ -31,6 +35,8 @@
     backend::CallEnd,
     call::{CallHead, CallProfile, CallRequirements, PromptPart},
     choice::{CandidateLoad, LoadBasis, PickFault, RelayChoice, RunnerView},
+    cold::ColdBounds,
+    cold_runners::ColdSummary,
     notice::RunnerNotice,
     table::RelayTable,
 };
--- a/crates/celerylead/src/relay/notice.rs
+++ b/crates/celerylead/src/relay/notice.rs
@@ -36,6 +36,8 @@
     /// Time until which the runner wants no calls of this host; the epoch if
     /// it states none.
     pub paused_until: EpochMillis,
+    /// Time until which the runner is cold; the epoch if it states none.
+    pub cold_until: EpochMillis,
 }
 
 impl RunnerNotice {
@@ -76,6 +78,8 @@
         record.notice.leaving |= notice.leaving;
         record.notice.paused_until =
             record.notice.paused_until.max(notice.paused_until);
+        record.notice.cold_until =
+            record.notice.cold_until.max(notice.cold_until);
     }
 
     /// Records that another host was told by a runner that it is leaving.
--- a/crates/celerylead/src/relay/table.rs
+++ b/crates/celerylead/src/relay/table.rs
@@ -4,7 +4,8 @@
     backend::{CallEnd, PeerLoad, RelayBackend},
     call::CallRequirements,
     choice::{CandidateLoad, PickFault, RelayChoice, RunnerView},
-    life::{Accepting, Departing, RelayRunner},
+    cold_runners::{ColdRules, former_gate},
+    life::{Accepting, Cold, Departing, RelayRunner, TakesCalls},
     notice::{NoticeLog, RunnerNotice},
 };
 use crate::{
@@ -38,10 +39,12 @@
 /// The runners that one host knows, with their load and health.
 #[derive(Debug, Default)]
 pub struct RelayTable {
-    zone: String,
-    accepting: SortedTable<String, RelayRunner<Accepting>>,
+    pub(super) zone: String,
+    pub(super) accepting: SortedTable<String, RelayRunner<Accepting>>,
+    pub(super) cold: SortedTable<String, RelayRunner<Cold>>,
     departing: SortedTable<String, RelayRunner<Departing>>,
-    notices: NoticeLog,
+    pub(super) cold_rules: ColdRules,
+    pub(super) notices: NoticeLog,
     /// Runners named in the last digest of each other host.
     reported_runners: SortedTable<String, Vec<String>>,
 }
@@ -60,10 +63,12 @@
         facts: impl Iterator<Item = &'a RunnerFacts>,
     ) {
         let mut accepting = std::mem::take(&mut self.accepting);
+        let mut cold = std::mem::take(&mut self.cold);
         let mut departing = std::mem::take(&mut self.departing);
         for facts in facts {
             let id = facts.id.clone();
             let known = accepting.remove(&id).map(|runner| runner.backend);
+            let (known, gate) = former_gate(known, cold.remove(&id));
             let known = known
                 .or_else(|| departing.remove(&id).map(|found| found.backend));
             let backend = match known {
@@ -77,6 +82,10 @@
             if facts.leaving || notice.leaving {
                 let runner = RelayRunner::departing(backend);
                 self.departing.insert(id, runner);
+            } else if let Some(end) = self.cold_end(facts, &notice) {
+                let until = notice.paused_until;
+                let runner = RelayRunner::cold(backend, until, end, gate);
+                self.cold.insert(id, runner);
             } else {
                 let until = notice.paused_until;
                 let runner = RelayRunner::accepting(backend, until);
@@ -101,6 +110,7 @@
         {
             runner.pause(notice.paused_until);
         }
+        self.note_cold(start, notice, now);
         if notice.leaving {
             self.depart(start);
         }
@@ -129,6 +139,10 @@
 
     /// Ends the choice of a runner, unless another start of it is listed.
     fn depart(&mut self, start: &RunnerStart) {
+        if let Some(runner) = self.take_cold(start) {
+            self.departing.insert(start.id.clone(), runner.depart());
+            return;
+        }
         let listed = self.accepting.get(&start.id);
         if listed.is_none_or(|runner| runner.backend.facts.born != start.born)
         {
@@ -144,6 +158,9 @@
         if let Some(runner) = self.accepting.get_mut(id) {
             return Some(&mut runner.backend);
         }
+        if let Some(runner) = self.cold.get_mut(id) {
+            return Some(&mut runner.backend);
+        }
         self.departing.get_mut(id).map(|runner| &mut runner.backend)
     }
 
@@ -159,15 +176,19 @@
     /// Iterates over the state of all runners, leaving or not.
     fn backends(&self) -> impl Iterator<Item = &RelayBackend> {
         let accepting = self.accepting.values().map(|runner| &runner.backend);
-        accepting.chain(self.departing.values().map(|runner| &runner.backend))
+        let cold = self.cold.values().map(|runner| &runner.backend);
+        accepting
+            .chain(cold)
+            .chain(self.departing.values().map(|runner| &runner.backend))
     }
 
     fn backends_mut(&mut self) -> impl Iterator<Item = &mut RelayBackend> {
         let accepting =
             self.accepting.iter_mut().map(|(_, runner)| &mut runner.backend);
+        let cold = self.cold.iter_mut().map(|(_, runner)| &mut runner.backend);
         let departing =
             self.departing.iter_mut().map(|(_, runner)| &mut runner.backend);
-        accepting.chain(departing)
+        accepting.chain(cold).chain(departing)
     }
 
     /// Sets the models and adapters that a runner holds according to the
@@ -264,7 +285,11 @@
         catalog: &ServiceCatalog,
         now: EpochMillis,
     ) -> Result<RelayChoice, PickFault> {
+        self.warm_up(now);
         let best = self.best_runner(call, catalog, now)?;
+        if let Some(runner) = self.cold.get_mut(&best) {
+            return Ok(runner.begin_call(call, now));
+        }
         let runner = self.accepting.get_mut(&best);
         let runner = runner.ok_or(PickFault::NoRunner)?;
         Ok(runner.begin_call(call, now))
@@ -329,7 +354,7 @@
 
     /// Returns whether a runner is in the table and takes new calls.
     pub fn takes_calls(&self, runner: &str) -> bool {
-        self.accepting.get(runner).is_some()
+        self.accepting.get(runner).is_some() || self.cold.get(runner).is_some()
     }
 
     /// Iterates over snapshots of the runners, in no particular order.
@@ -359,6 +384,14 @@
             };
             fault = closer_fault(fault, found);
         }
+        for runner in self.cold.values() {
+            let checked = check_candidate(runner, call, catalog, now)
+                .and_then(|()| self.check_share(runner, now));
+            match checked {
+                Ok(()) => candidates.push(&runner.backend),
+                Err(found) => fault = closer_fault(fault, found),
+            }
+        }
         let not_ejected = |backend: &&RelayBackend| !backend.is_ejected(now);
         if candidates.iter().any(not_ejected) {
             candidates.retain(not_ejected);
@@ -425,8 +458,8 @@
 }
 
 /// Checks whether a runner may get a call, and returns the reason if not.
-fn check_candidate(
-    runner: &RelayRunner<Accepting>,
+fn check_candidate<S: TakesCalls>(
+    runner: &RelayRunner<S>,
     call: &CallRequirements,
     catalog: &ServiceCatalog,
     now: EpochMillis,
@@ -487,11 +520,15 @@
         PickFault::AllTried => 4,
         PickFault::Paused(_) => 5,
         PickFault::Full => 6,
+        PickFault::Cold(_) => 7,
     };
     match (one, other) {
         (PickFault::Paused(one), PickFault::Paused(other)) => {
             PickFault::Paused(one.min(other))
         }
+        (PickFault::Cold(one), PickFault::Cold(other)) => {
+            PickFault::Cold(one.min(other))
+        }
         _ if rank(one) < rank(other) => other,
         _ => one,
     }
--- a/crates/celerylead/src/relay/tests.rs
+++ b/crates/celerylead/src/relay/tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the choice of runners.
 
+mod cold;
+mod cold_runners;
 mod fleet;
 mod notices;
 
@@ -37,8 +39,14 @@
             name: "advisor".to_owned(),
             max_links,
             engine: Some(engine),
+            cold: None,
+        },
+        ServiceSpec {
+            name: "ledger".to_owned(),
+            max_links,
+            engine: None,
+            cold: None,
         },
-        ServiceSpec { name: "ledger".to_owned(), max_links, engine: None },
     ];
     let limits = CallLimits::default();
     ServiceCatalog::new(1, limits, Vec::new(), services, Vec::new())
@@ -64,6 +72,7 @@
         models: held_models.collect(),
         copies: Vec::new(),
         orders: 0,
+        cold_until: EpochMillis::default(),
     }
 }
 
--- a/crates/celerylead/src/relay/tests/notices.rs
+++ b/crates/celerylead/src/relay/tests/notices.rs
@@ -134,12 +134,14 @@
                 }
                 Step::Paused(until) => {
                     let paused_until = EpochMillis(until);
-                    let notice = RunnerNotice { leaving: false, paused_until };
+                    let notice =
+                        RunnerNotice { paused_until, ..Default::default() };
                     table.note_runner(&start("a", 1), notice, NOW);
                 }
                 Step::NextPaused(until) => {
                     let paused_until = EpochMillis(until);
-                    let notice = RunnerNotice { leaving: false, paused_until };
+                    let notice =
+                        RunnerNotice { paused_until, ..Default::default() };
                     table.note_runner(&start("a", 2), notice, NOW);
                 }
                 Step::Unlisted => table.set_roster([].into_iter()),
@@ -173,7 +175,7 @@
     let call = call("advisor", Some("bend"));
     let pause = |table: &mut RelayTable, id: &str, until| {
         let paused_until = EpochMillis(until);
-        let notice = RunnerNotice { leaving: false, paused_until };
+        let notice = RunnerNotice { paused_until, ..Default::default() };
         table.note_runner(&start(id, 1), notice, NOW);
     };
     pause(&mut table, "a", 103_000);
--- a/crates/celerylead/src/roster/entry.rs
+++ b/crates/celerylead/src/roster/entry.rs
@@ -1,8 +1,14 @@
 //! Roster entries, with their life cycle as a typestate.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
-use crate::clock::EpochMillis;
+use crate::clock::{EpochMillis, MAX_CLOCK_SKEW};
+
+/// Longest time for which a runner is taken for cold by the word of another
+/// host, whose clock may be far ahead.
+const MAX_COLD_LEFT: Duration = Duration::from_secs(60);
 
 /// A model that a runner holds.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -39,6 +45,10 @@
     pub copies: Vec<String>,
     /// Number of orders that the runner has accepted since its start.
     pub orders: u64,
+    /// Time until which the runner is cold, by the clock of the host that
+    /// read the entry; the epoch if it isn't cold.
+    #[serde(default)]
+    pub cold_until: EpochMillis,
 }
 
 /// One start of a runner; a runner may start again under the same id.
@@ -59,6 +69,16 @@
         self.models.iter().find(|model| model.name == name)
     }
 
+    /// Adjusts the time until which the runner is cold, which another host
+    /// stated by its own clock, to the clock of this host, which reads `now`.
+    pub fn adjust_cold_end(&mut self, now: EpochMillis) {
+        if self.cold_until == EpochMillis::default() {
+            return;
+        }
+        let latest = self.cold_until.after(2 * MAX_CLOCK_SKEW);
+        self.cold_until = latest.min(now.after(MAX_COLD_LEFT));
+    }
+
     /// Returns whether both describe the same start of the same runner.
     pub fn is_same_start(&self, other: &RunnerFacts) -> bool {
         self.id == other.id && self.born == other.born
--- a/crates/celerylead/src/roster/mod.rs
+++ b/crates/celerylead/src/roster/mod.rs
@@ -15,6 +15,7 @@
 //! * An entry that can't be parsed yields no runner, and doesn't affect the
 //!   other entries.
 
+mod cold_ends;
 mod entry;
 mod list;
 mod repeats;
@@ -22,6 +23,7 @@
 mod tests;
 
 pub use self::{
+    cold_ends::ColdEnds,
     entry::{
         HeldModel, Lapsed, Listed, RosterEntry, RunnerFacts, RunnerStart,
     },
--- a/crates/celerylead/src/roster/repeats.rs
+++ b/crates/celerylead/src/roster/repeats.rs
@@ -38,4 +38,10 @@
         self.values.insert(key.to_owned(), Bytes::copy_from_slice(value));
         true
     }
+
+    /// Admits the next row of this key even if it isn't changed: it states a
+    /// time that counts from when it was written.
+    pub fn forget(&mut self, key: &str) {
+        self.values.remove(key);
+    }
 }
--- a/crates/celerylead/src/roster/tests.rs
+++ b/crates/celerylead/src/roster/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of the roster's rules.
 
-use super::{RosterChange, RunnerFacts, RunnerRoster};
+use super::{ColdEnds, RosterChange, RunnerFacts, RunnerRoster};
 use crate::clock::EpochMillis;
 
 fn facts(id: &str, leaving: bool) -> RunnerFacts {
@@ -15,6 +15,7 @@
         models: Vec::new(),
         copies: Vec::new(),
         orders: 0,
+        cold_until: EpochMillis::default(),
     }
 }
 
@@ -151,3 +152,58 @@
         assert_eq!(left, case.expected, "{}", case.name);
     }
 }
+
+/// Guards against a runner that is taken for warm too early, and against one
+/// that is cold for good because its row is read again and again.
+#[test]
+fn a_row_makes_its_runner_cold_once() {
+    struct Case {
+        name: &'static str,
+        /// Version of the row and the end of the cold time by this reading.
+        former: (u64, u64),
+        later: (u64, u64),
+        until: u64,
+        is_cold: bool,
+    }
+    let cases = [
+        Case {
+            name: "the same row, read again later",
+            former: (7, 103_000),
+            later: (7, 108_000),
+            until: 103_000,
+            is_cold: true,
+        },
+        Case {
+            name: "written again",
+            former: (7, 103_000),
+            later: (8, 104_000),
+            until: 104_000,
+            is_cold: true,
+        },
+        Case {
+            name: "warm sooner than it said",
+            former: (7, 103_000),
+            later: (8, 0),
+            until: 0,
+            is_cold: false,
+        },
+        Case {
+            name: "cold again",
+            former: (7, 0),
+            later: (8, 104_000),
+            until: 104_000,
+            is_cold: true,
+        },
+    ];
+    for Case { name, former, later, until, is_cold } in cases {
+        let mut ends = ColdEnds::default();
+        let mut read = |(version, cold_until)| {
+            let cold_until = EpochMillis(cold_until);
+            let mut facts = RunnerFacts { cold_until, ..facts("a", false) };
+            let is_cold = ends.settle(version, &mut facts);
+            (facts.cold_until.0, is_cold)
+        };
+        read(former);
+        assert_eq!(read(later), (until, is_cold), "{name}");
+    }
+}
--- a/crates/celerylead/src/tasks/node/attempt.rs
+++ b/crates/celerylead/src/tasks/node/attempt.rs
@@ -206,6 +206,13 @@
                 return AttemptOutcome::Retry(request);
             }
         };
+        let now = self.context.clock.now();
+        if slot.choice.send_by.is_some_and(|limit| limit <= now) {
+            // Written now, the call would count in another second than the
+            // one in which the runner could take it.
+            slot.finish(CallEnd::Neutral, None);
+            return AttemptOutcome::Retry(request);
+        }
         let left = self.deadline.saturating_duration_since(Instant::now());
         let target = ForwardTarget {
             runner: &slot.choice.runner,
--- a/crates/celerylead/src/tasks/node/gossip.rs
+++ b/crates/celerylead/src/tasks/node/gossip.rs
@@ -468,6 +468,10 @@
                 let event = RouterEvent::Evidence { report, at };
                 let _ = self.router.sender.send(event).await;
             }
+            HostMessage::Unreachable(starts) => {
+                let event = RouterEvent::Unreachable(starts);
+                let _ = self.router.sender.send(event).await;
+            }
             HostMessage::Departing(starts) => {
                 let event = RouterEvent::Departing(starts);
                 let _ = self.router.sender.send(event).await;
--- a/crates/celerylead/src/tasks/node/gossip_port.rs
+++ b/crates/celerylead/src/tasks/node/gossip_port.rs
@@ -7,6 +7,7 @@
     membership::{FeedExcerpt, HostDigest, HostMessage, OrdersRow, ZonePart},
     model::ModelName,
     quarantine::EvidenceReport,
+    roster::RunnerStart,
     tasks::MAILBOX_CAPACITY,
 };
 
@@ -71,6 +72,15 @@
         }
     }
 
+    /// Tells the other hosts that a runner refused a connection. The registry
+    /// lists its next start, so a lost message costs only time.
+    pub(crate) fn report_unreachable(&self, start: RunnerStart) {
+        let message = HostMessage::Unreachable(vec![start]);
+        if self.sender.try_send(GossipEvent::Broadcast(message)).is_err() {
+            tracing::debug!(event = "unreachable_dropped");
+        }
+    }
+
     /// Sends a message to all hosts, this one included.
     pub(crate) async fn broadcast(&self, message: HostMessage) {
         let _ = self.sender.send(GossipEvent::Broadcast(message)).await;
--- a/crates/celerylead/src/tasks/node/known_hosts.rs
+++ b/crates/celerylead/src/tasks/node/known_hosts.rs
@@ -94,7 +94,8 @@
                     peer_zone = row.zone,
                     peer_address = row.address,
                 );
-                let event = RouterEvent::HostAdded(row.host.clone());
+                let (host, zone) = (row.host.clone(), row.zone.clone());
+                let event = RouterEvent::HostAdded { host, zone };
                 let _ = self.router.sender.send(event).await;
             }
             let known = self.hosts.get(&row.host);
--- a/crates/celerylead/src/tasks/node/mod.rs
+++ b/crates/celerylead/src/tasks/node/mod.rs
@@ -34,8 +34,10 @@
 mod registry;
 mod retries;
 mod router;
+mod router_cold;
 mod router_digests;
 mod router_port;
+mod router_runners;
 mod run;
 #[cfg(test)]
 mod tests;
--- a/crates/celerylead/src/tasks/node/registry.rs
+++ b/crates/celerylead/src/tasks/node/registry.rs
@@ -27,7 +27,9 @@
     port::{
         EdgeCodec, RowChange, StoreError, StoreReading, StoreRow, StoreTable,
     },
-    roster::{RepeatFilter, RosterChange, RunnerFacts, RunnerRoster},
+    roster::{
+        ColdEnds, RepeatFilter, RosterChange, RunnerFacts, RunnerRoster,
+    },
     sorted::SortedTable,
 };
 
@@ -74,6 +76,7 @@
         setup: setup.clone(),
         entries: RunnerRoster::default(),
         repeats: RepeatFilter::default(),
+        cold_ends: ColdEnds::default(),
         contact,
         gap_began: None,
         roster,
@@ -91,6 +94,7 @@
     last_answer: EpochMillis,
     entries: RunnerRoster,
     repeats: RepeatFilter,
+    cold_ends: ColdEnds,
     contact: watch::Sender<RegistryContact>,
     /// Time of the last answer before a gap in the contact with the registry;
     /// set while entries may be missing only because they lapsed in the gap.
@@ -325,15 +329,22 @@
 
     /// Converts a row of the registry into a change of the roster. A runner
     /// whose row can't be decoded is withdrawn.
-    fn change(&self, row: &RowChange) -> RosterChange {
+    fn change(&mut self, row: &RowChange) -> RosterChange {
         let row = match row {
             RowChange::Written(row) => row,
             RowChange::Removed { key, .. } => {
+                self.cold_ends.remove(key);
                 return RosterChange::Withdrawn(key.clone());
             }
         };
-        match self.setup.codec.read_runner(&row.key, &row.value) {
-            Ok(facts) => RosterChange::Listed(facts),
+        let now = self.setup.clock.now();
+        match self.setup.codec.read_runner(&row.key, &row.value, now) {
+            Ok(mut facts) => {
+                if self.cold_ends.settle(row.version, &mut facts) {
+                    self.repeats.forget(&row.key);
+                }
+                RosterChange::Listed(facts)
+            }
             Err(error) => {
                 tracing::warn!(
                     event = "registry_entry_unreadable",
@@ -389,9 +400,12 @@
             return;
         }
         let Some(seed) = pick_seed(&self.setup.seeds) else { return };
-        let Ok(facts) = control::fetch_roster(seed).await else { return };
+        let Ok(mut facts) = control::fetch_roster(seed).await else { return };
         if !facts.is_empty() {
             tracing::info!(event = "roster_adopted", source = seed);
+            for facts in &mut facts {
+                facts.adjust_cold_end(self.setup.clock.now());
+            }
             self.entries.replace(facts, self.setup.clock.now());
             self.publish();
         }
--- a/crates/celerylead/src/tasks/node/router.rs
+++ b/crates/celerylead/src/tasks/node/router.rs
@@ -30,11 +30,10 @@
     placement::DemandMeter,
     quarantine::KeptVerdict,
     relay::{
-        CallRequirements, LoadBasis, PickFault, RelayChoice, RelayTable,
-        RunnerNotice,
+        CallRequirements, ColdBounds, LoadBasis, PickFault, RelayChoice,
+        RelayTable,
     },
     request::{Refusal, RefusalCode, RetryAllowance, RetryClaim},
-    roster::RunnerStart,
     sorted::SortedTable,
 };
 
@@ -59,6 +58,7 @@
     pub(crate) roster: RosterWatch,
     pub(crate) gossip: GossipPort,
     pub(crate) allowance: RetryAllowance,
+    pub(crate) cold_bounds: ColdBounds,
     /// Receives the claims of retries that are to be written.
     pub(crate) claims: watch::Sender<Vec<RetryClaim>>,
     /// Receives the verdicts that are to be kept for hosts that start.
@@ -67,15 +67,18 @@
 }
 
 pub(super) struct RouterTask {
-    setup: RouterSetup,
+    pub(super) setup: RouterSetup,
     catalog: Arc<ServiceCatalog>,
     pub(super) table: RelayTable,
+    /// Time from which the shares of cold runners are determined again; `None`
+    /// if no service has cold runners.
+    pub(super) cold_refresh_at: Option<EpochMillis>,
     pub(super) buckets: SortedTable<String, FleetBucket>,
     pub(super) host_liveness: HostLiveness,
     retries: RetryKeeper,
     demand: DemandMeter,
     quarantine: QuarantineDesk,
-    links: IdleLinks,
+    pub(super) links: IdleLinks,
     pub(super) waiting: Vec<QueuedCall>,
     /// Time at which the waiting calls are tried again, after a digest that
     /// showed freed capacity or at the end of a runner's pause.
@@ -88,7 +91,12 @@
 pub(crate) fn start(setup: RouterSetup, inbox: RouterInbox) {
     let task = RouterTask {
         catalog: Arc::default(),
-        table: RelayTable::new(&setup.zone),
+        table: RelayTable::with_cold_bounds(
+            &setup.host,
+            &setup.zone,
+            setup.cold_bounds,
+        ),
+        cold_refresh_at: None,
         buckets: SortedTable::default(),
         host_liveness: HostLiveness::default(),
         retries: RetryKeeper::new(
@@ -170,6 +178,7 @@
 
     fn handle(&mut self, event: RouterEvent) {
         let now = self.setup.clock.now();
+        self.refresh_cold(now);
         match event {
             RouterEvent::Route(call) => self.admit(*call, now),
             RouterEvent::AnswerHead { start, notice, sent_at } => {
@@ -184,6 +193,8 @@
                 self.quarantine.note_sound(&parts, now);
             }
             RouterEvent::Evidence { report, at } => {
+                let crashes = report.crashes.iter();
+                self.suspect_restarts(crashes.map(|crash| &crash.start), now);
                 self.quarantine.merge(&report, at);
             }
             RouterEvent::ReadVerdicts(reply) => {
@@ -199,12 +210,20 @@
             RouterEvent::Departing(starts) => {
                 self.note_departures(&starts, now);
             }
-            RouterEvent::HostAdded(host) => self.host_liveness.add_host(&host),
+            RouterEvent::Unreachable(starts) => {
+                self.suspect_restarts(starts.iter(), now);
+            }
+            RouterEvent::HostAdded { host, zone } => {
+                self.host_liveness.add_host(&host);
+                self.table.add_host(&host, &zone);
+            }
             RouterEvent::HostRemoved(host) => {
                 self.host_liveness.remove_host(&host);
+                self.table.remove_host(&host);
             }
             RouterEvent::HostsListed { kept } => {
                 self.retries.set_hosts(self.host_liveness.count());
+                self.table.note_hosts_listed(now);
                 if let Some(kept) = kept {
                     self.retries.open(&kept.claims, now);
                     self.quarantine.adopt(&kept.verdicts, now);
@@ -255,55 +274,18 @@
             };
             self.buckets.insert(customer.name.clone(), bucket);
         }
+        self.set_cold_services(&catalog);
         self.catalog = catalog;
         self.retry_waiting();
     }
 
-    fn adopt_roster(&mut self, roster: &[crate::roster::RunnerFacts]) {
-        self.table.set_roster(roster.iter());
-        self.close_unused_links();
-        self.retry_waiting();
-    }
-
-    /// Closes the idle connections to runners that take no more calls.
-    fn close_unused_links(&mut self) {
-        let table = &self.table;
-        self.links.retain(|runner| table.takes_calls(runner));
-    }
-
-    /// Applies what a runner stated about itself in an answer.
-    fn note_runner(
+    pub(super) fn adopt_roster(
         &mut self,
-        start: &RunnerStart,
-        notice: RunnerNotice,
-        now: EpochMillis,
+        roster: &[crate::roster::RunnerFacts],
     ) {
-        if notice.is_empty() {
-            return;
-        }
-        let took_calls = self.table.takes_calls(&start.id);
-        self.table.note_runner(start, notice, now);
-        if took_calls && !self.table.takes_calls(&start.id) {
-            log_departure(start, "answer");
-            self.close_unused_links();
-        }
-        if now < notice.paused_until {
-            tracing::info!(
-                event = "runner_paused",
-                runner = start.id,
-                pause_ms = now.until(notice.paused_until).as_millis() as u64,
-            );
-        }
-    }
-
-    /// Applies what runners told another host: that they are leaving.
-    fn note_departures(&mut self, starts: &[RunnerStart], now: EpochMillis) {
-        for start in starts {
-            if self.table.note_departure(start, now) {
-                log_departure(start, "host");
-            }
-        }
+        self.table.set_roster(roster.iter());
         self.close_unused_links();
+        self.retry_waiting();
     }
 
     /// Admits a call and looks for a runner. The call is refused if its
@@ -421,6 +403,9 @@
             let id = call.requirements.id.as_str();
             self.retries.record_sent(id, grant, now);
         }
+        if choice.send_by.is_some() {
+            self.setup.metrics.cold_sends.inc();
+        }
         let link = self.links.take(&choice.runner);
         let parts = &call.requirements.parts;
         let slot = RelaySlot::new(choice, link, call.seat, parts);
@@ -455,7 +440,7 @@
             self.refuse(call, &reason, now);
             return;
         }
-        if let PickFault::Paused(end) = fault {
+        if let PickFault::Paused(end) | PickFault::Cold(end) = fault {
             let next = self.retry_waiting_at.map_or(end, |at| at.min(end));
             self.retry_waiting_at = Some(next);
         }
@@ -534,7 +519,7 @@
     }
 
     /// Tries the waiting calls again, the oldest first.
-    fn retry_waiting(&mut self) {
+    pub(super) fn retry_waiting(&mut self) {
         self.retry_waiting_at = None;
         if self.waiting.is_empty() {
             return;
@@ -550,6 +535,7 @@
     fn complete(&mut self, completed: CompletedCall) {
         let now = self.setup.clock.now();
         self.quarantine.note_end(&completed, now);
+        self.note_unreachable(&completed, now);
         self.table.end_call(
             &completed.choice,
             completed.head_reported,
@@ -564,8 +550,3 @@
         self.retry_waiting();
     }
 }
-
-fn log_departure(start: &RunnerStart, source: &str) {
-    let RunnerStart { id, born } = start;
-    tracing::info!(event = "runner_departing", runner = id, born, source);
-}
--- a/crates/celerylead/src/tasks/node/router_port.rs
+++ b/crates/celerylead/src/tasks/node/router_port.rs
@@ -57,8 +57,10 @@
     },
     /// Another host was told by these runners that they are leaving.
     Departing(Vec<RunnerStart>),
+    /// These runners refused another host a connection.
+    Unreachable(Vec<RunnerStart>),
     /// Another host has joined.
-    HostAdded(String),
+    HostAdded { host: String, zone: String },
     /// Another host was removed.
     HostRemoved(String),
     /// The list of hosts was read and its changes were sent. Holds what the rows
--- a/crates/celerylead/src/tasks/node/run.rs
+++ b/crates/celerylead/src/tasks/node/run.rs
@@ -27,6 +27,7 @@
     metrics::HostMetrics,
     placement::BroadcastFanout,
     port::{EdgeCodec, StorePort},
+    relay::ColdBounds,
     request::RetryAllowance,
     step::{StepContext as _, StepName},
 };
@@ -77,6 +78,11 @@
     pub retry_slack: f64,
     /// Window over which the platform counts calls and retries.
     pub retry_window: Duration,
+    /// Factor on what a cold runner tolerates, up to which the platform lets
+    /// all hosts send.
+    pub cold_overshoot: f64,
+    /// Calls per second to a cold runner that are allowed beyond that.
+    pub cold_slack: f64,
 }
 
 /// A host whose sockets are open and whose tasks are running.
@@ -156,6 +162,11 @@
             slack: options.retry_slack,
             window: options.retry_window,
         },
+        cold_bounds: ColdBounds {
+            overshoot: options.cold_overshoot,
+            slack: options.cold_slack,
+            contact: options.recovery_time,
+        },
         claims,
         verdicts,
         metrics: metrics.clone(),
--- a/crates/celerylead/src/tasks/node/tests.rs
+++ b/crates/celerylead/src/tasks/node/tests.rs
@@ -16,11 +16,11 @@
 };
 use crate::{
     catalog::{CallLimits, ServiceCatalog, ServiceSpec},
-    clock::HostClock,
+    clock::{EpochMillis, HostClock},
     membership::{HostDigest, RunnerLoad},
     metrics::HostMetrics,
     quarantine::PromptParts,
-    relay::{CallProfile, CallRequirements},
+    relay::{CallProfile, CallRequirements, ColdBounds},
     request::{RequestId, RetryAllowance},
     roster::RunnerFacts,
 };
@@ -43,6 +43,7 @@
             name: "ledger".to_owned(),
             max_links: 100,
             engine: None,
+            cold: None,
         };
         let catalog = ServiceCatalog::new(
             1,
@@ -62,6 +63,7 @@
             models: Vec::new(),
             copies: Vec::new(),
             orders: 0,
+            cold_until: EpochMillis::default(),
         };
         let (catalogs, catalog_receiver) = watch::channel(None);
         let (rosters, roster_receiver) = watch::channel(None);
@@ -79,6 +81,7 @@
                 slack: 50.0,
                 window: Duration::from_secs(10),
             },
+            cold_bounds: ColdBounds::default(),
             claims: watch::channel(Vec::new()).0,
             verdicts: watch::channel(Vec::new()).0,
             metrics: HostMetrics::default(),
--- a/crates/celerylead/tests/pages.rs
+++ b/crates/celerylead/tests/pages.rs
@@ -43,6 +43,16 @@
 |---|---|---|---|---|
 ";
 
+/// The settings file of a process behind an adapter.
+const NODE_SETTINGS: &str = "
+## Settings file of celerylead-node
+
+| field | unit | default | meaning |
+|---|---|---|---|
+| `bounds.cold_overshoot` | factor | 1.5 | Times what a cold server tolerates that all hosts may send it in a second. |
+| `bounds.cold_slack` | requests | 5 | Requests in a second to a cold server that are allowed beyond that. |
+";
+
 #[test]
 fn the_settings_page_is_made_from_the_rules() {
     let mut page = SETTINGS_PAGE_HEAD.to_owned();
@@ -61,6 +71,7 @@
             rule.meaning.trim(),
         );
     }
+    page += NODE_SETTINGS;
     expect_file!["../../../docs/SETTINGS.md"].assert_eq(&page);
 }
 
--- a/crates/stand-ins/src/raw_runner.rs
+++ b/crates/stand-ins/src/raw_runner.rs
@@ -314,7 +314,16 @@
     ///
     /// Returns an error if no port can be bound.
     pub async fn start() -> anyhow::Result<RawRunner> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        RawRunner::start_at("127.0.0.1:0").await
+    }
+
+    /// Starts a runner at an address, such as that of one that has crashed.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address is in use.
+    pub async fn start_at(address: &str) -> anyhow::Result<RawRunner> {
+        let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?.to_string();
         let state = StateHandle::start(RunnerState::default());
         let (crashed, crash) = watch::channel(false);
@@ -361,6 +370,17 @@
         self.state.with(|state| state.call_times.clone()).await
     }
 
+    /// Returns the largest number of calls that the runner received within a
+    /// second, run or not.
+    pub async fn busiest_second(&self) -> usize {
+        let times = self.call_times().await;
+        let counts = times.iter().enumerate().map(|(first, begin)| {
+            let end = *begin + Duration::from_secs(1);
+            times[first..].partition_point(|at| *at < end)
+        });
+        counts.max().unwrap_or(0)
+    }
+
     /// Returns the calls that the runner ran.
     pub async fn runs(&self) -> Vec<RecordedRequest> {
         self.state.with(|state| state.runs.clone()).await
