Bound the memory and connections that callers take of a host

Cause: bodies of requests were collected piece by piece without a bound over all of them, an announced length over the limit was only noticed once the limit had been read, and connections were not counted.

Change: intake/ divides memory and descriptors and decides without a network which body takes the next piece, which one gives way, and until when a body must go on; tasks/intake.rs owns the common room. Small bodies take permits of a share of their own without a message. The room is owned by the bytes and returned with their last reference. The acceptor tells its oldest connection to give way. Buffered answers take room too and are streamed where there is none.

--- /dev/null
+++ b/crates/celerylead/src/intake/ledger.rs
@@ -0,0 +1,202 @@
+//! The common room for bodies, and who may take the next piece of it.
+
+use std::time::Duration;
+
+use crate::{clock::EpochMillis, sorted::SortedTable};
+
+/// Time after which a body gives way, besides that for the bytes of its piece.
+const PIECE_GRACE: Duration = Duration::from_millis(1_000);
+/// Bytes per millisecond below which a body gives way to others: ten bodies
+/// share a link of 10 Mbit/s at twice this pace.
+const YIELDING_BYTES_PER_MS: u64 = 64;
+
+/// Identifier of a body, which grows with each body of the host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct BodyId(pub(crate) u64);
+
+/// What a body tells the ledger.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum BodyRequest {
+    /// It needs this many bytes more.
+    Take { id: BodyId, bytes: u64 },
+    /// It has arrived whole. It keeps what it holds until it ends.
+    Complete(BodyId),
+    /// Its memory is free again.
+    End(BodyId),
+}
+
+/// What becomes of bodies.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum BodyAction {
+    /// The body may take what it asked for.
+    Grant(BodyId),
+    /// There is no room; the body is to be refused.
+    Refuse(BodyId),
+    /// The body must free its memory, as others need it.
+    GiveWay(BodyId),
+}
+
+/// State of a body that takes part of the common room.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    /// It is being read. From `due` on it gives way to others.
+    Receiving { due: EpochMillis },
+    /// It waits for room for this many bytes more.
+    Waiting { bytes: u64 },
+    /// It was told to give way.
+    GivingWay,
+    /// It has arrived whole.
+    Complete,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct HeldBody {
+    bytes: u64,
+    stage: Stage,
+}
+
+/// Which bodies hold how much of the common room.
+#[derive(Debug)]
+pub(crate) struct BodyLedger {
+    room: u64,
+    held: u64,
+    bodies: SortedTable<BodyId, HeldBody>,
+    /// Number of bodies that wait.
+    waiting: usize,
+}
+
+impl BodyLedger {
+    /// Creates a ledger of `room` bytes.
+    pub(crate) fn new(room: u64) -> BodyLedger {
+        BodyLedger {
+            room,
+            held: 0,
+            bodies: SortedTable::default(),
+            waiting: 0,
+        }
+    }
+
+    /// Returns the bytes that bodies hold.
+    #[cfg(test)]
+    pub(crate) fn held(&self) -> u64 {
+        self.held
+    }
+
+    /// Decides on a request and on the bodies that wait.
+    ///
+    /// A body that waits is answered as soon as each body that was told to give
+    /// way has ended or turned out to be complete, so no timer is needed.
+    pub(crate) fn decide(
+        &mut self,
+        request: BodyRequest,
+        now: EpochMillis,
+    ) -> Vec<BodyAction> {
+        match request {
+            BodyRequest::Take { id, bytes } => {
+                let stage = Stage::Waiting { bytes };
+                let new = || HeldBody { bytes: 0, stage: Stage::Complete };
+                self.bodies.entry(id, new);
+                // A body that was told to give way ends by itself.
+                self.change(id, stage);
+            }
+            BodyRequest::Complete(id) => self.change(id, Stage::Complete),
+            BodyRequest::End(id) => {
+                self.change(id, Stage::GivingWay);
+                let ended = self.bodies.remove(&id);
+                self.held -= ended.map_or(0, |body| body.bytes);
+            }
+        }
+        if self.waiting == 0 {
+            return Vec::new();
+        }
+        self.serve_waiting(now)
+    }
+
+    /// Changes the stage of a body and the number of those that wait.
+    fn change(&mut self, id: BodyId, stage: Stage) {
+        let Some(body) = self.bodies.get_mut(&id) else { return };
+        if body.stage == Stage::GivingWay && stage != Stage::Complete {
+            return;
+        }
+        let waits =
+            |stage| usize::from(matches!(stage, Stage::Waiting { .. }));
+        self.waiting = self.waiting + waits(stage) - waits(body.stage);
+        body.stage = stage;
+    }
+
+    /// Decides on each body that waits, the oldest first.
+    fn serve_waiting(&mut self, now: EpochMillis) -> Vec<BodyAction> {
+        let mut actions = Vec::new();
+        let waiting =
+            self.bodies.iter().filter_map(|(id, body)| match body.stage {
+                Stage::Waiting { bytes } => Some((*id, bytes)),
+                _ => None,
+            });
+        let waiting: Vec<(BodyId, u64)> = waiting.collect();
+        for (id, bytes) in waiting {
+            let free = self.room.saturating_sub(self.held);
+            if bytes <= free {
+                self.held += bytes;
+                if let Some(body) = self.bodies.get_mut(&id) {
+                    body.bytes += bytes;
+                }
+                self.change(id, Stage::Receiving { due: due(bytes, now) });
+                actions.push(BodyAction::Grant(id));
+                continue;
+            }
+            match self.make_room(bytes - free, now) {
+                Some(asked) => {
+                    actions.extend(asked.into_iter().map(BodyAction::GiveWay));
+                }
+                None => {
+                    self.change(id, Stage::GivingWay);
+                    actions.push(BodyAction::Refuse(id));
+                }
+            }
+        }
+        actions
+    }
+
+    /// Chooses the bodies that give way for `missing` bytes: of those that are
+    /// late with their piece, the latest first. Returns `None` if they don't
+    /// hold enough, and then none gives way.
+    fn make_room(
+        &mut self,
+        missing: u64,
+        now: EpochMillis,
+    ) -> Option<Vec<BodyId>> {
+        let mut freed = 0;
+        let mut late = Vec::new();
+        for (id, body) in self.bodies.iter() {
+            match body.stage {
+                Stage::GivingWay => freed += body.bytes,
+                Stage::Receiving { due } if due < now => {
+                    late.push((due, *id, body.bytes));
+                }
+                _ => {}
+            }
+        }
+        late.sort_unstable();
+        let mut chosen = Vec::new();
+        for (_, id, bytes) in late {
+            if missing <= freed {
+                break;
+            }
+            freed += bytes;
+            chosen.push(id);
+        }
+        if freed < missing {
+            return None;
+        }
+        for id in &chosen {
+            self.change(*id, Stage::GivingWay);
+        }
+        Some(chosen)
+    }
+}
+
+/// Returns the time by which a piece of this many bytes is due.
+fn due(bytes: u64, now: EpochMillis) -> EpochMillis {
+    let span = Duration::from_millis(bytes / YIELDING_BYTES_PER_MS);
+    now.after(PIECE_GRACE).after(span)
+}
--- a/crates/celerylead/src/lib.rs
+++ b/crates/celerylead/src/lib.rs
@@ -22,6 +22,7 @@
 //! | [`roster`] | runners listed by a registry |
 //! | [`relay`] | choice of the runner for a call |
 //! | [`quarantine`] | parts of prompts that crash runners |
+//! | `intake` | memory and connections that callers may take |
 //! | [`port`] | messages to and encodings of external systems |
 //! | [`node`] | a complete host behind a platform adapter |
 //!
@@ -47,6 +48,7 @@
 pub mod catalog;
 mod clock;
 pub mod customer;
+mod intake;
 pub mod log;
 pub mod membership;
 mod metrics;
--- a/crates/celerylead/src/metrics.rs
+++ b/crates/celerylead/src/metrics.rs
@@ -45,6 +45,12 @@
     pub(crate) table: &'static str,
 }
 
+/// Labels of the counters of bodies and connections that a host ends.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct CauseLabels {
+    pub(crate) cause: &'static str,
+}
+
 /// The metrics of one host. Clones share the same series.
 #[derive(Clone)]
 pub(crate) struct HostMetrics {
@@ -63,6 +69,10 @@
     pub(crate) first_byte: Histogram,
     pub(crate) crash_witnesses: Counter,
     pub(crate) rejected_parts: Gauge,
+    pub(crate) intake_bytes: Gauge,
+    pub(crate) bodies_ended: Family<CauseLabels, Counter>,
+    pub(crate) open_connections: Gauge,
+    pub(crate) connections_closed: Family<CauseLabels, Counter>,
 }
 
 impl Default for HostMetrics {
@@ -83,6 +93,10 @@
         let first_byte = Histogram::new(buckets);
         let crash_witnesses = Counter::default();
         let rejected_parts = Gauge::default();
+        let intake_bytes = Gauge::default();
+        let bodies_ended = Family::default();
+        let open_connections = Gauge::default();
+        let connections_closed = Family::default();
         registry.register(
             "answers",
             "Answers by customer and code; ok is a whole answer",
@@ -153,6 +167,26 @@
             "Parts of prompts that are rejected, as they crash runners",
             rejected_parts.clone(),
         );
+        registry.register(
+            "intake_bytes",
+            "Memory that bodies and buffered answers hold",
+            intake_bytes.clone(),
+        );
+        registry.register(
+            "bodies_ended",
+            "Bodies of requests that were refused or given up, by cause",
+            bodies_ended.clone(),
+        );
+        registry.register(
+            "open_connections",
+            "Connections of callers",
+            open_connections.clone(),
+        );
+        registry.register(
+            "connections_closed",
+            "Connections of callers that the host closed, by cause",
+            connections_closed.clone(),
+        );
         HostMetrics {
             registry: Arc::new(registry),
             answers,
@@ -169,6 +203,10 @@
             first_byte,
             crash_witnesses,
             rejected_parts,
+            intake_bytes,
+            bodies_ended,
+            open_connections,
+            connections_closed,
         }
     }
 }
@@ -183,6 +221,16 @@
         self.answers.get_or_create(&labels).inc();
     }
 
+    /// Counts a body that was refused or given up.
+    pub(crate) fn count_body_end(&self, cause: &'static str) {
+        self.bodies_ended.get_or_create(&CauseLabels { cause }).inc();
+    }
+
+    /// Counts a connection that was closed.
+    pub(crate) fn count_close(&self, cause: &'static str) {
+        self.connections_closed.get_or_create(&CauseLabels { cause }).inc();
+    }
+
     /// Counts a decision on a further send of a call to a service.
     pub(crate) fn count_retry(&self, service: &str, outcome: &'static str) {
         let service = service.to_owned();
--- a/crates/celerylead/src/tasks/call.rs
+++ b/crates/celerylead/src/tasks/call.rs
@@ -15,7 +15,7 @@
 use super::{
     context::{CallerIdentity, HostContext},
     exchange::{self, Exchange, OutboundCall},
-    request_body,
+    request_body::BodyIntake,
     runner::RunnerEvent,
     stream::{AnswerBody, AnswerSettlement, AnswerStream},
 };
@@ -49,7 +49,7 @@
     let view = context.view()?;
     let caller = context.authenticate(&view, &parts.headers, &parts.uri)?;
     let limit = view.tree.defaults.max_body_kb;
-    let body = read_body(body, limit).await?;
+    let body = read_body(context, body, limit).await?;
     let completion = CompletionRequest::parse(&body).map_err(|error| {
         Refusal::not_run(RefusalCode::BadRequest, &format!("{error:#}"))
     })?;
@@ -191,12 +191,18 @@
 /// Reads the body of a request, of at most `limit_kb` times 1,024 bytes,
 /// within `BODY_TIMEOUT`.
 pub(crate) async fn read_body(
+    context: &HostContext,
     body: Incoming,
     limit_kb: u64,
 ) -> Result<Bytes, Refusal> {
     let limit = usize::try_from(limit_kb.saturating_mul(1_024));
-    let deadline = Instant::now() + BODY_TIMEOUT;
-    request_body::read_body(body, limit.unwrap_or(usize::MAX), deadline).await
+    let intake = BodyIntake {
+        port: &context.intake,
+        limit: limit.unwrap_or(usize::MAX),
+        idle: BODY_TIMEOUT,
+        deadline: Instant::now() + BODY_TIMEOUT,
+    };
+    intake.read(body).await
 }
 
 /// Creates the answer to the caller from the status, headers and body of the
--- a/crates/celerylead/src/tasks/context.rs
+++ b/crates/celerylead/src/tasks/context.rs
@@ -9,8 +9,8 @@
 use tokio::sync::watch;
 
 use super::{
-    dispatch::DispatchPort, member::HostIdentity, shares::SharePort,
-    usage::UsagePort,
+    dispatch::DispatchPort, intake::IntakePort, member::HostIdentity,
+    shares::SharePort, usage::UsagePort,
 };
 use crate::{
     clock::HostClock,
@@ -34,6 +34,7 @@
     /// Credential that the host sends to backend servers.
     pub(crate) credential: HeaderValue,
     pub(crate) sequence: Arc<AtomicU64>,
+    pub(crate) intake: IntakePort,
 }
 
 /// An authenticated caller.
--- a/crates/celerylead/src/tasks/host.rs
+++ b/crates/celerylead/src/tasks/host.rs
@@ -18,7 +18,7 @@
 use super::{
     acceptor, admin,
     context::HostContext,
-    dispatch,
+    dispatch, intake, machine,
     member::{self, HostIdentity, MemberEvent, MemberSetup},
     owner::{self, OwnerSetup},
     peer::{self, PeerSources},
@@ -27,6 +27,7 @@
 };
 use crate::{
     clock::HostClock,
+    intake::IntakeLimits,
     metrics::HostMetrics,
     platform::TableClient,
     settings::SettingsView,
@@ -247,6 +248,9 @@
         metrics: metrics.clone(),
     };
     member::start(setup, member_inbox);
+    let limits =
+        IntakeLimits::of(machine::memory_bytes(), machine::descriptors());
+    let intake = intake::start(limits, clock.clone(), metrics.clone());
     let context = HostContext {
         dispatch,
         identity,
@@ -257,6 +261,7 @@
         metrics,
         credential,
         sequence: Arc::new(AtomicU64::new(1)),
+        intake,
     };
     Ok(StartedState { context, member, usage: usage_task })
 }
--- a/crates/celerylead/src/tasks/mod.rs
+++ b/crates/celerylead/src/tasks/mod.rs
@@ -15,6 +15,7 @@
 //! | [`runner`] | the connections to one runner |
 //! | [`owner`] | the runners whose memory this host manages |
 //! | [`acceptor`] | the callers' listener; starts a task for each connection |
+//! | [`intake`] | the common room for bodies of requests |
 //! | [`peer`] | the socket for other hosts; starts a task per connection |
 //! | [`usage`] | usage records until the object store confirms them |
 //! | [`admin`] | the listener for health, status and metrics |
@@ -29,6 +30,8 @@
 pub(crate) mod dispatch;
 pub(crate) mod exchange;
 pub mod host;
+pub(crate) mod intake;
+pub(crate) mod machine;
 pub(crate) mod member;
 pub mod node;
 pub(crate) mod owner;
--- a/crates/celerylead/src/tasks/node/acceptor.rs
+++ b/crates/celerylead/src/tasks/node/acceptor.rs
@@ -1,7 +1,11 @@
 //! The task that owns the callers' listener, and one task for each
 //! connection.
 
-use std::{convert::Infallible, time::Duration};
+use std::{
+    convert::Infallible,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use hyper::{
     Request, Response,
@@ -13,17 +17,30 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::watch,
+    sync::{oneshot, watch},
     task::JoinSet,
+    time::Instant,
 };
 
-use super::{NodeContext, NodePhase, body::RelayBody, call};
-use crate::{metrics::HostMetrics, port::EdgeCodec, wire::link};
+use super::{
+    NodeContext, NodePhase,
+    body::RelayBody,
+    call::{self, UnreadBody},
+    caller_socket::{CallerSocket, ConnectionFlags},
+};
+use crate::{
+    intake::ConnectionQueue, metrics::HostMetrics, port::EdgeCodec, wire::link,
+};
 
 /// Multiple of the configured idle time after which an idle connection is
 /// closed. Callers may follow a changed setting at once, while an open
 /// connection keeps the setting with which it was opened.
 const IDLE_FACTOR: u32 = 2;
+/// Time after which a further connection is told to give way, if those told
+/// before are still busy.
+const GIVE_WAY_INTERVAL: Duration = Duration::from_millis(50);
+/// Shortest time between two log lines about connections that gave way.
+const LOG_INTERVAL: Duration = Duration::from_secs(10);
 
 /// Accepts connections until the host reaches [`NodePhase::Ending`], then
 /// waits until every request in flight has its answer.
@@ -33,25 +50,84 @@
 ) {
     let mut phase = context.phase.clone();
     let mut connections = JoinSet::new();
+    let mut queue = ConnectionQueue::new();
+    let mut report = GiveWayReport::default();
     loop {
+        let bound = context.connection_bound();
+        // One more than the bound is accepted, since only then it is known
+        // that a connection has to give way.
+        let is_over = bound < connections.len();
         tokio::select! {
-            stream = link::accept(&listener) => {
-                connections.spawn(serve(stream, context.clone()));
+            stream = link::accept(&listener), if !is_over => {
+                let (handle, told) = oneshot::channel();
+                let id = queue.add(handle);
+                let task = serve(stream, context.clone(), told);
+                connections.spawn(async move {
+                    task.await;
+                    id
+                });
             }
-            Some(_) = connections.join_next() => {}
+            Some(ended) = connections.join_next() => {
+                if let Ok(id) = ended {
+                    queue.remove(id);
+                }
+            }
+            () = tokio::time::sleep(GIVE_WAY_INTERVAL), if is_over => {}
             () = until_ending(&mut phase) => break,
         }
+        let open = connections.len();
+        context.metrics.open_connections.set(gauge_value(open));
+        if let Some(handle) = queue.give_way(open, bound) {
+            let _: Result<(), ()> = handle.send(());
+            context.metrics.count_close("gave_way");
+            report.note(open, bound);
+        }
     }
     drop(listener);
     while connections.join_next().await.is_some() {}
 }
 
+fn gauge_value(count: usize) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
+
+/// Log of connections that gave way, with one line at a time.
+#[derive(Default)]
+struct GiveWayReport {
+    connections: u64,
+    logged_at: Option<Instant>,
+}
+
+impl GiveWayReport {
+    fn note(&mut self, open: usize, bound: usize) {
+        self.connections += 1;
+        let now = Instant::now();
+        if self.logged_at.is_some_and(|at| now < at + LOG_INTERVAL) {
+            return;
+        }
+        let connections = std::mem::take(&mut self.connections);
+        tracing::warn!(
+            event = "connections_gave_way",
+            connections,
+            open,
+            bound
+        );
+        self.logged_at = Some(now);
+    }
+}
+
 /// Waits until the host reaches [`NodePhase::Ending`].
 async fn until_ending(phase: &mut watch::Receiver<NodePhase>) {
     let _ = phase.wait_for(|phase| *phase == NodePhase::Ending).await;
 }
 
-async fn serve<C: EdgeCodec>(stream: TcpStream, context: NodeContext<C>) {
+/// Serves a connection until it ends. One that is told to give way ends after
+/// the request in flight, or at once if it has sent none.
+async fn serve<C: EdgeCodec>(
+    stream: TcpStream,
+    context: NodeContext<C>,
+    told: oneshot::Receiver<()>,
+) {
     if let Err(error) = link::set_socket_options(&stream) {
         tracing::debug!(event = "caller_closed", %error);
         return;
@@ -60,17 +136,22 @@
         context.catalog().map(|catalog| catalog.limits).unwrap_or_default();
     let idle = Duration::from_millis(limits.idle_ms) * IDLE_FACTOR;
     let mut phase = context.phase.clone();
+    let flags = Arc::new(ConnectionFlags::default());
     let service = service_fn(|request| {
-        let context = &context;
-        async move { Ok::<_, Infallible>(answer(context, request).await) }
+        let (context, flags) = (&context, &flags);
+        async move {
+            flags.served.store(true, Ordering::Relaxed);
+            Ok::<_, Infallible>(answer(context, flags, request).await)
+        }
     });
+    let socket = CallerSocket::new(stream, Arc::clone(&flags));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
         // The head has to fit.
         .max_buf_size(link::READ_BUFFER_BYTES.max(limits.head_bytes))
         .max_header_size(limits.head_bytes)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(socket), service);
     tokio::pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
@@ -79,22 +160,35 @@
             connection.as_mut().graceful_shutdown();
             connection.await
         }
+        Ok(()) = told => {
+            // A part of a first head would be waited for.
+            if !flags.served.load(Ordering::Relaxed) {
+                return;
+            }
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
     };
     if let Err(error) = ended {
         tracing::debug!(event = "caller_closed", %error);
     }
 }
 
-/// Answers one request. Unless the host is serving, asks the caller to close
-/// the connection.
+/// Answers one request. Asks the caller to close the connection unless the
+/// host is serving, or if the request's body wasn't read to its end.
 async fn answer<C: EdgeCodec>(
     context: &NodeContext<C>,
+    flags: &ConnectionFlags,
     request: Request<Incoming>,
 ) -> Response<RelayBody> {
     let in_flight = InFlight::begin(&context.metrics);
     let mut response = call::answer(context, request).await;
     drop(in_flight);
-    if *context.phase.borrow() != NodePhase::Serving {
+    let unread = response.extensions().get::<UnreadBody>().is_some();
+    if unread {
+        flags.unread.store(true, Ordering::Relaxed);
+    }
+    if unread || *context.phase.borrow() != NodePhase::Serving {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
--- a/crates/celerylead/src/tasks/node/attempt.rs
+++ b/crates/celerylead/src/tasks/node/attempt.rs
@@ -32,6 +32,7 @@
     },
     relay::{CallEnd, CallHead, CallProfile, CallRequirements},
     request::{Admitted, Refusal, RefusalCode, Request, RunOutcome, Sent},
+    tasks::intake::{BodyRoom, Kept},
     wire::answer::is_framed,
 };
 
@@ -352,12 +353,12 @@
         link: (HttpLink, Instant),
         sent_at: Instant,
     ) -> AttemptOutcome {
-        let size = upstream.size_hint().upper();
-        if size.is_none_or(|size| MAX_BUFFERED_BYTES < size) {
+        let Some(room) = self.answer_room(&upstream).await else {
             return self.stream_answer(head, upstream, slot, link);
-        }
+        };
         match self.collect(upstream).await {
             Ok(bytes) => {
+                let bytes = room.hold(bytes.into());
                 slot.note_frame();
                 let latency_us = sent_at.elapsed().as_micros() as u64;
                 slot.finish(CallEnd::Complete { latency_us }, Some(link));
@@ -382,8 +383,14 @@
         slot: RelaySlot,
         link: (HttpLink, Instant),
     ) -> AttemptOutcome {
+        let Some(room) = self.failure_room(&upstream).await else {
+            let error = anyhow::anyhow!("there is no memory for the answer");
+            self.log_failure(&slot, "read_body", &error);
+            slot.finish(CallEnd::Neutral, None);
+            return run_again(request, RefusalCode::AnswerCut, &error);
+        };
         let bytes = match self.collect(upstream).await {
-            Ok(bytes) => bytes,
+            Ok(bytes) => room.hold(bytes.into()),
             Err(error) => {
                 self.log_failure(&slot, "read_body", &error);
                 slot.finish(end_by(&error), None);
@@ -411,6 +418,30 @@
         }
     }
 
+    /// Takes room for an answer that is to be buffered. Returns `None` if the
+    /// answer is too large, or if there is no room for it.
+    async fn answer_room(
+        &self,
+        upstream: &Incoming,
+    ) -> Option<BodyRoom<Kept>> {
+        let size = upstream.size_hint().upper()?;
+        if MAX_BUFFERED_BYTES < size {
+            return None;
+        }
+        let size = usize::try_from(size).ok()?;
+        self.context.intake.take_whole(size).await.ok()
+    }
+
+    /// Takes room for a failure, which is buffered in any case.
+    async fn failure_room(
+        &self,
+        upstream: &Incoming,
+    ) -> Option<BodyRoom<Kept>> {
+        let size = upstream.size_hint().upper().unwrap_or(MAX_BUFFERED_BYTES);
+        let size = usize::try_from(size.min(MAX_BUFFERED_BYTES)).ok()?;
+        self.context.intake.take_whole(size).await.ok()
+    }
+
     async fn collect(&self, upstream: Incoming) -> anyhow::Result<Bytes> {
         let limit = usize::try_from(MAX_BUFFERED_BYTES).unwrap_or(usize::MAX);
         let body = Limited::new(upstream, limit).collect();
--- a/crates/celerylead/src/tasks/node/call.rs
+++ b/crates/celerylead/src/tasks/node/call.rs
@@ -17,12 +17,16 @@
     quarantine::PromptParts,
     relay::{CallHead, LoadBasis},
     request::{Refusal, RefusalCode, RequestId},
-    tasks::request_body,
+    tasks::request_body::BodyIntake,
 };
 
 /// Time that a caller is assumed to wait if its request doesn't state one.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Marks an answer whose request's body wasn't read to its end.
+#[derive(Clone, Copy)]
+pub(super) struct UnreadBody;
+
 /// Contents of the log line of a call.
 #[derive(Clone)]
 pub(crate) struct CallRecord {
@@ -94,10 +98,27 @@
     };
     match relay(context, &call, &parts, body, started).await {
         Ok(response) => response,
-        Err(refusal) => refuse(context, Some(&call), &refusal, started),
+        Err(refusal) => {
+            let mut response = refuse(context, Some(&call), &refusal, started);
+            if leaves_body_unread(refusal.code) {
+                response.extensions_mut().insert(UnreadBody);
+            }
+            response
+        }
     }
 }
 
+/// Returns whether a refusal of this code comes before the request's body was
+/// read to its end.
+fn leaves_body_unread(code: RefusalCode) -> bool {
+    matches!(
+        code,
+        RefusalCode::BodyTooLarge
+            | RefusalCode::BodyTimeout
+            | RefusalCode::NoBodyRoom
+    )
+}
+
 /// Counts and logs a refusal, and returns the answer for the caller.
 fn refuse<C: EdgeCodec>(
     context: &NodeContext<C>,
@@ -140,9 +161,13 @@
         call.max_wait_ms.map_or(DEFAULT_TIMEOUT, Duration::from_millis);
     let timeout = caller_timeout.min(Duration::from_millis(route.timeout_ms));
     let deadline = started + timeout;
-    let body =
-        request_body::read_body(body, catalog.limits.body_bytes, deadline)
-            .await?;
+    let intake = BodyIntake {
+        port: &context.intake,
+        limit: catalog.limits.body_bytes,
+        idle: Duration::from_millis(catalog.limits.idle_ms),
+        deadline,
+    };
+    let body = intake.read(body).await?;
     // Callers keep sending on connections that are open, and a call that began
     // now could outlast the process.
     if *context.phase.borrow() == NodePhase::Ending {
--- a/crates/celerylead/src/tasks/node/mod.rs
+++ b/crates/celerylead/src/tasks/node/mod.rs
@@ -9,6 +9,7 @@
 //! | `registry` | the position in the feed of the registry, the roster |
 //! | `gossip` | the UDP socket between hosts, the list of known hosts |
 //! | `placer` | the orders lease, the placement plan, orders in flight |
+//! | `intake`, beside this module | the common room for bodies of requests |
 //! | `control` | the sockets for readiness, metrics and snapshots |
 //!
 //! The newest catalog and roster are immutable values in watch channels,
@@ -19,6 +20,7 @@
 mod attempt;
 mod body;
 mod call;
+mod caller_socket;
 mod control;
 mod gossip;
 mod gossip_port;
@@ -51,7 +53,7 @@
 use self::router_port::RouterPort;
 use crate::{
     catalog::ServiceCatalog, clock::HostClock, metrics::HostMetrics,
-    roster::RunnerFacts,
+    roster::RunnerFacts, tasks::intake::IntakePort,
 };
 
 /// The newest catalog; `None` until one is known.
@@ -82,6 +84,7 @@
     pub(crate) router: RouterPort,
     pub(crate) metrics: HostMetrics,
     pub(crate) phase: watch::Receiver<NodePhase>,
+    pub(crate) intake: IntakePort,
 }
 
 impl<C> NodeContext<C> {
@@ -89,4 +92,11 @@
     pub(crate) fn catalog(&self) -> Option<Arc<ServiceCatalog>> {
         self.catalog.borrow().clone()
     }
+
+    /// Returns the number of connections of callers that may be open.
+    pub(crate) fn connection_bound(&self) -> usize {
+        let catalog = self.catalog.borrow();
+        let limits = catalog.as_ref().map(|c| c.limits).unwrap_or_default();
+        self.intake.limits().connections(limits.head_bytes)
+    }
 }
--- a/crates/celerylead/src/tasks/node/run.rs
+++ b/crates/celerylead/src/tasks/node/run.rs
@@ -23,12 +23,14 @@
 };
 use crate::{
     clock::HostClock,
+    intake::IntakeLimits,
     membership::{HostCapacity, HostRow, PeerContact},
     metrics::HostMetrics,
     placement::BroadcastFanout,
     port::{EdgeCodec, StorePort},
     request::RetryAllowance,
     step::{StepContext as _, StepName},
+    tasks::{intake, machine},
 };
 
 /// Time for which a leaving host still accepts connections: the load balancer
@@ -58,6 +60,11 @@
     /// What the host may use of its machine; `None` if that isn't known, and
     /// then the host is never an aggregator.
     pub capacity: Option<HostCapacity>,
+    /// Memory that the process may use, in bytes; if absent, that of its
+    /// control group or its machine.
+    pub memory_bytes: Option<u64>,
+    /// Descriptors that the process may open; if absent, its own limit.
+    pub max_descriptors: Option<u64>,
     /// Number of hosts from which they exchange their state through one
     /// aggregator a zone.
     pub aggregation_from: usize,
@@ -210,6 +217,11 @@
         gossip_inbox,
         placer_sender,
     );
+    let limits = IntakeLimits::of(
+        options.memory_bytes.unwrap_or_else(machine::memory_bytes),
+        options.max_descriptors.unwrap_or_else(machine::descriptors),
+    );
+    let intake = intake::start(limits, clock.clone(), metrics.clone());
     let context = NodeContext {
         codec,
         clock,
@@ -217,6 +229,7 @@
         router: router_port,
         metrics,
         phase: phase_receiver,
+        intake,
     };
     let listeners =
         [Some(ready), listen_optional(options.control.as_deref()).await?];
--- a/crates/celerylead/src/tasks/service.rs
+++ b/crates/celerylead/src/tasks/service.rs
@@ -46,7 +46,7 @@
         return Err(Refusal::not_run(RefusalCode::NotFound, &message));
     };
     let key = caller.as_ref().map(|caller| &caller.key);
-    let body = read_body(body, values.max_body_kb).await?;
+    let body = read_body(context, body, values.max_body_kb).await?;
     if key.is_some_and(|key| headers::contains_caller_key(&body, key)) {
         return Err(Refusal::not_run(
             RefusalCode::KeyInRequest,
