Order waiting calls by class, target and customer, and refuse what can't be served

Cause: waiting calls were tried in order of arrival at each event and refused after min(1.5 s, a fifth of their time) whatever their class, customer or model, so that calls in a hurry waited behind batch calls and behind one customer's flood. Change: request/admission decides order, wait and refusal without I/O; the router only calls it. Calls without a target keep the order of arrival and their wait.

--- a/crates/celerylead/src/metrics.rs
+++ b/crates/celerylead/src/metrics.rs
@@ -39,6 +39,28 @@
     pub(crate) kind: &'static str,
 }
 
+/// Labels of the counters of waits for a runner.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct WaitLabels {
+    pub(crate) class: &'static str,
+    pub(crate) cause: &'static str,
+}
+
+/// Labels of the counter of the time that calls of a customer have waited.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct WaitedLabels {
+    pub(crate) customer: String,
+    pub(crate) class: &'static str,
+}
+
+/// Labels of the counter of calls that were refused for lack of a runner.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct RefusalLabels {
+    pub(crate) class: &'static str,
+    pub(crate) cause: &'static str,
+    pub(crate) reason: &'static str,
+}
+
 /// Labels of the metrics of one of the platform's tables.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct TableLabels {
@@ -53,6 +75,9 @@
     pub(crate) retries: Family<RetryLabels, Counter>,
     pub(crate) tokens: Family<TokenLabels, Counter>,
     pub(crate) waiting: Gauge,
+    pub(crate) waits: Family<WaitLabels, Counter>,
+    pub(crate) waited_ms: Family<WaitedLabels, Counter>,
+    pub(crate) refusals: Family<RefusalLabels, Counter>,
     pub(crate) in_flight: Gauge,
     pub(crate) revision: Gauge,
     pub(crate) lease_live: Gauge,
@@ -72,6 +97,9 @@
         let retries = Family::default();
         let tokens = Family::default();
         let waiting = Gauge::default();
+        let waits = Family::default();
+        let waited_ms = Family::default();
+        let refusals = Family::default();
         let in_flight = Gauge::default();
         let revision = Gauge::default();
         let lease_live = Gauge::default();
@@ -103,6 +131,21 @@
             "Requests that wait for a runner",
             waiting.clone(),
         );
+        registry.register(
+            "waits",
+            "Requests that began to wait for a runner, by class and cause",
+            waits.clone(),
+        );
+        registry.register(
+            "waited_milliseconds",
+            "Time that requests waited for a runner, by customer and class",
+            waited_ms.clone(),
+        );
+        registry.register(
+            "no_runner_refusals",
+            "Requests refused for lack of a runner, by class, cause and reason",
+            refusals.clone(),
+        );
         registry.register(
             "in_flight_requests",
             "Requests that are being answered",
@@ -159,6 +202,9 @@
             retries,
             tokens,
             waiting,
+            waits,
+            waited_ms,
+            refusals,
             in_flight,
             revision,
             lease_live,
--- a/crates/celerylead/src/relay/call.rs
+++ b/crates/celerylead/src/relay/call.rs
@@ -61,6 +61,8 @@
     pub prompt_tokens: u64,
     /// Maximum number of output tokens.
     pub output_tokens: u64,
+    /// Length of the body, which is kept until the call has ended.
+    pub body_bytes: u64,
     /// Time by which the first event, or the whole answer of a plain call, is
     /// in time; `None` without a target.
     pub target: Option<EpochMillis>,
--- a/crates/celerylead/src/relay/table.rs
+++ b/crates/celerylead/src/relay/table.rs
@@ -332,6 +332,28 @@
         self.accepting.get(runner).is_some()
     }
 
+    /// Returns whether a runner takes calls and holds what a call requires,
+    /// whether or not it has a free place.
+    pub fn may_serve(
+        &self,
+        runner: &str,
+        call: &CallRequirements,
+        now: EpochMillis,
+    ) -> bool {
+        let runner = self.accepting.get(runner);
+        runner.is_some_and(|RelayRunner { backend, .. }| {
+            serves(backend, call) && holds(backend, call, now)
+        })
+    }
+
+    /// Returns the service of a runner, leaving or not.
+    pub fn service_of(&self, runner: &str) -> Option<&str> {
+        let accepting = self.accepting.get(runner).map(|one| &one.backend);
+        let departing = || self.departing.get(runner).map(|one| &one.backend);
+        let backend = accepting.or_else(departing)?;
+        Some(&backend.facts.service)
+    }
+
     /// Iterates over snapshots of the runners, in no particular order.
     pub fn views(&self) -> impl Iterator<Item = RunnerView> {
         self.backends().map(|backend| RunnerView {
--- /dev/null
+++ b/crates/celerylead/src/request/admission/tests/rules.rs
@@ -0,0 +1,1 @@
+//! Single rules of admission.
--- a/crates/celerylead/src/request/mod.rs
+++ b/crates/celerylead/src/request/mod.rs
@@ -8,6 +8,7 @@
 //! states are types, so code that sends a request again without checking
 //! that it is idempotent doesn't compile.
 
+pub mod admission;
 mod allowance;
 mod budget;
 mod life;
--- a/crates/celerylead/src/tasks/node/attempt.rs
+++ b/crates/celerylead/src/tasks/node/attempt.rs
@@ -172,6 +172,7 @@
         CallProfile {
             prompt_tokens,
             output_tokens,
+            body_bytes: self.body.len() as u64,
             target: (!objective.is_zero()).then(|| began.after(objective)),
             gap_ms: self.route.gap_ms,
             priority: self.priority(),
--- a/crates/celerylead/src/tasks/node/mod.rs
+++ b/crates/celerylead/src/tasks/node/mod.rs
@@ -34,6 +34,7 @@
 mod registry;
 mod retries;
 mod router;
+mod router_admission;
 mod router_digests;
 mod router_port;
 mod run;
--- a/crates/celerylead/src/tasks/node/router.rs
+++ b/crates/celerylead/src/tasks/node/router.rs
@@ -17,8 +17,7 @@
     quarantine::QuarantineDesk,
     retries::{RetryDecision, RetryKeeper},
     router_port::{
-        CompletedCall, QueuedCall, RelaySlot, RouterEvent, RouterInbox,
-        RouterReport,
+        CompletedCall, QueuedCall, RouterEvent, RouterInbox, RouterReport,
     },
 };
 use crate::{
@@ -29,27 +28,20 @@
     model::ModelName,
     placement::DemandMeter,
     quarantine::KeptVerdict,
-    relay::{
-        CallRequirements, LoadBasis, PickFault, RelayChoice, RelayTable,
-        RunnerNotice,
+    relay::{CallRequirements, RelayTable, RunnerNotice},
+    request::{
+        Refusal, RefusalCode, RetryAllowance, RetryClaim, admission::Admission,
     },
-    request::{Refusal, RefusalCode, RetryAllowance, RetryClaim},
     roster::RunnerStart,
     sorted::SortedTable,
 };
 
-/// Time after which the caller of a call that got no runner may retry.
-const RETRY_AFTER: Duration = Duration::from_millis(150);
 /// Time after which the task wakes up if nothing is due.
 const IDLE_WAKE_INTERVAL: Duration = Duration::from_secs(60);
 /// Half-life of past demand for a model; demand shifts within seconds.
 const DEMAND_HALF_LIFE: Duration = Duration::from_millis(3_000);
 /// Most models and adapters whose demand a host reports to the others.
 const MAX_DEMAND_ENTRIES: usize = 48;
-/// Time between two requests for the same missing adapter. Requests are
-/// repeated because one may be lost.
-const ADAPTER_REQUEST_INTERVAL: Duration = Duration::from_millis(150);
-
 /// Configuration and handles with which the task is started.
 pub(crate) struct RouterSetup {
     pub(crate) host: String,
@@ -67,21 +59,22 @@
 }
 
 pub(super) struct RouterTask {
-    setup: RouterSetup,
-    catalog: Arc<ServiceCatalog>,
+    pub(super) setup: RouterSetup,
+    pub(super) catalog: Arc<ServiceCatalog>,
     pub(super) table: RelayTable,
     pub(super) buckets: SortedTable<String, FleetBucket>,
     pub(super) host_liveness: HostLiveness,
-    retries: RetryKeeper,
+    pub(super) retries: RetryKeeper,
     demand: DemandMeter,
-    quarantine: QuarantineDesk,
-    links: IdleLinks,
-    pub(super) waiting: Vec<QueuedCall>,
+    pub(super) quarantine: QuarantineDesk,
+    pub(super) links: IdleLinks,
+    /// The calls that wait for a runner.
+    pub(super) admission: Admission<QueuedCall>,
     /// Time at which the waiting calls are tried again, after a digest that
     /// showed freed capacity or at the end of a runner's pause.
     pub(super) retry_waiting_at: Option<EpochMillis>,
     /// Missing adapters that were requested, with the time of the request.
-    requested_adapters: SortedTable<ModelName, EpochMillis>,
+    pub(super) requested_adapters: SortedTable<ModelName, EpochMillis>,
 }
 
 /// Starts the task.
@@ -105,7 +98,7 @@
             setup.clock.now(),
         ),
         links: IdleLinks::default(),
-        waiting: Vec::new(),
+        admission: Admission::default(),
         retry_waiting_at: None,
         requested_adapters: SortedTable::default(),
         setup,
@@ -145,13 +138,13 @@
 
     fn next_wake(&self) -> Instant {
         let now = self.setup.clock.now();
-        let limits = self.waiting.iter().map(|call| call.wait_until);
         let due = [
             self.retry_waiting_at,
+            self.admission.next_review_at(),
             self.quarantine.news_at(),
             self.retries.next_overdue_at(),
         ];
-        let next = limits.chain(due.into_iter().flatten()).min();
+        let next = due.into_iter().flatten().min();
         Instant::now() + next.map_or(IDLE_WAKE_INTERVAL, |at| now.until(at))
     }
 
@@ -166,6 +159,7 @@
             self.refuse(call, "no retry could be claimed in time", now);
         }
         self.retry_waiting();
+        self.review_waiting(now);
     }
 
     fn handle(&mut self, event: RouterEvent) {
@@ -174,6 +168,10 @@
             RouterEvent::Route(call) => self.admit(*call, now),
             RouterEvent::AnswerHead { start, notice, sent_at } => {
                 self.table.note_head(&start, now);
+                if let Some(service) = self.table.service_of(&start.id) {
+                    let span = sent_at.elapsed();
+                    self.admission.note_head(service, span);
+                }
                 self.quarantine.note_answer(&start, sent_at, now);
                 self.note_runner(&start, notice, now);
             }
@@ -384,168 +382,6 @@
         }
     }
 
-    /// Assigns a call to a runner, or lets it wait for one.
-    fn dispatch(&mut self, call: QueuedCall, now: EpochMillis) {
-        if call.reply.is_closed() {
-            self.release_retry(&call);
-            return;
-        }
-        let checked = self.quarantine.check(&call, &self.host_liveness, now);
-        let probed = match checked {
-            Ok(probed) => probed,
-            Err(refusal) => {
-                self.send_refusal(call, refusal);
-                return;
-            }
-        };
-        match self.table.pick(&call.requirements, &self.catalog, now) {
-            Ok(choice) => {
-                if let Some(part) = probed {
-                    self.quarantine.begin_probe(part, now);
-                }
-                self.assign(call, choice, now);
-            }
-            Err(fault) => self.enqueue(call, fault, now),
-        }
-    }
-
-    /// Answers a call with the runner chosen for it. If its caller has left, the
-    /// guard ends the call wherever it is dropped.
-    fn assign(
-        &mut self,
-        call: QueuedCall,
-        choice: RelayChoice,
-        now: EpochMillis,
-    ) {
-        if let Some(grant) = &call.retry {
-            let id = call.requirements.id.as_str();
-            self.retries.record_sent(id, grant, now);
-        }
-        let link = self.links.take(&choice.runner);
-        let parts = &call.requirements.parts;
-        let slot = RelaySlot::new(choice, link, call.seat, parts);
-        let _ = call.reply.send(Ok(slot));
-    }
-
-    /// Lets a call wait for a runner, or refuses the call if it has waited as
-    /// long as it may or every runner was tried.
-    fn enqueue(
-        &mut self,
-        call: QueuedCall,
-        fault: PickFault,
-        now: EpochMillis,
-    ) {
-        if fault == PickFault::NoAdapter
-            && let Some(name) = &call.requirements.model
-        {
-            self.request_adapter(name, now);
-        }
-        if let PickFault::Paused(end) = fault
-            && call.wait_until <= end
-        {
-            self.refuse_until(call, fault.text(), Some(end));
-            return;
-        }
-        if fault == PickFault::TooLarge {
-            self.refuse_until(call, fault.text(), None);
-            return;
-        }
-        if fault == PickFault::AllTried || call.wait_until <= now {
-            let reason = self.refusal_reason(&call.requirements, fault, now);
-            self.refuse(call, &reason, now);
-            return;
-        }
-        if let PickFault::Paused(end) = fault {
-            let next = self.retry_waiting_at.map_or(end, |at| at.min(end));
-            self.retry_waiting_at = Some(next);
-        }
-        self.waiting.push(call);
-        self.setup.metrics.waiting.set(self.waiting.len() as i64);
-    }
-
-    /// Returns why no runner was chosen, with the load figures behind it.
-    fn refusal_reason(
-        &self,
-        requirements: &CallRequirements,
-        fault: PickFault,
-        now: EpochMillis,
-    ) -> String {
-        let text = fault.text();
-        if fault != PickFault::Full {
-            return text.to_owned();
-        }
-        let load = self.table.candidate_load(requirements, now);
-        let LoadBasis { own, reported, oldest_ms } = load.basis;
-        format!(
-            "{text}: {} runners with {} slots, {} tokens, {own} calls of \
-             this host, {reported} told by others up to {oldest_ms} ms ago",
-            load.runners, load.slots, load.tokens,
-        )
-    }
-
-    /// Requests a missing adapter from the lease holder, at most once per
-    /// [`ADAPTER_REQUEST_INTERVAL`] however many calls wait for the adapter.
-    fn request_adapter(&mut self, name: &ModelName, now: EpochMillis) {
-        let recent =
-            |at: &EpochMillis| now < at.after(ADAPTER_REQUEST_INTERVAL);
-        if self.requested_adapters.get(name).is_some_and(recent) {
-            return;
-        }
-        self.requested_adapters.retain(|_, at| recent(at));
-        self.requested_adapters.insert(name.clone(), now);
-        self.setup.gossip.request_adapter(name);
-    }
-
-    /// Refuses a call for lack of a runner. The caller may retry a moment
-    /// later.
-    fn refuse(&mut self, call: QueuedCall, reason: &str, now: EpochMillis) {
-        let retry_at = now.after(RETRY_AFTER);
-        self.refuse_until(call, reason, Some(retry_at));
-    }
-
-    /// Refuses a call for lack of a runner. A retry may succeed from
-    /// `retry_at`, if ever.
-    fn refuse_until(
-        &mut self,
-        call: QueuedCall,
-        reason: &str,
-        retry_at: Option<EpochMillis>,
-    ) {
-        let refusal = Refusal::not_run(RefusalCode::NoRunner, reason);
-        self.send_refusal(call, refusal.retry_at(retry_at));
-    }
-
-    /// Takes back the retry that was granted to a call, as it gets no runner.
-    fn release_retry(&mut self, call: &QueuedCall) {
-        if let Some(grant) = &call.retry {
-            self.retries.give_back(grant);
-        }
-    }
-
-    /// Refuses a call, and refunds its charge if the charge is refundable.
-    fn send_refusal(&mut self, call: QueuedCall, refusal: Refusal) {
-        self.release_retry(&call);
-        if let Some((customer, cost)) = &call.refundable
-            && let Some(bucket) = self.buckets.get_mut(customer)
-        {
-            bucket.refund(*cost);
-        }
-        let _ = call.reply.send(Err(refusal));
-    }
-
-    /// Tries the waiting calls again, the oldest first.
-    fn retry_waiting(&mut self) {
-        self.retry_waiting_at = None;
-        if self.waiting.is_empty() {
-            return;
-        }
-        let now = self.setup.clock.now();
-        for call in std::mem::take(&mut self.waiting) {
-            self.dispatch(call, now);
-        }
-        self.setup.metrics.waiting.set(self.waiting.len() as i64);
-    }
-
     /// Records the end of a call, and tries the waiting calls again.
     fn complete(&mut self, completed: CompletedCall) {
         let now = self.setup.clock.now();
@@ -561,7 +397,13 @@
         {
             self.links.keep(&completed.choice.runner, link, until);
         }
-        self.retry_waiting();
+        let runner = &completed.choice.runner;
+        if let Some(sent_at) = completed.trace.sent_at
+            && let Some(service) = self.table.service_of(runner)
+        {
+            self.admission.note_held(service, sent_at.elapsed());
+        }
+        self.offer_place(&completed.choice.runner, now);
     }
 }
 
--- a/crates/celerylead/src/tasks/node/router_digests.rs
+++ b/crates/celerylead/src/tasks/node/router_digests.rs
@@ -53,7 +53,7 @@
         at: EpochMillis,
     ) {
         let load_fell = self.table.update_peer_loads(source, loads, at);
-        if load_fell && !self.waiting.is_empty() {
+        if load_fell && !self.admission.is_empty() {
             let retry_at = at.after(RETRY_WAITING_DELAY);
             let next =
                 self.retry_waiting_at.map_or(retry_at, |at| at.min(retry_at));
--- a/crates/celerylead/src/tasks/node/router_port.rs
+++ b/crates/celerylead/src/tasks/node/router_port.rs
@@ -17,7 +17,7 @@
     quarantine::{
         EvidenceReport, KeptVerdict, PartId, PromptParts, VerdictRow,
     },
-    relay::{CallEnd, CallRequirements, RelayChoice, RunnerNotice},
+    relay::{CallEnd, CallRequirements, PickFault, RelayChoice, RunnerNotice},
     request::{Refusal, RefusalCode, RetryClaim, RetryGrant},
     roster::RunnerStart,
     tasks::{MAILBOX_CAPACITY, MAX_IN_FLIGHT},
@@ -102,7 +102,10 @@
     pub(super) requirements: CallRequirements,
     /// Customer and cost of the charge that a refusal gives back.
     pub(super) refundable: Option<(String, u64)>,
+    /// Limit of the wait of a call without a target.
     pub(super) wait_until: EpochMillis,
+    /// Why the call got no runner when it was last tried.
+    pub(super) fault: Option<PickFault>,
     /// The further send that was granted to the call.
     pub(super) retry: Option<RetryGrant>,
     pub(super) reply: oneshot::Sender<Result<RelaySlot, Refusal>>,
@@ -259,6 +262,7 @@
                 requirements: requirements.clone(),
                 refundable,
                 wait_until: now.after(left.min(MAX_QUEUE_WAIT)),
+                fault: None,
                 retry: None,
                 reply,
                 seat,
