--- a/crates/celerylead/src/request/admission/queue.rs
+++ b/crates/celerylead/src/request/admission/queue.rs
@@ -254,7 +254,8 @@
         let ticket = &entry.ticket;
         if let Some(since) = self.missing.remove(&ticket.lane) {
             let service = self.service(&ticket.lane.service);
-            let sample = since.until(now).as_millis() as f64;
+            let sample =
+                since.until(now).min(MAX_LOAD_WAIT).as_millis() as f64;
             let mean = service.load_ms.get_or_insert(sample);
             *mean += LOAD_WEIGHT * (sample - *mean);
         }
@@ -273,14 +274,18 @@
         self.note_waited(entry, now);
     }
 
-    /// Learns from the end of a call's wait for a place.
+    /// Learns from the end of a call's wait for a place. From its target on
+    /// a call waits behind others, which its estimate doesn't contain; until
+    /// then it has waited for that long at least.
     fn note_waited(&mut self, entry: &Entry<T>, now: EpochMillis) {
-        if entry.cause == WaitCause::Place
-            && let Some(expected) = entry.expected
-        {
-            let waited = entry.ticket.arrived.until(now);
-            let service = self.service(&entry.ticket.lane.service);
-            service.pace.note_wait(expected, waited, now);
+        let Entry { ticket, cause, expected, .. } = entry;
+        if let (WaitCause::Place, Some(expected)) = (cause, *expected) {
+            let end = ticket.target.map_or(now, |target| target.min(now));
+            let waited = ticket.arrived.until(end);
+            if end == now || expected < waited {
+                let service = self.service(&ticket.lane.service);
+                service.pace.note_wait(expected, waited, now);
+            }
         }
     }
 
--- a/crates/celerylead/src/request/admission/tests.rs
+++ b/crates/celerylead/src/request/admission/tests.rs
@@ -34,6 +34,8 @@
     timeout_ms: u64,
     priority: u8,
     tokens: u64,
+    /// Length of the body.
+    bytes: u64,
     /// First arrival of the caller.
     began: u64,
     returns: u32,
@@ -246,7 +248,7 @@
             target: has_target.then(|| after(call.target_ms)),
             priority: if self.is_plain { 0 } else { call.priority },
             customer: call.customer.clone(),
-            body_bytes: 2_000,
+            body_bytes: call.bytes,
             ..CallProfile::default()
         };
         let name = ModelName { model: call.model.clone(), adapter: None };
@@ -366,6 +368,7 @@
         timeout_ms: 10_000,
         priority: 0,
         tokens: 715,
+        bytes: 2_000,
         began: 0,
         returns: 0,
     }
--- a/crates/celerylead/src/request/admission/ticket.rs
+++ b/crates/celerylead/src/request/admission/ticket.rs
@@ -14,8 +14,9 @@
 const URGENT_WAIT_SHARE: f64 = 0.4;
 /// Part of its time that a batch call may wait for a free place.
 const BATCH_WAIT_SHARE: f64 = 0.5;
-/// Part of its time that a call may wait until a runner holds its model.
-const LOAD_WAIT_SHARE: f64 = 0.6;
+/// Part of its time that a call may wait until a runner holds its model. A
+/// call that is refused after three quarters has no time left to return.
+const LOAD_WAIT_SHARE: f64 = 0.7;
 
 /// Calls that the same runners can serve wait in the same lane.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- a/crates/celerylead/src/tasks/node/tests.rs
+++ b/crates/celerylead/src/tasks/node/tests.rs
@@ -183,3 +183,32 @@
     let took = router.route(Duration::from_secs(5)).await;
     assert!(took < Duration::from_millis(100), "{took:?}");
 }
+
+/// Guards against a batch call that gets the only free place before an urgent
+/// call that came later, or that isn't tried again when there is room.
+#[tokio::test]
+async fn an_urgent_call_gets_a_freed_place_before_a_batch_call() {
+    const STEP: Duration = Duration::from_millis(100);
+    const CALL_TIMEOUT: Duration = Duration::from_secs(10);
+    let router = TestRouter::start().await;
+    router.report_peer_calls(2 * SLOTS).await;
+    let route = |priority, target| {
+        let now = router.clock.now();
+        let mut requirements = router.requirements(CALL_TIMEOUT);
+        requirements.profile.priority = priority;
+        requirements.profile.target = Some(now.after(target));
+        let port = router.port.clone();
+        tokio::spawn(async move { port.route(&requirements, None, now).await })
+    };
+    let batch = route(2, Duration::from_secs(8));
+    tokio::time::sleep(STEP).await;
+    let urgent = route(0, Duration::from_millis(400));
+    tokio::time::sleep(STEP).await;
+    router.report_peer_calls(2 * SLOTS - 1).await;
+    let slot = tokio::time::timeout(STEP * 5, urgent).await.unwrap().unwrap();
+    assert!(slot.is_ok());
+    assert!(!batch.is_finished());
+    router.report_peer_calls(0).await;
+    let slot = tokio::time::timeout(STEP * 5, batch).await.unwrap().unwrap();
+    assert!(slot.is_ok());
+}
