--- a/crates/celerylead/src/tasks/node/router.rs
+++ b/crates/celerylead/src/tasks/node/router.rs
@@ -28,7 +28,7 @@
     model::ModelName,
     placement::DemandMeter,
     quarantine::KeptVerdict,
-    relay::{CallRequirements, RelayTable, RunnerNotice},
+    relay::{CallEnd, CallRequirements, ModelPaces, RelayTable, RunnerNotice},
     request::{
         Refusal, RefusalCode, RetryAllowance, RetryClaim, admission::Admission,
     },
@@ -66,6 +66,7 @@
     pub(super) host_liveness: HostLiveness,
     pub(super) retries: RetryKeeper,
     demand: DemandMeter,
+    paces: ModelPaces,
     pub(super) quarantine: QuarantineDesk,
     pub(super) links: IdleLinks,
     /// The calls that wait for a runner.
@@ -91,6 +92,7 @@
             setup.clock.now(),
         ),
         demand: DemandMeter::new(DEMAND_HALF_LIFE),
+        paces: ModelPaces::default(),
         quarantine: QuarantineDesk::new(
             &setup.host,
             setup.verdicts.clone(),
@@ -177,6 +179,7 @@
             }
             RouterEvent::StreamPace { runner, model, pace_us } => {
                 self.table.record_latency(&runner, &model, pace_us);
+                self.paces.record(&model, pace_us);
             }
             RouterEvent::SoundAnswer(parts) => {
                 self.quarantine.note_sound(&parts, now);
@@ -376,9 +379,10 @@
         now: EpochMillis,
     ) {
         let Some(name) = &requirements.model else { return };
-        self.demand.record(&name.model, requirements.tokens, now);
+        let work = self.paces.weigh(&name.model, requirements.tokens);
+        self.demand.record(&name.model, work, now);
         if name.adapter.is_some() {
-            self.demand.record(&name.to_string(), requirements.tokens, now);
+            self.demand.record(&name.to_string(), work, now);
         }
     }
 
@@ -386,16 +390,21 @@
     fn complete(&mut self, completed: CompletedCall) {
         let now = self.setup.clock.now();
         self.quarantine.note_end(&completed, now);
+        if let CallEnd::Complete { latency_us } = completed.end
+            && completed.choice.name.is_some()
+        {
+            self.paces.record(completed.choice.model(), latency_us);
+        }
         self.table.end_call(
             &completed.choice,
             completed.head_reported,
             completed.end,
             now,
         );
-        if let Some((link, until)) = completed.link
+        if let Some((link, term)) = completed.link
             && self.table.takes_calls(&completed.choice.runner)
         {
-            self.links.keep(&completed.choice.runner, link, until);
+            self.links.keep(&completed.choice.runner, link, term);
         }
         let runner = &completed.choice.runner;
         if let Some(sent_at) = completed.trace.sent_at
--- a/crates/celerylead/src/tasks/node/router_admission.rs
+++ b/crates/celerylead/src/tasks/node/router_admission.rs
@@ -116,7 +116,11 @@
             let id = call.requirements.id.as_str();
             self.retries.record_sent(id, grant, now);
         }
-        let link = self.links.take(&choice.runner);
+        let link = if call.requirements.profile.idempotent {
+            self.links.take_any(&choice.runner)
+        } else {
+            self.links.take_certain(&choice.runner)
+        };
         let parts = &call.requirements.parts;
         let slot = RelaySlot::new(choice, link, call.seat, parts);
         let _ = call.reply.send(Ok(slot));
