--- a/crates/celerylead/src/tasks/node/mod.rs
+++ b/crates/celerylead/src/tasks/node/mod.rs
@@ -36,6 +36,7 @@
 mod registry;
 mod retries;
 mod router;
+mod router_admission;
 mod router_cold;
 mod router_digests;
 mod router_port;
