Choose runners by predicted lateness and learned capacity

Cause: the cost of a runner was a mean latency times a factor of its load over its slots. It knew neither a call's target and prompt, nor that runners of one service differ in speed, nor that the other hosts act on the same old reports: all of them sent to the runner that looked idle. Ruled out: limits learned by each host for each runner alone (a host of 80 sends a runner a call every fourteen seconds, so a limit by AIMD never settles), and a softer factor of the load (the order of the candidates doesn't change). Change: relay/timing.rs learns for a service what a prompt takes, how first events grow with load, the pace of streams and the scatter; relay/capacity.rs learns how one start of a runner differs, and its capacity; relay/selection.rs sums expected lateness of the call and of the streams that its prompt stalls, load by capacity and zone. The load is drawn towards the mean as reports age, and a random part as large as what others send meanwhile spreads the hosts. RelayTable::headroom tells the free learned capacity and the expected first event. Calls without a target are chosen for as before; hard limits are unchanged.

--- a/crates/celerylead/src/relay/backend.rs
+++ b/crates/celerylead/src/relay/backend.rs
@@ -6,7 +6,9 @@
 
 use super::{
     call::CallRequirements,
-    choice::{LoadBasis, RelayChoice},
+    capacity::{HeadSample, LearnedCapacity},
+    choice::{LoadBasis, RelayChoice, SentCall},
+    timing::ServiceTiming,
 };
 use crate::{
     clock::EpochMillis, model::ModelName, roster::RunnerFacts,
@@ -29,7 +31,12 @@
 const MAX_EJECTION_DOUBLINGS: u32 = 4;
 /// Age from which the load that another host reported is ignored.
 const PEER_LOAD_TTL: Duration = Duration::from_millis(1_500);
-
+/// Calls beyond its slots that a model engine may be sent, as a fraction of
+/// the slots; these calls wait in the engine's queue.
+const ENGINE_QUEUE_SHARE: f64 = 0.25;
+/// Calls beyond its slots that a runner of a plain service may be sent, as a
+/// fraction of the slots; the queues of plain services are short.
+const PLAIN_QUEUE_SHARE: f64 = 1.0;
 /// Age at which an announcement of the lease holder expires and the roster
 /// decides which models a runner holds. The lease holder announces at least
 /// once a second.
@@ -92,6 +99,7 @@
     latency: SortedTable<String, f64>,
     /// Moving average of the share of calls that failed.
     pub(super) failure_rate: f64,
+    pub(super) capacity: LearnedCapacity,
     consecutive_failures: u32,
     ejections: u32,
     ejected_until: EpochMillis,
@@ -114,6 +122,7 @@
             peers: SortedTable::default(),
             latency: SortedTable::default(),
             failure_rate: 0.0,
+            capacity: LearnedCapacity::default(),
             consecutive_failures: 0,
             ejections: 0,
             ejected_until: EpochMillis::default(),
@@ -175,6 +184,14 @@
             || now < self.ejected_until
     }
 
+    /// Returns for how long a response head has been due, in milliseconds.
+    pub(super) fn overdue_ms(&self, now: EpochMillis) -> f64 {
+        if self.awaiting_head == 0 {
+            return 0.0;
+        }
+        self.silent_since.until(now).as_millis() as f64
+    }
+
     /// Returns the adapters that calls of this host use at the runner, and
     /// the models in use that the lease holder no longer announces there.
     pub(super) fn names_in_use(&self) -> Vec<ModelName> {
@@ -210,6 +227,64 @@
         self.silent_since = now;
     }
 
+    /// Returns the number of calls that the runner takes well: at least one,
+    /// and no more than it may be sent.
+    pub(super) fn limit(
+        &self,
+        timing: &ServiceTiming,
+        now: EpochMillis,
+    ) -> f64 {
+        let slots = self.facts.slots;
+        let hard = hard_limit(slots, timing.is_engine());
+        self.capacity.limit(slots, hard, timing, now)
+    }
+
+    /// Learns from the time to the first event of an answer.
+    pub(super) fn note_first_event(
+        &mut self,
+        sent: SentCall,
+        timing: &mut ServiceTiming,
+        now: EpochMillis,
+    ) {
+        let SentCall { at, load, prompt_tokens, target } = sent;
+        let limit = self.limit(timing, now);
+        let sample = HeadSample {
+            slots: self.facts.slots,
+            load,
+            prompt_tokens,
+            head_ms: at.until(now).as_millis() as f64,
+            left_ms: target.map(|end| at.until(end).as_millis() as f64),
+        };
+        self.capacity.note_head(&sample, limit, timing, now);
+    }
+
+    /// Learns from the pace of a stream.
+    pub(super) fn note_pace(
+        &mut self,
+        model: &str,
+        pace_us: u64,
+        timing: &mut ServiceTiming,
+        now: EpochMillis,
+    ) {
+        let slots = f64::from(self.facts.slots.max(1));
+        let load = f64::from(self.load(now)) / slots;
+        self.capacity.note_pace(model, load, pace_us, timing, now);
+    }
+
+    /// Learns from a complete answer.
+    pub(super) fn note_complete(
+        &mut self,
+        choice: &RelayChoice,
+        latency_us: u64,
+        timing: &mut ServiceTiming,
+        now: EpochMillis,
+    ) {
+        timing.note_lifetime(choice.sent.at.until(now).as_millis() as f64);
+        if choice.name.is_some() {
+            self.note_pace(choice.model(), latency_us, timing, now);
+        }
+    }
+
     /// Extends the validity of the announced models, unless they have
     /// already expired.
     pub(super) fn refresh_announced_models(&mut self, now: EpochMillis) {
@@ -306,3 +381,10 @@
         self.failure_rate += FAILURE_WEIGHT * (1.0 - self.failure_rate);
     }
 }
+
+/// Returns the number of calls that a runner may be sent at most.
+pub(super) fn hard_limit(slots: u32, is_engine: bool) -> f64 {
+    let queue_share =
+        if is_engine { ENGINE_QUEUE_SHARE } else { PLAIN_QUEUE_SHARE };
+    f64::from(slots) * (1.0 + queue_share)
+}
--- a/crates/celerylead/src/relay/choice.rs
+++ b/crates/celerylead/src/relay/choice.rs
@@ -20,6 +20,38 @@
     pub tokens: u64,
     /// Load of the runner as known at the time of the choice.
     pub basis: LoadBasis,
+    /// What the time to the first event is compared with.
+    pub sent: SentCall,
+}
+
+/// A call as it was sent to its runner.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
+pub struct SentCall {
+    /// Time of the choice.
+    pub at: EpochMillis,
+    /// Calls known to be in flight at the runner, this one included.
+    pub load: u32,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// Time by which the first event is in time.
+    pub target: Option<EpochMillis>,
+}
+
+/// Free room for a call at the runners that could take it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct Headroom {
+    /// Number of runners that may be sent the call.
+    pub runners: u32,
+    /// Calls that these runners still take well, by their learned capacity;
+    /// runners over their capacity count as 0.
+    pub free: f64,
+    /// Expected time to the first event at the best of them, in milliseconds;
+    /// `None` without such a runner.
+    pub first_event_ms: Option<f64>,
 }
 
 /// The load figures by which a runner was chosen.
--- a/crates/celerylead/src/relay/life.rs
+++ b/crates/celerylead/src/relay/life.rs
@@ -5,7 +5,9 @@
 //! go on there.
 
 use super::{
-    backend::RelayBackend, call::CallRequirements, choice::RelayChoice,
+    backend::RelayBackend,
+    call::CallRequirements,
+    choice::{RelayChoice, SentCall},
 };
 use crate::{clock::EpochMillis, roster::RunnerFacts};
 
@@ -52,6 +54,12 @@
             name: call.model.clone(),
             tokens: call.tokens,
             basis,
+            sent: SentCall {
+                at: now,
+                load: basis.own.saturating_add(basis.reported) + 1,
+                prompt_tokens: call.profile.prompt_tokens,
+                target: call.profile.target,
+            },
         }
     }
 
--- a/crates/celerylead/src/relay/mod.rs
+++ b/crates/celerylead/src/relay/mod.rs
@@ -3,9 +3,10 @@
 //! A host forwards calls to the runners of a service. The [`RelayTable`]
 //! keeps the following about each runner: its roster entry, this host's
 //! calls in flight, the calls in flight that other hosts report, the
-//! latency, and the failure rate. From these the table estimates how long
-//! the call would take at each candidate, and chooses the candidate with the
-//! lowest estimate. Nothing in this module reads a clock or a socket.
+//! latency, the failure rate, and how many calls the runner takes well. From
+//! these the table estimates how long the call would take at each candidate and
+//! how likely it is to be late, and chooses the candidate with the lowest cost.
+//! Nothing in this module reads a clock or a socket.
 //!
 //! * A runner that is leaving, or that doesn't hold the model, is never a
 //!   candidate. A runner may leave by the registry's word or by its own, in an
@@ -20,17 +21,23 @@
 
 mod backend;
 mod call;
+mod capacity;
 mod choice;
 mod life;
 mod notice;
+mod selection;
 mod table;
 #[cfg(test)]
 mod tests;
+mod timing;
 
 pub use self::{
     backend::CallEnd,
     call::{CallHead, CallProfile, CallRequirements, PromptPart},
-    choice::{CandidateLoad, LoadBasis, PickFault, RelayChoice, RunnerView},
+    choice::{
+        CandidateLoad, Headroom, LoadBasis, PickFault, RelayChoice,
+        RunnerView, SentCall,
+    },
     notice::RunnerNotice,
     table::RelayTable,
 };
--- a/crates/celerylead/src/relay/table.rs
+++ b/crates/celerylead/src/relay/table.rs
@@ -1,11 +1,15 @@
 //! The table of runners to which a host may forward calls.
 
 use super::{
-    backend::{CallEnd, PeerLoad, RelayBackend},
+    backend::{CallEnd, PeerLoad, RelayBackend, hard_limit},
     call::CallRequirements,
-    choice::{CandidateLoad, PickFault, RelayChoice, RunnerView},
+    choice::{
+        CandidateLoad, Headroom, PickFault, RelayChoice, RunnerView, SentCall,
+    },
     life::{Accepting, Departing, RelayRunner},
     notice::{NoticeLog, RunnerNotice},
+    selection::{self, Candidate},
+    timing::ServiceTiming,
 };
 use crate::{
     catalog::ServiceCatalog,
@@ -16,25 +20,6 @@
     sorted::SortedTable,
 };
 
-/// Latency assumed while no runner has answered yet, in microseconds.
-const DEFAULT_LATENCY_US: f64 = 20_000.0;
-/// Ratio of the time that a call takes at a full runner to its time at an
-/// idle one.
-const FULL_FACTOR: f64 = 3.0;
-/// Factor on the expected cost of a call at a runner whose failure rate is a
-/// twentieth above the mean of the candidates. The cost grows linearly with
-/// the failure rate.
-const FAILURE_FACTOR: f64 = 2.0;
-/// Cost of a call into another availability zone, as a fraction of the
-/// latency.
-const OTHER_ZONE_FACTOR: f64 = 0.15;
-/// Calls beyond its slots that a model engine may be sent, as a fraction of
-/// the slots; these calls wait in the engine's queue.
-const ENGINE_QUEUE_SHARE: f64 = 0.25;
-/// Calls beyond its slots that a runner of a plain service may be sent, as a
-/// fraction of the slots; the queues of plain services are short.
-const PLAIN_QUEUE_SHARE: f64 = 1.0;
-
 /// The runners that one host knows, with their load and health.
 #[derive(Debug, Default)]
 pub struct RelayTable {
@@ -42,6 +27,8 @@
     accepting: SortedTable<String, RelayRunner<Accepting>>,
     departing: SortedTable<String, RelayRunner<Departing>>,
     notices: NoticeLog,
+    /// What is common to the runners of a service, by service.
+    timings: SortedTable<String, ServiceTiming>,
     /// Runners named in the last digest of each other host.
     reported_runners: SortedTable<String, Vec<String>>,
 }
@@ -264,7 +251,13 @@
         catalog: &ServiceCatalog,
         now: EpochMillis,
     ) -> Result<RelayChoice, PickFault> {
-        let best = self.best_runner(call, catalog, now)?;
+        let candidates = self.candidates(call, catalog, now)?;
+        let timing = self.timings.get(&call.service);
+        let best = selection::best(&candidates, call, timing, &self.zone, now);
+        let best = best.ok_or(PickFault::NoRunner)?.facts.id.clone();
+        let make = || ServiceTiming::new(call.model.is_some());
+        let timing = self.timings.entry(call.service.clone(), make);
+        timing.note_sent(&call.profile, now);
         let runner = self.accepting.get_mut(&best);
         let runner = runner.ok_or(PickFault::NoRunner)?;
         Ok(runner.begin_call(call, now))
@@ -301,6 +294,76 @@
         }
     }
 
+    /// Records that the first event of a successful answer arrived from a start
+    /// of a runner, or its whole answer to a plain call.
+    pub fn note_first_event(
+        &mut self,
+        start: &RunnerStart,
+        sent: SentCall,
+        now: EpochMillis,
+    ) {
+        if let Some((backend, timing)) = self.learners(&start.id)
+            && backend.facts.born == start.born
+        {
+            backend.note_first_event(sent, timing, now);
+        }
+    }
+
+    /// Records the pace of a stream of a runner.
+    pub fn note_pace(
+        &mut self,
+        runner: &str,
+        model: &str,
+        pace_us: u64,
+        now: EpochMillis,
+    ) {
+        if let Some((backend, timing)) = self.learners(runner) {
+            backend.note_pace(model, pace_us, timing, now);
+        }
+    }
+
+    /// Returns a runner and what is common to its service, if the service has
+    /// been sent a call.
+    fn learners(
+        &mut self,
+        id: &str,
+    ) -> Option<(&mut RelayBackend, &mut ServiceTiming)> {
+        let backend = match self.accepting.get_mut(id) {
+            Some(runner) => &mut runner.backend,
+            None => &mut self.departing.get_mut(id)?.backend,
+        };
+        let timing = self.timings.get_mut(&backend.facts.service)?;
+        Some((backend, timing))
+    }
+
+    /// Returns the free room for a call at the runners that could take it. The
+    /// call isn't counted anywhere.
+    pub fn headroom(
+        &self,
+        call: &CallRequirements,
+        catalog: &ServiceCatalog,
+        now: EpochMillis,
+    ) -> Headroom {
+        let candidates = self.candidates(call, catalog, now);
+        let timing = self.timings.get(&call.service);
+        selection::headroom(&candidates.unwrap_or_default(), call, timing, now)
+    }
+
+    /// Iterates over the runners that take calls and whose service was sent
+    /// one: the id, the learned capacity, and the calls known to be in flight.
+    pub fn capacities(
+        &self,
+        now: EpochMillis,
+    ) -> impl Iterator<Item = (&str, f64, u32)> {
+        self.accepting.values().filter_map(
+            move |RelayRunner { backend, .. }| {
+                let timing = self.timings.get(&backend.facts.service)?;
+                let id = backend.facts.id.as_str();
+                Some((id, backend.limit(timing, now), backend.load(now)))
+            },
+        )
+    }
+
     /// Adds a latency sample of a stream that is still running.
     pub fn record_latency(
         &mut self,
@@ -322,8 +385,12 @@
         end: CallEnd,
         now: EpochMillis,
     ) {
-        if let Some(backend) = self.chosen_mut(choice) {
-            backend.end_call(choice, head_received, end, now);
+        let Some(backend) = self.chosen_mut(choice) else { return };
+        backend.end_call(choice, head_received, end, now);
+        if let CallEnd::Complete { latency_us } = end
+            && let Some((backend, timing)) = self.learners(&choice.runner)
+        {
+            backend.note_complete(choice, latency_us, timing, now);
         }
     }
 
@@ -343,69 +410,33 @@
         })
     }
 
-    fn best_runner(
+    /// Returns the runners that may get a call, without the ejected ones unless
+    /// there are no others.
+    fn candidates(
         &self,
         call: &CallRequirements,
         catalog: &ServiceCatalog,
         now: EpochMillis,
-    ) -> Result<String, PickFault> {
+    ) -> Result<Vec<Candidate<'_>>, PickFault> {
         let mut fault = PickFault::NoRunner;
-        let mut candidates: Vec<&RelayBackend> = Vec::new();
+        let mut candidates = Vec::new();
         for runner in self.accepting.values() {
             let Err(found) = check_candidate(runner, call, catalog, now)
             else {
-                candidates.push(&runner.backend);
+                candidates.push(Candidate::new(&runner.backend, now));
                 continue;
             };
             fault = closer_fault(fault, found);
         }
-        let not_ejected = |backend: &&RelayBackend| !backend.is_ejected(now);
+        if candidates.is_empty() {
+            return Err(fault);
+        }
+        let not_ejected =
+            |found: &Candidate<'_>| !found.backend.is_ejected(now);
         if candidates.iter().any(not_ejected) {
             candidates.retain(not_ejected);
         }
-        let model = call.model.as_ref().map_or("", |name| &name.model);
-        let latencies =
-            candidates.iter().filter_map(|backend| backend.latency(model));
-        // A runner that hasn't answered yet is assumed to be as fast as the
-        // fastest, so that every runner gets tried.
-        let default_latency =
-            latencies.reduce(f64::min).unwrap_or(DEFAULT_LATENCY_US);
-        let mean_failure_rate =
-            candidates.iter().map(|backend| backend.failure_rate).sum::<f64>()
-                / candidates.len().max(1) as f64;
-        candidates
-            .iter()
-            .map(|backend| {
-                let latency =
-                    backend.latency(model).unwrap_or(default_latency);
-                (backend, self.cost(backend, latency, mean_failure_rate, now))
-            })
-            .min_by(|one, other| one.1.total_cmp(&other.1))
-            .map(|(backend, _)| backend.facts.id.clone())
-            .ok_or(fault)
-    }
-
-    /// Returns the expected cost of a call at a runner, in microseconds of
-    /// latency.
-    fn cost(
-        &self,
-        backend: &RelayBackend,
-        latency: f64,
-        mean_failure_rate: f64,
-        now: EpochMillis,
-    ) -> f64 {
-        let slots = f64::from(backend.facts.slots.max(1));
-        let load = f64::from(backend.load(now)) / slots;
-        let excess =
-            (backend.failure_rate - mean_failure_rate).max(0.0) * 10.0;
-        let zone_penalty = if backend.facts.zone == self.zone {
-            0.0
-        } else {
-            OTHER_ZONE_FACTOR
-        };
-        latency
-            * (1.0 + (FULL_FACTOR - 1.0) * load + zone_penalty)
-            * (1.0 + (FAILURE_FACTOR - 1.0) * excess * 2.0)
+        Ok(candidates)
     }
 }
 
@@ -456,12 +487,8 @@
     if let Some(end) = runner.pause_end(now) {
         return Err(PickFault::Paused(end));
     }
-    let queue_share = match engine {
-        Some(_) => ENGINE_QUEUE_SHARE,
-        None => PLAIN_QUEUE_SHARE,
-    };
     let load = backend.load(now);
-    let capacity = f64::from(backend.facts.slots) * (1.0 + queue_share);
+    let capacity = hard_limit(backend.facts.slots, engine.is_some());
     let at_link_limit =
         service.is_some_and(|service| service.max_links <= load);
     if at_link_limit || capacity <= f64::from(load) {
--- a/crates/celerylead/src/relay/tests.rs
+++ b/crates/celerylead/src/relay/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the choice of runners.
 
 mod fleet;
+mod hard_load;
 mod notices;
 
 use super::{
--- a/crates/celerylead/src/tasks/node/router_port.rs
+++ b/crates/celerylead/src/tasks/node/router_port.rs
@@ -17,7 +17,7 @@
     quarantine::{
         EvidenceReport, KeptVerdict, PartId, PromptParts, VerdictRow,
     },
-    relay::{CallEnd, CallRequirements, RelayChoice, RunnerNotice},
+    relay::{CallEnd, CallRequirements, RelayChoice, RunnerNotice, SentCall},
     request::{Refusal, RefusalCode, RetryClaim, RetryGrant},
     roster::RunnerStart,
     tasks::{MAILBOX_CAPACITY, MAX_IN_FLIGHT},
@@ -33,8 +33,14 @@
     /// Choose a runner for a call.
     Route(Box<QueuedCall>),
     /// A runner has sent the head of an answer, with this notice, to a call
-    /// that was sent to it at `sent_at`.
-    AnswerHead { start: RunnerStart, notice: RunnerNotice, sent_at: Instant },
+    /// that was sent to it at `sent_at`. `first_event` is the call, if the head
+    /// is that of a successful answer.
+    AnswerHead {
+        start: RunnerStart,
+        notice: RunnerNotice,
+        sent_at: Instant,
+        first_event: Option<SentCall>,
+    },
     /// Pace of a stream of a runner, in microseconds per event.
     StreamPace { runner: String, model: String, pace_us: u64 },
     /// An answer has gone on for so long that these parts of its prompt can't
@@ -164,14 +170,21 @@
         }
     }
 
-    /// Reports that the head of the answer has been received. If the mailbox
+    /// Reports that the head of the answer has been received, which is that of
+    /// a successful one or not. If the mailbox
     /// of the router is full, the end of the call reports it, unless the head
     /// carries a notice, which can't wait for that.
-    pub(crate) async fn head_received(&mut self, notice: RunnerNotice) {
+    pub(crate) async fn head_received(
+        &mut self,
+        notice: RunnerNotice,
+        is_success: bool,
+    ) {
         self.trace.begun = true;
         let start = self.choice.start();
         let sent_at = self.trace.sent_at.unwrap_or_else(Instant::now);
-        let event = RouterEvent::AnswerHead { start, notice, sent_at };
+        let first_event = is_success.then_some(self.choice.sent);
+        let event =
+            RouterEvent::AnswerHead { start, notice, sent_at, first_event };
         self.head_reported = if notice.is_empty() {
             self.sender.try_send(event).is_ok()
         } else {
