Publish the learned capacity, and test its bounds

Cause: an operator can't see which runner takes less than others, and nothing shows that a learned capacity keeps to its bounds. Token memory was a hard limit only, which hosts with old reports pass together, so that runners preempt calls. Ruled out: a log line for each change (a host sees little of each runner, so the figures scatter), and a metric without removal (runners come and go). A runner with more than 0.8 of its token memory taken costs more.

--- a/crates/celerylead/src/metrics.rs
+++ b/crates/celerylead/src/metrics.rs
@@ -45,6 +45,12 @@
     pub(crate) table: &'static str,
 }
 
+/// Labels of the metrics of a runner.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct RunnerLabels {
+    pub(crate) runner: String,
+}
+
 /// The metrics of one host. Clones share the same series.
 #[derive(Clone)]
 pub(crate) struct HostMetrics {
@@ -63,6 +69,7 @@
     pub(crate) first_byte: Histogram,
     pub(crate) crash_witnesses: Counter,
     pub(crate) rejected_parts: Gauge,
+    pub(crate) learned_capacity: Family<RunnerLabels, Gauge>,
 }
 
 impl Default for HostMetrics {
@@ -83,6 +90,7 @@
         let first_byte = Histogram::new(buckets);
         let crash_witnesses = Counter::default();
         let rejected_parts = Gauge::default();
+        let learned_capacity = Family::default();
         registry.register(
             "answers",
             "Answers by customer and code; ok is a whole answer",
@@ -153,6 +161,11 @@
             "Parts of prompts that are rejected, as they crash runners",
             rejected_parts.clone(),
         );
+        registry.register(
+            "learned_capacity",
+            "Calls that a runner takes well, as this host has learned it",
+            learned_capacity.clone(),
+        );
         HostMetrics {
             registry: Arc::new(registry),
             answers,
@@ -169,6 +182,7 @@
             first_byte,
             crash_witnesses,
             rejected_parts,
+            learned_capacity,
         }
     }
 }
--- a/crates/celerylead/src/relay/selection.rs
+++ b/crates/celerylead/src/relay/selection.rs
@@ -35,6 +35,11 @@
 const OTHER_ZONE_COST: f64 = 0.08;
 /// Further cost of a runner over its capacity, for each multiple of it.
 const OVER_LIMIT_COST: f64 = 1.0;
+/// Share of a runner's token memory from which on a call costs more: the calls
+/// that others send meanwhile may exhaust it, and the runner then preempts one.
+const MEMORY_SHARE: f64 = 0.8;
+/// Cost of the memory beyond that, for the whole memory.
+const MEMORY_COST: f64 = 10.0;
 /// Time that digests are under way and collected by an aggregator, by which the
 /// calls of others are older than their report, in milliseconds.
 const DIGEST_DELAY_MS: f64 = 100.0;
@@ -79,6 +84,7 @@
     candidates: &[Candidate<'a>],
     call: &CallRequirements,
     timing: Option<&ServiceTiming>,
+    token_capacity: Option<u64>,
     zone: &str,
     now: EpochMillis,
 ) -> Option<&'a RelayBackend> {
@@ -94,7 +100,8 @@
             let forecast = Forecast::new(candidates, call, timing, now);
             least(candidates, |found| {
                 let far = if is_far(found) { OTHER_ZONE_COST } else { 0.0 };
-                (forecast.cost(found) + far) * failure_factor(found)
+                let memory = memory_cost(found, call, token_capacity, now);
+                (forecast.cost(found) + memory + far) * failure_factor(found)
             })
         }
         _ => {
@@ -243,6 +250,19 @@
     }
 }
 
+/// Returns the cost of a runner whose token memory is nearly taken.
+fn memory_cost(
+    found: &Candidate<'_>,
+    call: &CallRequirements,
+    token_capacity: Option<u64>,
+    now: EpochMillis,
+) -> f64 {
+    let Some(capacity) = token_capacity else { return 0.0 };
+    let tokens = found.backend.tokens(now).saturating_add(call.tokens);
+    let share = tokens as f64 / capacity.max(1) as f64;
+    MEMORY_COST * (share - MEMORY_SHARE).max(0.0)
+}
+
 /// Returns the lowest latency of the candidates. A
 /// runner that hasn't answered yet is assumed to be as fast as the fastest, so
 /// that every runner gets tried.
--- a/crates/celerylead/src/relay/table.rs
+++ b/crates/celerylead/src/relay/table.rs
@@ -253,7 +253,12 @@
     ) -> Result<RelayChoice, PickFault> {
         let candidates = self.candidates(call, catalog, now)?;
         let timing = self.timings.get(&call.service);
-        let best = selection::best(&candidates, call, timing, &self.zone, now);
+        let service = catalog.service(&call.service);
+        let engine = service.and_then(|service| service.engine.as_ref());
+        let memory = engine.map(|engine| engine.token_capacity);
+        let zone = &self.zone;
+        let best =
+            selection::best(&candidates, call, timing, memory, zone, now);
         let best = best.ok_or(PickFault::NoRunner)?.facts.id.clone();
         let make = || ServiceTiming::new(call.model.is_some());
         let timing = self.timings.entry(call.service.clone(), make);
--- a/crates/celerylead/src/relay/tests.rs
+++ b/crates/celerylead/src/relay/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the choice of runners.
 
+mod capacity;
 mod fleet;
 mod hard_load;
 mod notices;
--- a/crates/celerylead/src/tasks/node/mod.rs
+++ b/crates/celerylead/src/tasks/node/mod.rs
@@ -19,6 +19,7 @@
 mod attempt;
 mod body;
 mod call;
+mod capacity_report;
 mod control;
 mod gossip;
 mod gossip_port;
--- a/crates/celerylead/src/tasks/node/router.rs
+++ b/crates/celerylead/src/tasks/node/router.rs
@@ -12,6 +12,7 @@
 
 use super::{
     CatalogWatch, RosterWatch,
+    capacity_report::CapacityReport,
     gossip_port::GossipPort,
     links::IdleLinks,
     quarantine::QuarantineDesk,
@@ -74,6 +75,7 @@
     pub(super) host_liveness: HostLiveness,
     retries: RetryKeeper,
     demand: DemandMeter,
+    capacity: CapacityReport,
     quarantine: QuarantineDesk,
     links: IdleLinks,
     pub(super) waiting: Vec<QueuedCall>,
@@ -98,6 +100,7 @@
             setup.clock.now(),
         ),
         demand: DemandMeter::new(DEMAND_HALF_LIFE),
+        capacity: CapacityReport::default(),
         quarantine: QuarantineDesk::new(
             &setup.host,
             setup.verdicts.clone(),
@@ -236,6 +239,7 @@
                 self.retry_waiting();
             }
             RouterEvent::ReadReport(reply) => {
+                self.capacity.publish(&self.table, &self.setup.metrics, now);
                 let digest = self.digest();
                 let departures = self.table.departures(now);
                 let hosts = self.host_liveness.count();
--- a/crates/celerylead/src/tasks/node/tests.rs
+++ b/crates/celerylead/src/tasks/node/tests.rs
@@ -32,9 +32,10 @@
 struct TestRouter {
     port: RouterPort,
     clock: HostClock,
-    // Kept open, as the router holds their receivers.
+    metrics: HostMetrics,
+    rosters: watch::Sender<Option<Arc<Vec<RunnerFacts>>>>,
+    // Kept open, as the router holds its receiver.
     _catalogs: watch::Sender<Option<Arc<ServiceCatalog>>>,
-    _rosters: watch::Sender<Option<Arc<Vec<RunnerFacts>>>>,
 }
 
 impl TestRouter {
@@ -66,6 +67,7 @@
         let (catalogs, catalog_receiver) = watch::channel(None);
         let (rosters, roster_receiver) = watch::channel(None);
         let clock = HostClock::default();
+        let metrics = HostMetrics::default();
         let (port, inbox) = router_port::mailbox();
         let setup = RouterSetup {
             host: "front-1".to_owned(),
@@ -81,13 +83,13 @@
             },
             claims: watch::channel(Vec::new()).0,
             verdicts: watch::channel(Vec::new()).0,
-            metrics: HostMetrics::default(),
+            metrics: metrics.clone(),
         };
         router::start(setup, inbox);
         catalogs.send_replace(Some(Arc::new(catalog)));
         rosters.send_replace(Some(Arc::new(vec![runner])));
-        let (_catalogs, _rosters) = (catalogs, rosters);
-        let router = TestRouter { port, clock, _catalogs, _rosters };
+        let _catalogs = catalogs;
+        let router = TestRouter { port, clock, metrics, rosters, _catalogs };
         // Waits until the router knows the runner.
         router.route(Duration::from_secs(60)).await;
         router
@@ -183,3 +185,18 @@
     let took = router.route(Duration::from_secs(5)).await;
     assert!(took < Duration::from_millis(100), "{took:?}");
 }
+
+/// Guards against metrics that keep a series for each runner there ever was.
+#[tokio::test]
+async fn the_learned_capacity_is_published_while_a_runner_is_listed() {
+    /// A little more than the time between two updates.
+    const UPDATE_TIME: Duration = Duration::from_millis(1_100);
+    const SERIES: &str = "celerylead_learned_capacity{runner=\"i-1\"}";
+    let router = TestRouter::start().await;
+    crate::tasks::ask(&router.port.sender, RouterEvent::ReadReport).await;
+    assert!(router.metrics.text().contains(SERIES));
+    router.rosters.send_replace(Some(Arc::default()));
+    tokio::time::sleep(UPDATE_TIME).await;
+    crate::tasks::ask(&router.port.sender, RouterEvent::ReadReport).await;
+    assert!(!router.metrics.text().contains(SERIES));
+}
