--- a/crates/celerylead/src/metrics.rs
+++ b/crates/celerylead/src/metrics.rs
@@ -73,6 +73,12 @@
     pub(crate) cause: &'static str,
 }
 
+/// Labels of the metrics of a runner.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct RunnerLabels {
+    pub(crate) runner: String,
+}
+
 /// The metrics of one host. Clones share the same series.
 #[derive(Clone)]
 pub(crate) struct HostMetrics {
@@ -101,6 +107,7 @@
     pub(crate) bodies_ended: Family<CauseLabels, Counter>,
     pub(crate) open_connections: Gauge,
     pub(crate) connections_closed: Family<CauseLabels, Counter>,
+    pub(crate) learned_capacity: Family<RunnerLabels, Gauge>,
 }
 
 impl Default for HostMetrics {
@@ -146,6 +153,7 @@
         let bodies_ended = Family::default();
         let open_connections = Gauge::default();
         let connections_closed = Family::default();
+        let learned_capacity = Family::default();
         registry.register(
             "answers",
             "Answers by customer and code; ok is a whole answer",
@@ -251,6 +259,11 @@
             "Connections of callers that the host closed, by cause",
             connections_closed.clone(),
         );
+        registry.register(
+            "learned_capacity",
+            "Calls that a runner takes well, as this host has learned it",
+            learned_capacity.clone(),
+        );
         HostMetrics {
             registry: Arc::new(registry),
             answers,
@@ -277,6 +290,7 @@
             bodies_ended,
             open_connections,
             connections_closed,
+            learned_capacity,
         }
     }
 }
--- a/crates/celerylead/src/relay/life.rs
+++ b/crates/celerylead/src/relay/life.rs
@@ -9,7 +9,7 @@
 use super::{
     backend::RelayBackend,
     call::CallRequirements,
-    choice::RelayChoice,
+    choice::{RelayChoice, SentCall},
     cold::{ColdGate, SEND_MARGIN},
 };
 use crate::{clock::EpochMillis, roster::RunnerFacts};
@@ -167,5 +167,11 @@
         tokens: call.tokens,
         send_by: None,
         basis,
+        sent: SentCall {
+            at: now,
+            load: basis.own.saturating_add(basis.reported) + 1,
+            prompt_tokens: call.profile.prompt_tokens,
+            target: call.profile.target,
+        },
     }
 }
--- a/crates/celerylead/src/relay/tests.rs
+++ b/crates/celerylead/src/relay/tests.rs
@@ -1,8 +1,10 @@
 //! Tests of the choice of runners.
 
+mod capacity;
 mod cold;
 mod cold_runners;
 mod fleet;
+mod hard_load;
 mod notices;
 
 use super::{
--- a/crates/celerylead/src/tasks/node/mod.rs
+++ b/crates/celerylead/src/tasks/node/mod.rs
@@ -21,6 +21,7 @@
 mod body;
 mod call;
 mod caller_socket;
+mod capacity_report;
 mod control;
 mod gossip;
 mod gossip_port;
--- a/crates/celerylead/src/tasks/node/router.rs
+++ b/crates/celerylead/src/tasks/node/router.rs
@@ -12,6 +12,7 @@
 
 use super::{
     CatalogWatch, RosterWatch,
+    capacity_report::CapacityReport,
     gossip_port::GossipPort,
     links::IdleLinks,
     quarantine::QuarantineDesk,
@@ -69,6 +70,7 @@
     pub(super) host_liveness: HostLiveness,
     pub(super) retries: RetryKeeper,
     demand: DemandMeter,
+    capacity: CapacityReport,
     paces: ModelPaces,
     pub(super) quarantine: QuarantineDesk,
     pub(super) links: IdleLinks,
@@ -101,6 +103,7 @@
         ),
         demand: DemandMeter::new(DEMAND_HALF_LIFE),
         paces: ModelPaces::default(),
+        capacity: CapacityReport::default(),
         quarantine: QuarantineDesk::new(
             &setup.host,
             setup.verdicts.clone(),
@@ -177,18 +180,27 @@
         self.refresh_cold(now);
         match event {
             RouterEvent::Route(call) => self.admit(*call, now),
-            RouterEvent::AnswerHead { start, notice, sent_at } => {
+            RouterEvent::AnswerHead {
+                start,
+                notice,
+                sent_at,
+                first_event,
+            } => {
                 self.table.note_head(&start, now);
                 if let Some(service) = self.table.service_of(&start.id) {
                     let span = sent_at.elapsed();
                     self.admission.note_head(service, span);
                 }
+                if let Some(sent) = first_event {
+                    self.table.note_first_event(&start, sent, now);
+                }
                 self.quarantine.note_answer(&start, sent_at, now);
                 self.note_runner(&start, notice, now);
             }
             RouterEvent::StreamPace { runner, model, pace_us } => {
                 self.table.record_latency(&runner, &model, pace_us);
                 self.paces.record(&model, pace_us);
+                self.table.note_pace(&runner, &model, pace_us, now);
             }
             RouterEvent::SoundAnswer(parts) => {
                 self.quarantine.note_sound(&parts, now);
@@ -247,6 +259,7 @@
                 self.retry_waiting();
             }
             RouterEvent::ReadReport(reply) => {
+                self.capacity.publish(&self.table, &self.setup.metrics, now);
                 let digest = self.digest();
                 let departures = self.table.departures(now);
                 let hosts = self.host_liveness.count();
