End waits under constant events, and place no call past its deadline

Cause: the router's timer comes after its mailboxes, so while events kept coming no wait ended; and a host that goes on after a pause could give a place to a waiting call before its review refused it. Ruled out: a review at each event, which costs a look at all waiting calls even if nothing is due.

--- a/crates/celerylead/src/request/admission/queue.rs
+++ b/crates/celerylead/src/request/admission/queue.rs
@@ -27,6 +27,8 @@
 const URGENT_MEMORY: Duration = Duration::from_millis(5_000);
 /// Most batch calls that wait.
 const MAX_BATCH_CALLS: usize = 256;
+/// Expected wait of a batch call that finds no room to wait.
+const CROWDED_WAIT: Duration = Duration::from_millis(2_000);
 /// Most memory that the bodies of waiting batch calls take.
 const MAX_BATCH_BYTES: u64 = 8 << 20;
 /// Longest time from a missing model's first call to the end of its load:
@@ -236,6 +238,7 @@
                 return refused(entry, "too_late", expected, basis);
             }
             if self.is_crowded(&entry.ticket) {
+                let expected = expected.max(Some(CROWDED_WAIT));
                 return refused(entry, "crowded", expected, basis);
             }
             entry.expected = expected;
--- a/crates/celerylead/src/request/admission/round.rs
+++ b/crates/celerylead/src/request/admission/round.rs
@@ -109,7 +109,7 @@
         round: &Round,
         now: EpochMillis,
     ) -> Option<(Lane, usize, bool)> {
-        let mut candidates = self.candidates(round);
+        let mut candidates = self.candidates(round, now);
         let oldest = candidates.iter().min_by_key(|one| one.entry.number)?;
         let service = self.services.get(&oldest.lane.service);
         let service =
@@ -147,15 +147,20 @@
         Some((next.lane.clone(), next.position, is_share))
     }
 
-    /// Returns the calls that may be tried in a round.
-    fn candidates<'a>(&'a self, round: &'a Round) -> Vec<Candidate<'a, T>> {
+    /// Returns the calls that may be tried in a round. Calls whose deadlines
+    /// have passed, as after a pause of the host, are left to the review.
+    fn candidates<'a>(
+        &'a self,
+        round: &'a Round,
+        now: EpochMillis,
+    ) -> Vec<Candidate<'a, T>> {
         let mut candidates = Vec::new();
         for (lane, state) in round.lanes.iter() {
             let calls = self.lanes.get(lane).into_iter().flatten();
             for (position, entry) in calls.enumerate() {
                 let tokens = entry.ticket.tokens;
-                let is_open =
-                    state.tokens_below.is_none_or(|below| tokens < below);
+                let is_open = now < entry.ticket.deadline
+                    && state.tokens_below.is_none_or(|below| tokens < below);
                 if is_open && !round.failed.contains(&entry.number) {
                     let batch_yields = state.batch_yields;
                     candidates.push(Candidate {
--- a/crates/celerylead/src/request/admission/tests/rules.rs
+++ b/crates/celerylead/src/request/admission/tests/rules.rs
@@ -304,6 +304,23 @@
     }
 }
 
+/// Guards against calls that are sent when their callers have no use for the
+/// answers any more, as when a host goes on after a pause.
+#[test]
+fn a_call_past_its_deadline_gets_no_place() {
+    let mut admission = Admission::default();
+    let room = FixedRoom::default();
+    let short = SimCall { timeout_ms: 3_000, ..draft("a", "m") };
+    let calls = [short, draft("a", "m")];
+    assert!(hold_all(&mut admission, &room, &calls).is_empty());
+    let now = after(3_000);
+    let mut round = admission.round(Scope::All, &room, now);
+    let first = admission.next_turn(&mut round, &room, now).unwrap();
+    assert_eq!(first.call.id, 1);
+    assert!(admission.next_turn(&mut round, &room, now).is_none());
+    assert_eq!(admission.review(&room, now).len(), 1);
+}
+
 /// Guards against rounds that try every waiting call at each freed place,
 /// which a host with a tenth of a core can't afford.
 #[test]
--- a/crates/celerylead/src/tasks/node/router.rs
+++ b/crates/celerylead/src/tasks/node/router.rs
@@ -113,7 +113,12 @@
         let mut catalog = self.setup.catalog.clone();
         let mut roster = self.setup.roster.clone();
         loop {
-            let wake = self.next_wake();
+            let mut wake = self.next_wake();
+            if wake <= Instant::now() {
+                // Under constant events the timer below never gets its turn.
+                self.wake();
+                wake = self.next_wake();
+            }
             tokio::select! {
                 // What the end of a call tells counts before that call asks
                 // for another runner.
--- a/crates/celerylead/src/tasks/node/tests.rs
+++ b/crates/celerylead/src/tasks/node/tests.rs
@@ -212,3 +212,34 @@
     let slot = tokio::time::timeout(STEP * 5, batch).await.unwrap().unwrap();
     assert!(slot.is_ok());
 }
+
+/// Guards against waits that don't end while events keep coming, as the timer
+/// comes after them.
+#[tokio::test]
+async fn a_wait_ends_under_constant_events() {
+    /// Timeout of the call, of which a fifth may be spent waiting.
+    const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+    let router = TestRouter::start().await;
+    router.report_peer_calls(2 * SLOTS).await;
+    let senders: Vec<_> = (0..4)
+        .map(|_| {
+            let sender = router.port.sender.clone();
+            tokio::spawn(async move {
+                loop {
+                    let event = RouterEvent::StreamPace {
+                        runner: "i-2".to_owned(),
+                        model: String::new(),
+                        pace_us: 1,
+                    };
+                    sender.send(event).await.unwrap();
+                }
+            })
+        })
+        .collect();
+    let requirements = router.requirements(CALL_TIMEOUT);
+    let now = router.clock.now();
+    let call = router.port.route(&requirements, None, now);
+    let routed = tokio::time::timeout(CALL_TIMEOUT, call).await;
+    senders.iter().for_each(tokio::task::JoinHandle::abort);
+    assert!(routed.is_ok_and(|routed| routed.is_err()));
+}
