--- a/crates/celerylead/src/tasks/node/tests.rs
+++ b/crates/celerylead/src/tasks/node/tests.rs
@@ -232,3 +232,34 @@
     crate::tasks::ask(&router.port.sender, RouterEvent::ReadReport).await;
     assert!(!router.metrics.text().contains(SERIES));
 }
+
+/// Guards against waits that don't end while events keep coming, as the timer
+/// comes after them.
+#[tokio::test]
+async fn a_wait_ends_under_constant_events() {
+    /// Timeout of the call, of which a fifth may be spent waiting.
+    const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+    let router = TestRouter::start().await;
+    router.report_peer_calls(2 * SLOTS).await;
+    let senders: Vec<_> = (0..4)
+        .map(|_| {
+            let sender = router.port.sender.clone();
+            tokio::spawn(async move {
+                loop {
+                    let event = RouterEvent::StreamPace {
+                        runner: "i-2".to_owned(),
+                        model: String::new(),
+                        pace_us: 1,
+                    };
+                    sender.send(event).await.unwrap();
+                }
+            })
+        })
+        .collect();
+    let requirements = router.requirements(CALL_TIMEOUT);
+    let now = router.clock.now();
+    let call = router.port.route(&requirements, None, now);
+    let routed = tokio::time::timeout(CALL_TIMEOUT, call).await;
+    senders.iter().for_each(tokio::task::JoinHandle::abort);
+    assert!(routed.is_ok_and(|routed| routed.is_err()));
+}
