Answer a body that asks for room while it is told to give way

Cause: a request for a further piece may be under way when the ledger tells its body to give way. The ledger left that request without an answer, and the body waited for it instead of noticing that it had to end, so that neither it nor the ones waiting for its memory went on. Ruled out: a timer for each request.

Change: such a request is refused at once. The case of the ledger's table now expects the refusal (it expected silence), and the test of 10,000 clients fails after 60 s instead of hanging.

--- a/crates/celerylead/src/intake/ledger.rs
+++ b/crates/celerylead/src/intake/ledger.rs
@@ -95,8 +95,12 @@
             BodyRequest::Take { id, bytes } => {
                 let stage = Stage::Waiting { bytes };
                 let new = || HeldBody { bytes: 0, stage: Stage::Complete };
-                self.bodies.entry(id, new);
-                // A body that was told to give way ends by itself.
+                let body = self.bodies.entry(id, new);
+                // The request of a body that is told to give way may be under
+                // way; without an answer the body would wait for ever.
+                if body.stage == Stage::GivingWay {
+                    return vec![BodyAction::Refuse(id)];
+                }
                 self.change(id, stage);
             }
             BodyRequest::Complete(id) => self.change(id, Stage::Complete),
--- a/crates/celerylead/src/intake/tests.rs
+++ b/crates/celerylead/src/intake/tests.rs
@@ -115,9 +115,9 @@
             held: 600,
         },
         Case {
-            name: "a body that was told gets nothing more",
+            name: "a body that was told is refused if it asks for more",
             requests: &[(0, TAKE_ONE), (1_100, TAKE_TWO), (1_101, TAKE_ONE)],
-            last: &[],
+            last: &[BodyAction::Refuse(ONE)],
             held: 600,
         },
         Case {
--- a/crates/celerylead/src/tasks/intake/tests.rs
+++ b/crates/celerylead/src/tasks/intake/tests.rs
@@ -1,10 +1,14 @@
 //! Tests of the guards of bodies' room.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 
 use super::{BodyRoom, IntakePort, NoRoom, Receiving, start};
 use crate::{clock::HostClock, intake::IntakeLimits, metrics::HostMetrics};
 
+/// Time after which clients hang rather than being slow.
+const HANG_LIMIT: Duration = Duration::from_secs(60);
 /// Clients of the test.
 const CLIENTS: usize = 10_000;
 const SMALL: usize = 1_024;
@@ -66,31 +70,36 @@
     for Case { step, bytes } in cases {
         // Few megabytes, so that clients also meet a full room.
         let port = port(8);
-        for _ in 0..CLIENTS {
-            let mut room = port.begin();
-            if step == Step::BeforeThePiece {
-                continue;
-            }
-            if step == Step::WhileItWaits {
-                let taken = room.take(bytes);
-                tokio::select! {
-                    biased;
-                    _ = taken => {}
-                    () = std::future::ready(()) => {}
+        let clients = async {
+            for _ in 0..CLIENTS {
+                let mut room = port.begin();
+                if step == Step::BeforeThePiece {
+                    continue;
+                }
+                if step == Step::WhileItWaits {
+                    let taken = room.take(bytes);
+                    tokio::select! {
+                        biased;
+                        _ = taken => {}
+                        () = std::future::ready(()) => {}
+                    }
+                    continue;
+                }
+                let taken = room.take(bytes).await;
+                if step == Step::AfterThePiece || taken.is_err() {
+                    continue;
+                }
+                let kept = room.complete().await.unwrap();
+                if step == Step::HeldByTheRequest {
+                    let held: Bytes = kept.hold(vec![0; bytes]);
+                    drop(held.clone());
+                    drop(held);
                 }
-                continue;
-            }
-            let taken = room.take(bytes).await;
-            if step == Step::AfterThePiece || taken.is_err() {
-                continue;
-            }
-            let kept = room.complete().await.unwrap();
-            if step == Step::HeldByTheRequest {
-                let held: Bytes = kept.hold(vec![0; bytes]);
-                drop(held.clone());
-                drop(held);
             }
-        }
+        };
+        // A body that isn't ended lets others wait for ever.
+        let all_left = tokio::time::timeout(HANG_LIMIT, clients).await;
+        assert!(all_left.is_ok(), "{step:?}, {bytes} bytes: they hang");
         assert!(port.is_free().await, "{step:?}, {bytes} bytes");
     }
 }
