Send nothing to the servers of an evacuated zone

Cause: an operator had no way to take the servers of a zone out of use; the rows evacuate/ZONE of table op were read and ignored. Ruled out: a filter at the roster instead of a state (calls that still run there would no longer be told to other hosts, and a returned runner would seem empty); a part of the catalog (rows of zones have versions of their own); each host telling all others at once (87,000 datagrams at 295 hosts). Change: a task owns the list of evacuated zones, the newest version of each zone's row deciding. RelayRunner<Evacuated> keeps the calls that run and takes no new ones; the planner drops the zone, so that what only it holds is loaded elsewhere.

--- a/crates/celerylead/src/catalog/mod.rs
+++ b/crates/celerylead/src/catalog/mod.rs
@@ -7,10 +7,13 @@
 //!
 //! * A route is found by host name and path: among the routes of the host
 //!   name, the one with the longest matching path prefix.
+//! * A zone that the operator evacuates is a row of its own, with a version of
+//!   its own ([`EvacuationList`]).
 //! * A customer is found by the hash of the API key that a caller presents.
 //!   Keys aren't kept in plain text.
 
 mod customer;
+mod evacuation;
 mod route;
 mod service;
 #[cfg(test)]
@@ -20,6 +23,7 @@
 
 pub use self::{
     customer::{BilledCustomer, RateUnit, TokenRate},
+    evacuation::{EvacuationList, ZoneMark},
     route::{CallRoute, RouteKind, SplitTarget},
     service::{ColdSpec, EngineModel, EngineSpec, ServiceSpec},
 };
--- a/crates/celerylead/src/catalog/tests.rs
+++ b/crates/celerylead/src/catalog/tests.rs
@@ -108,3 +108,87 @@
         assert_eq!(route.target(draw), Some(target), "{draw}");
     }
 }
+
+/// Guards against an evacuation that an older word revives or ends.
+#[test]
+fn the_newest_row_of_a_zone_decides() {
+    use super::EvacuationList;
+    enum Step {
+        /// A row was written (or removed) at a version.
+        Row(&'static str, u64, bool),
+        /// The whole table was read at a version, with these rows.
+        Table(&'static [(&'static str, u64)], u64),
+        /// Another host tells this.
+        Told(&'static str, u64, bool),
+    }
+    struct Case {
+        name: &'static str,
+        steps: &'static [Step],
+        evacuated: &'static [&'static str],
+    }
+    use Step::{Row, Table, Told};
+    let cases = [
+        Case { name: "none", steps: &[Table(&[], 4)], evacuated: &[] },
+        Case {
+            name: "two at once",
+            steps: &[Row("b", 5, true), Row("a", 6, true)],
+            evacuated: &["a", "b"],
+        },
+        Case {
+            name: "withdrawn within a second",
+            steps: &[Row("a", 5, true), Row("a", 6, false)],
+            evacuated: &[],
+        },
+        Case {
+            name: "another host is behind",
+            steps: &[Row("a", 6, false), Told("a", 5, true)],
+            evacuated: &[],
+        },
+        Case {
+            name: "another host is ahead",
+            steps: &[Row("a", 5, true), Told("a", 7, false)],
+            evacuated: &[],
+        },
+        Case {
+            name: "the removal was missed",
+            steps: &[Row("a", 5, true), Table(&[("b", 6)], 9)],
+            evacuated: &["b"],
+        },
+        Case {
+            name: "a reading from before the row",
+            steps: &[Told("a", 8, true), Table(&[], 7)],
+            evacuated: &["a"],
+        },
+        Case {
+            name: "evacuated again",
+            steps: &[Row("a", 5, true), Row("a", 6, false), Row("a", 7, true)],
+            evacuated: &["a"],
+        },
+    ];
+    for Case { name, steps, evacuated } in cases {
+        let mut list = EvacuationList::default();
+        for step in steps {
+            match *step {
+                Row(zone, version, is_evacuated) => {
+                    list.apply(zone, version, is_evacuated);
+                }
+                Table(rows, version) => {
+                    list.replace(rows, version);
+                }
+                Told(zone, version, is_evacuated) => {
+                    let mut told = EvacuationList::default();
+                    told.apply(zone, version, is_evacuated);
+                    list.merge(&told);
+                }
+            }
+        }
+        let found: Vec<&str> = list.evacuated().collect();
+        assert_eq!(found, evacuated, "{name}");
+    }
+    let mut list = EvacuationList::default();
+    list.apply("kgn", 1, true);
+    for version in 2..1_000 {
+        list.apply(&format!("z{version}"), version, false);
+    }
+    assert!(list.is_evacuated("kgn"), "marks of others don't displace it");
+}
--- a/crates/celerylead/src/membership/digest.rs
+++ b/crates/celerylead/src/membership/digest.rs
@@ -12,6 +12,7 @@
     zone_digest::{FleetDigest, ZoneDigest, ZonePart},
 };
 use crate::{
+    catalog::EvacuationList,
     model::ModelName,
     placement::{ModelDemand, ResidencyList},
     quarantine::{EvidenceReport, KeptVerdict},
@@ -116,6 +117,9 @@
     /// These starts of runners refused the sender a connection, and may have
     /// ended. Hosts of a version without this message ignore it.
     Unreachable(Vec<RunnerStart>),
+    /// Evacuated zones that the sender knows. Hosts of a version without this
+    /// message ignore it.
+    Evacuations(EvacuationList),
 }
 
 /// Row of a host, with the address at which other hosts reach it.
--- a/crates/celerylead/src/metrics.rs
+++ b/crates/celerylead/src/metrics.rs
@@ -66,6 +66,7 @@
     pub(crate) cold_runners: Gauge,
     pub(crate) owned_cold_runners: Gauge,
     pub(crate) cold_sends: Counter,
+    pub(crate) evacuated_zones: Gauge,
 }
 
 impl Default for HostMetrics {
@@ -89,6 +90,12 @@
         let cold_runners = Gauge::default();
         let owned_cold_runners = Gauge::default();
         let cold_sends = Counter::default();
+        let evacuated_zones = Gauge::default();
+        registry.register(
+            "evacuated_zones",
+            "Zones whose runners get nothing, by the operator's word",
+            evacuated_zones.clone(),
+        );
         registry.register(
             "cold_runners",
             "Runners that are cold, as this host knows",
@@ -193,6 +200,7 @@
             cold_runners,
             owned_cold_runners,
             cold_sends,
+            evacuated_zones,
         }
     }
 }
--- a/crates/celerylead/src/port/codec.rs
+++ b/crates/celerylead/src/port/codec.rs
@@ -183,6 +183,10 @@
         value: &[u8],
     ) -> anyhow::Result<Option<ServiceCatalog>>;
 
+    /// Returns the zone that a row of the operator's table evacuates, whatever
+    /// its value; `None` for other rows.
+    fn evacuated_zone<'a>(&self, key: &'a str) -> Option<&'a str>;
+
     /// Decodes an entry of the registry, which was read at `now`.
     ///
     /// # Errors
--- a/crates/celerylead/src/relay/life.rs
+++ b/crates/celerylead/src/relay/life.rs
@@ -4,7 +4,8 @@
 //! [`Cold`] can be chosen only within this host's share of what it tolerates,
 //! until a deadline; then it accepts calls, and may turn cold again. A runner
 //! that leaves moves to [`Departing`] for good. The calls that a runner still
-//! runs go on in each state.
+//! runs go on in each state, also in [`Evacuated`], in which a runner gets
+//! nothing more until the evacuation of its zone is withdrawn.
 
 use super::{
     backend::RelayBackend,
@@ -32,6 +33,10 @@
     pub(super) gate: ColdGate,
 }
 
+/// State: the runner's zone is evacuated, and it takes no new calls for now.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Evacuated(());
+
 /// State: the runner is leaving and takes no new calls.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Departing(());
@@ -143,6 +148,13 @@
     }
 }
 
+impl RelayRunner<Evacuated> {
+    /// Keeps the state of a runner in an evacuated zone.
+    pub(super) fn evacuated(backend: RelayBackend) -> RelayRunner<Evacuated> {
+        RelayRunner { backend, state: Evacuated(()) }
+    }
+}
+
 impl RelayRunner<Departing> {
     /// Keeps the state of a runner that is leaving.
     pub(super) fn departing(backend: RelayBackend) -> RelayRunner<Departing> {
--- a/crates/celerylead/src/relay/mod.rs
+++ b/crates/celerylead/src/relay/mod.rs
@@ -10,6 +10,8 @@
 //! * A runner that is leaving, or that doesn't hold the model, is never a
 //!   candidate. A runner may leave by the registry's word or by its own, in an
 //!   answer; its own holds for as long as this start of it lives.
+//! * A runner in an evacuated zone is no candidate until the evacuation is
+//!   withdrawn.
 //! * A runner that asked for a pause is no candidate until the pause ends.
 //! * A runner that is cold gets calls only from its owner among the hosts, and
 //!   few of them.
--- a/crates/celerylead/src/relay/table.rs
+++ b/crates/celerylead/src/relay/table.rs
@@ -1,15 +1,17 @@
 //! The table of runners to which a host may forward calls.
 
+use std::sync::Arc;
+
 use super::{
     backend::{CallEnd, PeerLoad, RelayBackend},
     call::CallRequirements,
     choice::{CandidateLoad, PickFault, RelayChoice, RunnerView},
     cold_runners::{ColdRules, former_gate},
-    life::{Accepting, Cold, Departing, RelayRunner, TakesCalls},
+    life::{Accepting, Cold, Departing, Evacuated, RelayRunner, TakesCalls},
     notice::{NoticeLog, RunnerNotice},
 };
 use crate::{
-    catalog::ServiceCatalog,
+    catalog::{EvacuationList, ServiceCatalog},
     clock::EpochMillis,
     membership::RunnerLoad,
     model::ModelName,
@@ -42,6 +44,8 @@
     pub(super) zone: String,
     pub(super) accepting: SortedTable<String, RelayRunner<Accepting>>,
     pub(super) cold: SortedTable<String, RelayRunner<Cold>>,
+    evacuated: SortedTable<String, RelayRunner<Evacuated>>,
+    evacuations: Arc<EvacuationList>,
     departing: SortedTable<String, RelayRunner<Departing>>,
     pub(super) cold_rules: ColdRules,
     pub(super) notices: NoticeLog,
@@ -64,10 +68,13 @@
     ) {
         let mut accepting = std::mem::take(&mut self.accepting);
         let mut cold = std::mem::take(&mut self.cold);
+        let mut evacuated = std::mem::take(&mut self.evacuated);
         let mut departing = std::mem::take(&mut self.departing);
         for facts in facts {
             let id = facts.id.clone();
             let known = accepting.remove(&id).map(|runner| runner.backend);
+            let known = known
+                .or_else(|| evacuated.remove(&id).map(|found| found.backend));
             let (known, gate) = former_gate(known, cold.remove(&id));
             let known = known
                 .or_else(|| departing.remove(&id).map(|found| found.backend));
@@ -82,6 +89,9 @@
             if facts.leaving || notice.leaving {
                 let runner = RelayRunner::departing(backend);
                 self.departing.insert(id, runner);
+            } else if self.evacuations.is_evacuated(&facts.zone) {
+                let runner = RelayRunner::evacuated(backend);
+                self.evacuated.insert(id, runner);
             } else if let Some(end) = self.cold_end(facts, &notice) {
                 let until = notice.paused_until;
                 let runner = RelayRunner::cold(backend, until, end, gate);
@@ -94,6 +104,12 @@
         }
     }
 
+    /// Sets the evacuated zones, whose runners are no candidates. Takes effect
+    /// with the next roster.
+    pub fn set_evacuations(&mut self, evacuations: Arc<EvacuationList>) {
+        self.evacuations = evacuations;
+    }
+
     /// Applies what a runner stated about itself in an answer to this host.
     pub fn note_runner(
         &mut self,
@@ -161,6 +177,9 @@
         if let Some(runner) = self.cold.get_mut(id) {
             return Some(&mut runner.backend);
         }
+        if let Some(runner) = self.evacuated.get_mut(id) {
+            return Some(&mut runner.backend);
+        }
         self.departing.get_mut(id).map(|runner| &mut runner.backend)
     }
 
@@ -177,8 +196,10 @@
     fn backends(&self) -> impl Iterator<Item = &RelayBackend> {
         let accepting = self.accepting.values().map(|runner| &runner.backend);
         let cold = self.cold.values().map(|runner| &runner.backend);
+        let evacuated = self.evacuated.values().map(|runner| &runner.backend);
         accepting
             .chain(cold)
+            .chain(evacuated)
             .chain(self.departing.values().map(|runner| &runner.backend))
     }
 
@@ -186,9 +207,11 @@
         let accepting =
             self.accepting.iter_mut().map(|(_, runner)| &mut runner.backend);
         let cold = self.cold.iter_mut().map(|(_, runner)| &mut runner.backend);
+        let evacuated =
+            self.evacuated.iter_mut().map(|(_, runner)| &mut runner.backend);
         let departing =
             self.departing.iter_mut().map(|(_, runner)| &mut runner.backend);
-        accepting.chain(cold).chain(departing)
+        accepting.chain(cold).chain(evacuated).chain(departing)
     }
 
     /// Sets the models and adapters that a runner holds according to the
--- a/crates/celerylead/src/relay/tests.rs
+++ b/crates/celerylead/src/relay/tests.rs
@@ -2,6 +2,7 @@
 
 mod cold;
 mod cold_runners;
+mod evacuation;
 mod fleet;
 mod notices;
 
--- a/crates/celerylead/src/tasks/node/control.rs
+++ b/crates/celerylead/src/tasks/node/control.rs
@@ -1,8 +1,8 @@
 //! The task that owns the sockets for readiness, metrics and snapshots.
 //!
 //! Snapshots contain what another host needs to serve while the store is
-//! unavailable: the catalog, which contains keys only as hashes, and the
-//! roster.
+//! unavailable: the catalog, which contains keys only as hashes, the evacuated
+//! zones and the roster.
 
 use std::{convert::Infallible, time::Duration};
 
@@ -18,7 +18,7 @@
 
 use super::{NodeContext, NodePhase, RosterWatch, router_port::RouterEvent};
 use crate::{
-    catalog::ServiceCatalog,
+    catalog::{EvacuationList, ServiceCatalog},
     port::{EdgeCodec, HttpLink, SendFault},
     quarantine::PartId,
     roster::RunnerFacts,
@@ -29,6 +29,8 @@
 const METRICS_PATH: &str = "/metrics";
 /// Path of the catalog's snapshot, which other hosts read.
 const CATALOG_PATH: &str = "/snapshot/catalog";
+/// Path of the snapshot of the evacuated zones, which other hosts read.
+const EVACUATIONS_PATH: &str = "/snapshot/evacuations";
 /// Path of the roster's snapshot, which other hosts read.
 const ROSTER_PATH: &str = "/snapshot/roster";
 /// Path of the verdicts on parts of prompts. `DELETE` on the path followed by a
@@ -87,6 +89,10 @@
     match path {
         METRICS_PATH => text(StatusCode::OK, context.metrics.text()),
         CATALOG_PATH => snapshot(context.catalog().as_deref()),
+        EVACUATIONS_PATH => {
+            let evacuations = context.evacuations.borrow().clone();
+            snapshot(Some(&*evacuations))
+        }
         ROSTER_PATH => {
             let facts = roster.borrow().clone();
             snapshot(facts.as_deref())
@@ -164,6 +170,13 @@
     fetch(address, CATALOG_PATH).await
 }
 
+/// Fetches the evacuated zones that another host knows.
+pub(crate) async fn fetch_evacuations(
+    address: &str,
+) -> anyhow::Result<Option<EvacuationList>> {
+    fetch(address, EVACUATIONS_PATH).await
+}
+
 /// Fetches the roster of another host; empty if that host has none.
 pub(crate) async fn fetch_roster(
     address: &str,
--- a/crates/celerylead/src/tasks/node/gossip.rs
+++ b/crates/celerylead/src/tasks/node/gossip.rs
@@ -17,11 +17,13 @@
 
 use super::{
     aggregation::AggregationDesk,
+    evacuations::{EvacuationEvent, EvacuationPort, EvacuationWatch},
     gossip_port::{GossipEvent, PlacerEvent},
     host_rows::{self, HostsReading},
     router_port::{RouterEvent, RouterPort, RouterReport},
 };
 use crate::{
+    catalog::EvacuationList,
     clock::HostClock,
     membership::{
         FeedExcerpt, GOSSIP_TICK, GossipTick, HostCapacity, HostDigest,
@@ -68,6 +70,10 @@
     pub(crate) claims: watch::Receiver<Vec<RetryClaim>>,
     /// Verdicts that this host's row is to keep.
     pub(crate) verdicts: watch::Receiver<Vec<KeptVerdict>>,
+    /// Evacuated zones that this host knows.
+    pub(crate) evacuations: EvacuationWatch,
+    /// Takes in what other hosts know of evacuated zones.
+    pub(crate) evacuation_port: EvacuationPort,
 }
 
 /// Another host, as listed in the hosts' table.
@@ -313,6 +319,7 @@
         self.tick_number = self.tick_number.wrapping_add(1);
         if tick.begins_round() {
             self.choose_reader();
+            self.repeat_evacuations().await;
             self.update_placer();
             let event = RouterEvent::ReadDemand;
             let reply = crate::tasks::ask(&self.router.sender, event).await;
@@ -363,6 +370,18 @@
         self.send(&HostMessage::Digest(with_demand), &demand_recipients).await;
     }
 
+    /// Tells the other hosts which zones are evacuated, at random, so that
+    /// about one host in each round does so in a fleet of any size: a host may
+    /// have lost its poll of the store, or be cut off from it.
+    async fn repeat_evacuations(&mut self) {
+        let list = self.setup.evacuations.borrow().clone();
+        let is_due = || rand::random_range(0..=self.hosts.len()) == 0;
+        if !list.is_empty() && is_due() {
+            let list = EvacuationList::clone(&list);
+            self.send_to_all(&HostMessage::Evacuations(list)).await;
+        }
+    }
+
     pub(super) async fn send(
         &self,
         message: &HostMessage,
@@ -468,6 +487,10 @@
                 let event = RouterEvent::Evidence { report, at };
                 let _ = self.router.sender.send(event).await;
             }
+            HostMessage::Evacuations(list) => {
+                let event = EvacuationEvent::Told(list);
+                self.setup.evacuation_port.send(event).await;
+            }
             HostMessage::Unreachable(starts) => {
                 let event = RouterEvent::Unreachable(starts);
                 let _ = self.router.sender.send(event).await;
--- a/crates/celerylead/src/tasks/node/mod.rs
+++ b/crates/celerylead/src/tasks/node/mod.rs
@@ -9,6 +9,7 @@
 //! | `registry` | the position in the feed of the registry, the roster |
 //! | `gossip` | the UDP socket between hosts, the list of known hosts |
 //! | `placer` | the orders lease, the placement plan, orders in flight |
+//! | `evacuations` | the list of evacuated zones |
 //! | `control` | the sockets for readiness, metrics and snapshots |
 //!
 //! The newest catalog and roster are immutable values in watch channels,
@@ -20,6 +21,7 @@
 mod body;
 mod call;
 mod control;
+mod evacuations;
 mod gossip;
 mod gossip_port;
 mod host_rows;
@@ -50,7 +52,7 @@
 
 use tokio::sync::watch;
 
-use self::router_port::RouterPort;
+use self::{evacuations::EvacuationWatch, router_port::RouterPort};
 use crate::{
     catalog::ServiceCatalog, clock::HostClock, metrics::HostMetrics,
     roster::RunnerFacts,
@@ -81,6 +83,7 @@
     pub(crate) codec: C,
     pub(crate) clock: HostClock,
     pub(crate) catalog: CatalogWatch,
+    pub(crate) evacuations: EvacuationWatch,
     pub(crate) router: RouterPort,
     pub(crate) metrics: HostMetrics,
     pub(crate) phase: watch::Receiver<NodePhase>,
--- a/crates/celerylead/src/tasks/node/placer.rs
+++ b/crates/celerylead/src/tasks/node/placer.rs
@@ -16,12 +16,13 @@
 
 use super::{
     CatalogWatch, NodePhase, RosterWatch,
+    evacuations::EvacuationWatch,
     gossip_port::{GossipPort, PlacerEvent},
     lease::{LeaseCall, LeaseKeeper},
     orders::{self, LeaseOutcome},
 };
 use crate::{
-    catalog::ServiceCatalog,
+    catalog::{EvacuationList, ServiceCatalog},
     clock::{EpochMillis, HostClock},
     membership::{HostMessage, HostRow},
     placement::{
@@ -59,6 +60,7 @@
     pub(crate) clock: HostClock,
     pub(crate) catalog: CatalogWatch,
     pub(crate) roster: RosterWatch,
+    pub(crate) evacuations: EvacuationWatch,
     pub(crate) gossip: GossipPort,
     pub(crate) phase: watch::Receiver<NodePhase>,
     /// Window within which the platform counts orders of two hosts as
@@ -100,7 +102,7 @@
     tick_due: bool,
     paused_until: Instant,
     /// Roster with which the runner table was last updated.
-    adopted: Option<Arc<Vec<RunnerFacts>>>,
+    adopted: Option<(Arc<Vec<RunnerFacts>>, Arc<EvacuationList>)>,
     outcome_sender: mpsc::Sender<RequestOutcome>,
 }
 
@@ -267,25 +269,31 @@
         self.broadcast_residency(now).await;
     }
 
-    /// Updates the runner table to a roster, unless it was updated to the same
-    /// roster before.
+    /// Updates the runner table to a roster without the evacuated zones, unless
+    /// it was updated to the same before.
     fn adopt(
         &mut self,
         roster: &Arc<Vec<RunnerFacts>>,
         catalog: &ServiceCatalog,
         now: EpochMillis,
     ) {
+        let evacuations = self.setup.evacuations.borrow().clone();
         let former = self.adopted.as_ref();
-        if former.is_some_and(|former| Arc::ptr_eq(former, roster)) {
+        if former.is_some_and(|(former, former_evacuations)| {
+            Arc::ptr_eq(former, roster)
+                && Arc::ptr_eq(former_evacuations, &evacuations)
+        }) {
             return;
         }
+        // What only an evacuated zone holds counts as missing.
         let engines = roster.iter().filter(|facts| {
             let service = catalog.service(&facts.service);
             service.is_some_and(|service| service.engine.is_some())
+                && !evacuations.is_evacuated(&facts.zone)
         });
         let engines: Vec<&RunnerFacts> = engines.collect();
         self.runners.adopt(&engines, now);
-        self.adopted = Some(Arc::clone(roster));
+        self.adopted = Some((Arc::clone(roster), evacuations));
     }
 
     /// Takes over the open loads of the previous lease holder and returns
--- a/crates/celerylead/src/tasks/node/router.rs
+++ b/crates/celerylead/src/tasks/node/router.rs
@@ -12,6 +12,7 @@
 
 use super::{
     CatalogWatch, RosterWatch,
+    evacuations::EvacuationWatch,
     gossip_port::GossipPort,
     links::IdleLinks,
     quarantine::QuarantineDesk,
@@ -56,6 +57,7 @@
     pub(crate) clock: HostClock,
     pub(crate) catalog: CatalogWatch,
     pub(crate) roster: RosterWatch,
+    pub(crate) evacuations: EvacuationWatch,
     pub(crate) gossip: GossipPort,
     pub(crate) allowance: RetryAllowance,
     pub(crate) cold_bounds: ColdBounds,
@@ -125,6 +127,7 @@
     async fn run(mut self, mut inbox: RouterInbox) {
         let mut catalog = self.setup.catalog.clone();
         let mut roster = self.setup.roster.clone();
+        let mut evacuations = self.setup.evacuations.clone();
         loop {
             let wake = self.next_wake();
             tokio::select! {
@@ -136,6 +139,11 @@
                     Some(event) => self.handle(event),
                     None => return,
                 },
+                // A host that starts is told of evacuated zones first.
+                Ok(()) = evacuations.changed() => {
+                    let newest = evacuations.borrow_and_update().clone();
+                    self.adopt_evacuations(newest);
+                }
                 Ok(()) = catalog.changed() => {
                     let newest = catalog.borrow_and_update().clone();
                     if let Some(newest) = newest {
--- a/crates/celerylead/src/tasks/node/router_cold.rs
+++ b/crates/celerylead/src/tasks/node/router_cold.rs
@@ -19,8 +19,7 @@
         let are_any = self.table.set_cold_services(catalog);
         if were_any || are_any {
             self.cold_refresh_at = are_any.then(EpochMillis::default);
-            let roster = self.setup.roster.borrow().clone();
-            self.adopt_roster(&roster.unwrap_or_default());
+            self.readopt_roster();
         }
     }
 
--- a/crates/celerylead/src/tasks/node/router_runners.rs
+++ b/crates/celerylead/src/tasks/node/router_runners.rs
@@ -1,9 +1,30 @@
 //! The part of the router that applies what runners state about themselves.
 
+use std::sync::Arc;
+
 use super::router::RouterTask;
-use crate::{clock::EpochMillis, relay::RunnerNotice, roster::RunnerStart};
+use crate::{
+    catalog::EvacuationList, clock::EpochMillis, relay::RunnerNotice,
+    roster::RunnerStart,
+};
 
 impl RouterTask {
+    /// Takes the runners of evacuated zones out of choice, and those of others
+    /// in again.
+    pub(super) fn adopt_evacuations(
+        &mut self,
+        evacuations: Arc<EvacuationList>,
+    ) {
+        self.table.set_evacuations(evacuations);
+        self.readopt_roster();
+    }
+
+    /// Applies the roster once more, by other rules.
+    pub(super) fn readopt_roster(&mut self) {
+        let roster = self.setup.roster.borrow().clone();
+        self.adopt_roster(&roster.unwrap_or_default());
+    }
+
     /// Closes the idle connections to runners that take no more calls.
     pub(super) fn close_unused_links(&mut self) {
         let table = &self.table;
--- a/crates/celerylead/src/tasks/node/run.rs
+++ b/crates/celerylead/src/tasks/node/run.rs
@@ -11,7 +11,7 @@
 use tracing::Instrument as _;
 
 use super::{
-    NodeContext, NodePhase, acceptor, control, gossip,
+    NodeContext, NodePhase, acceptor, control, evacuations, gossip,
     gossip::GossipSetup,
     gossip_port,
     placer::{self, PlacerSetup},
@@ -83,6 +83,9 @@
     pub cold_overshoot: f64,
     /// Calls per second to a cold runner that are allowed beyond that.
     pub cold_slack: f64,
+    /// Time after the operator's write from which nothing may be sent to the
+    /// runners of an evacuated zone.
+    pub evacuation_time: Duration,
 }
 
 /// A host whose sockets are open and whose tasks are running.
@@ -134,6 +137,7 @@
         excerpts,
         gossip: gossip_port.clone(),
     };
+    let (evacuation_port, evacuations) = evacuations::start(metrics.clone());
     let WatcherViews { catalog, roster, contact } = watcher::start(
         &WatcherSetup {
             codec: codec.clone(),
@@ -143,6 +147,8 @@
             seeds: options.seeds.clone(),
             peer_contact: contact_receiver,
             recovery_time: options.recovery_time,
+            evacuation_time: options.evacuation_time,
+            evacuations: evacuation_port.clone(),
         },
         zone_feed,
     );
@@ -156,6 +162,7 @@
         clock: clock.clone(),
         catalog: catalog.clone(),
         roster: roster.clone(),
+        evacuations: evacuations.clone(),
         gossip: gossip_port.clone(),
         allowance: RetryAllowance {
             share: options.retry_share,
@@ -191,6 +198,7 @@
         clock: clock.clone(),
         catalog: catalog.clone(),
         roster: roster.clone(),
+        evacuations: evacuations.clone(),
         gossip: gossip_port,
         phase: phase_receiver.clone(),
         alternation_window: options.order_alternation_window,
@@ -213,6 +221,8 @@
         may_order,
         claims: claims_receiver,
         verdicts: verdicts_receiver,
+        evacuations: evacuations.clone(),
+        evacuation_port,
     };
     gossip::start(
         setup,
@@ -225,6 +235,7 @@
         codec,
         clock,
         catalog,
+        evacuations,
         router: router_port,
         metrics,
         phase: phase_receiver,
--- a/crates/celerylead/src/tasks/node/tests.rs
+++ b/crates/celerylead/src/tasks/node/tests.rs
@@ -75,6 +75,7 @@
             clock: clock.clone(),
             catalog: catalog_receiver,
             roster: roster_receiver,
+            evacuations: watch::channel(Arc::default()).1,
             gossip: gossip_port::mailbox().0,
             allowance: RetryAllowance {
                 share: 0.2,
--- a/crates/celerylead/src/tasks/node/watcher.rs
+++ b/crates/celerylead/src/tasks/node/watcher.rs
@@ -17,6 +17,7 @@
 
 use super::{
     CatalogWatch, RosterWatch, control,
+    evacuations::{EvacuationEvent, EvacuationPort},
     registry::{self, RevisionFeed, ZoneFeed},
 };
 use crate::{
@@ -58,6 +59,11 @@
     /// Time after a fault of the store or the network from which the platform
     /// expects this host to keep its bounds again.
     pub(crate) recovery_time: Duration,
+    /// Time after the operator's write from which nothing may be sent to an
+    /// evacuated zone.
+    pub(crate) evacuation_time: Duration,
+    /// Takes in which zones are evacuated.
+    pub(crate) evacuations: EvacuationPort,
 }
 
 impl<C> WatcherSetup<C> {
@@ -65,7 +71,8 @@
     /// table again within the recovery time.
     pub(super) fn poll_wait(&self) -> Duration {
         let spent = ANSWER_TIMEOUT + RECONNECT_MARGIN;
-        self.recovery_time.saturating_sub(spent).max(MIN_POLL_WAIT)
+        let limit = self.recovery_time.min(self.evacuation_time);
+        limit.saturating_sub(spent).max(MIN_POLL_WAIT)
     }
 }
 
@@ -201,6 +208,9 @@
     async fn run(mut self) {
         loop {
             let Some(step) = self.poll().await else { continue };
+            if let Ok(step) = &step {
+                self.tell_evacuations(step).await;
+            }
             match step {
                 Ok(
                     FeedStep::Snapshot(reading) | FeedStep::Changes(reading),
@@ -241,6 +251,38 @@
         }
     }
 
+    /// Passes on which zones are evacuated by a reading, before its catalog is
+    /// in force: a host that starts then sends nothing to such a zone.
+    async fn tell_evacuations(&self, step: &FeedStep) {
+        let port = &self.setup.evacuations;
+        let (FeedStep::Snapshot(reading) | FeedStep::Changes(reading)) = step;
+        let zone = |key| self.setup.codec.evacuated_zone(key);
+        if let FeedStep::Snapshot(_) = step {
+            let zones = reading.rows.iter().filter_map(|row| match row {
+                RowChange::Written(row) => {
+                    Some((zone(&row.key)?.to_owned(), row.version))
+                }
+                RowChange::Removed { .. } => None,
+            });
+            let (zones, version) = (zones.collect(), reading.version);
+            port.send(EvacuationEvent::Table { zones, version }).await;
+        } else {
+            for row in &reading.rows {
+                let (key, version, is_evacuated) = match row {
+                    RowChange::Written(row) => (&row.key, row.version, true),
+                    RowChange::Removed { key, version } => {
+                        (key, *version, false)
+                    }
+                };
+                let Some(zone) = zone(key) else { continue };
+                let zone = zone.to_owned();
+                let row = EvacuationEvent::Row { zone, version, is_evacuated };
+                port.send(row).await;
+            }
+        }
+        port.applied().await;
+    }
+
     fn adopt(&self, row: &RowChange) {
         let RowChange::Written(row) = row else { return };
         match self.setup.codec.read_catalog(&row.key, &row.value) {
@@ -276,6 +318,12 @@
     /// while the store is unavailable can serve.
     async fn fetch_from_seed(&self) {
         let Some(seed) = pick_seed(&self.setup.seeds) else { return };
+        // A seed of a version without this snapshot sends something else.
+        if let Ok(Some(list)) = control::fetch_evacuations(seed).await {
+            let port = &self.setup.evacuations;
+            port.send(EvacuationEvent::Told(list)).await;
+            port.applied().await;
+        }
         match control::fetch_catalog(seed).await {
             Ok(Some(catalog)) => self.adopt_catalog(catalog, seed),
             Ok(None) => {}
--- a/crates/stand-ins/src/raw_runner.rs
+++ b/crates/stand-ins/src/raw_runner.rs
@@ -348,6 +348,12 @@
         self.state.with(move |state| state.deadly_part = part).await;
     }
 
+    /// Sets the resident models.
+    pub async fn set_models(&self, models: &[&str]) {
+        let models = models.iter().map(|name| (*name).to_owned()).collect();
+        self.state.with(move |state| state.models = models).await;
+    }
+
     /// Sets the fault that the runner simulates from now on.
     pub async fn set_fault(&self, fault: RunnerFault) {
         self.state.with(move |state| state.fault = fault).await;
--- a/crates/stand-ins/src/rows.rs
+++ b/crates/stand-ins/src/rows.rs
@@ -210,6 +210,16 @@
             .await;
     }
 
+    /// Requests that nothing more be sent to a zone, as the operator does.
+    pub async fn evacuate(&self, zone: &str) {
+        self.put("op", &format!("evacuate/{zone}"), "e30=").await;
+    }
+
+    /// Withdraws the evacuation of a zone.
+    pub async fn readmit(&self, zone: &str) {
+        self.remove("op", &format!("evacuate/{zone}")).await;
+    }
+
     /// Drops the feed's history of changes up to now, so that a feed request
     /// from an earlier version gets 410.
     pub async fn drop_history(&self) {
