--- a/crates/celerylead/src/relay/cold.rs
+++ b/crates/celerylead/src/relay/cold.rs
@@ -310,7 +310,10 @@
         if let Some(end) = division.quiet_end(now) {
             return Err(end);
         }
-        if self.was_warm || !self.is_open() {
+        if self.was_warm {
+            return Err(now.after(WINDOW));
+        }
+        if !self.is_open() {
             return Err(EpochMillis(u64::MAX));
         }
         if now < self.rest_until {
--- a/crates/celerylead/src/relay/cold_runners.rs
+++ b/crates/celerylead/src/relay/cold_runners.rs
@@ -49,6 +49,9 @@
     pub cold: usize,
     /// Number of cold runners to which this host may send calls.
     pub owned: usize,
+    /// Whether this host may send calls to a cold runner to which it couldn't
+    /// before.
+    pub opened: bool,
 }
 
 /// Returns the state that is kept of a runner, which was `warm` or `cold`, and
@@ -129,7 +132,9 @@
             });
             let gate = &mut runner.state.gate;
             let place = (id.as_str(), zone.as_str());
+            let was_open = gate.is_open();
             gate.refresh(place, limits, &rules.division, liveness, now);
+            summary.opened |= !was_open && gate.is_open();
             summary.owned += usize::from(gate.is_open());
             if rules.known.binary_search(id).is_err() {
                 let until = runner.state.until;
--- a/crates/celerylead/src/tasks/node/router_cold.rs
+++ b/crates/celerylead/src/tasks/node/router_cold.rs
@@ -42,7 +42,7 @@
         let metrics = &self.setup.metrics;
         metrics.cold_runners.set(summary.cold as i64);
         metrics.owned_cold_runners.set(summary.owned as i64);
-        if !summary.warmed.is_empty() {
+        if summary.opened || !summary.warmed.is_empty() {
             self.retry_waiting();
         }
     }
