--- a/crates/celerylead/src/metrics.rs
+++ b/crates/celerylead/src/metrics.rs
@@ -108,6 +108,7 @@
     pub(crate) open_connections: Gauge,
     pub(crate) connections_closed: Family<CauseLabels, Counter>,
     pub(crate) learned_capacity: Family<RunnerLabels, Gauge>,
+    pub(crate) evacuated_zones: Gauge,
 }
 
 impl Default for HostMetrics {
@@ -134,6 +135,12 @@
         let cold_runners = Gauge::default();
         let owned_cold_runners = Gauge::default();
         let cold_sends = Counter::default();
+        let evacuated_zones = Gauge::default();
+        registry.register(
+            "evacuated_zones",
+            "Zones whose runners get nothing, by the operator's word",
+            evacuated_zones.clone(),
+        );
         registry.register(
             "cold_runners",
             "Runners that are cold, as this host knows",
@@ -291,6 +298,7 @@
             open_connections,
             connections_closed,
             learned_capacity,
+            evacuated_zones,
         }
     }
 }
--- a/crates/celerylead/src/relay/tests.rs
+++ b/crates/celerylead/src/relay/tests.rs
@@ -3,6 +3,7 @@
 mod capacity;
 mod cold;
 mod cold_runners;
+mod evacuation;
 mod fleet;
 mod hard_load;
 mod notices;
--- a/crates/celerylead/src/tasks/node/router_cold.rs
+++ b/crates/celerylead/src/tasks/node/router_cold.rs
@@ -19,8 +19,7 @@
         let are_any = self.table.set_cold_services(catalog);
         if were_any || are_any {
             self.cold_refresh_at = are_any.then(EpochMillis::default);
-            let roster = self.setup.roster.borrow().clone();
-            self.adopt_roster(&roster.unwrap_or_default());
+            self.readopt_roster();
         }
     }
 
@@ -43,7 +42,7 @@
         let metrics = &self.setup.metrics;
         metrics.cold_runners.set(summary.cold as i64);
         metrics.owned_cold_runners.set(summary.owned as i64);
-        if !summary.warmed.is_empty() {
+        if summary.opened || !summary.warmed.is_empty() {
             self.retry_waiting();
         }
     }
