Draw nothing from a cut on a connection that may have been closing

Callers whose prompts share a part with such calls could get 400: a call that may run again is sent over a connection up to 150 ms before the runner's timeout, and its cut counted as a failure of the runner and as a sign of a crash. Change: the end of a call on a connection that isn't certain to be open, without a head, is neutral; the call draws on the retry budget as before.

--- a/crates/celerylead/src/tasks/node/attempt.rs
+++ b/crates/celerylead/src/tasks/node/attempt.rs
@@ -191,9 +191,9 @@
     ) -> AttemptOutcome {
         let opened = match slot.link.take() {
             Some(link) => Ok(link),
-            None => self.connect(&slot).await,
+            None => self.connect(&slot).await.map(|link| (link, true)),
         };
-        let mut link = match opened {
+        let (mut link, is_certain) = match opened {
             Ok(link) => link,
             Err(error) => {
                 self.log_failure(&slot, "connect", &error);
@@ -255,7 +255,11 @@
             }
             Err(SendFault::InDoubt(error)) => {
                 self.log_failure(&slot, "await_head", &error);
-                slot.finish(end_by(&error), None);
+                // A connection that the runner may have been closing says
+                // nothing about the runner.
+                let end =
+                    if is_certain { end_by(&error) } else { CallEnd::Neutral };
+                slot.finish(end, None);
                 run_again(request, RefusalCode::RunnerFailed, &error)
             }
             Err(SendFault::TimedOut) => {
--- a/crates/celerylead/src/tasks/node/links.rs
+++ b/crates/celerylead/src/tasks/node/links.rs
@@ -91,11 +91,18 @@
     }
 
     /// Takes a connection for a call that may run again: the least recently
-    /// used one that should be open, if there is one. The others stay for calls
-    /// that need a certain one.
-    pub(super) fn take_any(&mut self, runner: &str) -> Option<HttpLink> {
+    /// used one that should be open, if there is one, and whether it is certain
+    /// to be. The others stay for calls that need a certain one.
+    pub(super) fn take_any(
+        &mut self,
+        runner: &str,
+    ) -> Option<(HttpLink, bool)> {
         let links = self.open_links(runner)?;
-        (!links.is_empty()).then(|| links.remove(0).1)
+        if links.is_empty() {
+            return None;
+        }
+        let (term, link) = links.remove(0);
+        Some((link, Instant::now() < term.certain_until))
     }
 
     /// Returns the connections to a runner, after closing those whose term has
--- a/crates/celerylead/src/tasks/node/router_admission.rs
+++ b/crates/celerylead/src/tasks/node/router_admission.rs
@@ -122,7 +122,8 @@
         let link = if call.requirements.profile.idempotent {
             self.links.take_any(&choice.runner)
         } else {
-            self.links.take_certain(&choice.runner)
+            let link = self.links.take_certain(&choice.runner);
+            link.map(|link| (link, true))
         };
         let parts = &call.requirements.parts;
         let slot = RelaySlot::new(choice, link, call.seat, parts);
--- a/crates/celerylead/src/tasks/node/router_port.rs
+++ b/crates/celerylead/src/tasks/node/router_port.rs
@@ -152,7 +152,8 @@
 /// without an end, the call ends as [`CallEnd::Neutral`].
 pub(crate) struct RelaySlot {
     pub(crate) choice: RelayChoice,
-    pub(crate) link: Option<HttpLink>,
+    /// Idle connection to the runner, and whether it is certain to be open.
+    pub(crate) link: Option<(HttpLink, bool)>,
     sender: mpsc::Sender<RouterEvent>,
     head_reported: bool,
     trace: CallTrace,
@@ -164,7 +165,7 @@
     /// is an idle connection to it, if there is one.
     pub(super) fn new(
         choice: RelayChoice,
-        link: Option<HttpLink>,
+        link: Option<(HttpLink, bool)>,
         seat: SlotSeat,
         parts: &PromptParts,
     ) -> RelaySlot {
