Share the loop of the fleet simulations' tests

Cause: the tests with targets and without held the same loop twice. Ruled out: leaving it, as the two would drift apart. Change: one function returns the failures; cases, seeds and bound are unchanged.

--- a/crates/celerylead/src/relay/tests/fleet.rs
+++ b/crates/celerylead/src/relay/tests/fleet.rs
@@ -323,16 +323,15 @@
     ]
 }
 
-/// Guards against plain calls of which only half as many are served in time
-/// as the runners could serve, which happens as soon as many hosts share few
-/// runners.
-#[test]
-fn many_hosts_serve_what_their_runners_can() {
+/// Returns the cases and seeds in which hosts, with targets or without, serve too
+/// few calls in time.
+fn failures(has_targets: bool) -> Vec<String> {
     let mut failures = Vec::new();
     for case in cases() {
         for seed in 1..=3 {
             let best = Fleet::new(case).simulate(seed, false);
-            let found = Fleet::new(case).simulate(seed, true);
+            let fleet = Fleet { has_targets, ..Fleet::new(case) };
+            let found = fleet.simulate(seed, true);
             if found.share() < MIN_SHARE * best.share() {
                 failures.push(format!(
                     "{}, seed {seed}: {:.2} in time of {:.2}, {found:?}",
@@ -343,6 +342,15 @@
             }
         }
     }
+    failures
+}
+
+/// Guards against plain calls of which only half as many are served in time
+/// as the runners could serve, which happens as soon as many hosts share few
+/// runners.
+#[test]
+fn many_hosts_serve_what_their_runners_can() {
+    let failures = failures(false);
     assert!(failures.is_empty(), "{failures:#?}");
 }
 
@@ -350,22 +358,6 @@
 /// those that know none.
 #[test]
 fn hosts_that_know_targets_serve_what_their_runners_can() {
-    let mut failures = Vec::new();
-    for case in cases() {
-        for seed in 1..=3 {
-            let best = Fleet::new(case).simulate(seed, false);
-            let mut fleet = Fleet::new(case);
-            fleet.has_targets = true;
-            let found = fleet.simulate(seed, true);
-            if found.share() < MIN_SHARE * best.share() {
-                failures.push(format!(
-                    "{}, seed {seed}: {:.2} in time of {:.2}, {found:?}",
-                    case.name,
-                    found.share(),
-                    best.share(),
-                ));
-            }
-        }
-    }
+    let failures = failures(true);
     assert!(failures.is_empty(), "{failures:#?}");
 }
