Let the raw runner start again at its address, and crash before the head

Cause: no stand-in could come back at the same address under the same id, and none crashed before the head of its answer, so that no test of real processes could play a server that a prompt part crashes again and again. Change: a runner starts again without models, as a restarted process does; several parts may crash it, before the head or between the head and the first event. Nothing else changes; the tests of the host and the soak use it as before.

--- a/crates/stand-ins/src/raw_runner.rs
+++ b/crates/stand-ins/src/raw_runner.rs
@@ -6,296 +6,42 @@
 
 use std::time::Duration;
 
-use serde::Deserialize;
-use serde_json::json;
-use socket2::SockRef;
 use tokio::{
-    io::{AsyncReadExt as _, AsyncWriteExt as _},
+    io::AsyncWriteExt as _,
     net::{TcpListener, TcpStream},
     sync::watch,
     time::Instant,
 };
 
+use self::{
+    answers::{
+        EVENT_INTERVAL, write_endless, write_response, write_stream,
+        write_unframed,
+    },
+    crash::answer_and_crash,
+    request::read_request,
+    state::{Order, RunnerState},
+};
+pub use self::{
+    crash::CrashPoint, fault::RunnerFault, request::RecordedRequest,
+};
 use crate::serve::StateHandle;
 
-/// Time between two events of a stream, and between two header lines of
-/// [`RunnerFault::SlowHead`].
-const EVENT_INTERVAL: Duration = Duration::from_millis(15);
-/// Time between two events of a stream during [`RunnerFault::Slow`].
-const SLOW_EVENT_INTERVAL: Duration = Duration::from_millis(120);
-/// Time between two events of a stream during [`RunnerFault::VerySlow`].
-const VERY_SLOW_EVENT_INTERVAL: Duration = Duration::from_millis(900);
-/// Time from the last byte of an answer without a length to its end.
-const UNFRAMED_PAUSE: Duration = Duration::from_millis(200);
-/// Number of events of a stream.
-const STREAM_EVENT_COUNT: u32 = 4;
+mod answers;
+mod crash;
+mod fault;
+mod request;
+mod state;
+
 /// Header line that is repeated in a head without end.
 const HEAD_LINE: &[u8] = b"x-more: and more\r\n";
 /// Header lines per write of [`RunnerFault::EndlessHead`]. Single lines would
 /// let a short deadline pass before the head reaches the client's size limit.
 const HEAD_LINES_PER_WRITE: usize = 1_024;
-/// Time from the head of an answer to the crash that a deadly part causes.
-const CRASH_DELAY: Duration = Duration::from_millis(50);
+/// Longest time until the address of a crashed runner is free again.
+const REBIND_LIMIT: Duration = Duration::from_secs(1);
 /// Time between two checks of whether [`RunnerFault::LateOrders`] is over.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
-/// Name of the model that is resident at the start.
-const INITIAL_MODEL: &str = "bend";
-
-/// Fault that the runner simulates.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum RunnerFault {
-    /// Behaves correctly.
-    #[default]
-    None,
-    /// Rejects calls with 503 and an `x-not-executed` header, which proves
-    /// that the call didn't run.
-    Shed,
-    /// Rejects calls with 421, as if they were meant for another runner.
-    Misdirected,
-    /// Runs the call, then closes the connection without an answer.
-    CloseAfterRun,
-    /// Runs the call and never answers.
-    Unanswered,
-    /// Runs the call and closes the connection in the middle of the answer's
-    /// body.
-    TruncatedBody,
-    /// Runs the call, stops in the middle of its answer's head and closes the
-    /// connection.
-    TruncatedHead,
-    /// Runs the call and answers with neither a length nor chunks; the
-    /// connection ends with the answer.
-    Unframed,
-    /// The same, but a stream ends inside an event.
-    UnframedCut,
-    /// The same, but a stream ends before its first event.
-    UnframedEmpty,
-    /// The same as [`RunnerFault::Unframed`], but the connection is reset in
-    /// the middle of the body.
-    UnframedReset,
-    /// A stream in chunks ends in its framing, but inside an event.
-    ChunkedCut,
-    /// Sends a second, unrequested answer right after the first. Streams are
-    /// unaffected.
-    ExtraAnswer,
-    /// Runs the call and answers with the id of another request. Streams are
-    /// unaffected.
-    OtherId,
-    /// Runs the call and answers a success without `x-response-signature`.
-    /// Streams are unaffected.
-    Unsigned,
-    /// Runs the call and answers 503 without `x-not-executed`, so that the
-    /// answer doesn't prove that the call didn't run.
-    UnmarkedRejection,
-    /// Runs the call and answers 500.
-    Failure,
-    /// Takes a long time between two events of a stream.
-    Slow,
-    /// Takes so long between two events that the stream outlasts the time in
-    /// which a leaving host still accepts calls.
-    VerySlow,
-    /// Receives orders, but never answers them or carries them out.
-    UnansweredOrders,
-    /// Runs the call and sends header lines until the caller closes.
-    EndlessHead,
-    /// Runs the call and sends header lines, one at a time with a pause after
-    /// each, until the caller closes.
-    SlowHead,
-    /// Runs the call and sends a body until the caller closes.
-    EndlessBody,
-    /// Never answers orders, and carries them out once the fault is over.
-    LateOrders,
-    /// Rejects the first call of a connection like [`RunnerFault::Shed`] but
-    /// without its id. Runs the later ones, and answers each with the same
-    /// rejection once more.
-    RepeatedRejection,
-}
-
-/// A request as the runner received it.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct RecordedRequest {
-    /// Request line, with method, target and protocol version.
-    pub line: String,
-    /// Header names, in lower case, and values, in the order received.
-    pub headers: Vec<(String, String)>,
-    /// Request body.
-    pub body: Vec<u8>,
-}
-
-impl RecordedRequest {
-    /// Returns whether a part, named in hexadecimal, is in the prompt.
-    pub fn has_part(&self, part: &str) -> bool {
-        let prompt = self.header("x-prompt-prefix").unwrap_or("");
-        let mut pairs = prompt.split(',');
-        pairs.any(|pair| pair.split(':').next() == Some(part))
-    }
-
-    /// Returns the value of the first header that has this name, which must be
-    /// in lower case.
-    pub fn header(&self, name: &str) -> Option<&str> {
-        let mut headers = self.headers.iter();
-        let found = headers.find(|(header, _)| header == name)?;
-        Some(&found.1)
-    }
-}
-
-#[derive(Debug)]
-struct RunnerState {
-    fault: RunnerFault,
-    /// Header lines that every answer to a call carries besides its own.
-    extra_headers: &'static str,
-    /// Part of prompts, in hexadecimal, on which the runner crashes as soon as
-    /// it begins an answer.
-    deadly_part: Option<&'static str>,
-    /// Calls received, run or not.
-    calls: Vec<RecordedRequest>,
-    /// Time at which each of `calls` was received.
-    call_times: Vec<Instant>,
-    /// Calls that ran.
-    runs: Vec<RecordedRequest>,
-    /// Calls that crashed the runner, with the times at which they began.
-    deadly_runs: Vec<(RecordedRequest, Instant)>,
-    /// Orders received, accepted or not.
-    orders: Vec<RecordedRequest>,
-    /// Time at which each of `orders` was received.
-    order_times: Vec<Instant>,
-    /// Number of orders accepted; a new order must name it as `expected`.
-    accepted_orders: u64,
-    /// Resident models.
-    models: Vec<String>,
-    /// Times at which loads of models began.
-    load_times: Vec<Instant>,
-    /// Resident adapters, all of the initial model.
-    adapters: Vec<String>,
-    /// Adapters of the calls in flight, one entry per call.
-    adapters_in_use: Vec<String>,
-    /// Adapter that is unloaded once no call uses it. No order is accepted
-    /// until then.
-    draining_adapter: Option<String>,
-    /// Unloads that had to wait for calls in flight.
-    delayed_unloads: u32,
-    /// Calls that were still running when their caller went away, and streams
-    /// that [`RunnerFault::TruncatedBody`] cut.
-    abandoned_calls: u32,
-}
-
-impl Default for RunnerState {
-    fn default() -> Self {
-        RunnerState {
-            fault: RunnerFault::None,
-            extra_headers: "",
-            deadly_part: None,
-            calls: Vec::new(),
-            call_times: Vec::new(),
-            runs: Vec::new(),
-            deadly_runs: Vec::new(),
-            orders: Vec::new(),
-            order_times: Vec::new(),
-            accepted_orders: 0,
-            models: vec![INITIAL_MODEL.to_owned()],
-            load_times: Vec::new(),
-            adapters: Vec::new(),
-            adapters_in_use: Vec::new(),
-            draining_adapter: None,
-            delayed_unloads: 0,
-            abandoned_calls: 0,
-        }
-    }
-}
-
-/// The fields of an order that the runner acts on.
-#[derive(Deserialize)]
-struct Order {
-    operation: String,
-    model: String,
-    adapter: Option<String>,
-    /// Number of orders that the runner must have accepted before this one.
-    expected: u64,
-}
-
-impl RunnerState {
-    /// Accepts or rejects an order and returns the status code and reason
-    /// phrase of the answer. An accepted order takes effect at once, except
-    /// the unload of an adapter in use.
-    fn apply_order(&mut self, order: Order) -> &'static str {
-        if order.expected != self.accepted_orders
-            || self.draining_adapter.is_some()
-        {
-            return "409 Conflict";
-        }
-        self.accepted_orders += 1;
-        let Some(adapter) = order.adapter else {
-            self.models.retain(|name| *name != order.model);
-            if order.operation == "load" {
-                self.models.push(order.model);
-                self.load_times.push(Instant::now());
-            }
-            return "202 Accepted";
-        };
-        if order.operation == "unload"
-            && self.adapters_in_use.contains(&adapter)
-        {
-            self.draining_adapter = Some(adapter);
-            self.delayed_unloads += 1;
-            return "202 Accepted";
-        }
-        self.adapters.retain(|name| *name != adapter);
-        if order.operation == "load" {
-            self.adapters.push(adapter);
-            return "202 Accepted";
-        }
-        "200 OK"
-    }
-
-    /// Begins a call and returns true. Returns false if the model or the
-    /// adapter that the call names isn't resident, or the adapter is draining.
-    fn begin_call(
-        &mut self,
-        model: Option<&str>,
-        adapter: Option<&str>,
-    ) -> bool {
-        let model = model.map(|name| name.split('/').next().unwrap_or(name));
-        if model.is_some_and(|name| !self.models.iter().any(|m| m == name)) {
-            return false;
-        }
-        let Some(adapter) = adapter else { return true };
-        let resident = self.adapters.iter().any(|name| name == adapter);
-        if resident && self.draining_adapter.as_deref() != Some(adapter) {
-            self.adapters_in_use.push(adapter.to_owned());
-            return true;
-        }
-        false
-    }
-
-    /// Ends a call. Unloads the draining adapter if no call uses it any more.
-    fn end_call(&mut self, adapter: Option<&str>) {
-        let position = self
-            .adapters_in_use
-            .iter()
-            .position(|a| Some(a.as_str()) == adapter);
-        if let Some(position) = position {
-            self.adapters_in_use.remove(position);
-        }
-        if let Some(draining) = &self.draining_adapter
-            && !self.adapters_in_use.contains(draining)
-        {
-            self.adapters.retain(|name| name != draining);
-            self.draining_adapter = None;
-        }
-    }
-
-    /// Returns the JSON body of the runner's report.
-    fn report(&self) -> String {
-        let models = self.models.iter().map(|name| {
-            let adapters =
-                if name == INITIAL_MODEL { &self.adapters[..] } else { &[] };
-            json!({"name": name, "version": 1, "adapters": adapters})
-        });
-        let models: Vec<_> = models.collect();
-        let busy = self.draining_adapter.is_some();
-        json!({"models": models, "busy": busy, "seq": self.accepted_orders})
-            .to_string()
-    }
-}
 
 /// Handle to a running runner.
 #[derive(Clone)]
@@ -317,10 +63,41 @@
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?.to_string();
         let state = StateHandle::start(RunnerState::default());
+        Ok(RawRunner::serve(listener, address, state))
+    }
+
+    /// Starts a runner at the address of this one, which has crashed. Like a
+    /// restarted process it has accepted no order and holds no model.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address can't be bound within a second.
+    pub async fn start_again(&self) -> anyhow::Result<RawRunner> {
+        let deadline = Instant::now() + REBIND_LIMIT;
+        let listener = loop {
+            match TcpListener::bind(&self.address).await {
+                Ok(listener) => break listener,
+                Err(error) if deadline <= Instant::now() => {
+                    return Err(error.into());
+                }
+                Err(_) => tokio::time::sleep(POLL_INTERVAL).await,
+            }
+        };
+        let state =
+            RunnerState { models: Vec::new(), ..RunnerState::default() };
+        let state = StateHandle::start(state);
+        Ok(RawRunner::serve(listener, self.address.clone(), state))
+    }
+
+    fn serve(
+        listener: TcpListener,
+        address: String,
+        state: StateHandle<RunnerState>,
+    ) -> RawRunner {
         let (crashed, crash) = watch::channel(false);
         let runner = RawRunner { address, state, crashed };
         tokio::spawn(accept(listener, runner.clone(), crash));
-        Ok(runner)
+        runner
     }
 
     /// Ends the runner for good: closes its listener and all its connections.
@@ -336,7 +113,24 @@
     /// Sets a part of prompts, in hexadecimal, on which the runner crashes as
     /// soon as it begins an answer.
     pub async fn set_deadly_part(&self, part: Option<&'static str>) {
-        self.state.with(move |state| state.deadly_part = part).await;
+        let parts: Vec<&'static str> = part.into_iter().collect();
+        self.set_deadly_parts(&parts, CrashPoint::default()).await;
+    }
+
+    /// Sets parts of prompts, in hexadecimal, on which the runner crashes at
+    /// this point of its answer.
+    pub async fn set_deadly_parts(
+        &self,
+        parts: &[&'static str],
+        point: CrashPoint,
+    ) {
+        let parts = parts.to_vec();
+        self.state
+            .with(move |state| {
+                state.deadly_parts = parts;
+                state.crash_point = point;
+            })
+            .await;
     }
 
     /// Sets the fault that the runner simulates from now on.
@@ -379,6 +173,18 @@
             .await
     }
 
+    /// Sets the resident models.
+    pub async fn set_models(&self, models: Vec<String>) {
+        self.state.with(move |state| state.models = models).await;
+    }
+
+    /// Returns the number of accepted orders, and the resident models.
+    pub async fn holdings(&self) -> (u64, Vec<String>) {
+        self.state
+            .with(|state| (state.accepted_orders, state.models.clone()))
+            .await
+    }
+
     /// Returns the orders that the runner received, accepted or not.
     pub async fn orders(&self) -> Vec<RecordedRequest> {
         self.state.with(|state| state.orders.clone()).await
@@ -484,35 +290,18 @@
             write_response(&mut stream, status, headers, b"").await?;
             continue;
         }
-        let deadly_part = state.with(|state| state.deadly_part).await;
-        if deadly_part.is_some_and(|part| request.has_part(part)) {
-            return answer_and_crash(&mut stream, runner, request).await;
+        let (parts, point) = state
+            .with(|state| (state.deadly_parts.clone(), state.crash_point))
+            .await;
+        if parts.iter().any(|part| request.has_part(part)) {
+            return answer_and_crash(&mut stream, runner, request, point)
+                .await;
         }
         answer(&mut stream, state, request, fault).await?;
     }
     Ok(())
 }
 
-/// Writes the head of an answer and ends the runner.
-async fn answer_and_crash(
-    stream: &mut TcpStream,
-    runner: &RawRunner,
-    request: RecordedRequest,
-) -> anyhow::Result<()> {
-    let id = request.header("x-request-id").unwrap_or("").to_owned();
-    let run = (request, Instant::now());
-    runner.state.with(move |state| state.deadly_runs.push(run)).await;
-    let head = format!(
-        "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
-         transfer-encoding: chunked\r\nx-request-id: {id}\r\n\
-         x-response-signature: s\r\n\r\n"
-    );
-    stream.write_all(head.as_bytes()).await?;
-    tokio::time::sleep(CRASH_DELAY).await;
-    runner.crash();
-    Ok(())
-}
-
 /// Carries an order out once [`RunnerFault::LateOrders`] is over.
 async fn apply_order_late(state: StateHandle<RunnerState>, order: Order) {
     while state.with(|state| state.fault).await == RunnerFault::LateOrders {
@@ -669,149 +458,3 @@
     }
     Ok(())
 }
-
-/// Writes an answer with a body of known length. `headers` holds complete
-/// header lines.
-async fn write_response(
-    stream: &mut TcpStream,
-    status: &str,
-    headers: &str,
-    body: &[u8],
-) -> anyhow::Result<()> {
-    let length = body.len();
-    let head = format!(
-        "HTTP/1.1 {status}\r\ncontent-length: {length}\r\n\
-         keep-alive: timeout=5\r\n{headers}\r\n"
-    );
-    stream.write_all(&[head.as_bytes(), body].concat()).await?;
-    Ok(())
-}
-
-/// Writes a status line, `start` and then `bytes` over and over, with a pause
-/// after each write. Returns only if a write fails.
-async fn write_endless(
-    stream: &mut TcpStream,
-    start: &str,
-    bytes: &[u8],
-    pause: Duration,
-) -> anyhow::Result<()> {
-    let head = format!("HTTP/1.1 200 OK\r\n{start}");
-    stream.write_all(head.as_bytes()).await?;
-    loop {
-        stream.write_all(bytes).await?;
-        // Without a pause, yields so that the test's other tasks run too.
-        if pause.is_zero() {
-            tokio::task::yield_now().await;
-        } else {
-            tokio::time::sleep(pause).await;
-        }
-    }
-}
-
-/// Writes an answer with neither a length nor chunks. Always returns an error,
-/// which closes the connection.
-async fn write_unframed(
-    stream: &mut TcpStream,
-    headers: &str,
-    is_stream: bool,
-    fault: RunnerFault,
-) -> anyhow::Result<()> {
-    let (kind, body) = match (is_stream, fault) {
-        (true, RunnerFault::UnframedEmpty) => ("text/event-stream", ""),
-        (true, RunnerFault::UnframedCut) => {
-            ("text/event-stream", "id: 1\ndata: x\n\nid: 2\nda")
-        }
-        (true, _) => {
-            ("text/event-stream", "id: 1\ndata: x\n\nid: 2\ndata: y\n\n")
-        }
-        (false, _) => ("application/json", "{\"done\":true}"),
-    };
-    let head = format!(
-        "HTTP/1.1 200 OK\r\ncontent-type: {kind}\r\n\
-         connection: close\r\n{headers}\r\n{body}"
-    );
-    stream.write_all(head.as_bytes()).await?;
-    // What was written is passed on before the end.
-    tokio::time::sleep(UNFRAMED_PAUSE).await;
-    if fault == RunnerFault::UnframedReset {
-        // Without lingering, a close resets the connection.
-        SockRef::from(&*stream).set_linger(Some(Duration::ZERO))?;
-    }
-    anyhow::bail!("the connection ends with the answer")
-}
-
-/// Writes an answer that is a stream of events, in HTTP chunks.
-async fn write_stream(
-    stream: &mut TcpStream,
-    headers: &str,
-    fault: RunnerFault,
-) -> anyhow::Result<()> {
-    let head = format!(
-        "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
-         transfer-encoding: chunked\r\n{headers}\r\n"
-    );
-    stream.write_all(head.as_bytes()).await?;
-    let interval = match fault {
-        RunnerFault::Slow => SLOW_EVENT_INTERVAL,
-        RunnerFault::VerySlow => VERY_SLOW_EVENT_INTERVAL,
-        _ => EVENT_INTERVAL,
-    };
-    for number in 1..=STREAM_EVENT_COUNT {
-        let event = format!("id: {number}\ndata: x\n\n");
-        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
-        stream.write_all(chunk.as_bytes()).await?;
-        if fault == RunnerFault::TruncatedBody && number == 2 {
-            anyhow::bail!("simulated cut in the body");
-        }
-        // A read of zero bytes means that the caller closed the connection.
-        let mut byte = [0];
-        tokio::select! {
-            read = stream.read(&mut byte) => {
-                anyhow::ensure!(0 < read?, "the caller closed the connection");
-            }
-            () = tokio::time::sleep(interval) => {}
-        }
-    }
-    if fault == RunnerFault::ChunkedCut {
-        stream.write_all(b"5\r\nid: 9\r\n").await?;
-    }
-    stream.write_all(b"0\r\n\r\n").await?;
-    Ok(())
-}
-
-/// Reads one request. Returns `None` if the connection ends before the end of
-/// a request's head.
-async fn read_request(
-    stream: &mut TcpStream,
-    buffer: &mut Vec<u8>,
-) -> anyhow::Result<Option<RecordedRequest>> {
-    let head_length = loop {
-        let found = buffer.windows(4).position(|bytes| bytes == b"\r\n\r\n");
-        if let Some(found) = found {
-            break found;
-        }
-        if stream.read_buf(buffer).await? == 0 {
-            return Ok(None);
-        }
-    };
-    let head = String::from_utf8(buffer[..head_length].to_vec())?;
-    let mut lines = head.split("\r\n");
-    let line = lines.next().unwrap_or("").to_owned();
-    let headers = lines.filter_map(|line| line.split_once(':'));
-    let headers = headers
-        .map(|(name, value)| {
-            (name.to_ascii_lowercase(), value.trim().to_owned())
-        })
-        .collect();
-    let mut request = RecordedRequest { line, headers, body: Vec::new() };
-    let length = request.header("content-length").unwrap_or("0").parse()?;
-    buffer.drain(..head_length + 4);
-    while buffer.len() < length {
-        anyhow::ensure!(
-            0 < stream.read_buf(buffer).await?,
-            "the request's body ended early"
-        );
-    }
-    request.body = buffer.drain(..length).collect();
-    Ok(Some(request))
-}
