Don't blame a part that was sound for several deadly ones

Cause: all prompts begin with the same part, so that it is in the calls of every crash. With two or three deadly parts at once it had three trials before any of them, as no harmless call is answered while the runners are down, and its verdict then turned away the answers that would have cleared it. Ruled out: hosts that start again and forget; it happens without any fault of a host.

Change: a part on which an answer is known to have gone on needs seven trials, one more than two trials of each of three deadly parts, and comes after parts on which none is known to. A part that was sound and isn't any more is still rejected.

--- a/crates/celerylead/src/quarantine/ledger.rs
+++ b/crates/celerylead/src/quarantine/ledger.rs
@@ -19,6 +19,11 @@
 /// Trials after which a part is rejected. Two may be a coincidence: a rare
 /// sound part may meet two crashes of other causes before its next answer.
 pub const TRIALS_TO_REJECT: u32 = 3;
+/// Trials after which a part is rejected on which an answer is known to have
+/// gone on. Prompts share their first parts, which therefore gather the trials of
+/// all deadly parts there are: with three of these, six trials before one of them
+/// has enough.
+const SOUND_TRIALS_TO_REJECT: u32 = 7;
 /// Trials from which a call isn't sent again after its runner ended.
 const TRIALS_TO_HOLD: u32 = 2;
 /// Time for which news is repeated to the other hosts, each of which is sent
@@ -406,9 +411,9 @@
         depths.iter().map(|(part, depth)| (*part, *depth)).collect()
     }
 
-    /// Returns the part with enough trials that explains the crashes best: the
-    /// one with most trials, then one on which no answer is known to have gone
-    /// on, then the deepest in its prompt, which the fewest calls share.
+    /// Returns the part with enough trials that explains the crashes best: one
+    /// on which no answer is known to have gone on, then the one with most
+    /// trials, then the deepest in its prompt, which the fewest calls share.
     fn best_explanation(
         &self,
         parts: &[(PartId, usize)],
@@ -420,9 +425,15 @@
             .map(|(part, depth)| {
                 (*part, *depth, self.trials(*part, Some(now)))
             })
-            .filter(|(_, _, count)| TRIALS_TO_REJECT <= count.trials);
+            .filter(|(part, _, count)| {
+                let needed = match self.was_sound(*part) {
+                    true => SOUND_TRIALS_TO_REJECT,
+                    false => TRIALS_TO_REJECT,
+                };
+                needed <= count.trials
+            });
         let best = counted.max_by_key(|(part, depth, count)| {
-            (count.trials, Reverse(self.was_sound(*part)), *depth)
+            (Reverse(self.was_sound(*part)), count.trials, *depth)
         });
         // A sound part is no explanation where another part may be left out.
         let best = best.filter(|(part, _, count)| {
--- a/crates/celerylead/src/quarantine/tests.rs
+++ b/crates/celerylead/src/quarantine/tests.rs
@@ -1,6 +1,7 @@
 //! Tests of the evidence on parts of prompts and of the verdicts.
 
 mod prompts;
+mod several;
 mod unframed;
 
 use std::time::Duration;
