Order within seconds of a start, however hosts start again

Fault: two hosts in front of four servers, one host killed every 2.5 s in turn; the servers come back without models and no host orders. Two causes, both by the clock of a process. A process moved no models in its first 6 s, and none lived that long. And a process that took the row of an earlier one of its host ordered no load from the weight store for a window, as it didn't know how many had begun: with the first cause mended alone, all steps of each plan were held back.

Ruled out: that the lease stays with one host. The other host's processes end as early, so that a takeover would not have helped; but a host whose processes end before they order kept the lease, which is mended too.

Change: the lease's row states how long the deployment still settles, the ages of the loads that count and a reservation of what may follow until the next write, and how many processes of the host in a row didn't use the lease, each of which puts its next claim off by 2 s. A host claims only once it knows the configuration and the registry. Messages between hosts are unchanged; rows without the fields are read as before. Fencing tokens and the wait of another host are unchanged.

--- a/crates/celerylead/src/membership/mod.rs
+++ b/crates/celerylead/src/membership/mod.rs
@@ -45,7 +45,10 @@
     },
     gossip::{GOSSIP_TICK, GossipTick},
     lease::{HeldLease, HostLease, HostTag, LeasePhase, MAX_PAUSE},
-    orders::{LeaseClaim, OrderPermit, OrdersLease, OrdersRow, RENEW_PERIOD},
+    orders::{
+        LeaseClaim, OrderPermit, OrdersLease, OrdersRow, RENEW_PERIOD,
+        StoredOrdersRow,
+    },
     rendezvous::{best_host, rendezvous_weight},
     zone_digest::{AggregateSource, FleetDigest, ZoneDigest, ZonePart},
 };
--- a/crates/celerylead/src/membership/orders.rs
+++ b/crates/celerylead/src/membership/orders.rs
@@ -14,12 +14,20 @@
 //! permit of an order that waits for a connection is checked again immediately
 //! before the order is written, as the permit may have ended meanwhile. Each
 //! host measures time by its own clock; clocks are never compared.
+//!
+//! A host that starts again takes the row of its earlier process without
+//! waiting, as orders of one host don't count as alternating. If the earlier
+//! process ended before it could use the lease, the host puts its claim off,
+//! the longer the more often this happened in a row, so that a host that runs
+//! for longer can take the lease. A deployment that starts for the first time
+//! settles: the row states how much of that time was left when it was written,
+//! so that the time doesn't begin anew with each process.
 
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
-use crate::clock::EpochMillis;
+use crate::{clock::EpochMillis, placement::LoadHistory};
 
 /// Time between two renewals.
 pub const RENEW_PERIOD: Duration = Duration::from_millis(1_000);
@@ -28,6 +36,13 @@
 /// Margin for an order that is written at the end of the lease term: a lost
 /// packet is retransmitted after some 200 ms.
 const SEND_MARGIN: Duration = Duration::from_millis(300);
+/// Time from the first start of a deployment in which no models are moved: the
+/// runners register over some seconds, and a model that seems to be missing may
+/// be at a runner that isn't listed yet.
+const SETTLE_TIME: Duration = Duration::from_millis(6_000);
+/// Delay of a claim for each earlier process of the host that ended before it
+/// could use the lease; about the time from a start to the first order.
+const UNUSED_TERM_DELAY: Duration = Duration::from_millis(2_000);
 
 /// Row of the orders lease.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -44,17 +59,46 @@
     pub open_loads: u32,
 }
 
+/// Row of the orders lease as it is stored. The further fields aren't announced
+/// to other hosts; rows of hosts of an earlier version lack them.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", default)]
+pub struct StoredOrdersRow {
+    /// The row as the holder announces it.
+    #[serde(flatten)]
+    pub row: OrdersRow,
+    /// Time in which the deployment still settles, in milliseconds, at the
+    /// time of the write.
+    pub settling_ms: u64,
+    /// Processes of the holder's host in a row, the current one included, that
+    /// took the lease and didn't use it so far.
+    pub unused_terms: u32,
+    /// Loads that count for the limit of the weight store; `None` if they
+    /// aren't known.
+    pub loads: Option<LoadHistory>,
+}
+
+impl From<OrdersRow> for StoredOrdersRow {
+    fn from(row: OrdersRow) -> StoredOrdersRow {
+        StoredOrdersRow { row, ..StoredOrdersRow::default() }
+    }
+}
+
 /// A host's view of the orders lease.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct OrdersLease {
-    /// The row as last read.
-    seen: Option<OrdersRow>,
+    /// The row as last read or announced.
+    seen: Option<StoredOrdersRow>,
     /// Version of the row as last read; 0 without a row.
     version: u64,
     /// Time at which this version was first seen.
     seen_at: EpochMillis,
     /// Whether the row was read and not invalidated since.
     is_current: bool,
+    /// Whether this process has used the lease.
+    is_used: bool,
+    /// Time until which the deployment settles.
+    settled_at: EpochMillis,
     /// Permit that this host last held and didn't give up; it may have
     /// expired.
     permit: Option<OrderPermit>,
@@ -86,7 +130,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LeaseClaim {
     /// The row to write.
-    pub row: OrdersRow,
+    pub row: StoredOrdersRow,
     /// Version that the existing row must have.
     pub expected: u64,
     /// Time at which the claim was made; the lease term starts here.
@@ -94,10 +138,43 @@
 }
 
 impl OrdersLease {
+    /// Returns the view of a process that starts at `now`. Until it has read
+    /// the row, it takes the deployment for one that starts.
+    pub fn new(now: EpochMillis) -> OrdersLease {
+        let settled_at = now.after(SETTLE_TIME);
+        OrdersLease { settled_at, ..OrdersLease::default() }
+    }
+
     /// Records the row as read from the store, with its version.
     pub fn record_read(
         &mut self,
-        row: Option<OrdersRow>,
+        stored: Option<StoredOrdersRow>,
+        version: u64,
+        now: EpochMillis,
+    ) {
+        if let Some(stored) = &stored {
+            let left = Duration::from_millis(stored.settling_ms);
+            self.settled_at = self.settled_at.min(now.after(left));
+        }
+        self.record_row(stored, version, now);
+    }
+
+    /// Records the row as its holder announced it, with its version.
+    pub fn record_announcement(
+        &mut self,
+        row: &OrdersRow,
+        version: u64,
+        now: EpochMillis,
+    ) {
+        if self.is_current && version == self.version {
+            return;
+        }
+        self.record_row(Some(row.clone().into()), version, now);
+    }
+
+    fn record_row(
+        &mut self,
+        row: Option<StoredOrdersRow>,
         version: u64,
         now: EpochMillis,
     ) {
@@ -107,7 +184,7 @@
         self.is_current = true;
         self.seen = row;
         self.version = version;
-        let seen = self.seen.as_ref().map(|row| row.fencing);
+        let seen = self.seen.as_ref().map(|seen| seen.row.fencing);
         if let Some(permit) = &mut self.permit
             && seen != Some(permit.fencing)
         {
@@ -128,26 +205,55 @@
         if !self.is_current {
             return None;
         }
-        let fencing = match &self.seen {
-            Some(row) if row.holder == host => {
-                // Orders from one host don't count as alternating, so there is
-                // no need to wait. A new token is needed after a restart of
-                // the process or after the old token was given up.
-                let own = row.incarnation == incarnation;
-                let kept = own && row.fencing != self.given_up;
+        let seen = self.seen.as_ref().map(|seen| &seen.row);
+        let is_host = seen.is_some_and(|row| row.holder == host);
+        let is_own = seen.is_some_and(|row| row.incarnation == incarnation);
+        let is_earlier = is_host && !is_own;
+        let fencing = match seen {
+            Some(row) if is_host && is_own => {
+                // A new token is needed after the old one was given up.
+                let kept = row.fencing != self.given_up;
                 if kept { row.fencing } else { row.fencing + 1 }
             }
-            Some(row) if now < self.takeover_at(row, alternation_window) => {
-                return None;
+            Some(row) => {
+                let takeover_at = self.takeover_at(row, alternation_window);
+                // Orders from one host don't count as alternating.
+                let claim_at = match is_earlier {
+                    true => takeover_at.min(self.reclaim_at()),
+                    false => takeover_at,
+                };
+                if now < claim_at {
+                    return None;
+                }
+                row.fencing + 1
             }
-            Some(row) => row.fencing + 1,
             None => 1,
         };
+        let unused_terms = match self.seen.as_ref() {
+            _ if self.is_used => 0,
+            Some(seen) if is_host && is_own => seen.unused_terms,
+            Some(seen) if is_earlier => seen.unused_terms.saturating_add(1),
+            _ => 1,
+        };
+        let settling = now.until(self.settled_at);
         let holder = host.to_owned();
-        let row = OrdersRow { holder, incarnation, fencing, open_loads: 0 };
+        let row = StoredOrdersRow {
+            row: OrdersRow { holder, incarnation, fencing, open_loads: 0 },
+            settling_ms: settling.as_millis() as u64,
+            unused_terms,
+            loads: None,
+        };
         Some(LeaseClaim { row, expected: self.version, claimed_at: now })
     }
 
+    /// Returns the time from which the row of an earlier process of this host
+    /// may be taken.
+    fn reclaim_at(&self) -> EpochMillis {
+        let unused_terms =
+            self.seen.as_ref().map_or(0, |seen| seen.unused_terms);
+        self.seen_at.after(UNUSED_TERM_DELAY * unused_terms)
+    }
+
     /// Returns the time from which another host's lease may be taken.
     fn takeover_at(
         &self,
@@ -186,7 +292,7 @@
         now: EpochMillis,
     ) {
         self.record_read(Some(claim.row.clone()), version, now);
-        let fencing = claim.row.fencing;
+        let fencing = claim.row.row.fencing;
         if fencing == self.given_up {
             // Other hosts may already rely on no order following under this
             // token.
@@ -196,6 +302,22 @@
         self.permit = Some(OrderPermit { fencing, until });
     }
 
+    /// Records that this process uses the lease; returns whether this is its
+    /// first use.
+    pub fn record_use(&mut self) -> bool {
+        !std::mem::replace(&mut self.is_used, true)
+    }
+
+    /// Returns whether the deployment has settled, so that models may be moved.
+    pub fn is_settled(&self, now: EpochMillis) -> bool {
+        self.settled_at <= now
+    }
+
+    /// Returns the time from which models may be moved.
+    pub fn settled_at(&self) -> EpochMillis {
+        self.settled_at
+    }
+
     /// Requires the row to be read again, after a claim that failed or whose
     /// outcome is unknown.
     pub fn invalidate(&mut self) {
@@ -219,8 +341,13 @@
         SEND_MARGIN + alternation_window
     }
 
+    /// Returns the row as last read, with what isn't announced.
+    pub fn stored(&self) -> Option<&StoredOrdersRow> {
+        self.seen.as_ref()
+    }
+
     /// Returns the row as last read and its version.
     pub fn row(&self) -> Option<(&OrdersRow, u64)> {
-        Some((self.seen.as_ref()?, self.version))
+        Some((&self.seen.as_ref()?.row, self.version))
     }
 }
--- a/crates/celerylead/src/membership/tests/orders.rs
+++ b/crates/celerylead/src/membership/tests/orders.rs
@@ -4,7 +4,7 @@
 
 use crate::{
     EpochMillis,
-    membership::{OrdersLease, OrdersRow},
+    membership::{OrdersLease, OrdersRow, StoredOrdersRow},
 };
 
 const ALTERNATION_WINDOW: Duration = Duration::from_millis(3_000);
@@ -14,6 +14,10 @@
     OrdersRow { holder, incarnation, fencing, open_loads: 0 }
 }
 
+fn stored(holder: &str, incarnation: u64, fencing: u64) -> StoredOrdersRow {
+    row(holder, incarnation, fencing).into()
+}
+
 /// Holder, incarnation, fencing token and version of a row.
 type SeenRow = (&'static str, u64, u64, u64);
 
@@ -77,18 +81,121 @@
         let mut lease = OrdersLease::default();
         for (at, reading) in case.readings {
             let seen_row = reading.map(|(holder, incarnation, fencing, _)| {
-                row(holder, incarnation, fencing)
+                stored(holder, incarnation, fencing)
             });
             let version = reading.map_or(0, |(.., version)| version);
             lease.record_read(seen_row, version, EpochMillis(*at));
         }
         let claim =
             lease.claim("a", 7, ALTERNATION_WINDOW, EpochMillis(case.at));
-        let claim = claim.map(|claim| (claim.row.fencing, claim.expected));
+        let claim = claim.map(|claim| (claim.row.row.fencing, claim.expected));
         assert_eq!(claim, case.claim, "{}", case.name);
     }
 }
 
+/// Guards against a lease that stays with a host which is always killed before
+/// it can use it. Host `a` in incarnation 7 reads the row of its incarnation 6.
+#[test]
+fn a_host_that_could_not_use_the_lease_claims_later() {
+    struct Case {
+        name: &'static str,
+        unused_terms: u32,
+        /// Milliseconds from the read of the row to the first claim.
+        claims_after: u64,
+        /// Unused terms that the claim states.
+        states: u32,
+    }
+    let cases = [
+        Case {
+            name: "the earlier process used the lease",
+            unused_terms: 0,
+            claims_after: 0,
+            states: 1,
+        },
+        Case {
+            name: "one process didn't use it",
+            unused_terms: 1,
+            claims_after: 2_000,
+            states: 2,
+        },
+        Case {
+            name: "two in a row didn't use it",
+            unused_terms: 2,
+            claims_after: 4_000,
+            states: 3,
+        },
+        Case {
+            name: "never later than other hosts",
+            unused_terms: 50,
+            claims_after: 5_500,
+            states: 51,
+        },
+    ];
+    for case in cases {
+        let mut lease = OrdersLease::new(EpochMillis(500));
+        let seen = StoredOrdersRow {
+            unused_terms: case.unused_terms,
+            ..stored("a", 6, 4)
+        };
+        lease.record_read(Some(seen), 9, EpochMillis(1_000));
+        let at = EpochMillis(1_000 + case.claims_after);
+        if 0 < case.claims_after {
+            let early = EpochMillis(at.0 - 1);
+            let claim = lease.claim("a", 7, ALTERNATION_WINDOW, early);
+            assert_eq!(claim, None, "{}", case.name);
+        }
+        let claim = lease.claim("a", 7, ALTERNATION_WINDOW, at).unwrap();
+        assert_eq!(claim.row.unused_terms, case.states, "{}", case.name);
+        assert_eq!(claim.row.row.fencing, 5, "{}", case.name);
+        lease.record_claim(&claim, 10, at);
+        assert!(lease.record_use(), "{}", case.name);
+        let renewal = lease.claim("a", 7, ALTERNATION_WINDOW, at).unwrap();
+        assert_eq!(renewal.row.unused_terms, 0, "{}", case.name);
+    }
+}
+
+/// Guards against a deployment that settles anew with each process, and against
+/// one that moves models before its runners are listed.
+#[test]
+fn a_deployment_settles_once() {
+    struct Case {
+        name: &'static str,
+        /// Time of the read, and the time in which the deployment still
+        /// settles by the row read.
+        read: Option<(u64, Option<u64>)>,
+        settled_at: u64,
+    }
+    let cases = [
+        Case { name: "nothing read", read: None, settled_at: 6_000 },
+        Case { name: "no row", read: Some((500, None)), settled_at: 6_000 },
+        Case {
+            name: "a row of a deployment that settles",
+            read: Some((500, Some(1_200))),
+            settled_at: 1_700,
+        },
+        Case {
+            name: "a row of a settled deployment",
+            read: Some((500, Some(0))),
+            settled_at: 500,
+        },
+    ];
+    for case in cases {
+        let mut lease = OrdersLease::new(EpochMillis(0));
+        if let Some((at, settling)) = case.read {
+            let seen = settling.map(|settling_ms| StoredOrdersRow {
+                settling_ms,
+                ..stored("b", 1, 4)
+            });
+            lease.record_read(seen, 9, EpochMillis(at));
+        }
+        // What a holder announces doesn't state whether it settles.
+        lease.record_announcement(&row("b", 1, 4), 10, EpochMillis(600));
+        let at = case.settled_at;
+        assert!(!lease.is_settled(EpochMillis(at - 1)), "{}", case.name);
+        assert!(lease.is_settled(EpochMillis(at)), "{}", case.name);
+    }
+}
+
 #[test]
 fn a_lease_term_starts_before_the_write() {
     struct Case {
@@ -134,10 +241,10 @@
     ];
     for Case { name, released, at, claim } in cases {
         let mut lease = OrdersLease::default();
-        lease.record_read(Some(row("b", 1, 4)), 9, EpochMillis(1_000));
+        lease.record_read(Some(stored("b", 1, 4)), 9, EpochMillis(1_000));
         lease.record_release(released, EpochMillis(1_100));
         let found = lease.claim("a", 7, ALTERNATION_WINDOW, EpochMillis(at));
-        let found = found.map(|claim| claim.row.fencing);
+        let found = found.map(|claim| claim.row.row.fencing);
         assert_eq!(found, claim, "{name}");
     }
 }
@@ -153,7 +260,7 @@
     assert_eq!(lease.fencing(EpochMillis(20)), None);
     let claim =
         lease.claim("a", 7, ALTERNATION_WINDOW, EpochMillis(30)).unwrap();
-    assert_eq!(claim.row.fencing, 2);
+    assert_eq!(claim.row.row.fencing, 2);
 }
 
 /// Guards against orders of two hosts within the alternation window. Other
@@ -173,7 +280,7 @@
     assert_eq!(lease.fencing(EpochMillis(2_400)), None);
     let claim =
         lease.claim("a", 7, ALTERNATION_WINDOW, EpochMillis(2_400)).unwrap();
-    assert_eq!((claim.row.fencing, claim.expected), (2, 6));
+    assert_eq!((claim.row.row.fencing, claim.expected), (2, 6));
 }
 
 #[test]
@@ -290,7 +397,11 @@
             lease.claim("a", 7, ALTERNATION_WINDOW, EpochMillis(0)).unwrap();
         lease.record_claim(&claim, 5, EpochMillis(10));
         if let Some(read_at) = read_at {
-            lease.record_read(Some(row("b", 1, 2)), 6, EpochMillis(read_at));
+            lease.record_read(
+                Some(stored("b", 1, 2)),
+                6,
+                EpochMillis(read_at),
+            );
         }
         assert_eq!(lease.fencing(EpochMillis(at)), fencing, "{name}");
         assert_eq!(lease.give_up(), given_up, "{name}");
--- a/crates/celerylead/src/placement/loads.rs
+++ b/crates/celerylead/src/placement/loads.rs
@@ -7,6 +7,10 @@
 //! which it can have started. When the last of the loads that start in a
 //! window is ordered, the other loads of the window still count, so no window
 //! contains more loads than allowed.
+//!
+//! The lease's row has a [`LoadHistory`], from which the next holder goes on
+//! counting. As the row is written at intervals, the history also reserves the
+//! orders that may follow until the next write, and the holder gives no more.
 
 use std::time::Duration;
 
@@ -46,6 +50,16 @@
     Open,
 }
 
+/// Loads of a holder that count in the window, for the next holder.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case", default)]
+pub struct LoadHistory {
+    /// Ages, in milliseconds, of the loads that started in the window.
+    pub ages_ms: Vec<u32>,
+    /// Loads that the holder may order until the row is written again.
+    pub reserved: u32,
+}
+
 /// Identifies the order of a load: the runner, and the number of orders that
 /// the runner must have accepted before.
 type LoadKey = (String, u64);
@@ -93,6 +107,11 @@
     /// Time from which the loads of another host are out of the window, apart
     /// from those in `inherited`.
     clear_from: EpochMillis,
+    /// Number of loads ordered so far.
+    ordered: u64,
+    /// Number of loads that may be ordered in all before the history is written
+    /// again; `None` before it was first written.
+    reserved_until: Option<u64>,
 }
 
 impl LoadLimiter {
@@ -101,17 +120,54 @@
         LoadLimiter { window, refilled_at: now, ..LoadLimiter::default() }
     }
 
-    /// Takes over from a host that left `open` loads that may still start. Its
-    /// last order was sent before `last_order`.
+    /// Returns the loads that count in the window, and the total number of
+    /// ordered loads up to which they reserve orders at a rate of `per_second`:
+    /// what the token bucket may grant until the row is written again.
+    pub fn history(
+        &self,
+        per_second: f64,
+        until_next: Duration,
+        now: EpochMillis,
+    ) -> (LoadHistory, u64) {
+        let counted = self.started.iter().map(|at| at.until(now));
+        let counted = counted.filter(|age| *age < self.window);
+        let ages_ms = counted.map(|age| age.as_millis() as u32).collect();
+        let grants = burst(per_second) + per_second * until_next.as_secs_f64();
+        let reserved = grants.ceil() as u32;
+        let history = LoadHistory { ages_ms, reserved };
+        (history, self.ordered + u64::from(reserved))
+    }
+
+    /// Records that a history was written which reserves orders up to this
+    /// total number.
+    pub fn record_reservation(&mut self, until: u64) {
+        self.reserved_until = Some(until);
+    }
+
+    /// Takes over from a holder that left `open` loads that may still start. Its
+    /// last order was sent before `last_order`. Without a history, the whole
+    /// window has to pass.
     pub fn inherit(
         &mut self,
         open: u32,
+        history: Option<&LoadHistory>,
         last_order: EpochMillis,
         now: EpochMillis,
     ) {
         let until = now.after(MAX_START_DELAY);
         self.inherited.extend((0..open).map(|_| until));
-        self.clear_from = last_order.after(self.window);
+        match history {
+            Some(history) => {
+                let ages = history.ages_ms.iter();
+                let starts = ages.map(|age| {
+                    now.before(Duration::from_millis(u64::from(*age)))
+                });
+                self.started.extend(starts.map(|at| at.min(last_order)));
+                let reserved = 0..history.reserved;
+                self.started.extend(reserved.map(|_| last_order));
+            }
+            None => self.clear_from = last_order.after(self.window),
+        }
         self.tokens = 0.0;
         self.refilled_at = now;
     }
@@ -120,8 +176,8 @@
     pub fn allows(&mut self, per_second: f64, now: EpochMillis) -> bool {
         let seconds = self.refilled_at.until(now).as_secs_f64();
         self.refilled_at = now;
-        let burst = MIN_BURST.max(per_second * BURST_TIME.as_secs_f64());
-        self.tokens = (self.tokens + per_second * seconds).min(burst);
+        self.tokens =
+            (self.tokens + per_second * seconds).min(burst(per_second));
         let window = self.window;
         self.started.retain(|at| now < at.after(window));
         self.open.retain(|_, until| now < until.after(window));
@@ -129,6 +185,7 @@
         let counted = self.started.len() + self.open_count();
         let limit = (per_second * window.as_secs_f64()).max(1.0);
         self.clear_from <= now
+            && self.reserved_until.is_none_or(|until| self.ordered < until)
             && 1.0 <= self.tokens
             && counted as f64 + 1.0 <= limit
     }
@@ -141,6 +198,7 @@
         now: EpochMillis,
     ) {
         self.tokens -= 1.0;
+        self.ordered += 1;
         let key = (runner.to_owned(), expected);
         self.open.insert(key, now.after(MAX_START_DELAY));
     }
@@ -199,3 +257,8 @@
         self.open.len() + self.inherited.len()
     }
 }
+
+/// Returns the loads that may start at once after a pause.
+fn burst(per_second: f64) -> f64 {
+    MIN_BURST.max(per_second * BURST_TIME.as_secs_f64())
+}
--- a/crates/celerylead/src/placement/mod.rs
+++ b/crates/celerylead/src/placement/mod.rs
@@ -46,7 +46,7 @@
     },
     demand::{DemandMeter, ModelDemand},
     fleet::{FleetPlan, ModelStep, ServicePlan},
-    loads::{LoadLimiter, LoadOutcome, LoadSource},
+    loads::{LoadHistory, LoadLimiter, LoadOutcome, LoadSource},
     managed::{
         Idle, ManagedRunner, NeedsReport, OrderAttempt, Pending, Unanswered,
     },
--- a/crates/celerylead/src/placement/tests/loads.rs
+++ b/crates/celerylead/src/placement/tests/loads.rs
@@ -7,7 +7,8 @@
 use crate::{
     EpochMillis,
     placement::{
-        LoadLimiter, LoadOutcome, LoadSource, OrderAttempt, SendOutcome,
+        LoadHistory, LoadLimiter, LoadOutcome, LoadSource, OrderAttempt,
+        SendOutcome,
     },
     port::{OrderVerdict, PlacementOrder},
     runner::OrderKind,
@@ -32,12 +33,15 @@
     /// Another host left this many loads open; its last order is this many
     /// milliseconds old.
     Inherit(u32, u64),
+    /// An earlier process of this host wrote a history with these ages of loads
+    /// and this many reserved ones.
+    Resume(&'static [u32], u32),
 }
 
 #[test]
 fn a_load_counts_until_it_can_no_longer_begin_in_the_window() {
     use LoadOutcome::{NotStarted, Open, Started};
-    use Step::{End, Full, Inherit, Order, Reported, Retry};
+    use Step::{End, Full, Inherit, Order, Reported, Resume, Retry};
     struct Case {
         name: &'static str,
         steps: &'static [(u64, Step)],
@@ -127,6 +131,18 @@
                 (28_000, Order(&[2, 3])),
             ],
         },
+        Case {
+            name: "a host that starts again doesn't wait for a window",
+            steps: &[
+                (10_000, Resume(&[1_000, 4_000], 3)),
+                (10_624, Full),
+                (11_250, Order(&[1, 2])),
+                (12_500, Order(&[3, 4])),
+                (13_999, Full),
+                (14_000, Order(&[5])),
+                (14_999, Full),
+            ],
+        },
     ];
     for Case { name, steps } in cases {
         let mut limiter = LoadLimiter::new(WINDOW, EpochMillis(0));
@@ -148,7 +164,14 @@
                 Reported(orders) => limiter.record_report("i-1", *orders, now),
                 Inherit(open, back) => {
                     let last = now.before(Duration::from_millis(*back));
-                    limiter.inherit(*open, last, now);
+                    limiter.inherit(*open, None, last, now);
+                }
+                Resume(ages, reserved) => {
+                    let history = LoadHistory {
+                        ages_ms: ages.to_vec(),
+                        reserved: *reserved,
+                    };
+                    limiter.inherit(0, Some(&history), now, now);
                 }
             }
         }
@@ -165,6 +188,16 @@
     under_way: bool,
 }
 
+/// Returns the largest number of loads that start within a window.
+fn most_in_window(started: &mut [u64]) -> usize {
+    started.sort_unstable();
+    let counts = started.iter().map(|first| {
+        let end = first + WINDOW.as_millis() as u64;
+        started.iter().filter(|load| (*first..end).contains(load)).count()
+    });
+    counts.max().unwrap_or(0)
+}
+
 /// Guards against more loads in a window than the rate allows when orders are
 /// answered, or are lost and carried out up to 12 s later. Lost orders are
 /// sent again, and two hosts alternate as lease holder.
@@ -185,7 +218,7 @@
                 let inherited = limiter.open_count() as u32;
                 at += HANDOVER_MS;
                 limiter = LoadLimiter::new(WINDOW, EpochMillis(at));
-                limiter.inherit(inherited, last, EpochMillis(at));
+                limiter.inherit(inherited, None, last, EpochMillis(at));
                 started.extend(open.drain(..).map(|load| load.late_start_ms));
             }
             let now = EpochMillis(at);
@@ -223,12 +256,7 @@
                 });
             }
         }
-        started.sort_unstable();
-        let most = started.iter().map(|first| {
-            let end = first + WINDOW.as_millis() as u64;
-            started.iter().filter(|load| (*first..end).contains(load)).count()
-        });
-        let most = most.max().unwrap_or(0);
+        let most = most_in_window(&mut started);
         assert!(most <= 8, "seed {seed}: {most} loads in a window");
         // A limiter that allows less than a quarter of the rate is of little
         // use.
@@ -236,6 +264,56 @@
     }
 }
 
+/// Guards against more loads in a window than the rate allows: a host is killed
+/// and starts again, and all it knows is the row that it last wrote.
+#[test]
+fn loads_are_counted_over_the_starts_of_a_host() {
+    const WRITE_PERIOD: Duration = Duration::from_millis(1_000);
+    /// Longest time from an order to the begin of its load.
+    const START_LIMIT_MS: u64 = 100;
+    for seed in 0..300 {
+        let mut random = SmallRng::seed_from_u64(seed);
+        let mut started: Vec<u64> = Vec::new();
+        let mut open: Vec<(u64, u64)> = Vec::new();
+        let mut limiter = LoadLimiter::new(WINDOW, EpochMillis(0));
+        let mut row = (0, LoadHistory::default());
+        let (mut number, mut at, mut write_at) = (0, 0, 0);
+        while at < 120_000 {
+            at += random.random_range(1..50);
+            if random.random_range(0..200) == 0 {
+                started.extend(open.drain(..).map(|(_, starts)| starts));
+                at += random.random_range(START_LIMIT_MS..1_000);
+                limiter = LoadLimiter::new(WINDOW, EpochMillis(at));
+                let now = EpochMillis(at);
+                limiter.inherit(row.0, Some(&row.1), now, now);
+                write_at = at;
+            }
+            let now = EpochMillis(at);
+            if write_at <= at {
+                let (history, reserved_until) =
+                    limiter.history(RATE, WRITE_PERIOD, now);
+                row = (limiter.open_count() as u32, history);
+                limiter.record_reservation(reserved_until);
+                write_at = at + WRITE_PERIOD.as_millis() as u64;
+            }
+            for (number, starts) in open.extract_if(.., |load| load.1 <= at) {
+                let outcome = LoadOutcome::Started;
+                limiter.record_outcome("i-1", number, outcome, now);
+                started.push(starts);
+            }
+            if limiter.allows(RATE, now) {
+                number += 1;
+                limiter.record_order("i-1", number, now);
+                let delay = random.random_range(1..START_LIMIT_MS);
+                open.push((number, at + delay));
+            }
+        }
+        let most = most_in_window(&mut started);
+        assert!(most <= 8, "seed {seed}: {most} loads in a window");
+        assert!(24 <= started.len(), "seed {seed}: {} loads", started.len());
+    }
+}
+
 #[test]
 fn a_send_outcome_decides_whether_a_load_can_still_start() {
     use LoadOutcome::{NotStarted, Open, Started};
--- a/crates/celerylead/src/tasks/node/lease.rs
+++ b/crates/celerylead/src/tasks/node/lease.rs
@@ -13,8 +13,10 @@
 use crate::{
     clock::EpochMillis,
     membership::{
-        HostRow, LeaseClaim, OrderPermit, OrdersLease, OrdersRow, RENEW_PERIOD,
+        HostRow, LeaseClaim, OrderPermit, OrdersLease, OrdersRow,
+        RENEW_PERIOD, StoredOrdersRow,
     },
+    placement::LoadHistory,
 };
 
 /// Silence of the lease holder after which another host reads the lease's row.
@@ -52,7 +54,7 @@
     /// Row of the previous holder, which may be an earlier process of this
     /// host, until [`take_previous_holder`](Self::take_previous_holder)
     /// returns it.
-    previous_holder: Option<OrdersRow>,
+    previous_holder: Option<StoredOrdersRow>,
     /// This host's row in the hosts' table.
     row: HostRow,
     /// Window within which the platform counts orders of two hosts as
@@ -64,9 +66,10 @@
     pub(super) fn new(
         row: HostRow,
         alternation_window: Duration,
+        now: EpochMillis,
     ) -> LeaseKeeper {
         LeaseKeeper {
-            lease: OrdersLease::default(),
+            lease: OrdersLease::new(now),
             permit: watch::channel(OrderPermit::default()).0,
             call_pending: false,
             next_call_at: Instant::now() + claim_delay(&row),
@@ -92,6 +95,32 @@
         self.lease.fencing(now)
     }
 
+    /// Returns whether the deployment has settled, so that models may be moved.
+    pub(super) fn is_settled(&self, now: EpochMillis) -> bool {
+        self.lease.is_settled(now)
+    }
+
+    /// Returns the time in which the deployment still settles, and the processes
+    /// of this host in a row that didn't use the lease so far.
+    pub(super) fn start_up(&self, now: EpochMillis) -> (Duration, u32) {
+        let unused = self.lease.stored().map(|stored| stored.unused_terms);
+        (now.until(self.lease.settled_at()), unused.unwrap_or(0))
+    }
+
+    /// Records that this host moves models under the lease. The first time, the
+    /// row is written again soon, so that it states the use.
+    pub(super) fn record_use(&mut self) {
+        if self.lease.record_use() {
+            self.renew_soon();
+        }
+    }
+
+    /// Brings the next store call forward, as the row has to state something
+    /// new.
+    pub(super) fn renew_soon(&mut self) {
+        self.next_call_at = Instant::now();
+    }
+
     /// Returns the time since the start of the last successful claim.
     pub(super) fn renewal_age(&self, now: EpochMillis) -> Duration {
         self.renewed_at.until(now)
@@ -110,7 +139,7 @@
         version: u64,
         now: EpochMillis,
     ) {
-        self.lease.record_read(Some(row.clone()), version, now);
+        self.lease.record_announcement(row, version, now);
         self.publish_permit();
         self.next_call_at = Instant::now() + HOLDER_TIMEOUT;
     }
@@ -140,16 +169,17 @@
 
     /// Returns the row of the previous holder, which may be an earlier process
     /// of this host, once after each takeover.
-    pub(super) fn take_previous_holder(&mut self) -> Option<OrdersRow> {
+    pub(super) fn take_previous_holder(&mut self) -> Option<StoredOrdersRow> {
         self.previous_holder.take()
     }
 
     /// Returns the store call that is due, if any: a claim or renewal, or a
     /// read that shows whether the lease is free. A claim states the number of
-    /// open loads.
+    /// open loads and those that count in the window.
     pub(super) fn next_call(
         &mut self,
         open_loads: u32,
+        loads: LoadHistory,
         now: EpochMillis,
     ) -> Option<LeaseCall> {
         if self.call_pending || Instant::now() < self.next_call_at {
@@ -158,7 +188,8 @@
         self.call_pending = true;
         self.next_call_at = Instant::now() + READ_PERIOD;
         let claim = self.claim(now).map(|mut claim| {
-            claim.row.open_loads = open_loads;
+            claim.row.row.open_loads = open_loads;
+            claim.row.loads = Some(loads);
             claim
         });
         Some(claim.map_or(LeaseCall::Read, LeaseCall::Write))
@@ -187,8 +218,9 @@
                     Some(version) => {
                         self.renewed_at = claim.claimed_at;
                         let own = (&self.row.host, self.row.incarnation);
-                        let previous = self.lease.row().map(|(row, _)| row);
-                        let previous = previous.filter(|row| {
+                        let previous = self.lease.stored();
+                        let previous = previous.filter(|stored| {
+                            let row = &stored.row;
                             (&row.holder, row.incarnation) != own
                         });
                         if let Some(previous) = previous {
--- a/crates/celerylead/src/tasks/node/ordering.rs
+++ b/crates/celerylead/src/tasks/node/ordering.rs
@@ -24,18 +24,18 @@
 
 impl<C: EdgeCodec> PlacerTask<C> {
     /// Issues the orders that are due, each to a runner without an order in
-    /// progress.
+    /// progress. Models are moved only if `may_move` is set.
     pub(super) fn issue_orders(
         &mut self,
         catalog: &ServiceCatalog,
         fencing: u64,
+        may_move: bool,
         now: EpochMillis,
     ) {
         let demand = self.total_demand(now);
         for service in catalog.services() {
             let Some(engine) = &service.engine else { continue };
-            let settled = self.settled_at <= Instant::now();
-            if settled && self.tick_count.is_multiple_of(TICKS_PER_PLAN) {
+            if may_move && self.tick_count.is_multiple_of(TICKS_PER_PLAN) {
                 self.order_models(service, engine, &demand, fencing, now);
             }
             self.order_adapters(engine, &demand, fencing, now);
--- a/crates/celerylead/src/tasks/node/orders.rs
+++ b/crates/celerylead/src/tasks/node/orders.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     clock::EpochMillis,
-    membership::{LeaseClaim, OrdersRow},
+    membership::{LeaseClaim, StoredOrdersRow},
     placement::{LoadSource, OrderAttempt, SendOutcome},
     port::{
         EdgeCodec, EngineReport, HttpLink, PlacementOrder, RowChange, RowKey,
@@ -30,7 +30,7 @@
 /// Outcome of a store call on the lease's row.
 pub(super) enum LeaseOutcome {
     /// The row was read, with its version; no row has version 0.
-    Read(Option<OrdersRow>, u64),
+    Read(Option<StoredOrdersRow>, u64),
     /// The row was written as this version; `None` if the stored row didn't
     /// have the expected version.
     Claimed(LeaseClaim, Option<u64>),
--- a/crates/celerylead/src/tasks/node/placer.rs
+++ b/crates/celerylead/src/tasks/node/placer.rs
@@ -23,7 +23,7 @@
 use crate::{
     catalog::ServiceCatalog,
     clock::{EpochMillis, HostClock},
-    membership::{HostMessage, HostRow},
+    membership::{HostMessage, HostRow, RENEW_PERIOD},
     placement::{
         AdapterPlanner, BroadcastFanout, FleetPlan, LoadLimiter, ModelDemand,
         OrderAttempt, OrderStep, ReachLog, ResidencyBroadcast, RunnerTable,
@@ -43,10 +43,6 @@
 /// [`TICK_PERIOD`]: in a large fleet many orders end at once, and the host's
 /// lease, callers and answers need the processor too.
 const TICK_PAUSE_FACTOR: u32 = 4;
-/// Time after the start of a process in which it moves no models: when a
-/// deployment starts, the runners register over some seconds, and a model that
-/// seems to be missing may be at a runner that isn't listed yet.
-const STARTUP_SETTLE_TIME: Duration = Duration::from_millis(6_000);
 /// Time after taking the lease in which the holder moves no models: it knows no
 /// demand before the other hosts know of it.
 const DEMAND_SETTLE_TIME: Duration = Duration::from_millis(1_000);
@@ -85,13 +81,15 @@
     lease: LeaseKeeper,
     /// Whether this host held the orders lease at its last tick.
     holds_lease: bool,
-    /// Time from which the process moves models.
-    pub(super) settled_at: Instant,
+    /// Time from which the demand of the other hosts is known.
+    demand_known_at: EpochMillis,
     pub(super) runners: RunnerTable,
     pub(super) plan: FleetPlan,
     pub(super) adapter_planner: AdapterPlanner,
     pub(super) uses: UseTable,
     pub(super) loads: LoadLimiter,
+    /// Total number of loads that the last claim reserves.
+    claimed_loads: u64,
     pub(super) demand: SortedTable<String, (EpochMillis, ModelDemand)>,
     pub(super) broadcast: ResidencyBroadcast,
     pub(super) reach: ReachLog,
@@ -112,14 +110,19 @@
     let (outcome_sender, outcomes) = mpsc::channel(MAILBOX);
     let now = Instant::now();
     let task = PlacerTask {
-        lease: LeaseKeeper::new(setup.row.clone(), setup.alternation_window),
+        lease: LeaseKeeper::new(
+            setup.row.clone(),
+            setup.alternation_window,
+            setup.clock.now(),
+        ),
         holds_lease: false,
-        settled_at: now + STARTUP_SETTLE_TIME,
+        demand_known_at: EpochMillis::default(),
         runners: RunnerTable::default(),
         plan: FleetPlan::default(),
         adapter_planner: AdapterPlanner::default(),
         uses: UseTable::default(),
         loads: LoadLimiter::new(setup.load_window, setup.clock.now()),
+        claimed_loads: 0,
         demand: SortedTable::default(),
         broadcast: ResidencyBroadcast::default(),
         reach: ReachLog::default(),
@@ -238,15 +241,21 @@
         };
         if !self.holds_lease {
             self.holds_lease = true;
-            let settled_at = Instant::now() + DEMAND_SETTLE_TIME;
-            self.settled_at = self.settled_at.max(settled_at);
+            self.demand_known_at = now.after(DEMAND_SETTLE_TIME);
             self.broadcast.restart();
             self.runners.reset(now);
             self.adopted = None;
             let inherited = self.inherit_loads(now);
+            if inherited.is_some() {
+                // A holder that takes over from this one has to count them too.
+                self.lease.renew_soon();
+            }
+            let (settling, unused_terms) = self.lease.start_up(now);
             tracing::info!(
                 event = "orders_held",
                 fencing,
+                settling_ms = settling.as_millis() as u64,
+                unused_terms,
                 inherited_loads = inherited,
                 open_loads = self.loads.open_count(),
             );
@@ -263,7 +272,12 @@
             self.send(step);
         }
         self.tick_count = self.tick_count.wrapping_add(1);
-        self.issue_orders(&catalog, fencing, now);
+        let may_move =
+            self.lease.is_settled(now) && self.demand_known_at <= now;
+        if may_move {
+            self.lease.record_use();
+        }
+        self.issue_orders(&catalog, fencing, may_move, now);
         self.broadcast_residency(now).await;
     }
 
@@ -296,13 +310,14 @@
         // The last order of another host is at least the alternation window
         // old; an earlier process of this host may have sent orders until it
         // ended.
-        let last_order = if previous.holder == self.setup.row.host {
+        let last_order = if previous.row.holder == self.setup.row.host {
             now
         } else {
             now.before(self.setup.alternation_window)
         };
-        self.loads.inherit(previous.open_loads, last_order, now);
-        Some(previous.open_loads)
+        let (open, history) = (previous.row.open_loads, previous.loads);
+        self.loads.inherit(open, history.as_ref(), last_order, now);
+        Some(open)
     }
 
     /// Gives up the lease, and announces this to the other hosts, which then
@@ -339,9 +354,19 @@
             self.lease.defer();
             return;
         }
+        let knows_runners = self.setup.roster.borrow().is_some()
+            && self.setup.catalog.borrow().is_some();
+        if !self.holds_lease && !knows_runners {
+            // Without them the lease would be of no use here.
+            return;
+        }
         let open_loads = self.loads.open_count() as u32;
-        let call = self.lease.next_call(open_loads, now);
+        let per_second = self.load_rate();
+        let (loads, reserved_until) =
+            self.loads.history(per_second, RENEW_PERIOD, now);
+        let call = self.lease.next_call(open_loads, loads, now);
         let Some(call) = call else { return };
+        self.claimed_loads = reserved_until;
         let store = self.setup.store.clone();
         let outcome_sender = self.outcome_sender.clone();
         crate::tasks::spawn(async move {
@@ -379,6 +404,7 @@
             }
             RequestOutcome::Lease(end) => {
                 if self.lease.call_ended(end, now) {
+                    self.loads.record_reservation(self.claimed_loads);
                     // The other hosts need the new version of the lease's row.
                     self.broadcast.send_soon();
                 }
@@ -386,6 +412,14 @@
         }
     }
 
+    /// Returns the highest configured number of loads per second.
+    fn load_rate(&self) -> f64 {
+        let catalog = self.setup.catalog.borrow();
+        let services = catalog.iter().flat_map(|catalog| catalog.services());
+        let engines = services.filter_map(|service| service.engine.as_ref());
+        engines.map(|engine| engine.loads_per_second).fold(0.0, f64::max)
+    }
+
     /// Returns the configured load time of the ordered model, and zero for an
     /// order that loads nothing.
     fn expected_order_time(&self, order: &PlacementOrder) -> Duration {
