Give up a server that sends informational heads without end

Cause: heads with status 100, 102 or 103 without an end occupied a call up to its deadline and gave 504.

Change: HttpLink counts informational heads for each request; more than eight end the attempt as in doubt, which gives 502 or a further run where the call may run again. The end isn't evidence of a crash. Ruled out: a shorter deadline for heads, which would also end slow servers.

--- a/crates/celerylead/src/tasks/node/attempt.rs
+++ b/crates/celerylead/src/tasks/node/attempt.rs
@@ -33,7 +33,7 @@
     relay::{CallEnd, CallHead, CallProfile, CallRequirements},
     request::{Admitted, Refusal, RefusalCode, Request, RunOutcome, Sent},
     tasks::intake::{BodyRoom, Kept},
-    wire::answer::is_framed,
+    wire::{answer::is_framed, link::EndlessInformational},
 };
 
 /// Longest wait for a connection to a runner. A connection opens within
@@ -505,7 +505,8 @@
     let is_malformed = error
         .downcast_ref::<hyper::Error>()
         .is_some_and(hyper::Error::is_parse);
-    if is_malformed || error.is::<Elapsed>() {
+    let is_endless = error.is::<EndlessInformational>();
+    if is_malformed || is_endless || error.is::<Elapsed>() {
         CallEnd::Broken
     } else {
         CallEnd::Cut
--- a/crates/celerylead/src/wire/link.rs
+++ b/crates/celerylead/src/wire/link.rs
@@ -4,7 +4,7 @@
 //! to be closed. Whether a request may be sent again depends on its state, so
 //! this module uses connections directly, one request at a time.
 
-use std::{io, time::Duration};
+use std::{fmt, io, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -13,6 +13,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{
     net::{TcpListener, TcpStream},
+    sync::watch,
     time::Instant,
 };
 
@@ -66,10 +67,32 @@
 /// body the caller hasn't taken. Hundreds of connections may be full at once.
 pub(crate) const READ_BUFFER_BYTES: usize = 32 << 10;
 
+/// Most informational heads (status 1xx) before the head of a response. A
+/// server has no use for more than one or two; one that sends them without end
+/// would occupy its caller up to the deadline.
+const MAX_INFORMATIONAL_HEADS: u32 = 8;
+
+/// A server sent too many informational heads instead of a response.
+#[derive(Debug)]
+pub(crate) struct EndlessInformational;
+
+impl fmt::Display for EndlessInformational {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            formatter,
+            "more than {MAX_INFORMATIONAL_HEADS} informational heads"
+        )
+    }
+}
+
+impl std::error::Error for EndlessInformational {}
+
 /// An open connection to a server.
 #[derive(Debug)]
 pub struct HttpLink {
     sender: http1::SendRequest<Full<Bytes>>,
+    /// Number of informational heads since the latest request.
+    informational: watch::Sender<u32>,
     peer: String,
     /// Number of requests sent on the connection.
     requests: u32,
@@ -125,7 +148,12 @@
                 tracing::debug!(event = "link_closed", %error);
             }
         });
-        Ok(HttpLink { sender, peer: peer.to_owned(), requests: 0 })
+        Ok(HttpLink {
+            sender,
+            informational: watch::Sender::new(0),
+            peer: peer.to_owned(),
+            requests: 0,
+        })
     }
 
     /// Returns whether the connection can take a request now.
@@ -146,9 +174,16 @@
     /// been written.
     pub async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
         deadline: Instant,
     ) -> Result<Response<Incoming>, SendFault> {
+        self.informational.send_replace(0);
+        let counter = self.informational.clone();
+        hyper::ext::on_informational(&mut request, move |_| {
+            counter.send_modify(|heads| *heads += 1);
+        });
+        let mut heads = self.informational.subscribe();
+        let endless = heads.wait_for(|heads| MAX_INFORMATIONAL_HEADS < *heads);
         let peer = self.peer.as_str();
         let ready = tokio::time::timeout_at(deadline, self.sender.ready());
         let ready = ready
@@ -160,7 +195,15 @@
         }
         self.requests = self.requests.saturating_add(1);
         let answer = self.sender.try_send_request(request);
-        match tokio::time::timeout_at(deadline, answer).await {
+        let answer = tokio::select! {
+            biased;
+            answer = tokio::time::timeout_at(deadline, answer) => answer,
+            Ok(_) = endless => {
+                let error = anyhow::Error::new(EndlessInformational);
+                return Err(SendFault::InDoubt(error));
+            }
+        };
+        match answer {
             Err(_) => Err(SendFault::TimedOut),
             Ok(Ok(response)) => Ok(response),
             Ok(Err(mut fault)) => {
