--- a/crates/celerylead/src/tasks/node/router.rs
+++ b/crates/celerylead/src/tasks/node/router.rs
@@ -28,11 +28,10 @@
     model::ModelName,
     placement::DemandMeter,
     quarantine::KeptVerdict,
-    relay::{CallEnd, CallRequirements, ModelPaces, RelayTable, RunnerNotice},
+    relay::{CallEnd, CallRequirements, ColdBounds, ModelPaces, RelayTable},
     request::{
         Refusal, RefusalCode, RetryAllowance, RetryClaim, admission::Admission,
     },
-    roster::RunnerStart,
     sorted::SortedTable,
 };
 
@@ -51,6 +50,7 @@
     pub(crate) roster: RosterWatch,
     pub(crate) gossip: GossipPort,
     pub(crate) allowance: RetryAllowance,
+    pub(crate) cold_bounds: ColdBounds,
     /// Receives the claims of retries that are to be written.
     pub(crate) claims: watch::Sender<Vec<RetryClaim>>,
     /// Receives the verdicts that are to be kept for hosts that start.
@@ -62,6 +62,9 @@
     pub(super) setup: RouterSetup,
     pub(super) catalog: Arc<ServiceCatalog>,
     pub(super) table: RelayTable,
+    /// Time from which the shares of cold runners are determined again; `None`
+    /// if no service has cold runners.
+    pub(super) cold_refresh_at: Option<EpochMillis>,
     pub(super) buckets: SortedTable<String, FleetBucket>,
     pub(super) host_liveness: HostLiveness,
     pub(super) retries: RetryKeeper,
@@ -82,7 +85,12 @@
 pub(crate) fn start(setup: RouterSetup, inbox: RouterInbox) {
     let task = RouterTask {
         catalog: Arc::default(),
-        table: RelayTable::new(&setup.zone),
+        table: RelayTable::with_cold_bounds(
+            &setup.host,
+            &setup.zone,
+            setup.cold_bounds,
+        ),
+        cold_refresh_at: None,
         buckets: SortedTable::default(),
         host_liveness: HostLiveness::default(),
         retries: RetryKeeper::new(
@@ -171,6 +179,7 @@
 
     fn handle(&mut self, event: RouterEvent) {
         let now = self.setup.clock.now();
+        self.refresh_cold(now);
         match event {
             RouterEvent::Route(call) => self.admit(*call, now),
             RouterEvent::AnswerHead { start, notice, sent_at } => {
@@ -190,6 +199,8 @@
                 self.quarantine.note_sound(&parts, now);
             }
             RouterEvent::Evidence { report, at } => {
+                let crashes = report.crashes.iter();
+                self.suspect_restarts(crashes.map(|crash| &crash.start), now);
                 self.quarantine.merge(&report, at);
             }
             RouterEvent::ReadVerdicts(reply) => {
@@ -205,12 +216,20 @@
             RouterEvent::Departing(starts) => {
                 self.note_departures(&starts, now);
             }
-            RouterEvent::HostAdded(host) => self.host_liveness.add_host(&host),
+            RouterEvent::Unreachable(starts) => {
+                self.suspect_restarts(starts.iter(), now);
+            }
+            RouterEvent::HostAdded { host, zone } => {
+                self.host_liveness.add_host(&host);
+                self.table.add_host(&host, &zone);
+            }
             RouterEvent::HostRemoved(host) => {
                 self.host_liveness.remove_host(&host);
+                self.table.remove_host(&host);
             }
             RouterEvent::HostsListed { kept } => {
                 self.retries.set_hosts(self.host_liveness.count());
+                self.table.note_hosts_listed(now);
                 if let Some(kept) = kept {
                     self.retries.open(&kept.claims, now);
                     self.quarantine.adopt(&kept.verdicts, now);
@@ -261,55 +280,18 @@
             };
             self.buckets.insert(customer.name.clone(), bucket);
         }
+        self.set_cold_services(&catalog);
         self.catalog = catalog;
         self.retry_waiting();
     }
 
-    fn adopt_roster(&mut self, roster: &[crate::roster::RunnerFacts]) {
-        self.table.set_roster(roster.iter());
-        self.close_unused_links();
-        self.retry_waiting();
-    }
-
-    /// Closes the idle connections to runners that take no more calls.
-    fn close_unused_links(&mut self) {
-        let table = &self.table;
-        self.links.retain(|runner| table.takes_calls(runner));
-    }
-
-    /// Applies what a runner stated about itself in an answer.
-    fn note_runner(
+    pub(super) fn adopt_roster(
         &mut self,
-        start: &RunnerStart,
-        notice: RunnerNotice,
-        now: EpochMillis,
+        roster: &[crate::roster::RunnerFacts],
     ) {
-        if notice.is_empty() {
-            return;
-        }
-        let took_calls = self.table.takes_calls(&start.id);
-        self.table.note_runner(start, notice, now);
-        if took_calls && !self.table.takes_calls(&start.id) {
-            log_departure(start, "answer");
-            self.close_unused_links();
-        }
-        if now < notice.paused_until {
-            tracing::info!(
-                event = "runner_paused",
-                runner = start.id,
-                pause_ms = now.until(notice.paused_until).as_millis() as u64,
-            );
-        }
-    }
-
-    /// Applies what runners told another host: that they are leaving.
-    fn note_departures(&mut self, starts: &[RunnerStart], now: EpochMillis) {
-        for start in starts {
-            if self.table.note_departure(start, now) {
-                log_departure(start, "host");
-            }
-        }
+        self.table.set_roster(roster.iter());
         self.close_unused_links();
+        self.retry_waiting();
     }
 
     /// Admits a call and looks for a runner. The call is refused if its
@@ -400,6 +382,7 @@
         {
             self.paces.record(completed.choice.model(), latency_us);
         }
+        self.note_unreachable(&completed, now);
         self.table.end_call(
             &completed.choice,
             completed.head_reported,
@@ -420,8 +403,3 @@
         self.offer_place(&completed.choice.runner, now);
     }
 }
-
-fn log_departure(start: &RunnerStart, source: &str) {
-    let RunnerStart { id, born } = start;
-    tracing::info!(event = "runner_departing", runner = id, born, source);
-}
--- a/crates/celerylead/src/tasks/node/router_admission.rs
+++ b/crates/celerylead/src/tasks/node/router_admission.rs
@@ -116,6 +116,9 @@
             let id = call.requirements.id.as_str();
             self.retries.record_sent(id, grant, now);
         }
+        if choice.send_by.is_some() {
+            self.setup.metrics.cold_sends.inc();
+        }
         let link = if call.requirements.profile.idempotent {
             self.links.take_any(&choice.runner)
         } else {
@@ -145,7 +148,7 @@
                 self.refuse_until(entry.call, fault.text(), Some(end));
                 return;
             }
-            PickFault::Paused(end) => {
+            PickFault::Paused(end) | PickFault::Cold(end) => {
                 let next = self.retry_waiting_at.map_or(end, |at| at.min(end));
                 self.retry_waiting_at = Some(next);
             }
