--- a/crates/celerylead/src/request/admission/ticket.rs
+++ b/crates/celerylead/src/request/admission/ticket.rs
@@ -58,7 +58,7 @@
     Yield,
     /// A runner that holds the model or adapter.
     Model,
-    /// A runner, the end of a pause, or the end of an outage.
+    /// A runner, the end of a pause, or a share of a cold runner.
     Runner,
 }
 
