Take the first part of an answer's body as its first event

Cause: the head of an answer was taken for its first event. A runner may send it before it has processed the prompt, so that it tells nothing of the wait; and a refusal has a head as well, which was told apart by its status. Ruled out: both reports side by side, as one of them would be wrong. A lost report is a lost sample. No test covers the way from the body to the table.

--- a/crates/celerylead/src/tasks/node/attempt.rs
+++ b/crates/celerylead/src/tasks/node/attempt.rs
@@ -235,8 +235,7 @@
                 let now = self.context.clock.now();
                 let codec = &self.context.codec;
                 let notice = codec.read_notice(request.id(), &head, now);
-                let is_success = head.status.is_success();
-                slot.head_received(notice, is_success).await;
+                slot.head_received(notice).await;
                 self.record.first_byte_at = Some(Instant::now());
                 let seconds = self.record.started.elapsed().as_secs_f64();
                 self.context.metrics.first_byte.observe(seconds);
--- a/crates/celerylead/src/tasks/node/router.rs
+++ b/crates/celerylead/src/tasks/node/router.rs
@@ -175,19 +175,14 @@
         let now = self.setup.clock.now();
         match event {
             RouterEvent::Route(call) => self.admit(*call, now),
-            RouterEvent::AnswerHead {
-                start,
-                notice,
-                sent_at,
-                first_event,
-            } => {
+            RouterEvent::AnswerHead { start, notice, sent_at } => {
                 self.table.note_head(&start, now);
-                if let Some(sent) = first_event {
-                    self.table.note_first_event(&start, sent, now);
-                }
                 self.quarantine.note_answer(&start, sent_at, now);
                 self.note_runner(&start, notice, now);
             }
+            RouterEvent::FirstEvent { start, sent } => {
+                self.table.note_first_event(&start, sent, now);
+            }
             RouterEvent::StreamPace { runner, model, pace_us } => {
                 self.table.record_latency(&runner, &model, pace_us);
                 self.table.note_pace(&runner, &model, pace_us, now);
--- a/crates/celerylead/src/tasks/node/router_port.rs
+++ b/crates/celerylead/src/tasks/node/router_port.rs
@@ -33,14 +33,11 @@
     /// Choose a runner for a call.
     Route(Box<QueuedCall>),
     /// A runner has sent the head of an answer, with this notice, to a call
-    /// that was sent to it at `sent_at`. `first_event` is the call, if the head
-    /// is that of a successful answer.
-    AnswerHead {
-        start: RunnerStart,
-        notice: RunnerNotice,
-        sent_at: Instant,
-        first_event: Option<SentCall>,
-    },
+    /// that was sent to it at `sent_at`.
+    AnswerHead { start: RunnerStart, notice: RunnerNotice, sent_at: Instant },
+    /// The first part of a successful answer has arrived, or the whole answer to
+    /// a plain call.
+    FirstEvent { start: RunnerStart, sent: SentCall },
     /// Pace of a stream of a runner, in microseconds per event.
     StreamPace { runner: String, model: String, pace_us: u64 },
     /// An answer has gone on for so long that these parts of its prompt can't
@@ -147,6 +144,7 @@
     pub(crate) link: Option<HttpLink>,
     sender: mpsc::Sender<RouterEvent>,
     head_reported: bool,
+    first_event_reported: bool,
     trace: CallTrace,
     permit: Option<mpsc::OwnedPermit<CompletedCall>>,
 }
@@ -165,26 +163,20 @@
             link,
             sender: seat.sender,
             head_reported: false,
+            first_event_reported: false,
             trace: CallTrace::of(parts),
             permit: Some(seat.permit),
         }
     }
 
-    /// Reports that the head of the answer has been received, which is that of
-    /// a successful one or not. If the mailbox
+    /// Reports that the head of the answer has been received. If the mailbox
     /// of the router is full, the end of the call reports it, unless the head
     /// carries a notice, which can't wait for that.
-    pub(crate) async fn head_received(
-        &mut self,
-        notice: RunnerNotice,
-        is_success: bool,
-    ) {
+    pub(crate) async fn head_received(&mut self, notice: RunnerNotice) {
         self.trace.begun = true;
         let start = self.choice.start();
         let sent_at = self.trace.sent_at.unwrap_or_else(Instant::now);
-        let first_event = is_success.then_some(self.choice.sent);
-        let event =
-            RouterEvent::AnswerHead { start, notice, sent_at, first_event };
+        let event = RouterEvent::AnswerHead { start, notice, sent_at };
         self.head_reported = if notice.is_empty() {
             self.sender.try_send(event).is_ok()
         } else {
@@ -207,9 +199,15 @@
         self.trace.is_unframed = true;
     }
 
-    /// Notes that a part of the answer's body arrived. Reports once that the
-    /// answer goes on; a lost report is made up for by the end of the call.
+    /// Notes that a part of a successful answer's body arrived. Reports the first
+    /// one, and once that the answer goes on; a lost report of the latter is made
+    /// up for by the end of the call.
     pub(crate) fn note_frame(&mut self) {
+        if !std::mem::replace(&mut self.first_event_reported, true) {
+            let (start, sent) = (self.choice.start(), self.choice.sent);
+            let event = RouterEvent::FirstEvent { start, sent };
+            let _ = self.sender.try_send(event);
+        }
         if self.trace.note_frame(Instant::now()) {
             let parts = self.trace.parts.clone();
             let event = RouterEvent::SoundAnswer(parts);
