--- a/crates/celerylead/src/tasks/node/router.rs
+++ b/crates/celerylead/src/tasks/node/router.rs
@@ -193,23 +193,18 @@
         self.refresh_cold(now);
         match event {
             RouterEvent::Route(call) => self.admit(*call, now),
-            RouterEvent::AnswerHead {
-                start,
-                notice,
-                sent_at,
-                first_event,
-            } => {
+            RouterEvent::AnswerHead { start, notice, sent_at } => {
                 self.table.note_head(&start, now);
                 if let Some(service) = self.table.service_of(&start.id) {
                     let span = sent_at.elapsed();
                     self.admission.note_head(service, span);
                 }
-                if let Some(sent) = first_event {
-                    self.table.note_first_event(&start, sent, now);
-                }
                 self.quarantine.note_answer(&start, sent_at, now);
                 self.note_runner(&start, notice, now);
             }
+            RouterEvent::FirstEvent { start, sent } => {
+                self.table.note_first_event(&start, sent, now);
+            }
             RouterEvent::StreamPace { runner, model, pace_us } => {
                 self.table.record_latency(&runner, &model, pace_us);
                 self.paces.record(&model, pace_us);
