Repeat the announcement that the orders lease is released

Cause: a holder that stops told the hosts it knew at that moment, in one datagram. A host that misses it waits for the term of the lease as well: 5.5 s without a renewal and a read a second. Ruled out: an announcement of the holder after its release, which puts nothing off.

Change: the release is announced four times within a second; the first one that arrives counts, as no order follows it. A claim that finds a newer row reads the row at once instead of a second later.

--- a/crates/celerylead/src/membership/orders.rs
+++ b/crates/celerylead/src/membership/orders.rs
@@ -270,9 +270,15 @@
         }
     }
 
-    /// Records that the holder of a fencing token announced its release.
-    pub fn record_release(&mut self, fencing: u64, now: EpochMillis) {
-        self.peer_release = Some((fencing, now));
+    /// Records that the holder of a fencing token announced its release, and
+    /// returns whether this is new. The announcement is repeated, but no order
+    /// follows the first one.
+    pub fn record_release(&mut self, fencing: u64, now: EpochMillis) -> bool {
+        let is_known = self.peer_release.is_some_and(|(f, _)| f == fencing);
+        if !is_known {
+            self.peer_release = Some((fencing, now));
+        }
+        !is_known
     }
 
     /// Gives up the fencing token that this host holds and returns the token,
--- a/crates/celerylead/src/membership/tests/orders.rs
+++ b/crates/celerylead/src/membership/tests/orders.rs
@@ -242,7 +242,9 @@
     for Case { name, released, at, claim } in cases {
         let mut lease = OrdersLease::default();
         lease.record_read(Some(stored("b", 1, 4)), 9, EpochMillis(1_000));
-        lease.record_release(released, EpochMillis(1_100));
+        assert!(lease.record_release(released, EpochMillis(1_100)), "{name}");
+        // A repeated announcement doesn't put the takeover off.
+        assert!(!lease.record_release(released, EpochMillis(1_900)), "{name}");
         let found = lease.claim("a", 7, ALTERNATION_WINDOW, EpochMillis(at));
         let found = found.map(|claim| claim.row.row.fencing);
         assert_eq!(found, claim, "{name}");
--- a/crates/celerylead/src/tasks/node/lease.rs
+++ b/crates/celerylead/src/tasks/node/lease.rs
@@ -144,13 +144,21 @@
         self.next_call_at = Instant::now() + HOLDER_TIMEOUT;
     }
 
-    /// Records that the holder with this fencing token has released the lease.
+    /// Records that the holder with this fencing token has released the lease;
+    /// returns whether this is new.
     /// A random delay makes the hosts read the row at different times, so that
     /// one of them succeeds with its first claim.
-    pub(super) fn holder_released(&mut self, fencing: u64, now: EpochMillis) {
-        self.lease.record_release(fencing, now);
+    pub(super) fn holder_released(
+        &mut self,
+        fencing: u64,
+        now: EpochMillis,
+    ) -> bool {
+        if !self.lease.record_release(fencing, now) {
+            return false;
+        }
         let handover = OrdersLease::handover_delay(self.alternation_window);
         self.next_call_at = Instant::now() + handover + claim_delay(&self.row);
+        true
     }
 
     /// Puts off the next store call of a host that doesn't take the lease.
@@ -234,7 +242,11 @@
                             self.next_call_at = Instant::now();
                         }
                     }
-                    None => self.lease.invalidate(),
+                    None => {
+                        // The row was written since it was read or announced.
+                        self.lease.invalidate();
+                        self.next_call_at = Instant::now();
+                    }
                 }
             }
             LeaseOutcome::StoreFailed => self.lease.invalidate(),
--- a/crates/celerylead/src/tasks/node/placer.rs
+++ b/crates/celerylead/src/tasks/node/placer.rs
@@ -43,6 +43,15 @@
 /// [`TICK_PERIOD`]: in a large fleet many orders end at once, and the host's
 /// lease, callers and answers need the processor too.
 const TICK_PAUSE_FACTOR: u32 = 4;
+/// Pauses before each announcement that the lease is released. A host that
+/// misses a single datagram, or isn't known yet at the first one, would wait for
+/// the lease's term, two seconds longer.
+const RELEASE_PAUSES: [Duration; 4] = [
+    Duration::ZERO,
+    Duration::from_millis(100),
+    Duration::from_millis(300),
+    Duration::from_millis(600),
+];
 /// Time after taking the lease in which the holder moves no models: it knows no
 /// demand before the other hosts know of it.
 const DEMAND_SETTLE_TIME: Duration = Duration::from_millis(1_000);
@@ -218,8 +227,9 @@
                 false
             }
             PlacerEvent::LeaseReleased(fencing) => {
-                tracing::info!(event = "orders_released", fencing);
-                self.lease.holder_released(*fencing, now);
+                if self.lease.holder_released(*fencing, now) {
+                    tracing::info!(event = "orders_released", fencing);
+                }
                 false
             }
         }
@@ -235,7 +245,7 @@
         let Some(fencing) = fencing else {
             if self.holds_lease && !self.runners.awaits_answers() {
                 self.holds_lease = false;
-                self.release_lease().await;
+                self.release_lease();
             }
             return;
         };
@@ -323,7 +333,7 @@
     /// Gives up the lease, and announces this to the other hosts, which then
     /// don't have to wait until the lease expires. An order that went unanswered
     /// may still reach its runner, so that the lease isn't announced as free.
-    async fn release_lease(&mut self) {
+    fn release_lease(&mut self) {
         let Some(fencing) = self.lease.relinquish() else { return };
         let now = self.setup.clock.now();
         let leaving = *self.setup.phase.borrow() != NodePhase::Serving;
@@ -337,8 +347,13 @@
         if self.runners.has_unanswered() {
             return;
         }
-        let message = HostMessage::Released { fencing };
-        self.setup.gossip.broadcast(message).await;
+        let gossip = self.setup.gossip.clone();
+        crate::tasks::spawn(async move {
+            for pause in RELEASE_PAUSES {
+                tokio::time::sleep(pause).await;
+                gossip.broadcast(HostMessage::Released { fencing }).await;
+            }
+        });
     }
 
     /// Starts the store call that is due, if any: a claim or renewal of the
