--- a/crates/celerylead/src/relay/mod.rs
+++ b/crates/celerylead/src/relay/mod.rs
@@ -29,6 +29,7 @@
 mod cold_runners;
 mod life;
 mod notice;
+mod pace;
 mod table;
 #[cfg(test)]
 mod tests;
@@ -40,5 +41,6 @@
     cold::ColdBounds,
     cold_runners::ColdSummary,
     notice::RunnerNotice,
+    pace::ModelPaces,
     table::RelayTable,
 };
--- a/crates/celerylead/src/tasks/node/router.rs
+++ b/crates/celerylead/src/tasks/node/router.rs
@@ -31,8 +31,8 @@
     placement::DemandMeter,
     quarantine::KeptVerdict,
     relay::{
-        CallRequirements, ColdBounds, LoadBasis, PickFault, RelayChoice,
-        RelayTable,
+        CallEnd, CallRequirements, ColdBounds, LoadBasis, ModelPaces,
+        PickFault, RelayChoice, RelayTable,
     },
     request::{Refusal, RefusalCode, RetryAllowance, RetryClaim},
     sorted::SortedTable,
@@ -79,6 +79,7 @@
     pub(super) host_liveness: HostLiveness,
     retries: RetryKeeper,
     demand: DemandMeter,
+    paces: ModelPaces,
     quarantine: QuarantineDesk,
     pub(super) links: IdleLinks,
     pub(super) waiting: Vec<QueuedCall>,
@@ -108,6 +109,7 @@
             setup.clock.now(),
         ),
         demand: DemandMeter::new(DEMAND_HALF_LIFE),
+        paces: ModelPaces::default(),
         quarantine: QuarantineDesk::new(
             &setup.host,
             setup.verdicts.clone(),
@@ -139,10 +141,8 @@
                     Some(event) => self.handle(event),
                     None => return,
                 },
-                // A host that starts is told of evacuated zones first.
                 Ok(()) = evacuations.changed() => {
-                    let newest = evacuations.borrow_and_update().clone();
-                    self.adopt_evacuations(newest);
+                    self.adopt_evacuations(&mut evacuations);
                 }
                 Ok(()) = catalog.changed() => {
                     let newest = catalog.borrow_and_update().clone();
@@ -196,6 +196,7 @@
             }
             RouterEvent::StreamPace { runner, model, pace_us } => {
                 self.table.record_latency(&runner, &model, pace_us);
+                self.paces.record(&model, pace_us);
             }
             RouterEvent::SoundAnswer(parts) => {
                 self.quarantine.note_sound(&parts, now);
@@ -368,9 +369,10 @@
         now: EpochMillis,
     ) {
         let Some(name) = &requirements.model else { return };
-        self.demand.record(&name.model, requirements.tokens, now);
+        let work = self.paces.weigh(&name.model, requirements.tokens);
+        self.demand.record(&name.model, work, now);
         if name.adapter.is_some() {
-            self.demand.record(&name.to_string(), requirements.tokens, now);
+            self.demand.record(&name.to_string(), work, now);
         }
     }
 
@@ -414,7 +416,11 @@
         if choice.send_by.is_some() {
             self.setup.metrics.cold_sends.inc();
         }
-        let link = self.links.take(&choice.runner);
+        let link = if call.requirements.profile.idempotent {
+            self.links.take_any(&choice.runner)
+        } else {
+            self.links.take_certain(&choice.runner)
+        };
         let parts = &call.requirements.parts;
         let slot = RelaySlot::new(choice, link, call.seat, parts);
         let _ = call.reply.send(Ok(slot));
@@ -543,6 +549,11 @@
     fn complete(&mut self, completed: CompletedCall) {
         let now = self.setup.clock.now();
         self.quarantine.note_end(&completed, now);
+        if let CallEnd::Complete { latency_us } = completed.end
+            && completed.choice.name.is_some()
+        {
+            self.paces.record(completed.choice.model(), latency_us);
+        }
         self.note_unreachable(&completed, now);
         self.table.end_call(
             &completed.choice,
@@ -550,10 +561,10 @@
             completed.end,
             now,
         );
-        if let Some((link, until)) = completed.link
+        if let Some((link, term)) = completed.link
             && self.table.takes_calls(&completed.choice.runner)
         {
-            self.links.keep(&completed.choice.runner, link, until);
+            self.links.keep(&completed.choice.runner, link, term);
         }
         self.retry_waiting();
     }
