--- a/crates/celerylead/src/request/mod.rs
+++ b/crates/celerylead/src/request/mod.rs
@@ -17,6 +17,7 @@
 mod retry_claim;
 mod retry_ledger;
 mod route;
+mod scheduling;
 
 #[cfg(test)]
 mod tests;
@@ -36,4 +37,5 @@
         RetryLedger, Withheld,
     },
     route::{RouteChoice, RouteQuery, RouteReason, RouteTable, RunResult},
+    scheduling::CallScheduling,
 };
--- a/crates/celerylead/src/tasks/node/router.rs
+++ b/crates/celerylead/src/tasks/node/router.rs
@@ -32,7 +32,8 @@
     quarantine::KeptVerdict,
     relay::{CallEnd, CallRequirements, ColdBounds, ModelPaces, RelayTable},
     request::{
-        Refusal, RefusalCode, RetryAllowance, RetryClaim, admission::Admission,
+        CallScheduling, Refusal, RefusalCode, RetryAllowance, RetryClaim,
+        admission::Admission,
     },
     sorted::SortedTable,
 };
@@ -53,6 +54,7 @@
     pub(crate) evacuations: EvacuationWatch,
     pub(crate) gossip: GossipPort,
     pub(crate) allowance: RetryAllowance,
+    pub(crate) scheduling: CallScheduling,
     pub(crate) cold_bounds: ColdBounds,
     /// Receives the claims of retries that are to be written.
     pub(crate) claims: watch::Sender<Vec<RetryClaim>>,
@@ -142,10 +144,8 @@
                     Some(event) => self.handle(event),
                     None => return,
                 },
-                // A host that starts is told of evacuated zones first.
                 Ok(()) = evacuations.changed() => {
-                    let newest = evacuations.borrow_and_update().clone();
-                    self.adopt_evacuations(newest);
+                    self.adopt_evacuations(&mut evacuations);
                 }
                 Ok(()) = catalog.changed() => {
                     let newest = catalog.borrow_and_update().clone();
--- a/crates/celerylead/src/tasks/node/router_admission.rs
+++ b/crates/celerylead/src/tasks/node/router_admission.rs
@@ -47,7 +47,7 @@
     /// Gives a call that has just been admitted to a runner, or lets it wait
     /// for one.
     pub(super) fn dispatch(&mut self, call: QueuedCall, now: EpochMillis) {
-        let ticket = Ticket::of(&call.requirements, call.wait_until, now);
+        let ticket = self.ticket(&call, now);
         let entry = self.admission.arrive(ticket, call, now);
         let obstacle = self.admission.obstacle(&entry, &self.table, now);
         let Some(cause) = obstacle else {
@@ -61,6 +61,16 @@
         self.run_round(Scope::Lane(&lane), now);
     }
 
+    /// Returns what admission is to know of a call.
+    fn ticket(&self, call: &QueuedCall, now: EpochMillis) -> Ticket {
+        let ticket = Ticket::of(&call.requirements, call.wait_until, now);
+        if self.setup.scheduling.admits_by_class() {
+            return ticket;
+        }
+        // Without a target, a call waits in order of arrival.
+        Ticket { target: None, ..ticket }
+    }
+
     /// Gives a call to a runner. Returns the call and the reason if it got
     /// none.
     fn place(
@@ -326,7 +336,7 @@
         reason: &str,
         now: EpochMillis,
     ) {
-        let ticket = Ticket::of(&call.requirements, call.wait_until, now);
+        let ticket = self.ticket(&call, now);
         let at = retry_at(&ticket, None, rand::random(), now);
         self.refuse_until(call, reason, Some(at));
     }
--- a/crates/celerylead/src/tasks/node/router_runners.rs
+++ b/crates/celerylead/src/tasks/node/router_runners.rs
@@ -1,21 +1,18 @@
 //! The part of the router that applies what runners state about themselves.
 
-use std::sync::Arc;
-
-use super::router::RouterTask;
-use crate::{
-    catalog::EvacuationList, clock::EpochMillis, relay::RunnerNotice,
-    roster::RunnerStart,
-};
+use super::{evacuations::EvacuationWatch, router::RouterTask};
+use crate::{clock::EpochMillis, relay::RunnerNotice, roster::RunnerStart};
 
 impl RouterTask {
     /// Takes the runners of evacuated zones out of choice, and those of others
-    /// in again.
+    /// in again. The task does so before it adopts a catalog: a host that
+    /// starts is told of evacuated zones first.
     pub(super) fn adopt_evacuations(
         &mut self,
-        evacuations: Arc<EvacuationList>,
+        evacuations: &mut EvacuationWatch,
     ) {
-        self.table.set_evacuations(evacuations);
+        let newest = evacuations.borrow_and_update().clone();
+        self.table.set_evacuations(newest);
         self.readopt_roster();
     }
 
--- a/crates/celerylead/src/tasks/node/run.rs
+++ b/crates/celerylead/src/tasks/node/run.rs
@@ -29,7 +29,7 @@
     placement::BroadcastFanout,
     port::{EdgeCodec, StorePort},
     relay::ColdBounds,
-    request::RetryAllowance,
+    request::{CallScheduling, RetryAllowance},
     step::{StepContext as _, StepName},
     tasks::{intake, machine},
 };
@@ -85,6 +85,8 @@
     pub retry_slack: f64,
     /// Window over which the platform counts calls and retries.
     pub retry_window: Duration,
+    /// How calls are given to runners and wait for them.
+    pub scheduling: CallScheduling,
     /// Factor on what a cold runner tolerates, up to which the platform lets
     /// all hosts send.
     pub cold_overshoot: f64,
@@ -176,6 +178,7 @@
             slack: options.retry_slack,
             window: options.retry_window,
         },
+        scheduling: options.scheduling,
         cold_bounds: ColdBounds {
             overshoot: options.cold_overshoot,
             slack: options.cold_slack,
@@ -252,6 +255,7 @@
         metrics,
         phase: phase_receiver,
         intake,
+        scheduling: options.scheduling,
     };
     let listeners =
         [Some(ready), listen_optional(options.control.as_deref()).await?];
--- a/crates/celerylead/src/tasks/node/tests.rs
+++ b/crates/celerylead/src/tasks/node/tests.rs
@@ -21,7 +21,7 @@
     metrics::HostMetrics,
     quarantine::PromptParts,
     relay::{CallProfile, CallRequirements, ColdBounds},
-    request::{RequestId, RetryAllowance},
+    request::{CallScheduling, RequestId, RetryAllowance},
     roster::RunnerFacts,
 };
 
@@ -84,6 +84,7 @@
                 slack: 50.0,
                 window: Duration::from_secs(10),
             },
+            scheduling: CallScheduling::ByClass,
             cold_bounds: ColdBounds::default(),
             claims: watch::channel(Vec::new()).0,
             verdicts: watch::channel(Vec::new()).0,
