--- a/crates/celerylead/src/metrics.rs
+++ b/crates/celerylead/src/metrics.rs
@@ -69,6 +69,9 @@
     pub(crate) first_byte: Histogram,
     pub(crate) crash_witnesses: Counter,
     pub(crate) rejected_parts: Gauge,
+    pub(crate) cold_runners: Gauge,
+    pub(crate) owned_cold_runners: Gauge,
+    pub(crate) cold_sends: Counter,
     pub(crate) intake_bytes: Gauge,
     pub(crate) bodies_ended: Family<CauseLabels, Counter>,
     pub(crate) open_connections: Gauge,
@@ -93,6 +96,24 @@
         let first_byte = Histogram::new(buckets);
         let crash_witnesses = Counter::default();
         let rejected_parts = Gauge::default();
+        let cold_runners = Gauge::default();
+        let owned_cold_runners = Gauge::default();
+        let cold_sends = Counter::default();
+        registry.register(
+            "cold_runners",
+            "Runners that are cold, as this host knows",
+            cold_runners.clone(),
+        );
+        registry.register(
+            "owned_cold_runners",
+            "Cold runners to which this host may send requests",
+            owned_cold_runners.clone(),
+        );
+        registry.register(
+            "cold_sends",
+            "Requests for which a cold runner was chosen",
+            cold_sends.clone(),
+        );
         let intake_bytes = Gauge::default();
         let bodies_ended = Family::default();
         let open_connections = Gauge::default();
@@ -203,6 +224,9 @@
             first_byte,
             crash_witnesses,
             rejected_parts,
+            cold_runners,
+            owned_cold_runners,
+            cold_sends,
             intake_bytes,
             bodies_ended,
             open_connections,
--- a/crates/celerylead/src/port/codec.rs
+++ b/crates/celerylead/src/port/codec.rs
@@ -62,6 +62,8 @@
     Never,
     /// The connection may be reused while its idle time is less than this.
     Within(Duration),
+    /// The runner keeps the connection open, and doesn't say for how long.
+    Unstated,
 }
 
 /// An order sent to a runner.
@@ -183,7 +185,7 @@
         value: &[u8],
     ) -> anyhow::Result<Option<ServiceCatalog>>;
 
-    /// Decodes an entry of the registry.
+    /// Decodes an entry of the registry, which was read at `now`.
     ///
     /// # Errors
     ///
@@ -192,6 +194,7 @@
         &self,
         id: &str,
         value: &[u8],
+        now: EpochMillis,
     ) -> anyhow::Result<RunnerFacts>;
 
     /// Builds the request that sends an order to a runner.
