--- a/crates/celerylead/src/tasks/node/attempt.rs
+++ b/crates/celerylead/src/tasks/node/attempt.rs
@@ -32,6 +32,7 @@
     },
     relay::{CallEnd, CallHead, CallProfile, CallRequirements},
     request::{Admitted, Refusal, RefusalCode, Request, RunOutcome, Sent},
+    tasks::intake::{BodyRoom, Kept},
     wire::answer::is_framed,
 };
 
@@ -41,12 +42,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Largest non-streamed answer that is buffered before it is passed on.
 const MAX_BUFFERED_BYTES: u64 = 256 << 10;
-/// Longest idle time after which a connection to a runner is used again: a
-/// request that can't be repeated must not meet a connection that the runner
-/// is closing. Runners announce their idle timeout in whole seconds.
-const MAX_REUSE_IDLE: Duration = Duration::from_millis(500);
-/// Time before a runner's idle timeout from which a connection isn't used.
-const REUSE_MARGIN: Duration = Duration::from_millis(700);
+/// Longest time for which the rest of an answer that isn't passed on is read.
+const DRAIN_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// An admitted call and what its attempts need.
 pub(super) struct CallAttempts<'a, C> {
@@ -206,6 +203,13 @@
                 return AttemptOutcome::Retry(request);
             }
         };
+        let now = self.context.clock.now();
+        if slot.choice.send_by.is_some_and(|limit| limit <= now) {
+            // Written now, the call would count in another second than the
+            // one in which the runner could take it.
+            slot.finish(CallEnd::Neutral, None);
+            return AttemptOutcome::Retry(request);
+        }
         let left = self.deadline.saturating_duration_since(Instant::now());
         let target = ForwardTarget {
             runner: &slot.choice.runner,
@@ -280,7 +284,7 @@
         let verdict =
             codec.classify_answer(request.id(), &head, link.last_use());
         self.record.status = head.status.as_u16();
-        let link = (link, self.reuse_until(&head));
+        let link = (link, codec.reuse(&head));
         match verdict {
             AnswerVerdict::Rejected(proof) => {
                 let error = anyhow::anyhow!("status {}", head.status);
@@ -310,23 +314,12 @@
         }
     }
 
-    /// Returns the time until which a connection may be used again.
-    fn reuse_until(&self, head: &response::Parts) -> Instant {
-        let now = Instant::now();
-        match self.context.codec.reuse(head) {
-            LinkReuse::Never => now,
-            LinkReuse::Within(span) => {
-                now + span.saturating_sub(REUSE_MARGIN).min(MAX_REUSE_IDLE)
-            }
-        }
-    }
-
     fn stream_answer(
         &self,
         head: &response::Parts,
         upstream: Incoming,
         mut slot: RelaySlot,
-        link: (HttpLink, Instant),
+        link: (HttpLink, LinkReuse),
     ) -> AttemptOutcome {
         if !is_framed(head) {
             slot.note_unframed();
@@ -349,15 +342,15 @@
         head: &response::Parts,
         upstream: Incoming,
         mut slot: RelaySlot,
-        link: (HttpLink, Instant),
+        link: (HttpLink, LinkReuse),
         sent_at: Instant,
     ) -> AttemptOutcome {
-        let size = upstream.size_hint().upper();
-        if size.is_none_or(|size| MAX_BUFFERED_BYTES < size) {
+        let Some(room) = self.answer_room(&upstream).await else {
             return self.stream_answer(head, upstream, slot, link);
-        }
+        };
         match self.collect(upstream).await {
             Ok(bytes) => {
+                let bytes = room.hold(bytes.into());
                 slot.note_frame();
                 let latency_us = sent_at.elapsed().as_micros() as u64;
                 slot.finish(CallEnd::Complete { latency_us }, Some(link));
@@ -380,10 +373,16 @@
         head: &response::Parts,
         upstream: Incoming,
         slot: RelaySlot,
-        link: (HttpLink, Instant),
+        link: (HttpLink, LinkReuse),
     ) -> AttemptOutcome {
+        let Some(room) = self.failure_room(&upstream).await else {
+            let error = anyhow::anyhow!("there is no memory for the answer");
+            self.log_failure(&slot, "read_body", &error);
+            slot.finish(CallEnd::Neutral, None);
+            return run_again(request, RefusalCode::AnswerCut, &error);
+        };
         let bytes = match self.collect(upstream).await {
-            Ok(bytes) => bytes,
+            Ok(bytes) => room.hold(bytes.into()),
             Err(error) => {
                 self.log_failure(&slot, "read_body", &error);
                 slot.finish(end_by(&error), None);
@@ -411,6 +410,30 @@
         }
     }
 
+    /// Takes room for an answer that is to be buffered. Returns `None` if the
+    /// answer is too large, or if there is no room for it.
+    async fn answer_room(
+        &self,
+        upstream: &Incoming,
+    ) -> Option<BodyRoom<Kept>> {
+        let size = upstream.size_hint().upper()?;
+        if MAX_BUFFERED_BYTES < size {
+            return None;
+        }
+        let size = usize::try_from(size).ok()?;
+        self.context.intake.take_whole(size).await.ok()
+    }
+
+    /// Takes room for a failure, which is buffered in any case.
+    async fn failure_room(
+        &self,
+        upstream: &Incoming,
+    ) -> Option<BodyRoom<Kept>> {
+        let size = upstream.size_hint().upper().unwrap_or(MAX_BUFFERED_BYTES);
+        let size = usize::try_from(size.min(MAX_BUFFERED_BYTES)).ok()?;
+        self.context.intake.take_whole(size).await.ok()
+    }
+
     async fn collect(&self, upstream: Incoming) -> anyhow::Result<Bytes> {
         let limit = usize::try_from(MAX_BUFFERED_BYTES).unwrap_or(usize::MAX);
         let body = Limited::new(upstream, limit).collect();
@@ -450,13 +473,13 @@
 /// its connection can be used again.
 async fn drain_body(
     upstream: Incoming,
-    link: (HttpLink, Instant),
-) -> Option<(HttpLink, Instant)> {
+    link: (HttpLink, LinkReuse),
+) -> Option<(HttpLink, LinkReuse)> {
     let short = upstream.size_hint().upper();
     if short.is_none_or(|bytes| MAX_BUFFERED_BYTES < bytes) {
         return None;
     }
-    let limit = Instant::now() + MAX_REUSE_IDLE;
+    let limit = Instant::now() + DRAIN_TIMEOUT;
     let read = tokio::time::timeout_at(limit, upstream.collect()).await;
     matches!(read, Ok(Ok(_))).then_some(link)
 }
--- a/crates/stand-ins/src/raw_runner.rs
+++ b/crates/stand-ins/src/raw_runner.rs
@@ -60,7 +60,16 @@
     ///
     /// Returns an error if no port can be bound.
     pub async fn start() -> anyhow::Result<RawRunner> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        RawRunner::start_at("127.0.0.1:0").await
+    }
+
+    /// Starts a runner at an address, such as that of one that has crashed.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address is in use.
+    pub async fn start_at(address: &str) -> anyhow::Result<RawRunner> {
+        let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?.to_string();
         let state = StateHandle::start(RunnerState::default());
         Ok(RawRunner::serve(listener, address, state))
@@ -144,6 +153,11 @@
         self.state.with(move |state| state.extra_headers = lines).await;
     }
 
+    /// Returns the number of connections on which the runner received calls.
+    pub async fn connections(&self) -> u32 {
+        self.state.with(|state| state.connections).await
+    }
+
     /// Returns the calls that the runner received, run or not.
     pub async fn calls(&self) -> Vec<RecordedRequest> {
         self.state.with(|state| state.calls.clone()).await
@@ -155,6 +169,17 @@
         self.state.with(|state| state.call_times.clone()).await
     }
 
+    /// Returns the largest number of calls that the runner received within a
+    /// second, run or not.
+    pub async fn busiest_second(&self) -> usize {
+        let times = self.call_times().await;
+        let counts = times.iter().enumerate().map(|(first, begin)| {
+            let end = *begin + Duration::from_secs(1);
+            times[first..].partition_point(|at| *at < end)
+        });
+        counts.max().unwrap_or(0)
+    }
+
     /// Returns the calls that the runner ran.
     pub async fn runs(&self) -> Vec<RecordedRequest> {
         self.state.with(|state| state.runs.clone()).await
@@ -245,6 +270,7 @@
     stream.set_nodelay(true)?;
     let mut buffer = Vec::new();
     let mut has_rejected = false;
+    let mut has_called = false;
     while let Some(request) = read_request(&mut stream, &mut buffer).await? {
         let fault = state.with(|state| state.fault).await;
         if request.line.starts_with("POST /-/order") {
@@ -274,8 +300,10 @@
             continue;
         }
         let recorded = request.clone();
+        let is_first = !std::mem::replace(&mut has_called, true);
         state
             .with(move |state| {
+                state.connections += u32::from(is_first);
                 state.calls.push(recorded);
                 state.call_times.push(Instant::now());
             })
--- a/crates/stand-ins/src/raw_runner/state.rs
+++ b/crates/stand-ins/src/raw_runner/state.rs
@@ -18,6 +18,8 @@
     pub(super) deadly_parts: Vec<&'static str>,
     /// Point of an answer on a deadly part at which the runner crashes.
     pub(super) crash_point: CrashPoint,
+    /// Connections on which calls were received.
+    pub(super) connections: u32,
     /// Calls received, run or not.
     pub(super) calls: Vec<RecordedRequest>,
     /// Time at which each of `calls` was received.
@@ -57,6 +59,7 @@
             extra_headers: "",
             deadly_parts: Vec::new(),
             crash_point: CrashPoint::default(),
+            connections: 0,
             calls: Vec::new(),
             call_times: Vec::new(),
             runs: Vec::new(),
