--- a/crates/celerylead/src/metrics.rs
+++ b/crates/celerylead/src/metrics.rs
@@ -39,6 +39,28 @@
     pub(crate) kind: &'static str,
 }
 
+/// Labels of the counters of waits for a runner.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct WaitLabels {
+    pub(crate) class: &'static str,
+    pub(crate) cause: &'static str,
+}
+
+/// Labels of the counter of the time that calls of a customer have waited.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct WaitedLabels {
+    pub(crate) customer: String,
+    pub(crate) class: &'static str,
+}
+
+/// Labels of the counter of calls that were refused for lack of a runner.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct RefusalLabels {
+    pub(crate) class: &'static str,
+    pub(crate) cause: &'static str,
+    pub(crate) reason: &'static str,
+}
+
 /// Labels of the metrics of one of the platform's tables.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub(crate) struct TableLabels {
@@ -51,6 +73,12 @@
     pub(crate) cause: &'static str,
 }
 
+/// Labels of the metrics of a runner.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct RunnerLabels {
+    pub(crate) runner: String,
+}
+
 /// The metrics of one host. Clones share the same series.
 #[derive(Clone)]
 pub(crate) struct HostMetrics {
@@ -59,6 +87,9 @@
     pub(crate) retries: Family<RetryLabels, Counter>,
     pub(crate) tokens: Family<TokenLabels, Counter>,
     pub(crate) waiting: Gauge,
+    pub(crate) waits: Family<WaitLabels, Counter>,
+    pub(crate) waited_ms: Family<WaitedLabels, Counter>,
+    pub(crate) refusals: Family<RefusalLabels, Counter>,
     pub(crate) in_flight: Gauge,
     pub(crate) revision: Gauge,
     pub(crate) lease_live: Gauge,
@@ -76,6 +107,8 @@
     pub(crate) bodies_ended: Family<CauseLabels, Counter>,
     pub(crate) open_connections: Gauge,
     pub(crate) connections_closed: Family<CauseLabels, Counter>,
+    pub(crate) learned_capacity: Family<RunnerLabels, Gauge>,
+    pub(crate) evacuated_zones: Gauge,
 }
 
 impl Default for HostMetrics {
@@ -85,6 +118,9 @@
         let retries = Family::default();
         let tokens = Family::default();
         let waiting = Gauge::default();
+        let waits = Family::default();
+        let waited_ms = Family::default();
+        let refusals = Family::default();
         let in_flight = Gauge::default();
         let revision = Gauge::default();
         let lease_live = Gauge::default();
@@ -99,6 +135,12 @@
         let cold_runners = Gauge::default();
         let owned_cold_runners = Gauge::default();
         let cold_sends = Counter::default();
+        let evacuated_zones = Gauge::default();
+        registry.register(
+            "evacuated_zones",
+            "Zones whose runners get nothing, by the operator's word",
+            evacuated_zones.clone(),
+        );
         registry.register(
             "cold_runners",
             "Runners that are cold, as this host knows",
@@ -118,6 +160,7 @@
         let bodies_ended = Family::default();
         let open_connections = Gauge::default();
         let connections_closed = Family::default();
+        let learned_capacity = Family::default();
         registry.register(
             "answers",
             "Answers by customer and code; ok is a whole answer",
@@ -138,6 +181,21 @@
             "Requests that wait for a runner",
             waiting.clone(),
         );
+        registry.register(
+            "waits",
+            "Requests that began to wait for a runner, by class and cause",
+            waits.clone(),
+        );
+        registry.register(
+            "waited_milliseconds",
+            "Time that requests waited for a runner, by customer and class",
+            waited_ms.clone(),
+        );
+        registry.register(
+            "no_runner_refusals",
+            "Requests refused for lack of a runner, by class, cause and reason",
+            refusals.clone(),
+        );
         registry.register(
             "in_flight_requests",
             "Requests that are being answered",
@@ -208,12 +266,20 @@
             "Connections of callers that the host closed, by cause",
             connections_closed.clone(),
         );
+        registry.register(
+            "learned_capacity",
+            "Calls that a runner takes well, as this host has learned it",
+            learned_capacity.clone(),
+        );
         HostMetrics {
             registry: Arc::new(registry),
             answers,
             retries,
             tokens,
             waiting,
+            waits,
+            waited_ms,
+            refusals,
             in_flight,
             revision,
             lease_live,
@@ -231,6 +297,8 @@
             bodies_ended,
             open_connections,
             connections_closed,
+            learned_capacity,
+            evacuated_zones,
         }
     }
 }
--- a/crates/celerylead/src/relay/tests.rs
+++ b/crates/celerylead/src/relay/tests.rs
@@ -1,8 +1,11 @@
 //! Tests of the choice of runners.
 
+mod capacity;
 mod cold;
 mod cold_runners;
+mod evacuation;
 mod fleet;
+mod hard_load;
 mod notices;
 
 use super::{
--- a/crates/celerylead/src/request/mod.rs
+++ b/crates/celerylead/src/request/mod.rs
@@ -8,6 +8,7 @@
 //! states are types, so code that sends a request again without checking
 //! that it is idempotent doesn't compile.
 
+pub mod admission;
 mod allowance;
 mod budget;
 mod life;
@@ -16,6 +17,7 @@
 mod retry_claim;
 mod retry_ledger;
 mod route;
+mod scheduling;
 
 #[cfg(test)]
 mod tests;
@@ -35,4 +37,5 @@
         RetryLedger, Withheld,
     },
     route::{RouteChoice, RouteQuery, RouteReason, RouteTable, RunResult},
+    scheduling::CallScheduling,
 };
--- a/crates/celerylead/src/tasks/intake/tests.rs
+++ b/crates/celerylead/src/tasks/intake/tests.rs
@@ -1,10 +1,14 @@
 //! Tests of the guards of bodies' room.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 
 use super::{BodyRoom, IntakePort, NoRoom, Receiving, start};
 use crate::{clock::HostClock, intake::IntakeLimits, metrics::HostMetrics};
 
+/// Time after which clients hang rather than being slow.
+const HANG_LIMIT: Duration = Duration::from_secs(60);
 /// Clients of the test.
 const CLIENTS: usize = 10_000;
 const SMALL: usize = 1_024;
@@ -17,28 +21,22 @@
 }
 
 impl IntakePort {
-    /// Returns whether all room is free.
+    /// Waits until the common room is free, and returns whether all is.
     async fn is_free(&self) -> bool {
-        // The ends of bodies are messages, which the task reads when this one
-        // yields.
+        // The ends of bodies are messages, which the task has yet to read.
         let all = usize::try_from(self.limits().common_bytes).unwrap();
-        let mut is_common_free = false;
-        for _ in 0..CLIENTS {
-            is_common_free = self.take_whole(all).await.is_ok();
-            if is_common_free {
-                break;
-            }
-            tokio::task::yield_now().await;
+        while self.take_whole(all).await.is_err() {
+            tokio::time::sleep(Duration::from_millis(1)).await;
         }
         let small = usize::try_from(self.limits().small_bytes).unwrap();
-        is_common_free
-            && self.0.small.available_permits() == small
+        self.0.small.available_permits() == small
             && self.0.metrics.intake_bytes.get() == 0
     }
 }
 
-/// Guards against room that is lost with a client, wherever it leaves.
-#[tokio::test]
+/// Guards against room that is lost with a client, wherever it leaves. On two
+/// threads, so that the messages of a client overtake each other if they can.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn clients_that_leave_at_any_step_return_their_room() {
     #[derive(Clone, Copy, Debug, PartialEq)]
     enum Step {
@@ -66,32 +64,37 @@
     for Case { step, bytes } in cases {
         // Few megabytes, so that clients also meet a full room.
         let port = port(8);
-        for _ in 0..CLIENTS {
-            let mut room = port.begin();
-            if step == Step::BeforeThePiece {
-                continue;
-            }
-            if step == Step::WhileItWaits {
-                let taken = room.take(bytes);
-                tokio::select! {
-                    biased;
-                    _ = taken => {}
-                    () = std::future::ready(()) => {}
+        let returned = async {
+            for _ in 0..CLIENTS {
+                let mut room = port.begin();
+                if step == Step::BeforeThePiece {
+                    continue;
+                }
+                if step == Step::WhileItWaits {
+                    let taken = room.take(bytes);
+                    tokio::select! {
+                        biased;
+                        _ = taken => {}
+                        () = std::future::ready(()) => {}
+                    }
+                    continue;
+                }
+                let taken = room.take(bytes).await;
+                if step == Step::AfterThePiece || taken.is_err() {
+                    continue;
+                }
+                let kept = room.complete().await.unwrap();
+                if step == Step::HeldByTheRequest {
+                    let held: Bytes = kept.hold(vec![0; bytes]);
+                    drop(held.clone());
+                    drop(held);
                 }
-                continue;
-            }
-            let taken = room.take(bytes).await;
-            if step == Step::AfterThePiece || taken.is_err() {
-                continue;
-            }
-            let kept = room.complete().await.unwrap();
-            if step == Step::HeldByTheRequest {
-                let held: Bytes = kept.hold(vec![0; bytes]);
-                drop(held.clone());
-                drop(held);
             }
-        }
-        assert!(port.is_free().await, "{step:?}, {bytes} bytes");
+            port.is_free().await
+        };
+        // A body that isn't ended lets others wait for ever.
+        let returned = tokio::time::timeout(HANG_LIMIT, returned).await;
+        assert_eq!(returned, Ok(true), "{step:?}, {bytes} bytes");
     }
 }
 
--- a/crates/celerylead/src/tasks/node/attempt.rs
+++ b/crates/celerylead/src/tasks/node/attempt.rs
@@ -33,7 +33,7 @@
     relay::{CallEnd, CallHead, CallProfile, CallRequirements},
     request::{Admitted, Refusal, RefusalCode, Request, RunOutcome, Sent},
     tasks::intake::{BodyRoom, Kept},
-    wire::answer::is_framed,
+    wire::{answer::is_framed, link::EndlessInformational},
 };
 
 /// Longest wait for a connection to a runner. A connection opens within
@@ -169,7 +169,10 @@
         CallProfile {
             prompt_tokens,
             output_tokens,
-            target: (!objective.is_zero()).then(|| began.after(objective)),
+            body_bytes: self.body.len() as u64,
+            target: (!objective.is_zero()
+                && self.context.scheduling.predicts_lateness())
+            .then(|| began.after(objective)),
             gap_ms: self.route.gap_ms,
             priority: self.priority(),
             customer: self.record.customer.clone(),
@@ -190,9 +193,9 @@
     ) -> AttemptOutcome {
         let opened = match slot.link.take() {
             Some(link) => Ok(link),
-            None => self.connect(&slot).await,
+            None => self.connect(&slot).await.map(|link| (link, true)),
         };
-        let mut link = match opened {
+        let (mut link, is_certain) = match opened {
             Ok(link) => link,
             Err(error) => {
                 self.log_failure(&slot, "connect", &error);
@@ -253,7 +256,11 @@
             }
             Err(SendFault::InDoubt(error)) => {
                 self.log_failure(&slot, "await_head", &error);
-                slot.finish(end_by(&error), None);
+                // A connection that the runner may have been closing says
+                // nothing about the runner.
+                let end =
+                    if is_certain { end_by(&error) } else { CallEnd::Neutral };
+                slot.finish(end, None);
                 run_again(request, RefusalCode::RunnerFailed, &error)
             }
             Err(SendFault::TimedOut) => {
@@ -497,7 +504,8 @@
     let is_malformed = error
         .downcast_ref::<hyper::Error>()
         .is_some_and(hyper::Error::is_parse);
-    if is_malformed || error.is::<Elapsed>() {
+    let is_endless = error.is::<EndlessInformational>();
+    if is_malformed || is_endless || error.is::<Elapsed>() {
         CallEnd::Broken
     } else {
         CallEnd::Cut
--- a/crates/celerylead/src/tasks/node/mod.rs
+++ b/crates/celerylead/src/tasks/node/mod.rs
@@ -10,6 +10,7 @@
 //! | `gossip` | the UDP socket between hosts, the list of known hosts |
 //! | `placer` | the orders lease, the placement plan, orders in flight |
 //! | `intake`, beside this module | the common room for bodies of requests |
+//! | `evacuations` | the list of evacuated zones |
 //! | `control` | the sockets for readiness, metrics and snapshots |
 //!
 //! The newest catalog and roster are immutable values in watch channels,
@@ -21,7 +22,9 @@
 mod body;
 mod call;
 mod caller_socket;
+mod capacity_report;
 mod control;
+mod evacuations;
 mod gossip;
 mod gossip_port;
 mod host_rows;
@@ -36,6 +39,7 @@
 mod registry;
 mod retries;
 mod router;
+mod router_admission;
 mod router_cold;
 mod router_digests;
 mod router_port;
@@ -52,10 +56,10 @@
 
 use tokio::sync::watch;
 
-use self::router_port::RouterPort;
+use self::{evacuations::EvacuationWatch, router_port::RouterPort};
 use crate::{
     catalog::ServiceCatalog, clock::HostClock, metrics::HostMetrics,
-    roster::RunnerFacts, tasks::intake::IntakePort,
+    request::CallScheduling, roster::RunnerFacts, tasks::intake::IntakePort,
 };
 
 /// The newest catalog; `None` until one is known.
@@ -83,10 +87,12 @@
     pub(crate) codec: C,
     pub(crate) clock: HostClock,
     pub(crate) catalog: CatalogWatch,
+    pub(crate) evacuations: EvacuationWatch,
     pub(crate) router: RouterPort,
     pub(crate) metrics: HostMetrics,
     pub(crate) phase: watch::Receiver<NodePhase>,
     pub(crate) intake: IntakePort,
+    pub(crate) scheduling: CallScheduling,
 }
 
 impl<C> NodeContext<C> {
--- a/crates/celerylead/src/tasks/node/router.rs
+++ b/crates/celerylead/src/tasks/node/router.rs
@@ -12,13 +12,14 @@
 
 use super::{
     CatalogWatch, RosterWatch,
+    capacity_report::CapacityReport,
+    evacuations::EvacuationWatch,
     gossip_port::GossipPort,
     links::IdleLinks,
     quarantine::QuarantineDesk,
     retries::{RetryDecision, RetryKeeper},
     router_port::{
-        CompletedCall, QueuedCall, RelaySlot, RouterEvent, RouterInbox,
-        RouterReport,
+        CompletedCall, QueuedCall, RouterEvent, RouterInbox, RouterReport,
     },
 };
 use crate::{
@@ -29,26 +30,20 @@
     model::ModelName,
     placement::DemandMeter,
     quarantine::KeptVerdict,
-    relay::{
-        CallEnd, CallRequirements, ColdBounds, LoadBasis, ModelPaces,
-        PickFault, RelayChoice, RelayTable,
+    relay::{CallEnd, CallRequirements, ColdBounds, ModelPaces, RelayTable},
+    request::{
+        CallScheduling, Refusal, RefusalCode, RetryAllowance, RetryClaim,
+        admission::Admission,
     },
-    request::{Refusal, RefusalCode, RetryAllowance, RetryClaim},
     sorted::SortedTable,
 };
 
-/// Time after which the caller of a call that got no runner may retry.
-const RETRY_AFTER: Duration = Duration::from_millis(150);
 /// Time after which the task wakes up if nothing is due.
 const IDLE_WAKE_INTERVAL: Duration = Duration::from_secs(60);
 /// Half-life of past demand for a model; demand shifts within seconds.
 const DEMAND_HALF_LIFE: Duration = Duration::from_millis(3_000);
 /// Most models and adapters whose demand a host reports to the others.
 const MAX_DEMAND_ENTRIES: usize = 48;
-/// Time between two requests for the same missing adapter. Requests are
-/// repeated because one may be lost.
-const ADAPTER_REQUEST_INTERVAL: Duration = Duration::from_millis(150);
-
 /// Configuration and handles with which the task is started.
 pub(crate) struct RouterSetup {
     pub(crate) host: String,
@@ -56,8 +51,10 @@
     pub(crate) clock: HostClock,
     pub(crate) catalog: CatalogWatch,
     pub(crate) roster: RosterWatch,
+    pub(crate) evacuations: EvacuationWatch,
     pub(crate) gossip: GossipPort,
     pub(crate) allowance: RetryAllowance,
+    pub(crate) scheduling: CallScheduling,
     pub(crate) cold_bounds: ColdBounds,
     /// Receives the claims of retries that are to be written.
     pub(crate) claims: watch::Sender<Vec<RetryClaim>>,
@@ -68,24 +65,26 @@
 
 pub(super) struct RouterTask {
     pub(super) setup: RouterSetup,
-    catalog: Arc<ServiceCatalog>,
+    pub(super) catalog: Arc<ServiceCatalog>,
     pub(super) table: RelayTable,
     /// Time from which the shares of cold runners are determined again; `None`
     /// if no service has cold runners.
     pub(super) cold_refresh_at: Option<EpochMillis>,
     pub(super) buckets: SortedTable<String, FleetBucket>,
     pub(super) host_liveness: HostLiveness,
-    retries: RetryKeeper,
+    pub(super) retries: RetryKeeper,
     demand: DemandMeter,
+    capacity: CapacityReport,
     paces: ModelPaces,
-    quarantine: QuarantineDesk,
+    pub(super) quarantine: QuarantineDesk,
     pub(super) links: IdleLinks,
-    pub(super) waiting: Vec<QueuedCall>,
+    /// The calls that wait for a runner.
+    pub(super) admission: Admission<QueuedCall>,
     /// Time at which the waiting calls are tried again, after a digest that
     /// showed freed capacity or at the end of a runner's pause.
     pub(super) retry_waiting_at: Option<EpochMillis>,
     /// Missing adapters that were requested, with the time of the request.
-    requested_adapters: SortedTable<ModelName, EpochMillis>,
+    pub(super) requested_adapters: SortedTable<ModelName, EpochMillis>,
 }
 
 /// Starts the task.
@@ -108,6 +107,7 @@
         ),
         demand: DemandMeter::new(DEMAND_HALF_LIFE),
         paces: ModelPaces::default(),
+        capacity: CapacityReport::default(),
         quarantine: QuarantineDesk::new(
             &setup.host,
             setup.verdicts.clone(),
@@ -115,7 +115,7 @@
             setup.clock.now(),
         ),
         links: IdleLinks::default(),
-        waiting: Vec::new(),
+        admission: Admission::default(),
         retry_waiting_at: None,
         requested_adapters: SortedTable::default(),
         setup,
@@ -127,8 +127,14 @@
     async fn run(mut self, mut inbox: RouterInbox) {
         let mut catalog = self.setup.catalog.clone();
         let mut roster = self.setup.roster.clone();
+        let mut evacuations = self.setup.evacuations.clone();
         loop {
-            let wake = self.next_wake();
+            let mut wake = self.next_wake();
+            if wake <= Instant::now() {
+                // Under constant events the timer below never gets its turn.
+                self.wake();
+                wake = self.next_wake();
+            }
             tokio::select! {
                 // What the end of a call tells counts before that call asks
                 // for another runner.
@@ -138,6 +144,9 @@
                     Some(event) => self.handle(event),
                     None => return,
                 },
+                Ok(()) = evacuations.changed() => {
+                    self.adopt_evacuations(&mut evacuations);
+                }
                 Ok(()) = catalog.changed() => {
                     let newest = catalog.borrow_and_update().clone();
                     if let Some(newest) = newest {
@@ -155,13 +164,13 @@
 
     fn next_wake(&self) -> Instant {
         let now = self.setup.clock.now();
-        let limits = self.waiting.iter().map(|call| call.wait_until);
         let due = [
             self.retry_waiting_at,
+            self.admission.next_review_at(),
             self.quarantine.news_at(),
             self.retries.next_overdue_at(),
         ];
-        let next = limits.chain(due.into_iter().flatten()).min();
+        let next = due.into_iter().flatten().min();
         Instant::now() + next.map_or(IDLE_WAKE_INTERVAL, |at| now.until(at))
     }
 
@@ -176,6 +185,7 @@
             self.refuse(call, "no retry could be claimed in time", now);
         }
         self.retry_waiting();
+        self.review_waiting(now);
     }
 
     fn handle(&mut self, event: RouterEvent) {
@@ -185,12 +195,20 @@
             RouterEvent::Route(call) => self.admit(*call, now),
             RouterEvent::AnswerHead { start, notice, sent_at } => {
                 self.table.note_head(&start, now);
+                if let Some(service) = self.table.service_of(&start.id) {
+                    let span = sent_at.elapsed();
+                    self.admission.note_head(service, span);
+                }
                 self.quarantine.note_answer(&start, sent_at, now);
                 self.note_runner(&start, notice, now);
             }
+            RouterEvent::FirstEvent { start, sent } => {
+                self.table.note_first_event(&start, sent, now);
+            }
             RouterEvent::StreamPace { runner, model, pace_us } => {
                 self.table.record_latency(&runner, &model, pace_us);
                 self.paces.record(&model, pace_us);
+                self.table.note_pace(&runner, &model, pace_us, now);
             }
             RouterEvent::SoundAnswer(parts) => {
                 self.quarantine.note_sound(&parts, now);
@@ -249,6 +267,7 @@
                 self.retry_waiting();
             }
             RouterEvent::ReadReport(reply) => {
+                self.capacity.publish(&self.table, &self.setup.metrics, now);
                 let digest = self.digest();
                 let departures = self.table.departures(now);
                 let hosts = self.host_liveness.count();
@@ -370,175 +389,6 @@
         }
     }
 
-    /// Assigns a call to a runner, or lets it wait for one.
-    fn dispatch(&mut self, call: QueuedCall, now: EpochMillis) {
-        if call.reply.is_closed() {
-            self.release_retry(&call);
-            return;
-        }
-        let checked = self.quarantine.check(&call, &self.host_liveness, now);
-        let probed = match checked {
-            Ok(probed) => probed,
-            Err(refusal) => {
-                self.send_refusal(call, refusal);
-                return;
-            }
-        };
-        match self.table.pick(&call.requirements, &self.catalog, now) {
-            Ok(choice) => {
-                if let Some(part) = probed {
-                    self.quarantine.begin_probe(part, now);
-                }
-                self.assign(call, choice, now);
-            }
-            Err(fault) => self.enqueue(call, fault, now),
-        }
-    }
-
-    /// Answers a call with the runner chosen for it. If its caller has left, the
-    /// guard ends the call wherever it is dropped.
-    fn assign(
-        &mut self,
-        call: QueuedCall,
-        choice: RelayChoice,
-        now: EpochMillis,
-    ) {
-        if let Some(grant) = &call.retry {
-            let id = call.requirements.id.as_str();
-            self.retries.record_sent(id, grant, now);
-        }
-        if choice.send_by.is_some() {
-            self.setup.metrics.cold_sends.inc();
-        }
-        let link = if call.requirements.profile.idempotent {
-            self.links.take_any(&choice.runner)
-        } else {
-            self.links.take_certain(&choice.runner)
-        };
-        let parts = &call.requirements.parts;
-        let slot = RelaySlot::new(choice, link, call.seat, parts);
-        let _ = call.reply.send(Ok(slot));
-    }
-
-    /// Lets a call wait for a runner, or refuses the call if it has waited as
-    /// long as it may or every runner was tried.
-    fn enqueue(
-        &mut self,
-        call: QueuedCall,
-        fault: PickFault,
-        now: EpochMillis,
-    ) {
-        if fault == PickFault::NoAdapter
-            && let Some(name) = &call.requirements.model
-        {
-            self.request_adapter(name, now);
-        }
-        if let PickFault::Paused(end) = fault
-            && call.wait_until <= end
-        {
-            self.refuse_until(call, fault.text(), Some(end));
-            return;
-        }
-        if fault == PickFault::TooLarge {
-            self.refuse_until(call, fault.text(), None);
-            return;
-        }
-        if fault == PickFault::AllTried || call.wait_until <= now {
-            let reason = self.refusal_reason(&call.requirements, fault, now);
-            self.refuse(call, &reason, now);
-            return;
-        }
-        if let PickFault::Paused(end) | PickFault::Cold(end) = fault {
-            let next = self.retry_waiting_at.map_or(end, |at| at.min(end));
-            self.retry_waiting_at = Some(next);
-        }
-        self.waiting.push(call);
-        self.setup.metrics.waiting.set(self.waiting.len() as i64);
-    }
-
-    /// Returns why no runner was chosen, with the load figures behind it.
-    fn refusal_reason(
-        &self,
-        requirements: &CallRequirements,
-        fault: PickFault,
-        now: EpochMillis,
-    ) -> String {
-        let text = fault.text();
-        if fault != PickFault::Full {
-            return text.to_owned();
-        }
-        let load = self.table.candidate_load(requirements, now);
-        let LoadBasis { own, reported, oldest_ms } = load.basis;
-        format!(
-            "{text}: {} runners with {} slots, {} tokens, {own} calls of \
-             this host, {reported} told by others up to {oldest_ms} ms ago",
-            load.runners, load.slots, load.tokens,
-        )
-    }
-
-    /// Requests a missing adapter from the lease holder, at most once per
-    /// [`ADAPTER_REQUEST_INTERVAL`] however many calls wait for the adapter.
-    fn request_adapter(&mut self, name: &ModelName, now: EpochMillis) {
-        let recent =
-            |at: &EpochMillis| now < at.after(ADAPTER_REQUEST_INTERVAL);
-        if self.requested_adapters.get(name).is_some_and(recent) {
-            return;
-        }
-        self.requested_adapters.retain(|_, at| recent(at));
-        self.requested_adapters.insert(name.clone(), now);
-        self.setup.gossip.request_adapter(name);
-    }
-
-    /// Refuses a call for lack of a runner. The caller may retry a moment
-    /// later.
-    fn refuse(&mut self, call: QueuedCall, reason: &str, now: EpochMillis) {
-        let retry_at = now.after(RETRY_AFTER);
-        self.refuse_until(call, reason, Some(retry_at));
-    }
-
-    /// Refuses a call for lack of a runner. A retry may succeed from
-    /// `retry_at`, if ever.
-    fn refuse_until(
-        &mut self,
-        call: QueuedCall,
-        reason: &str,
-        retry_at: Option<EpochMillis>,
-    ) {
-        let refusal = Refusal::not_run(RefusalCode::NoRunner, reason);
-        self.send_refusal(call, refusal.retry_at(retry_at));
-    }
-
-    /// Takes back the retry that was granted to a call, as it gets no runner.
-    fn release_retry(&mut self, call: &QueuedCall) {
-        if let Some(grant) = &call.retry {
-            self.retries.give_back(grant);
-        }
-    }
-
-    /// Refuses a call, and refunds its charge if the charge is refundable.
-    fn send_refusal(&mut self, call: QueuedCall, refusal: Refusal) {
-        self.release_retry(&call);
-        if let Some((customer, cost)) = &call.refundable
-            && let Some(bucket) = self.buckets.get_mut(customer)
-        {
-            bucket.refund(*cost);
-        }
-        let _ = call.reply.send(Err(refusal));
-    }
-
-    /// Tries the waiting calls again, the oldest first.
-    pub(super) fn retry_waiting(&mut self) {
-        self.retry_waiting_at = None;
-        if self.waiting.is_empty() {
-            return;
-        }
-        let now = self.setup.clock.now();
-        for call in std::mem::take(&mut self.waiting) {
-            self.dispatch(call, now);
-        }
-        self.setup.metrics.waiting.set(self.waiting.len() as i64);
-    }
-
     /// Records the end of a call, and tries the waiting calls again.
     fn complete(&mut self, completed: CompletedCall) {
         let now = self.setup.clock.now();
@@ -560,6 +410,12 @@
         {
             self.links.keep(&completed.choice.runner, link, term);
         }
-        self.retry_waiting();
+        let runner = &completed.choice.runner;
+        if let Some(sent_at) = completed.trace.sent_at
+            && let Some(service) = self.table.service_of(runner)
+        {
+            self.admission.note_held(service, sent_at.elapsed());
+        }
+        self.offer_place(&completed.choice.runner, now);
     }
 }
--- a/crates/celerylead/src/tasks/node/router_port.rs
+++ b/crates/celerylead/src/tasks/node/router_port.rs
@@ -17,7 +17,10 @@
     quarantine::{
         EvidenceReport, KeptVerdict, PartId, PromptParts, VerdictRow,
     },
-    relay::{CallEnd, CallRequirements, RelayChoice, RunnerNotice},
+    relay::{
+        CallEnd, CallRequirements, PickFault, RelayChoice, RunnerNotice,
+        SentCall,
+    },
     request::{Refusal, RefusalCode, RetryClaim, RetryGrant},
     roster::RunnerStart,
     tasks::{MAILBOX_CAPACITY, MAX_IN_FLIGHT},
@@ -35,6 +38,9 @@
     /// A runner has sent the head of an answer, with this notice, to a call
     /// that was sent to it at `sent_at`.
     AnswerHead { start: RunnerStart, notice: RunnerNotice, sent_at: Instant },
+    /// The first part of a successful answer has arrived, or the whole answer to
+    /// a plain call.
+    FirstEvent { start: RunnerStart, sent: SentCall },
     /// Pace of a stream of a runner, in microseconds per event.
     StreamPace { runner: String, model: String, pace_us: u64 },
     /// An answer has gone on for so long that these parts of its prompt can't
@@ -104,7 +110,10 @@
     pub(super) requirements: CallRequirements,
     /// Customer and cost of the charge that a refusal gives back.
     pub(super) refundable: Option<(String, u64)>,
+    /// Limit of the wait of a call without a target.
     pub(super) wait_until: EpochMillis,
+    /// Why the call got no runner when it was last tried.
+    pub(super) fault: Option<PickFault>,
     /// The further send that was granted to the call.
     pub(super) retry: Option<RetryGrant>,
     pub(super) reply: oneshot::Sender<Result<RelaySlot, Refusal>>,
@@ -140,9 +149,11 @@
 /// without an end, the call ends as [`CallEnd::Neutral`].
 pub(crate) struct RelaySlot {
     pub(crate) choice: RelayChoice,
-    pub(crate) link: Option<HttpLink>,
+    /// Idle connection to the runner, and whether it is certain to be open.
+    pub(crate) link: Option<(HttpLink, bool)>,
     sender: mpsc::Sender<RouterEvent>,
     head_reported: bool,
+    first_event_reported: bool,
     trace: CallTrace,
     permit: Option<mpsc::OwnedPermit<CompletedCall>>,
 }
@@ -152,7 +163,7 @@
     /// is an idle connection to it, if there is one.
     pub(super) fn new(
         choice: RelayChoice,
-        link: Option<HttpLink>,
+        link: Option<(HttpLink, bool)>,
         seat: SlotSeat,
         parts: &PromptParts,
     ) -> RelaySlot {
@@ -161,6 +172,7 @@
             link,
             sender: seat.sender,
             head_reported: false,
+            first_event_reported: false,
             trace: CallTrace::of(parts),
             permit: Some(seat.permit),
         }
@@ -196,9 +208,15 @@
         self.trace.is_unframed = true;
     }
 
-    /// Notes that a part of the answer's body arrived. Reports once that the
-    /// answer goes on; a lost report is made up for by the end of the call.
+    /// Notes that a part of a successful answer's body arrived. Reports the first
+    /// one, and once that the answer goes on; a lost report of the latter is made
+    /// up for by the end of the call.
     pub(crate) fn note_frame(&mut self) {
+        if !std::mem::replace(&mut self.first_event_reported, true) {
+            let (start, sent) = (self.choice.start(), self.choice.sent);
+            let event = RouterEvent::FirstEvent { start, sent };
+            let _ = self.sender.try_send(event);
+        }
         if self.trace.note_frame(Instant::now()) {
             let parts = self.trace.parts.clone();
             let event = RouterEvent::SoundAnswer(parts);
@@ -265,6 +283,7 @@
                 requirements: requirements.clone(),
                 refundable,
                 wait_until: now.after(left.min(MAX_QUEUE_WAIT)),
+                fault: None,
                 retry: None,
                 reply,
                 seat,
--- a/crates/celerylead/src/tasks/node/router_runners.rs
+++ b/crates/celerylead/src/tasks/node/router_runners.rs
@@ -1,9 +1,27 @@
 //! The part of the router that applies what runners state about themselves.
 
-use super::router::RouterTask;
+use super::{evacuations::EvacuationWatch, router::RouterTask};
 use crate::{clock::EpochMillis, relay::RunnerNotice, roster::RunnerStart};
 
 impl RouterTask {
+    /// Takes the runners of evacuated zones out of choice, and those of others
+    /// in again. The task does so before it adopts a catalog: a host that
+    /// starts is told of evacuated zones first.
+    pub(super) fn adopt_evacuations(
+        &mut self,
+        evacuations: &mut EvacuationWatch,
+    ) {
+        let newest = evacuations.borrow_and_update().clone();
+        self.table.set_evacuations(newest);
+        self.readopt_roster();
+    }
+
+    /// Applies the roster once more, by other rules.
+    pub(super) fn readopt_roster(&mut self) {
+        let roster = self.setup.roster.borrow().clone();
+        self.adopt_roster(&roster.unwrap_or_default());
+    }
+
     /// Closes the idle connections to runners that take no more calls.
     pub(super) fn close_unused_links(&mut self) {
         let table = &self.table;
--- a/crates/celerylead/src/tasks/node/run.rs
+++ b/crates/celerylead/src/tasks/node/run.rs
@@ -11,7 +11,7 @@
 use tracing::Instrument as _;
 
 use super::{
-    NodeContext, NodePhase, acceptor, control, gossip,
+    NodeContext, NodePhase, acceptor, control, evacuations, gossip,
     gossip::GossipSetup,
     gossip_port,
     placer::{self, PlacerSetup},
@@ -29,7 +29,7 @@
     placement::BroadcastFanout,
     port::{EdgeCodec, StorePort},
     relay::ColdBounds,
-    request::RetryAllowance,
+    request::{CallScheduling, RetryAllowance},
     step::{StepContext as _, StepName},
     tasks::{intake, machine},
 };
@@ -85,11 +85,16 @@
     pub retry_slack: f64,
     /// Window over which the platform counts calls and retries.
     pub retry_window: Duration,
+    /// How calls are given to runners and wait for them.
+    pub scheduling: CallScheduling,
     /// Factor on what a cold runner tolerates, up to which the platform lets
     /// all hosts send.
     pub cold_overshoot: f64,
     /// Calls per second to a cold runner that are allowed beyond that.
     pub cold_slack: f64,
+    /// Time after the operator's write from which nothing may be sent to the
+    /// runners of an evacuated zone.
+    pub evacuation_time: Duration,
 }
 
 /// A host whose sockets are open and whose tasks are running.
@@ -141,6 +146,7 @@
         excerpts,
         gossip: gossip_port.clone(),
     };
+    let (evacuation_port, evacuations) = evacuations::start(metrics.clone());
     let WatcherViews { catalog, roster, contact } = watcher::start(
         &WatcherSetup {
             codec: codec.clone(),
@@ -150,6 +156,8 @@
             seeds: options.seeds.clone(),
             peer_contact: contact_receiver,
             recovery_time: options.recovery_time,
+            evacuation_time: options.evacuation_time,
+            evacuations: evacuation_port.clone(),
         },
         zone_feed,
     );
@@ -163,12 +171,14 @@
         clock: clock.clone(),
         catalog: catalog.clone(),
         roster: roster.clone(),
+        evacuations: evacuations.clone(),
         gossip: gossip_port.clone(),
         allowance: RetryAllowance {
             share: options.retry_share,
             slack: options.retry_slack,
             window: options.retry_window,
         },
+        scheduling: options.scheduling,
         cold_bounds: ColdBounds {
             overshoot: options.cold_overshoot,
             slack: options.cold_slack,
@@ -198,6 +208,7 @@
         clock: clock.clone(),
         catalog: catalog.clone(),
         roster: roster.clone(),
+        evacuations: evacuations.clone(),
         gossip: gossip_port,
         phase: phase_receiver.clone(),
         alternation_window: options.order_alternation_window,
@@ -220,6 +231,8 @@
         may_order,
         claims: claims_receiver,
         verdicts: verdicts_receiver,
+        evacuations: evacuations.clone(),
+        evacuation_port,
     };
     gossip::start(
         setup,
@@ -237,10 +250,12 @@
         codec,
         clock,
         catalog,
+        evacuations,
         router: router_port,
         metrics,
         phase: phase_receiver,
         intake,
+        scheduling: options.scheduling,
     };
     let listeners =
         [Some(ready), listen_optional(options.control.as_deref()).await?];
--- a/crates/celerylead/src/tasks/node/tests.rs
+++ b/crates/celerylead/src/tasks/node/tests.rs
@@ -21,7 +21,7 @@
     metrics::HostMetrics,
     quarantine::PromptParts,
     relay::{CallProfile, CallRequirements, ColdBounds},
-    request::{RequestId, RetryAllowance},
+    request::{CallScheduling, RequestId, RetryAllowance},
     roster::RunnerFacts,
 };
 
@@ -32,9 +32,10 @@
 struct TestRouter {
     port: RouterPort,
     clock: HostClock,
-    // Kept open, as the router holds their receivers.
+    metrics: HostMetrics,
+    rosters: watch::Sender<Option<Arc<Vec<RunnerFacts>>>>,
+    // Kept open, as the router holds its receiver.
     _catalogs: watch::Sender<Option<Arc<ServiceCatalog>>>,
-    _rosters: watch::Sender<Option<Arc<Vec<RunnerFacts>>>>,
 }
 
 impl TestRouter {
@@ -68,6 +69,7 @@
         let (catalogs, catalog_receiver) = watch::channel(None);
         let (rosters, roster_receiver) = watch::channel(None);
         let clock = HostClock::default();
+        let metrics = HostMetrics::default();
         let (port, inbox) = router_port::mailbox();
         let setup = RouterSetup {
             host: "front-1".to_owned(),
@@ -75,22 +77,24 @@
             clock: clock.clone(),
             catalog: catalog_receiver,
             roster: roster_receiver,
+            evacuations: watch::channel(Arc::default()).1,
             gossip: gossip_port::mailbox().0,
             allowance: RetryAllowance {
                 share: 0.2,
                 slack: 50.0,
                 window: Duration::from_secs(10),
             },
+            scheduling: CallScheduling::ByClass,
             cold_bounds: ColdBounds::default(),
             claims: watch::channel(Vec::new()).0,
             verdicts: watch::channel(Vec::new()).0,
-            metrics: HostMetrics::default(),
+            metrics: metrics.clone(),
         };
         router::start(setup, inbox);
         catalogs.send_replace(Some(Arc::new(catalog)));
         rosters.send_replace(Some(Arc::new(vec![runner])));
-        let (_catalogs, _rosters) = (catalogs, rosters);
-        let router = TestRouter { port, clock, _catalogs, _rosters };
+        let _catalogs = catalogs;
+        let router = TestRouter { port, clock, metrics, rosters, _catalogs };
         // Waits until the router knows the runner.
         router.route(Duration::from_secs(60)).await;
         router
@@ -186,3 +190,78 @@
     let took = router.route(Duration::from_secs(5)).await;
     assert!(took < Duration::from_millis(100), "{took:?}");
 }
+
+/// Guards against a batch call that gets the only free place before an urgent
+/// call that came later, or that isn't tried again when there is room.
+#[tokio::test]
+async fn an_urgent_call_gets_a_freed_place_before_a_batch_call() {
+    const STEP: Duration = Duration::from_millis(100);
+    const CALL_TIMEOUT: Duration = Duration::from_secs(10);
+    let router = TestRouter::start().await;
+    router.report_peer_calls(2 * SLOTS).await;
+    let route = |priority, target| {
+        let now = router.clock.now();
+        let mut requirements = router.requirements(CALL_TIMEOUT);
+        requirements.profile.priority = priority;
+        requirements.profile.target = Some(now.after(target));
+        let port = router.port.clone();
+        tokio::spawn(async move { port.route(&requirements, None, now).await })
+    };
+    let batch = route(2, Duration::from_secs(8));
+    tokio::time::sleep(STEP).await;
+    let urgent = route(0, Duration::from_millis(400));
+    tokio::time::sleep(STEP).await;
+    router.report_peer_calls(2 * SLOTS - 1).await;
+    let slot = tokio::time::timeout(STEP * 5, urgent).await.unwrap().unwrap();
+    assert!(slot.is_ok());
+    assert!(!batch.is_finished());
+    router.report_peer_calls(0).await;
+    let slot = tokio::time::timeout(STEP * 5, batch).await.unwrap().unwrap();
+    assert!(slot.is_ok());
+}
+
+/// Guards against metrics that keep a series for each runner there ever was.
+#[tokio::test]
+async fn the_learned_capacity_is_published_while_a_runner_is_listed() {
+    /// A little more than the time between two updates.
+    const UPDATE_TIME: Duration = Duration::from_millis(1_100);
+    const SERIES: &str = "celerylead_learned_capacity{runner=\"i-1\"}";
+    let router = TestRouter::start().await;
+    crate::tasks::ask(&router.port.sender, RouterEvent::ReadReport).await;
+    assert!(router.metrics.text().contains(SERIES));
+    router.rosters.send_replace(Some(Arc::default()));
+    tokio::time::sleep(UPDATE_TIME).await;
+    crate::tasks::ask(&router.port.sender, RouterEvent::ReadReport).await;
+    assert!(!router.metrics.text().contains(SERIES));
+}
+
+/// Guards against waits that don't end while events keep coming, as the timer
+/// comes after them.
+#[tokio::test]
+async fn a_wait_ends_under_constant_events() {
+    /// Timeout of the call, of which a fifth may be spent waiting.
+    const CALL_TIMEOUT: Duration = Duration::from_secs(1);
+    let router = TestRouter::start().await;
+    router.report_peer_calls(2 * SLOTS).await;
+    let senders: Vec<_> = (0..4)
+        .map(|_| {
+            let sender = router.port.sender.clone();
+            tokio::spawn(async move {
+                loop {
+                    let event = RouterEvent::StreamPace {
+                        runner: "i-2".to_owned(),
+                        model: String::new(),
+                        pace_us: 1,
+                    };
+                    sender.send(event).await.unwrap();
+                }
+            })
+        })
+        .collect();
+    let requirements = router.requirements(CALL_TIMEOUT);
+    let now = router.clock.now();
+    let call = router.port.route(&requirements, None, now);
+    let routed = tokio::time::timeout(CALL_TIMEOUT, call).await;
+    senders.iter().for_each(tokio::task::JoinHandle::abort);
+    assert!(routed.is_ok_and(|routed| routed.is_err()));
+}
--- a/crates/celerylead/tests/pages.rs
+++ b/crates/celerylead/tests/pages.rs
@@ -51,6 +51,36 @@
 |---|---|---|---|
 | `bounds.cold_overshoot` | factor | 1.5 | Times what a cold server tolerates that all hosts may send it in a second. |
 | `bounds.cold_slack` | requests | 5 | Requests in a second to a cold server that are allowed beyond that. |
+| `bounds.evacuate_ms` | ms | 5000 | Time from the evacuation of a zone until nothing may reach its servers; polls of the configuration end in time for it. |
+";
+
+/// What a process behind an adapter may use of its machine.
+const NODE_LIMITS: &str = "
+# Limits of celerylead-node
+
+The settings file of the process may say what it may use of its machine. A host
+divides it at its start.
+
+| field of `[limits]` | default | meaning |
+|---|---|---|
+| `memory_mb` | that of the control group, else of the machine | Memory of the process; a quarter is for bodies and buffered answers, a third for connections. |
+| `max_fds` | the process's own limit | Descriptors of the process; 200 are for files, a connection may need two. |
+
+These follow from them and from the operator's configuration, and have no field of
+their own ([design/body-budget.md](design/body-budget.md)):
+
+| limit | value | what is beyond it |
+|---|---|---|
+| bodies and buffered answers | 3/16 of `memory_mb` | bodies that don't go on give way (408), others are refused (503) |
+| bodies up to 16 KB | a further 1/16 | they share the room above |
+| connections of callers | a third of `memory_mb` by 48 KB and `max_header_bytes` each; half of `max_fds` less 200; at least 16 | the oldest one ends after its request in flight |
+| pause within a body | twice `idle_timeout_ms` | 408 |
+| pace of a body after that time | 1,024 bytes a second | 408 |
+| pace of a body while others need its memory | a second for each piece, and 64 KB/s | 408 |
+| wait for a head, from the answer before | twice `idle_timeout_ms` | the connection is closed |
+| headers of a request | 100 | 431 |
+| answer that isn't read | 3 s without progress | the connection is closed |
+| reading after a refusal | 1 s, 256 KB | the connection is closed |
 ";
 
 #[test]
@@ -72,6 +102,7 @@
         );
     }
     page += NODE_SETTINGS;
+    page += NODE_LIMITS;
     expect_file!["../../../docs/SETTINGS.md"].assert_eq(&page);
 }
 
