--- a/crates/celerylead/src/relay/cold.rs
+++ b/crates/celerylead/src/relay/cold.rs
@@ -76,7 +76,7 @@
     }
 
     /// Returns the number of calls that its owner sends a cold runner within
-    /// [`WINDOW`]: half of the bound, but no more than the runner tolerates.
+    /// the counted period: half of the bound, but no more than the runner tolerates.
     pub fn owner_limit(&self, spec: &ColdSpec) -> u32 {
         let tolerated = spec.per_second * WINDOW.as_secs_f64();
         let half = self.in_a_second(spec) / 2;
--- a/crates/celerylead/src/relay/mod.rs
+++ b/crates/celerylead/src/relay/mod.rs
@@ -25,6 +25,7 @@
 
 mod backend;
 mod call;
+mod candidate;
 mod capacity;
 mod choice;
 mod cold;
