Review case 8: answers to slow readers are cut around planned work

Rule: LOST, around a SIGHUP and a SIGTERM. What disturbs: callers that read slowly but steadily (NEWS.md), 8 KB/s with a receive buffer of 8 KB. Nothing is fixed.

--- a/review/kit-2/src/main.rs
+++ b/review/kit-2/src/main.rs
@@ -8,6 +8,7 @@
 mod runner;
 mod stalled;
 mod rollback;
+mod slow;
 mod store;
 
 use std::path::{Path, PathBuf};
@@ -53,6 +54,7 @@
     });
     let verdict = match case.as_str() {
         "rollback" => rollback::run(&run),
+        "slow" => slow::run(&run),
         "stalled" => stalled::run(&run),
         _ => Verdict::NotRun,
     };
--- a/review/kit-2/src/node.rs
+++ b/review/kit-2/src/node.rs
@@ -28,6 +28,7 @@
 
 #[derive(Clone, Copy)]
 pub enum Signal {
+    Reload = 1,
     Kill = 9,
     Terminate = 15,
     Continue = 18,
--- a/review/kit-2/src/stalled.rs
+++ b/review/kit-2/src/stalled.rs
@@ -144,8 +144,6 @@
         }
         std::thread::sleep(Duration::from_secs(1));
     }
-    let answered = open.iter_mut().map(Conn::is_closed).filter(|closed| *closed).count();
-    record.line(&format!("{answered} of the clients are closed after 20 s"));
     drop(open);
     std::thread::sleep(Duration::from_secs(5));
     stop.store(true, Ordering::Relaxed);
