--- a/crates/celerylead/src/catalog/evacuation.rs
+++ b/crates/celerylead/src/catalog/evacuation.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::sorted::SortedTable;
+use crate::{sorted::SortedTable, store_version::StoreVersion};
 
 /// Most zones that are kept; a platform has a few. Marks beyond that are
 /// mistakes of the writer.
@@ -15,7 +15,7 @@
 #[serde(rename_all = "snake_case")]
 pub struct ZoneMark {
     /// Version of the row's last change in the store.
-    pub version: u64,
+    pub version: StoreVersion,
     /// Whether the row exists, and so the zone is evacuated.
     pub is_evacuated: bool,
 }
@@ -27,14 +27,14 @@
 /// # Examples
 ///
 /// ```
-/// use celerylead::catalog::EvacuationList;
+/// use celerylead::{StoreVersion, catalog::EvacuationList};
 ///
 /// let mut list = EvacuationList::default();
-/// assert!(list.apply("kgn", 7, true));
+/// assert!(list.apply("kgn", StoreVersion::new(0, 7), true));
 /// assert!(list.is_evacuated("kgn"));
-/// assert!(list.apply("kgn", 9, false));
+/// assert!(list.apply("kgn", StoreVersion::new(0, 9), false));
 /// // What another host still believes is older.
-/// assert!(!list.apply("kgn", 7, true));
+/// assert!(!list.apply("kgn", StoreVersion::new(0, 7), true));
 /// assert!(!list.is_evacuated("kgn"));
 /// ```
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -49,7 +49,7 @@
     pub fn apply(
         &mut self,
         zone: &str,
-        version: u64,
+        version: StoreVersion,
         is_evacuated: bool,
     ) -> bool {
         let known = self.marks.get(zone);
@@ -67,7 +67,11 @@
     /// Applies a reading of the whole table at `version`, in which the zones
     /// of `present` have a row of this version. Zones that it lacks aren't
     /// evacuated. Returns whether anything is new.
-    pub fn replace(&mut self, present: &[(&str, u64)], version: u64) -> bool {
+    pub fn replace(
+        &mut self,
+        present: &[(&str, StoreVersion)],
+        version: StoreVersion,
+    ) -> bool {
         let absent: Vec<String> = self
             .evacuated()
             .filter(|zone| present.iter().all(|(name, _)| name != zone))
--- a/crates/celerylead/src/catalog/tests.rs
+++ b/crates/celerylead/src/catalog/tests.rs
@@ -113,6 +113,9 @@
 #[test]
 fn the_newest_row_of_a_zone_decides() {
     use super::EvacuationList;
+    use crate::StoreVersion;
+
+    let at = |number| StoreVersion::new(0, number);
     enum Step {
         /// A row was written (or removed) at a version.
         Row(&'static str, u64, bool),
@@ -169,15 +172,17 @@
         let mut list = EvacuationList::default();
         for step in steps {
             match *step {
-                Row(zone, version, is_evacuated) => {
-                    list.apply(zone, version, is_evacuated);
+                Row(zone, number, is_evacuated) => {
+                    list.apply(zone, at(number), is_evacuated);
                 }
-                Table(rows, version) => {
-                    list.replace(rows, version);
+                Table(rows, number) => {
+                    let rows = rows.iter().map(|(zone, n)| (*zone, at(*n)));
+                    let rows: Vec<(&str, StoreVersion)> = rows.collect();
+                    list.replace(&rows, at(number));
                 }
-                Told(zone, version, is_evacuated) => {
+                Told(zone, number, is_evacuated) => {
                     let mut told = EvacuationList::default();
-                    told.apply(zone, version, is_evacuated);
+                    told.apply(zone, at(number), is_evacuated);
                     list.merge(&told);
                 }
             }
@@ -186,9 +191,9 @@
         assert_eq!(found, evacuated, "{name}");
     }
     let mut list = EvacuationList::default();
-    list.apply("kgn", 1, true);
-    for version in 2..1_000 {
-        list.apply(&format!("z{version}"), version, false);
+    list.apply("kgn", at(1), true);
+    for number in 2..1_000 {
+        list.apply(&format!("z{number}"), at(number), false);
     }
     assert!(list.is_evacuated("kgn"), "marks of others don't displace it");
 }
--- a/crates/celerylead/src/lib.rs
+++ b/crates/celerylead/src/lib.rs
@@ -65,6 +65,7 @@
 pub mod settings;
 mod sorted;
 mod step;
+mod store_version;
 mod tasks;
 pub mod usage;
 mod wire;
@@ -73,6 +74,7 @@
     clock::{ClockBound, EpochMillis, HostClock, MAX_CLOCK_SKEW},
     sorted::SortedTable,
     step::{StepContext, StepName},
+    store_version::StoreVersion,
     tasks::{host, node},
     wire::peer::{PEER_NAME, PeerIdentity},
 };
--- a/crates/celerylead/src/membership/digest.rs
+++ b/crates/celerylead/src/membership/digest.rs
@@ -18,6 +18,7 @@
     quarantine::{EvidenceReport, KeptVerdict},
     request::RetryClaim,
     roster::RunnerStart,
+    store_version::StoreVersion,
 };
 
 /// Calls of one host that are in flight at a runner.
@@ -79,7 +80,7 @@
         /// Row of the orders lease of the sender.
         lease: OrdersRow,
         /// Version of the lease's row.
-        version: u64,
+        version: StoreVersion,
         /// Sequence number of this message under the lease's fencing token.
         sequence: u64,
         /// Usable models and adapters by the identity of the runner.
--- a/crates/celerylead/src/membership/excerpt.rs
+++ b/crates/celerylead/src/membership/excerpt.rs
@@ -21,7 +21,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::rendezvous::best_host;
-use crate::clock::EpochMillis;
+use crate::{clock::EpochMillis, store_version::StoreVersion};
 
 /// Age of the last known answer of the registry from which a host reads the
 /// registry itself. The shortest bound on how late a host may learn of a
@@ -40,7 +40,7 @@
     /// Key of the row.
     pub key: String,
     /// Version of the row's last change.
-    pub version: u64,
+    pub version: StoreVersion,
     /// Value of the row; `None` if it was removed.
     pub value: Option<Vec<u8>>,
 }
@@ -50,9 +50,9 @@
 #[serde(rename_all = "snake_case")]
 pub struct FeedExcerpt {
     /// Position in the feed that the excerpt continues, as a version.
-    pub after: u64,
+    pub after: StoreVersion,
     /// Position after the excerpt.
-    pub version: u64,
+    pub version: StoreVersion,
     /// Time of the store's answer by the store's clock.
     pub store_time: EpochMillis,
     /// Revision of the configuration in force at the sender.
@@ -100,9 +100,10 @@
     /// # Examples
     ///
     /// ```
-    /// use celerylead::membership::FeedExcerpt;
+    /// use celerylead::{StoreVersion, membership::FeedExcerpt};
     ///
-    /// let answer = FeedExcerpt { after: 4, version: 9, ..Default::default() };
+    /// let (after, version) = (StoreVersion::new(0, 4), StoreVersion::new(0, 9));
+    /// let answer = FeedExcerpt { after, version, ..Default::default() };
     /// assert_eq!(answer.clone().split(), [answer]);
     /// ```
     pub fn split(self) -> Vec<FeedExcerpt> {
@@ -190,7 +191,7 @@
     /// excerpt are applied too, but don't put off the host's own read.
     pub fn admit(
         &mut self,
-        after: u64,
+        after: StoreVersion,
         excerpt: &FeedExcerpt,
     ) -> ExcerptVerdict {
         if after < excerpt.after {
--- a/crates/celerylead/src/membership/orders.rs
+++ b/crates/celerylead/src/membership/orders.rs
@@ -22,12 +22,27 @@
 //! for longer can take the lease. A deployment that starts for the first time
 //! settles: the row states how much of that time was left when it was written,
 //! so that the time doesn't begin anew with each process.
+//!
+//! The store may come back from an older copy, in a new era. The row that it
+//! then holds, or lacks, doesn't show the claims that were lost with the latest
+//! seconds, and the host of a lost claim may order until its term ends. Three
+//! rules follow:
+//!
+//! * A fencing token contains the era and the version under which it was
+//!   claimed, so that no token is given out twice, whichever rows were lost.
+//! * A row whose token is of an earlier era than the row's version was copied.
+//!   Every host waits for it as for the row of another holder, the host that it
+//!   names and those that heard of a release too.
+//! * The host that still has a permit goes on and claims under a new token, as
+//!   no other host could have claimed the lease during its term.
 
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
-use crate::{clock::EpochMillis, placement::LoadHistory};
+use crate::{
+    clock::EpochMillis, placement::LoadHistory, store_version::StoreVersion,
+};
 
 /// Time between two renewals.
 pub const RENEW_PERIOD: Duration = Duration::from_millis(1_000);
@@ -44,6 +59,27 @@
 /// could use the lease; about the time from a start to the first order.
 const UNUSED_TERM_DELAY: Duration = Duration::from_millis(2_000);
 
+/// Bits of a fencing token below the era in which it was claimed. A token of
+/// one of the first 8,192 eras is below 2^53, so that a JSON number that is read
+/// as a floating-point one holds it exactly.
+const TOKEN_NUMBER_BITS: u32 = 40;
+
+/// Returns the era in which a fencing token was claimed.
+fn token_era(fencing: u64) -> u64 {
+    fencing >> TOKEN_NUMBER_BITS
+}
+
+/// Returns the lowest token of a claim that expects the row to have this
+/// version. In an era the versions of the row grow with each write, whatever the
+/// row then contains, so two claims never get the same token. In era 0 no write
+/// is lost, and the token in the row is counted up instead.
+fn lowest_token(expected: StoreVersion) -> u64 {
+    match u64::from(expected.era()) {
+        0 => 1,
+        era => (era << TOKEN_NUMBER_BITS) + expected.number() + 1,
+    }
+}
+
 /// Row of the orders lease.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", default)]
@@ -52,7 +88,8 @@
     pub holder: String,
     /// Random number that identifies the holder's process.
     pub incarnation: u64,
-    /// Fencing token, which grows with each holder.
+    /// Fencing token, which grows with each holder and with each return of the
+    /// store from an older copy.
     pub fencing: u64,
     /// Loads from the weight store that the holder had ordered when it wrote
     /// the row and that may still begin.
@@ -89,8 +126,8 @@
 pub struct OrdersLease {
     /// The row as last read or announced.
     seen: Option<StoredOrdersRow>,
-    /// Version of the row as last read; 0 without a row.
-    version: u64,
+    /// Version of the row as last read; its number is 0 without a row.
+    version: StoreVersion,
     /// Time at which this version was first seen.
     seen_at: EpochMillis,
     /// Whether the row was read and not invalidated since.
@@ -132,7 +169,7 @@
     /// The row to write.
     pub row: StoredOrdersRow,
     /// Version that the existing row must have.
-    pub expected: u64,
+    pub expected: StoreVersion,
     /// Time at which the claim was made; the lease term starts here.
     pub claimed_at: EpochMillis,
 }
@@ -145,13 +182,17 @@
         OrdersLease { settled_at, ..OrdersLease::default() }
     }
 
-    /// Records the row as read from the store, with its version.
+    /// Records the row as read from the store, with its version. What was read
+    /// in an earlier era than the known row is ignored.
     pub fn record_read(
         &mut self,
         stored: Option<StoredOrdersRow>,
-        version: u64,
+        version: StoreVersion,
         now: EpochMillis,
     ) {
+        if self.is_outdated(version) {
+            return;
+        }
         if let Some(stored) = &stored {
             let left = Duration::from_millis(stored.settling_ms);
             self.settled_at = self.settled_at.min(now.after(left));
@@ -159,23 +200,34 @@
         self.record_row(stored, version, now);
     }
 
-    /// Records the row as its holder announced it, with its version.
+    /// Records the row as its holder announced it, with its version. Returns
+    /// whether the announcement counts: the holder may not know yet that the
+    /// store is in a later era.
     pub fn record_announcement(
         &mut self,
         row: &OrdersRow,
-        version: u64,
+        version: StoreVersion,
         now: EpochMillis,
-    ) {
-        if self.is_current && version == self.version {
-            return;
+    ) -> bool {
+        if self.is_outdated(version) {
+            return false;
+        }
+        if !self.is_current || version != self.version {
+            self.record_row(Some(row.clone().into()), version, now);
         }
-        self.record_row(Some(row.clone().into()), version, now);
+        true
+    }
+
+    /// Returns whether a version of the row is of an earlier era than the known
+    /// one.
+    fn is_outdated(&self, version: StoreVersion) -> bool {
+        version.era() < self.version.era()
     }
 
     fn record_row(
         &mut self,
         row: Option<StoredOrdersRow>,
-        version: u64,
+        version: StoreVersion,
         now: EpochMillis,
     ) {
         if !self.is_current || version != self.version {
@@ -184,14 +236,23 @@
         self.is_current = true;
         self.seen = row;
         self.version = version;
-        let seen = self.seen.as_ref().map(|seen| seen.row.fencing);
+        let fencing = self.seen.as_ref().map(|seen| seen.row.fencing);
+        let is_copied = self.is_copied();
         if let Some(permit) = &mut self.permit
-            && seen != Some(permit.fencing)
+            && fencing != Some(permit.fencing)
+            && !is_copied
         {
             permit.until = EpochMillis::default();
         }
     }
 
+    /// Returns whether the row, or its absence, comes from the copy from which
+    /// the store came back, so that later claims may be missing.
+    fn is_copied(&self) -> bool {
+        let fencing = self.seen.as_ref().map_or(0, |seen| seen.row.fencing);
+        token_era(fencing) != u64::from(self.version.era())
+    }
+
     /// Returns the claim that this host should write now, if any. Orders from
     /// two hosts within `alternation_window` count as alternating between the
     /// hosts.
@@ -210,24 +271,23 @@
         let is_own = seen.is_some_and(|row| row.incarnation == incarnation);
         let is_earlier = is_host && !is_own;
         let fencing = match seen {
-            Some(row) if is_host && is_own => {
-                // A new token is needed after the old one was given up.
-                let kept = row.fencing != self.given_up;
-                if kept { row.fencing } else { row.fencing + 1 }
+            // A new token is needed after the old one was given up.
+            Some(row)
+                if is_host
+                    && is_own
+                    && !self.is_copied()
+                    && row.fencing != self.given_up =>
+            {
+                row.fencing
             }
-            Some(row) => {
-                let takeover_at = self.takeover_at(row, alternation_window);
-                // Orders from one host don't count as alternating.
-                let claim_at = match is_earlier {
-                    true => takeover_at.min(self.reclaim_at()),
-                    false => takeover_at,
-                };
-                if now < claim_at {
+            _ => {
+                let claim_at = self.claim_at(host, is_own, alternation_window);
+                if now < claim_at && !self.spans_return(now) {
                     return None;
                 }
-                row.fencing + 1
+                let former = seen.map_or(0, |row| row.fencing);
+                former.saturating_add(1).max(lowest_token(self.version))
             }
-            None => 1,
         };
         let unused_terms = match self.seen.as_ref() {
             _ if self.is_used => 0,
@@ -246,30 +306,50 @@
         Some(LeaseClaim { row, expected: self.version, claimed_at: now })
     }
 
-    /// Returns the time from which the row of an earlier process of this host
-    /// may be taken.
-    fn reclaim_at(&self) -> EpochMillis {
-        let unused_terms =
-            self.seen.as_ref().map_or(0, |seen| seen.unused_terms);
-        self.seen_at.after(UNUSED_TERM_DELAY * unused_terms)
-    }
-
-    /// Returns the time from which another host's lease may be taken.
-    fn takeover_at(
+    /// Returns the time from which this host may claim the lease under a new
+    /// token. `is_own` is whether the row was written by this process.
+    fn claim_at(
         &self,
-        row: &OrdersRow,
+        host: &str,
+        is_own: bool,
         alternation_window: Duration,
     ) -> EpochMillis {
-        match self.peer_release {
+        let lapsed_at =
+            self.seen_at.after(LEASE_TTL + SEND_MARGIN + alternation_window);
+        if self.is_copied() {
+            return lapsed_at;
+        }
+        let Some(StoredOrdersRow { row, .. }) = &self.seen else {
+            return EpochMillis::default();
+        };
+        let takeover_at = match self.peer_release {
             Some((fencing, at)) if fencing == row.fencing => {
                 at.after(OrdersLease::handover_delay(alternation_window))
             }
-            _ => self
-                .seen_at
-                .after(LEASE_TTL + SEND_MARGIN + alternation_window),
+            _ => lapsed_at,
+        };
+        // Orders from one host don't count as alternating.
+        match row.holder == host {
+            true if is_own => EpochMillis::default(),
+            true => takeover_at.min(self.reclaim_at()),
+            false => takeover_at,
         }
     }
 
+    /// Returns whether this host's permit is still valid after the store came
+    /// back from a copy that may lack its claim.
+    fn spans_return(&self, now: EpochMillis) -> bool {
+        self.is_copied() && self.fencing(now).is_some()
+    }
+
+    /// Returns the time from which the row of an earlier process of this host
+    /// may be taken.
+    fn reclaim_at(&self) -> EpochMillis {
+        let unused_terms =
+            self.seen.as_ref().map_or(0, |seen| seen.unused_terms);
+        self.seen_at.after(UNUSED_TERM_DELAY * unused_terms)
+    }
+
     /// Records that the holder of a fencing token announced its release, and
     /// returns whether this is new. The announcement is repeated, but no order
     /// follows the first one.
@@ -290,14 +370,20 @@
         Some(permit.fencing)
     }
 
-    /// Records that a claim was written as `version`.
+    /// Records that a claim was written as `version`. A claim that the store
+    /// carried out in another era than expected gives no permit, nor does one
+    /// whose era has ended meanwhile.
     pub fn record_claim(
         &mut self,
         claim: &LeaseClaim,
-        version: u64,
+        version: StoreVersion,
         now: EpochMillis,
     ) {
         self.record_read(Some(claim.row.clone()), version, now);
+        let era = claim.expected.era();
+        if version.era() != era || self.version.era() != era {
+            return;
+        }
         let fencing = claim.row.row.fencing;
         if fencing == self.given_up {
             // Other hosts may already rely on no order following under this
@@ -353,7 +439,7 @@
     }
 
     /// Returns the row as last read and its version.
-    pub fn row(&self) -> Option<(&OrdersRow, u64)> {
+    pub fn row(&self) -> Option<(&OrdersRow, StoreVersion)> {
         Some((&self.seen.as_ref()?.row, self.version))
     }
 }
--- a/crates/celerylead/src/membership/tests/excerpt.rs
+++ b/crates/celerylead/src/membership/tests/excerpt.rs
@@ -1,6 +1,7 @@
 //! Tests of the excerpts of the registry's feed.
 
 use crate::{
+    StoreVersion,
     clock::EpochMillis,
     membership::{
         ExcerptRow, ExcerptVerdict, FeedExcerpt, FeedFollower, RevisionNews,
@@ -8,6 +9,7 @@
 };
 
 fn row(key: &str, version: u64, bytes: usize) -> ExcerptRow {
+    let version = StoreVersion::new(0, version);
     ExcerptRow { key: key.to_owned(), version, value: Some(vec![0; bytes]) }
 }
 
@@ -59,8 +61,8 @@
             .iter()
             .map(|(version, bytes)| row("i-1", *version, *bytes));
         let excerpt = FeedExcerpt {
-            after: 10,
-            version: 20,
+            after: StoreVersion::new(0, 10),
+            version: StoreVersion::new(0, 20),
             store_time: EpochMillis(5),
             revision: 3,
             rows: rows.collect(),
@@ -68,7 +70,10 @@
         let found: Vec<(u64, u64, usize)> = excerpt
             .split()
             .iter()
-            .map(|part| (part.after, part.version, part.rows.len()))
+            .map(|part| {
+                let (after, version) = (part.after, part.version);
+                (after.number(), version.number(), part.rows.len())
+            })
             .collect();
         assert_eq!(found, case.expected, "{}", case.name);
     }
@@ -124,13 +129,13 @@
         follower.record_read(EpochMillis(8_000), EpochMillis(9_005));
         follower.record_read(EpochMillis(8_900), EpochMillis(10_005));
         let excerpt = FeedExcerpt {
-            after: case.after,
-            version: case.version,
+            after: StoreVersion::new(0, case.after),
+            version: StoreVersion::new(0, case.version),
             store_time: EpochMillis(case.store_time),
             revision: 3,
             rows: Vec::new(),
         };
-        let verdict = follower.admit(10, &excerpt);
+        let verdict = follower.admit(StoreVersion::new(0, 10), &excerpt);
         assert_eq!(verdict, case.verdict, "{}", case.name);
         let known_at = EpochMillis(case.store_time + 1_005);
         let news = RevisionNews { revision: 3, known_at };
--- a/crates/celerylead/src/membership/tests/orders.rs
+++ b/crates/celerylead/src/membership/tests/orders.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::{
-    EpochMillis,
+    EpochMillis, StoreVersion,
     membership::{OrdersLease, OrdersRow, StoredOrdersRow},
 };
 
@@ -18,6 +18,10 @@
     row(holder, incarnation, fencing).into()
 }
 
+fn at_version(number: u64) -> StoreVersion {
+    StoreVersion::new(0, number)
+}
+
 /// Holder, incarnation, fencing token and version of a row.
 type SeenRow = (&'static str, u64, u64, u64);
 
@@ -84,11 +88,12 @@
                 stored(holder, incarnation, fencing)
             });
             let version = reading.map_or(0, |(.., version)| version);
-            lease.record_read(seen_row, version, EpochMillis(*at));
+            lease.record_read(seen_row, at_version(version), EpochMillis(*at));
         }
         let claim =
             lease.claim("a", 7, ALTERNATION_WINDOW, EpochMillis(case.at));
-        let claim = claim.map(|claim| (claim.row.row.fencing, claim.expected));
+        let claim = claim
+            .map(|claim| (claim.row.row.fencing, claim.expected.number()));
         assert_eq!(claim, case.claim, "{}", case.name);
     }
 }
@@ -137,7 +142,7 @@
             unused_terms: case.unused_terms,
             ..stored("a", 6, 4)
         };
-        lease.record_read(Some(seen), 9, EpochMillis(1_000));
+        lease.record_read(Some(seen), at_version(9), EpochMillis(1_000));
         let at = EpochMillis(1_000 + case.claims_after);
         if 0 < case.claims_after {
             let early = EpochMillis(at.0 - 1);
@@ -147,7 +152,7 @@
         let claim = lease.claim("a", 7, ALTERNATION_WINDOW, at).unwrap();
         assert_eq!(claim.row.unused_terms, case.states, "{}", case.name);
         assert_eq!(claim.row.row.fencing, 5, "{}", case.name);
-        lease.record_claim(&claim, 10, at);
+        lease.record_claim(&claim, at_version(10), at);
         assert!(lease.record_use(), "{}", case.name);
         let renewal = lease.claim("a", 7, ALTERNATION_WINDOW, at).unwrap();
         assert_eq!(renewal.row.unused_terms, 0, "{}", case.name);
@@ -186,10 +191,15 @@
                 settling_ms,
                 ..stored("b", 1, 4)
             });
-            lease.record_read(seen, 9, EpochMillis(at));
+            lease.record_read(seen, at_version(9), EpochMillis(at));
         }
         // What a holder announces doesn't state whether it settles.
-        lease.record_announcement(&row("b", 1, 4), 10, EpochMillis(600));
+        let announced = row("b", 1, 4);
+        lease.record_announcement(
+            &announced,
+            at_version(10),
+            EpochMillis(600),
+        );
         let at = case.settled_at;
         assert!(!lease.is_settled(EpochMillis(at - 1)), "{}", case.name);
         assert!(lease.is_settled(EpochMillis(at)), "{}", case.name);
@@ -211,10 +221,10 @@
     ];
     for Case { answered, at, holds } in cases {
         let mut lease = OrdersLease::default();
-        lease.record_read(None, 0, EpochMillis(0));
+        lease.record_read(None, at_version(0), EpochMillis(0));
         let claim =
             lease.claim("a", 7, ALTERNATION_WINDOW, EpochMillis(0)).unwrap();
-        lease.record_claim(&claim, 5, EpochMillis(answered));
+        lease.record_claim(&claim, at_version(5), EpochMillis(answered));
         let fencing = lease.fencing(EpochMillis(at));
         assert_eq!(fencing.is_some(), holds, "answered at {answered}");
     }
@@ -241,7 +251,11 @@
     ];
     for Case { name, released, at, claim } in cases {
         let mut lease = OrdersLease::default();
-        lease.record_read(Some(stored("b", 1, 4)), 9, EpochMillis(1_000));
+        lease.record_read(
+            Some(stored("b", 1, 4)),
+            at_version(9),
+            EpochMillis(1_000),
+        );
         assert!(lease.record_release(released, EpochMillis(1_100)), "{name}");
         // A repeated announcement doesn't put the takeover off.
         assert!(!lease.record_release(released, EpochMillis(1_900)), "{name}");
@@ -254,10 +268,10 @@
 #[test]
 fn a_host_that_gave_up_orders_only_under_a_new_token() {
     let mut lease = OrdersLease::default();
-    lease.record_read(None, 0, EpochMillis(0));
+    lease.record_read(None, at_version(0), EpochMillis(0));
     let claim =
         lease.claim("a", 7, ALTERNATION_WINDOW, EpochMillis(0)).unwrap();
-    lease.record_claim(&claim, 5, EpochMillis(10));
+    lease.record_claim(&claim, at_version(5), EpochMillis(10));
     assert_eq!(lease.give_up(), Some(1));
     assert_eq!(lease.fencing(EpochMillis(20)), None);
     let claim =
@@ -271,18 +285,18 @@
 #[test]
 fn a_renewal_in_flight_does_not_revive_a_token_given_up() {
     let mut lease = OrdersLease::default();
-    lease.record_read(None, 0, EpochMillis(0));
+    lease.record_read(None, at_version(0), EpochMillis(0));
     let claim =
         lease.claim("a", 7, ALTERNATION_WINDOW, EpochMillis(0)).unwrap();
-    lease.record_claim(&claim, 5, EpochMillis(10));
+    lease.record_claim(&claim, at_version(5), EpochMillis(10));
     let renewal =
         lease.claim("a", 7, ALTERNATION_WINDOW, EpochMillis(1_000)).unwrap();
     assert_eq!(lease.give_up(), Some(1));
-    lease.record_claim(&renewal, 6, EpochMillis(2_300));
+    lease.record_claim(&renewal, at_version(6), EpochMillis(2_300));
     assert_eq!(lease.fencing(EpochMillis(2_400)), None);
     let claim =
         lease.claim("a", 7, ALTERNATION_WINDOW, EpochMillis(2_400)).unwrap();
-    assert_eq!((claim.row.row.fencing, claim.expected), (2, 6));
+    assert_eq!((claim.row.row.fencing, claim.expected), (2, at_version(6)));
 }
 
 #[test]
@@ -332,10 +346,10 @@
     ];
     for case in cases {
         let mut lease = OrdersLease::default();
-        lease.record_read(None, 0, EpochMillis(0));
+        lease.record_read(None, at_version(0), EpochMillis(0));
         let claim =
             lease.claim("a", 7, ALTERNATION_WINDOW, EpochMillis(0)).unwrap();
-        lease.record_claim(&claim, 5, EpochMillis(10));
+        lease.record_claim(&claim, at_version(5), EpochMillis(10));
         if case.gives_up {
             lease.give_up();
         }
@@ -343,7 +357,7 @@
             let claim = lease
                 .claim("a", 7, ALTERNATION_WINDOW, EpochMillis(100))
                 .unwrap();
-            lease.record_claim(&claim, 6, EpochMillis(110));
+            lease.record_claim(&claim, at_version(6), EpochMillis(110));
         }
         let allowed =
             lease.permit().allows(case.fencing, EpochMillis(case.at));
@@ -394,14 +408,14 @@
     ];
     for Case { name, read_at, at, fencing, given_up } in cases {
         let mut lease = OrdersLease::default();
-        lease.record_read(None, 0, EpochMillis(0));
+        lease.record_read(None, at_version(0), EpochMillis(0));
         let claim =
             lease.claim("a", 7, ALTERNATION_WINDOW, EpochMillis(0)).unwrap();
-        lease.record_claim(&claim, 5, EpochMillis(10));
+        lease.record_claim(&claim, at_version(5), EpochMillis(10));
         if let Some(read_at) = read_at {
             lease.record_read(
                 Some(stored("b", 1, 2)),
-                6,
+                at_version(6),
                 EpochMillis(read_at),
             );
         }
@@ -410,3 +424,186 @@
         assert_eq!(lease.give_up(), None, "{name}: given up only once");
     }
 }
+
+/// Returns the fencing token of a claim in an era above 0 that expected the row
+/// to have the version before this number.
+const fn token(era: u64, number: u64) -> u64 {
+    (era << 40) + number
+}
+
+/// What host `a` in incarnation 7 learns of the lease. A version is an era and a
+/// number.
+#[derive(Clone, Copy)]
+enum Step {
+    /// It reads a row, by its holder, incarnation and fencing token.
+    Read(Option<(&'static str, u64, u64)>, (u16, u64)),
+    /// It hears from the holder of a row.
+    Hear((&'static str, u64, u64), (u16, u64)),
+    /// It hears that the holder of a token released it.
+    Release(u64),
+    /// Its claim is written as this version.
+    Claim((u16, u64)),
+}
+
+/// Guards against two hosts under one fencing token, and against orders of two
+/// hosts within the alternation window, when the store comes back from a copy
+/// that lacks the latest claims.
+#[test]
+fn a_copied_row_does_not_vouch_for_its_holder() {
+    use Step::{Claim, Hear, Read, Release};
+    struct Case {
+        name: &'static str,
+        steps: &'static [(u64, Step)],
+        /// First time at which the host claims, and the token of the claim.
+        claims: (u64, u64),
+        /// Token under which the host may order just before.
+        permit: Option<u64>,
+    }
+    const OLD: u64 = token(1, 5);
+    const CASES: &[Case] = &[
+        Case {
+            name: "a row of another host",
+            steps: &[(0, Read(Some(("b", 1, OLD)), (2, 30)))],
+            claims: (5_500, token(2, 31)),
+            permit: None,
+        },
+        Case {
+            name: "the host's own row, without a permit",
+            steps: &[(0, Read(Some(("a", 7, OLD)), (2, 30)))],
+            claims: (5_500, token(2, 31)),
+            permit: None,
+        },
+        Case {
+            name: "a row of an earlier process of the host",
+            steps: &[(0, Read(Some(("a", 6, OLD)), (2, 30)))],
+            claims: (5_500, token(2, 31)),
+            permit: None,
+        },
+        Case {
+            name: "no row",
+            steps: &[(100, Read(None, (2, 0)))],
+            claims: (5_600, token(2, 1)),
+            permit: None,
+        },
+        Case {
+            name: "a row whose token was released before the return",
+            steps: &[
+                (0, Read(Some(("b", 1, OLD)), (1, 5))),
+                (100, Release(OLD)),
+                (900, Read(Some(("b", 1, OLD)), (2, 5))),
+            ],
+            claims: (6_400, token(2, 6)),
+            permit: None,
+        },
+        Case {
+            name: "a row whose token is released after the return",
+            steps: &[
+                (0, Read(Some(("b", 1, OLD)), (2, 5))),
+                (100, Release(OLD)),
+            ],
+            claims: (5_500, token(2, 6)),
+            permit: None,
+        },
+        Case {
+            name: "a row that was claimed after the return, released",
+            steps: &[
+                (0, Read(Some(("b", 1, token(2, 31))), (2, 31))),
+                (100, Release(token(2, 31))),
+            ],
+            claims: (3_400, token(2, 32)),
+            permit: None,
+        },
+        Case {
+            name: "a lost claim whose permit is valid",
+            steps: &[
+                (0, Read(Some(("a", 6, OLD)), (1, 5))),
+                (0, Claim((1, 40))),
+                (1_000, Read(Some(("b", 1, token(1, 3))), (2, 30))),
+            ],
+            claims: (1_000, token(2, 31)),
+            permit: Some(token(1, 6)),
+        },
+        Case {
+            name: "a lost claim whose permit has expired",
+            steps: &[
+                (0, Read(Some(("a", 6, OLD)), (1, 5))),
+                (0, Claim((1, 40))),
+                (2_200, Read(Some(("b", 1, token(1, 3))), (2, 30))),
+            ],
+            claims: (7_700, token(2, 31)),
+            permit: None,
+        },
+        Case {
+            name: "a claim that was carried out in a later era",
+            steps: &[
+                (0, Read(Some(("a", 6, OLD)), (1, 5))),
+                (0, Claim((2, 31))),
+            ],
+            claims: (5_500, token(2, 32)),
+            permit: None,
+        },
+        Case {
+            name: "a late answer of the former era",
+            steps: &[
+                (0, Read(Some(("b", 1, OLD)), (2, 30))),
+                (3_000, Read(None, (1, 0))),
+                (3_000, Hear(("c", 1, token(1, 9)), (1, 41))),
+            ],
+            claims: (5_500, token(2, 31)),
+            permit: None,
+        },
+        Case {
+            name: "a row overwritten by a write of the former era",
+            steps: &[
+                (0, Read(Some(("b", 1, token(2, 36))), (2, 36))),
+                (100, Read(Some(("c", 1, token(1, 36))), (2, 37))),
+            ],
+            claims: (5_600, token(2, 38)),
+            permit: None,
+        },
+    ];
+    for case in CASES {
+        let Case { name, steps, claims: (claim_at, fencing), permit } = *case;
+        let mut lease = OrdersLease::default();
+        let claim_by = |lease: &OrdersLease, at: u64| {
+            lease.claim("a", 7, ALTERNATION_WINDOW, EpochMillis(at))
+        };
+        for (at, step) in steps {
+            let now = EpochMillis(*at);
+            match *step {
+                Read(seen, (era, number)) => {
+                    let seen = seen.map(|(h, i, f)| stored(h, i, f));
+                    let version = StoreVersion::new(era, number);
+                    lease.record_read(seen, version, now);
+                }
+                Hear((holder, incarnation, fencing), (era, number)) => {
+                    let seen = row(holder, incarnation, fencing);
+                    let version = StoreVersion::new(era, number);
+                    lease.record_announcement(&seen, version, now);
+                }
+                Release(fencing) => {
+                    lease.record_release(fencing, now);
+                }
+                Claim((era, number)) => {
+                    let claim = claim_by(&lease, *at).unwrap();
+                    let version = StoreVersion::new(era, number);
+                    lease.record_claim(&claim, version, now);
+                }
+            }
+        }
+        let (last, _) = steps.last().unwrap();
+        if *last < claim_at {
+            let early = claim_by(&lease, claim_at - 1);
+            assert_eq!(early, None, "{name}: claims too early");
+        }
+        assert_eq!(lease.fencing(EpochMillis(claim_at)), permit, "{name}");
+        let claim = claim_by(&lease, claim_at).expect(name);
+        assert_eq!(claim.row.row.fencing, fencing, "{name}");
+        assert_eq!(claim.expected.era(), 2, "{name}");
+        // The new token is in force as soon as the claim is written.
+        let version = StoreVersion::new(2, 1_000);
+        lease.record_claim(&claim, version, EpochMillis(claim_at + 5));
+        let held = lease.fencing(EpochMillis(claim_at + 5));
+        assert_eq!(held, Some(fencing), "{name}");
+    }
+}
--- a/crates/celerylead/src/placement/managed.rs
+++ b/crates/celerylead/src/placement/managed.rs
@@ -273,8 +273,11 @@
 }
 
 impl ManagedRunner<Unanswered> {
-    pub(super) fn retry(self) -> ManagedRunner<Pending> {
+    /// Sends the order again, under the fencing token that is held now: the
+    /// runner tells orders apart by the number that they expect.
+    pub(super) fn retry(self, fencing: u64) -> ManagedRunner<Pending> {
         let mut sent = self.state.sent.clone();
+        sent.order.fencing = fencing;
         sent.attempt += 1;
         self.into_state(Pending { sent, effective_at: None })
     }
--- a/crates/celerylead/src/placement/table.rs
+++ b/crates/celerylead/src/placement/table.rs
@@ -258,9 +258,10 @@
         needs_report.chain(pending).chain(unanswered).min()
     }
 
-    /// Returns the steps that are due: reports to read and orders to retry.
-    /// Each step is returned once, until its outcome is passed back.
-    pub fn due(&mut self, now: EpochMillis) -> Vec<OrderStep> {
+    /// Returns the steps that are due: reports to read, and orders to retry under
+    /// the fencing token that is held now. Each step is returned once, until its
+    /// outcome is passed back.
+    pub fn due(&mut self, fencing: u64, now: EpochMillis) -> Vec<OrderStep> {
         let mut steps = Vec::new();
         for (_, managed) in self.needs_report.iter_mut() {
             if managed.state.read_at <= now {
@@ -277,7 +278,7 @@
             .collect();
         for id in retries {
             let Some(managed) = self.unanswered.remove(&id) else { continue };
-            let managed = managed.retry();
+            let managed = managed.retry(fencing);
             let sent = managed.state.sent.clone();
             steps.push(OrderStep::Send(managed.facts.clone(), sent));
             self.pending.insert(id, managed);
--- a/crates/celerylead/src/placement/tests/adapters.rs
+++ b/crates/celerylead/src/placement/tests/adapters.rs
@@ -173,7 +173,7 @@
     for case in cases {
         let mut runners = RunnerTable::default();
         runners.adopt(&[&facts(1)], EpochMillis(0));
-        runners.due(EpochMillis(0));
+        runners.due(1, EpochMillis(0));
         let mut report = report(0, false);
         for adapter in case.resident {
             report.models[0].adapters.push((*adapter).to_owned());
--- a/crates/celerylead/src/placement/tests/fleet.rs
+++ b/crates/celerylead/src/placement/tests/fleet.rs
@@ -79,7 +79,7 @@
     /// Makes one turn of the lease holder.
     fn turn(&mut self, demand: &ModelDemand) {
         let now = self.now;
-        for step in self.table.due(now) {
+        for step in self.table.due(1, now) {
             let OrderStep::Report(facts) = step else { continue };
             let report = self.report(&facts.id);
             self.table.handle_report(&facts.id, Some(report), now);
--- a/crates/celerylead/src/placement/tests/managed.rs
+++ b/crates/celerylead/src/placement/tests/managed.rs
@@ -291,7 +291,7 @@
 ) {
     match step {
         Step::Due(expected) => {
-            let due = runners.due(now);
+            let due = runners.due(3, now);
             let due: Vec<String> = due.iter().map(describe_step).collect();
             assert_eq!(due, *expected, "{label}");
         }
--- a/crates/celerylead/src/port/store.rs
+++ b/crates/celerylead/src/port/store.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::{mpsc, oneshot};
 
-use crate::clock::EpochMillis;
+use crate::{clock::EpochMillis, store_version::StoreVersion};
 
 /// Requests that are queued for the client task before senders have to wait.
 const MAILBOX_CAPACITY: usize = 64;
@@ -48,7 +48,7 @@
     /// Key within its table.
     pub key: String,
     /// Version, which grows with each write.
-    pub version: u64,
+    pub version: StoreVersion,
     /// Value of the row.
     pub value: Bytes,
 }
@@ -63,7 +63,7 @@
         /// Key within its table.
         key: String,
         /// Version of the removal.
-        version: u64,
+        version: StoreVersion,
     },
 }
 
@@ -72,8 +72,9 @@
 pub struct StoreReading {
     /// Rows read, or changes of rows.
     pub rows: Vec<RowChange>,
-    /// Version from which a feed continues.
-    pub version: u64,
+    /// Version from which a feed continues; its era is the one in which the
+    /// store answered.
+    pub version: StoreVersion,
     /// Time of the answer by the store's clock, which runs steadily.
     pub store_time: EpochMillis,
 }
@@ -83,8 +84,9 @@
 pub struct RowPut {
     /// Row to write or remove.
     pub row: RowKey,
-    /// Version that the row must have; 0 if the row must not exist.
-    pub expected: u64,
+    /// Version that the row must have; its number is 0 if the row must not
+    /// exist.
+    pub expected: StoreVersion,
     /// Value to write; `None` removes the row.
     pub value: Option<Bytes>,
 }
@@ -130,7 +132,7 @@
         /// Table to follow.
         table: StoreTable,
         /// Version after which changes are reported.
-        after: u64,
+        after: StoreVersion,
         /// Longest wait for the first change.
         wait: Duration,
         /// Receives the result.
@@ -142,7 +144,7 @@
         put: RowPut,
         /// Receives the version written, or `None` if the row had another
         /// version.
-        reply: oneshot::Sender<Result<Option<u64>, StoreError>>,
+        reply: oneshot::Sender<Result<Option<StoreVersion>, StoreError>>,
     },
     /// A caller has given a request up before its answer came. The connections
     /// may be dead, as nothing came over one of them.
@@ -200,7 +202,7 @@
     pub async fn follow(
         &self,
         table: StoreTable,
-        after: u64,
+        after: StoreVersion,
         wait: Duration,
     ) -> Result<StoreReading, StoreError> {
         let request =
@@ -215,7 +217,10 @@
     ///
     /// Returns an error if the store didn't answer. Unless the error is
     /// [`StoreError::Refused`], the row may have been written.
-    pub async fn write(&self, put: RowPut) -> Result<Option<u64>, StoreError> {
+    pub async fn write(
+        &self,
+        put: RowPut,
+    ) -> Result<Option<StoreVersion>, StoreError> {
         self.ask(|reply| StoreRequest::Write { put, reply }).await
     }
 
--- a/crates/celerylead/src/relay/tests/evacuation.rs
+++ b/crates/celerylead/src/relay/tests/evacuation.rs
@@ -4,6 +4,7 @@
 
 use super::{NOW, call, catalog, runner};
 use crate::{
+    StoreVersion,
     catalog::EvacuationList,
     relay::{CallEnd, PickFault, RelayTable},
     roster::RunnerFacts,
@@ -48,7 +49,7 @@
         assert_eq!(second.runner, "b", "{name}");
         let mut list = EvacuationList::default();
         for zone in evacuated {
-            list.apply(zone, 1, true);
+            list.apply(zone, StoreVersion::new(0, 1), true);
         }
         table.set_evacuations(Arc::new(list));
         table.set_roster(facts.iter());
--- a/crates/celerylead/src/roster/cold_ends.rs
+++ b/crates/celerylead/src/roster/cold_ends.rs
@@ -1,7 +1,9 @@
 //! The times until which runners are cold, by the rows that state them.
 
 use super::entry::RunnerFacts;
-use crate::{clock::EpochMillis, sorted::SortedTable};
+use crate::{
+    clock::EpochMillis, sorted::SortedTable, store_version::StoreVersion,
+};
 
 /// Remembers when the latest row of each cold runner was first read.
 ///
@@ -13,14 +15,18 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ColdEnds {
     /// Version of the row, and the time until which it makes the runner cold.
-    rows: SortedTable<String, (u64, EpochMillis)>,
+    rows: SortedTable<String, (StoreVersion, EpochMillis)>,
 }
 
 impl ColdEnds {
     /// Takes in a row of this version, whose time was counted from now. If the
     /// row was read before, its first reading decides. Returns whether the
     /// runner is cold by this row.
-    pub fn settle(&mut self, version: u64, facts: &mut RunnerFacts) -> bool {
+    pub fn settle(
+        &mut self,
+        version: StoreVersion,
+        facts: &mut RunnerFacts,
+    ) -> bool {
         if facts.cold_until == EpochMillis::default() {
             self.rows.remove(&facts.id);
             return false;
--- a/crates/celerylead/src/roster/tests.rs
+++ b/crates/celerylead/src/roster/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of the roster's rules.
 
 use super::{ColdEnds, RosterChange, RunnerFacts, RunnerRoster};
-use crate::clock::EpochMillis;
+use crate::{StoreVersion, clock::EpochMillis};
 
 fn facts(id: &str, leaving: bool) -> RunnerFacts {
     RunnerFacts {
@@ -197,7 +197,8 @@
     ];
     for Case { name, former, later, until, is_cold } in cases {
         let mut ends = ColdEnds::default();
-        let mut read = |(version, cold_until)| {
+        let mut read = |(number, cold_until)| {
+            let version = StoreVersion::new(0, number);
             let cold_until = EpochMillis(cold_until);
             let mut facts = RunnerFacts { cold_until, ..facts("a", false) };
             let is_cold = ends.settle(version, &mut facts);
--- a/crates/celerylead/src/tasks/node/evacuations.rs
+++ b/crates/celerylead/src/tasks/node/evacuations.rs
@@ -9,7 +9,8 @@
 use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::{
-    catalog::EvacuationList, metrics::HostMetrics, tasks::MAILBOX_CAPACITY,
+    catalog::EvacuationList, metrics::HostMetrics,
+    store_version::StoreVersion, tasks::MAILBOX_CAPACITY,
 };
 
 /// The newest list of evacuated zones.
@@ -19,10 +20,10 @@
 pub(crate) enum EvacuationEvent {
     /// A row of the feed has changed: zone, version, and whether the row
     /// exists.
-    Row { zone: String, version: u64, is_evacuated: bool },
+    Row { zone: String, version: StoreVersion, is_evacuated: bool },
     /// The whole table was read at this version. Holds the zones with a row,
     /// and its version.
-    Table { zones: Vec<(String, u64)>, version: u64 },
+    Table { zones: Vec<(String, StoreVersion)>, version: StoreVersion },
     /// Another host told what it knows.
     Told(EvacuationList),
     /// Replies once all earlier messages are applied.
@@ -79,7 +80,7 @@
             EvacuationEvent::Table { zones, version } => {
                 let zones =
                     zones.iter().map(|(zone, at)| (zone.as_str(), *at));
-                let zones: Vec<(&str, u64)> = zones.collect();
+                let zones: Vec<(&str, StoreVersion)> = zones.collect();
                 ("store", list.replace(&zones, version))
             }
             EvacuationEvent::Told(told) => ("host", list.merge(&told)),
--- a/crates/celerylead/src/tasks/node/gossip.rs
+++ b/crates/celerylead/src/tasks/node/gossip.rs
@@ -40,6 +40,7 @@
     request::RetryClaim,
     roster::HeldModel,
     sorted::SortedTable,
+    store_version::StoreVersion,
 };
 
 /// Largest datagram that is received; digests are a few hundred bytes.
@@ -82,7 +83,7 @@
     pub(super) address: SocketAddr,
     pub(super) capacity: Option<HostCapacity>,
     /// Version of the host's row.
-    pub(super) version: u64,
+    pub(super) version: StoreVersion,
     /// Time at which the host's last digest arrived, or at which the host was
     /// first listed.
     pub(super) last_digest_at: Instant,
--- a/crates/celerylead/src/tasks/node/gossip_port.rs
+++ b/crates/celerylead/src/tasks/node/gossip_port.rs
@@ -8,6 +8,7 @@
     model::ModelName,
     quarantine::EvidenceReport,
     roster::RunnerStart,
+    store_version::StoreVersion,
     tasks::MAILBOX_CAPACITY,
 };
 
@@ -34,7 +35,7 @@
     /// An adapter is missing and a call waits for it.
     AdapterRequested(ModelName),
     /// Another host holds the orders lease; the lease's row and its version.
-    LeaseHolder(OrdersRow, u64),
+    LeaseHolder(OrdersRow, StoreVersion),
     /// The holder with this fencing token has released the orders lease.
     LeaseReleased(u64),
 }
--- a/crates/celerylead/src/tasks/node/host_rows.rs
+++ b/crates/celerylead/src/tasks/node/host_rows.rs
@@ -18,6 +18,7 @@
     port::{RowChange, RowKey, RowPut, StorePort, StoreTable},
     quarantine::KeptVerdict,
     request::RetryClaim,
+    store_version::StoreVersion,
 };
 
 /// Time between two reads of the hosts' table while nothing requires an
@@ -34,7 +35,7 @@
 /// What a read of the hosts' table has shown.
 pub(super) struct HostsReading {
     /// Rows with their versions.
-    pub(super) rows: Vec<(HostRow, u64)>,
+    pub(super) rows: Vec<(HostRow, StoreVersion)>,
     /// What the rows keep for a process that starts, in the first reading.
     pub(super) kept: Option<KeptState>,
 }
@@ -44,8 +45,8 @@
     setup: GossipSetup,
     /// The row as this process writes it.
     row: HostRow,
-    /// Version of the row in the table; 0 if there is none.
-    version: u64,
+    /// Version of the row in the table; its number is 0 if there is none.
+    version: StoreVersion,
     /// Whether the table holds the row as this process writes it.
     in_place: bool,
     /// Whether the table has been read.
@@ -68,7 +69,7 @@
     let mut verdicts = setup.verdicts.clone();
     let mut keeper = RowKeeper {
         row: setup.row.clone(),
-        version: 0,
+        version: StoreVersion::default(),
         in_place: false,
         has_read: false,
         store_time: (EpochMillis::default(), EpochMillis::default()),
@@ -130,7 +131,7 @@
         self.store_time = (reading.store_time, asked_at);
         let mut known = Vec::new();
         let mut former = None;
-        self.version = 0;
+        self.version = StoreVersion::new(reading.version.era(), 0);
         for row in &reading.rows {
             let RowChange::Written(row) = row else { continue };
             match serde_json::from_slice::<HostRow>(&row.value) {
@@ -164,7 +165,7 @@
     }
 
     /// Returns what the rows keep for this process, with times of its clock.
-    fn kept_state(&self, rows: &[(HostRow, u64)]) -> KeptState {
+    fn kept_state(&self, rows: &[(HostRow, StoreVersion)]) -> KeptState {
         let claims = self.row.retry_claims.iter();
         let claims = claims.map(|claim| claim.at_clock(|t| self.host_time(t)));
         let verdicts = rows.iter().flat_map(|(row, _)| &row.verdicts);
@@ -250,7 +251,11 @@
 }
 
 /// Removes the row of a host, unless it was written since this version.
-pub(super) fn remove_row(store: &StorePort, host: &str, version: u64) {
+pub(super) fn remove_row(
+    store: &StorePort,
+    host: &str,
+    version: StoreVersion,
+) {
     let put = RowPut {
         row: RowKey { table: StoreTable::Hosts, key: host.to_owned() },
         expected: version,
--- a/crates/celerylead/src/tasks/node/lease.rs
+++ b/crates/celerylead/src/tasks/node/lease.rs
@@ -17,6 +17,7 @@
         RENEW_PERIOD, StoredOrdersRow,
     },
     placement::LoadHistory,
+    store_version::StoreVersion,
 };
 
 /// Silence of the lease holder after which another host reads the lease's row.
@@ -127,7 +128,7 @@
     }
 
     /// Returns the lease's row as last read, with its version.
-    pub(super) fn row(&self) -> Option<(&OrdersRow, u64)> {
+    pub(super) fn row(&self) -> Option<(&OrdersRow, StoreVersion)> {
         self.lease.row()
     }
 
@@ -136,10 +137,12 @@
     pub(super) fn holder_announced(
         &mut self,
         row: &OrdersRow,
-        version: u64,
+        version: StoreVersion,
         now: EpochMillis,
     ) {
-        self.lease.record_announcement(row, version, now);
+        if !self.lease.record_announcement(row, version, now) {
+            return;
+        }
         self.publish_permit();
         self.next_call_at = Instant::now() + HOLDER_TIMEOUT;
     }
--- a/crates/celerylead/src/tasks/node/orders.rs
+++ b/crates/celerylead/src/tasks/node/orders.rs
@@ -19,6 +19,7 @@
     },
     roster::RunnerFacts,
     step::{StepContext as _, StepName},
+    store_version::StoreVersion,
 };
 
 /// Longest wait for the answer of a runner to an order or a report request.
@@ -29,11 +30,11 @@
 
 /// Outcome of a store call on the lease's row.
 pub(super) enum LeaseOutcome {
-    /// The row was read, with its version; no row has version 0.
-    Read(Option<StoredOrdersRow>, u64),
+    /// The row was read, with its version, whose number is 0 without a row.
+    Read(Option<StoredOrdersRow>, StoreVersion),
     /// The row was written as this version; `None` if the stored row didn't
     /// have the expected version.
-    Claimed(LeaseClaim, Option<u64>),
+    Claimed(LeaseClaim, Option<StoreVersion>),
     /// The store didn't answer, its answer couldn't be decoded, or the claim
     /// couldn't be encoded.
     StoreFailed,
@@ -93,7 +94,10 @@
         RowChange::Written(row) if row.key == LEASE_KEY => Some(row),
         _ => None,
     });
-    let Some(row) = row else { return LeaseOutcome::Read(None, 0) };
+    let Some(row) = row else {
+        let absent = StoreVersion::new(reading.version.era(), 0);
+        return LeaseOutcome::Read(None, absent);
+    };
     match serde_json::from_slice(&row.value) {
         Ok(orders_row) => LeaseOutcome::Read(Some(orders_row), row.version),
         Err(error) => {
--- a/crates/celerylead/src/tasks/node/placer.rs
+++ b/crates/celerylead/src/tasks/node/placer.rs
@@ -90,8 +90,9 @@
 pub(super) struct PlacerTask<C> {
     pub(super) setup: PlacerSetup<C>,
     lease: LeaseKeeper,
-    /// Whether this host held the orders lease at its last tick.
-    holds_lease: bool,
+    /// Fencing token under which this host held the orders lease at its last
+    /// tick, if it held it.
+    held_fencing: Option<u64>,
     /// Time from which the demand of the other hosts is known.
     demand_known_at: EpochMillis,
     pub(super) runners: RunnerTable,
@@ -126,7 +127,7 @@
             setup.alternation_window,
             setup.clock.now(),
         ),
-        holds_lease: false,
+        held_fencing: None,
         demand_known_at: EpochMillis::default(),
         runners: RunnerTable::default(),
         plan: FleetPlan::default(),
@@ -158,7 +159,8 @@
         loop {
             // A host without the lease needs no regular ticks.
             let next_call_at = self.lease.next_call_at();
-            let idle = !self.holds_lease && Instant::now() < next_call_at;
+            let holds_lease = self.held_fencing.is_some();
+            let idle = !holds_lease && Instant::now() < next_call_at;
             let (due, paused_until) = (self.tick_due, self.paused_until);
             tokio::select! {
                 event = inbox.recv() => match event {
@@ -174,7 +176,7 @@
                 {
                     self.tick_due = true;
                 }
-                () = self.until_due(), if self.holds_lease && !due => {
+                () = self.until_due(), if holds_lease && !due => {
                     self.tick_due = true;
                 }
                 _ = interval.tick(), if !idle && !due => self.tick_due = true,
@@ -222,7 +224,7 @@
             }
             PlacerEvent::AdapterRequested(name) => {
                 self.adapter_planner.record_miss(name, now);
-                self.holds_lease
+                self.held_fencing.is_some()
             }
             PlacerEvent::LeaseHolder(row, version) => {
                 self.lease.holder_announced(row, *version, now);
@@ -245,14 +247,14 @@
         let leaving = *self.setup.phase.borrow() != NodePhase::Serving;
         let fencing = self.lease.fencing(now).filter(|_| !leaving);
         let Some(fencing) = fencing else {
-            if self.holds_lease && !self.runners.awaits_answers() {
-                self.holds_lease = false;
+            if self.held_fencing.is_some() && !self.runners.awaits_answers() {
+                self.held_fencing = None;
                 self.release_lease();
             }
             return;
         };
-        if !self.holds_lease {
-            self.holds_lease = true;
+        let former = self.held_fencing.replace(fencing);
+        if former.is_none() {
             self.demand_known_at = now.after(DEMAND_SETTLE_TIME);
             self.broadcast.restart();
             self.runners.reset(now);
@@ -271,12 +273,14 @@
                 inherited_loads = inherited,
                 open_loads = self.loads.open_count(),
             );
+        } else if former != Some(fencing) {
+            tracing::info!(event = "orders_renewed", fencing, former);
         }
         let roster = self.setup.roster.borrow().clone();
         let catalog = self.setup.catalog.borrow().clone();
         let (Some(roster), Some(catalog)) = (roster, catalog) else { return };
         self.adopt(&roster, &catalog, now);
-        for step in self.runners.due(now) {
+        for step in self.runners.due(fencing, now) {
             if let OrderStep::Send(_, sent) = &step {
                 let order = &sent.order;
                 self.loads.record_retry(&order.runner, order.expected, now);
@@ -290,6 +294,10 @@
             self.lease.record_use();
         }
         self.issue_orders(&catalog, fencing, may_move, now);
+        if former.is_some_and(|former| former != fencing) {
+            // The other hosts forget what they heard under the former token.
+            self.broadcast.restart();
+        }
         self.broadcast_residency(now).await;
     }
 
@@ -373,13 +381,14 @@
             return;
         }
         let now = self.setup.clock.now();
-        if !self.holds_lease && !*self.setup.may_order.borrow() {
+        let holds_lease = self.held_fencing.is_some();
+        if !holds_lease && !*self.setup.may_order.borrow() {
             self.lease.defer();
             return;
         }
         let knows_runners = self.setup.roster.borrow().is_some()
             && self.setup.catalog.borrow().is_some();
-        if !self.holds_lease && !knows_runners {
+        if !holds_lease && !knows_runners {
             // Without them the lease would be of no use here.
             return;
         }
--- a/crates/celerylead/src/tasks/node/registry.rs
+++ b/crates/celerylead/src/tasks/node/registry.rs
@@ -31,6 +31,7 @@
         ColdEnds, RepeatFilter, RosterChange, RunnerFacts, RunnerRoster,
     },
     sorted::SortedTable,
+    store_version::StoreVersion,
 };
 
 /// Excerpts that wait for the task; further ones are dropped.
@@ -349,7 +350,7 @@
                 tracing::warn!(
                     event = "registry_entry_unreadable",
                     runner = row.key,
-                    version = row.version,
+                    version = %row.version,
                     error = format!("{error:#}"),
                 );
                 RosterChange::Withdrawn(row.key.clone())
@@ -413,7 +414,11 @@
 }
 
 /// Returns a reading of the feed from the position `after` as an excerpt.
-fn excerpt(after: u64, revision: u64, reading: &StoreReading) -> FeedExcerpt {
+fn excerpt(
+    after: StoreVersion,
+    revision: u64,
+    reading: &StoreReading,
+) -> FeedExcerpt {
     let rows = reading.rows.iter().map(|row| match row {
         RowChange::Written(row) => ExcerptRow {
             key: row.key.clone(),
--- a/crates/celerylead/src/tasks/node/watcher.rs
+++ b/crates/celerylead/src/tasks/node/watcher.rs
@@ -29,6 +29,7 @@
         ANSWER_TIMEOUT, EdgeCodec, RowChange, StoreError, StorePort,
         StoreReading, StoreTable,
     },
+    store_version::StoreVersion,
 };
 
 /// Time reserved to connect and read again after a poll without an answer.
@@ -114,7 +115,7 @@
     table: StoreTable,
     /// Version after which changes are to be read; `None` while the whole
     /// table has to be read.
-    pub(super) after: Option<u64>,
+    pub(super) after: Option<StoreVersion>,
     pub(super) failures: u32,
     /// Start of the last successful step.
     read_at: Option<EpochMillis>,
@@ -166,7 +167,7 @@
                     source = self.name(),
                     took_ms = began.until(now).as_millis() as u64,
                     reading_ms = age.map(|age| age.as_millis() as u64),
-                    after = self.after,
+                    after = self.after.map(tracing::field::display),
                     error = %fault,
                 );
                 if matches!(fault, StoreError::HistoryDropped) {
@@ -291,7 +292,7 @@
             Err(error) => tracing::warn!(
                 event = "configuration_unreadable",
                 row = row.key,
-                version = row.version,
+                version = %row.version,
                 error = format!("{error:#}"),
             ),
         }
--- a/crates/stand-ins/src/rows.rs
+++ b/crates/stand-ins/src/rows.rs
@@ -2,18 +2,19 @@
 //! protocol.
 //!
 //! It has rows in tables, conditional transactions, and a feed of changes with
-//! a bounded history. It implements only what the tests need: one part per
-//! table, and neither objects nor rates.
+//! a bounded history. It can come back from an older copy of itself. It
+//! implements only what the tests need: one part per table, and neither objects
+//! nor rates.
 
 use std::time::{Duration, UNIX_EPOCH};
 
 use http_body_util::BodyExt as _;
-use hyper::{Request, StatusCode, body::Incoming};
+use hyper::{Request, Response, StatusCode, body::Incoming};
 use serde::Deserialize;
 use serde_json::{Value, json};
 use tokio::{net::TcpListener, time::Instant};
 
-use crate::serve::{Reply, StateHandle, json_reply, serve};
+use crate::serve::{Reply, ReplyBody, StateHandle, json_reply, serve};
 
 /// Time between two checks for changes of a feed request that waits.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
@@ -61,12 +62,30 @@
     }
 }
 
+/// A copy of the store's rows, from which it can come back.
+#[derive(Clone, Debug, Default)]
+pub struct RowCopy {
+    /// Sorted by table and key. A removed row stays as a tombstone.
+    rows: Vec<Row>,
+    /// Version of the last change to the store.
+    version: u64,
+}
+
+impl RowCopy {
+    /// Returns the version of the store when the copy was taken.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+}
+
 #[derive(Debug, Default)]
 struct RowState {
     /// Sorted by table and key. A removed row stays as a tombstone.
     rows: Vec<Row>,
     /// Version of the last change to the store.
     version: u64,
+    /// Number of times that the store came back from a copy.
+    era: u64,
     /// First version from which the feed can continue; an earlier one gets
     /// 410.
     history_start: u64,
@@ -231,6 +250,49 @@
             .await;
     }
 
+    /// Returns a copy of the rows as they are now.
+    pub async fn copy(&self) -> RowCopy {
+        self.state
+            .with(|state| RowCopy {
+                rows: state.rows.clone(),
+                version: state.version,
+            })
+            .await
+    }
+
+    /// Comes back without a fault from a copy, in a new era. Later changes are
+    /// lost, and their versions are issued again.
+    pub async fn restore(&self, copy: RowCopy) {
+        self.state
+            .with(move |state| {
+                state.rows = copy.rows;
+                state.version = copy.version;
+                state.era += 1;
+                state.fault = RowFault::None;
+            })
+            .await;
+    }
+
+    /// Writes the row of a copy again, if it had it.
+    pub async fn write_again(&self, copy: &RowCopy, table: &str, key: &str) {
+        let row =
+            copy.rows.iter().find(|row| row.table == table && row.key == key);
+        if let Some(value) = row.and_then(|row| row.value.as_deref()) {
+            self.put(table, key, value).await;
+        }
+    }
+
+    /// Returns the value of a row in base64, if it exists.
+    pub async fn value(&self, table: &str, key: &str) -> Option<String> {
+        let (table, key) = (table.to_owned(), key.to_owned());
+        self.state
+            .with(move |state| {
+                let index = state.position(&table, &key).ok()?;
+                state.rows[index].value.clone()
+            })
+            .await
+    }
+
     /// Returns the keys of a table's rows, without removed ones.
     pub async fn keys(&self, table: &str) -> Vec<String> {
         let table = table.to_owned();
@@ -285,7 +347,7 @@
     let query = request.uri().query().unwrap_or("").to_owned();
     match request.uri().path() {
         "/-/rows-get" => Some(get_rows(&state, &query).await),
-        "/-/rows-feed" => Some(read_feed(&state, &query).await),
+        "/-/rows-feed" => read_feed(&state, &query).await,
         "/-/rows-tx" => {
             let body = request.into_body().collect().await.ok()?.to_bytes();
             let reply = transact(&state, &body).await?;
@@ -306,9 +368,9 @@
 async fn get_rows(
     state: &StateHandle<RowState>,
     query: &str,
-) -> hyper::Response<crate::serve::ReplyBody> {
+) -> Response<ReplyBody> {
     let table = query_parameter(query, "table");
-    let page = state
+    let (page, era) = state
         .with(move |state| {
             state.count_read(&table);
             let rows = state.rows.iter();
@@ -316,30 +378,46 @@
                 .filter(|row| row.table == table && row.value.is_some())
                 .map(Row::to_json)
                 .collect();
-            state.page(&rows)
+            (state.page(&rows), state.era)
         })
         .await;
-    json_reply(StatusCode::OK, &page)
+    era_reply(StatusCode::OK, &page, era)
+}
+
+/// Creates an answer of this era. As the platform's store, it doesn't state era
+/// 0.
+fn era_reply(
+    status: StatusCode,
+    body: &Value,
+    era: u64,
+) -> Response<ReplyBody> {
+    let mut reply = json_reply(status, body);
+    if 0 < era {
+        reply.headers_mut().insert("store-era", era.into());
+    }
+    reply
 }
 
 /// Answers with the changes of a table after a version. Waits for a change for
 /// up to `wait_ms`; answers 410 if the history no longer reaches back to that
-/// version.
-async fn read_feed(
-    state: &StateHandle<RowState>,
-    query: &str,
-) -> hyper::Response<crate::serve::ReplyBody> {
+/// version, or the store doesn't have it. Closes the connection if the store goes
+/// away meanwhile.
+async fn read_feed(state: &StateHandle<RowState>, query: &str) -> Reply {
     let after: u64 = query_parameter(query, "after").parse().unwrap_or(0);
     let wait_ms = query_parameter(query, "wait_ms").parse().unwrap_or(0);
     let deadline = Instant::now() + Duration::from_millis(wait_ms);
     let table = query_parameter(query, "table");
+    let began_in = state.with(|state| state.era).await;
     loop {
         let table = table.clone();
         let name = table.clone();
         let found = state
             .with(move |state| {
-                if after < state.history_start {
-                    return Err(());
+                if state.fault == RowFault::Down || state.era != began_in {
+                    return Err(None);
+                }
+                if after < state.history_start || state.version < after {
+                    return Err(Some(state.era));
                 }
                 let rows = state.rows.iter();
                 let mut rows: Vec<&Row> = rows
@@ -348,14 +426,19 @@
                 rows.sort_by_key(|row| row.version);
                 let rows: Vec<Value> =
                     rows.into_iter().map(Row::to_json).collect();
-                Ok((!rows.is_empty(), state.page(&rows)))
+                Ok((!rows.is_empty(), state.page(&rows), state.era))
             })
             .await;
         match found {
-            Err(()) => return json_reply(StatusCode::GONE, &json!({})),
-            Ok((changed, page)) if changed || deadline <= Instant::now() => {
+            Err(era) => {
+                let era = era?;
+                return Some(era_reply(StatusCode::GONE, &json!({}), era));
+            }
+            Ok((changed, page, era))
+                if changed || deadline <= Instant::now() =>
+            {
                 state.with(move |state| state.count_read(&table)).await;
-                return json_reply(StatusCode::OK, &page);
+                return Some(era_reply(StatusCode::OK, &page, era));
             }
             Ok(_) => tokio::time::sleep(POLL_INTERVAL).await,
         }
@@ -366,14 +449,14 @@
 /// version. Otherwise changes nothing and answers 412.
 async fn transact(state: &StateHandle<RowState>, body: &[u8]) -> Reply {
     let transaction: Transaction = serde_json::from_slice(body).ok()?;
-    let (status, page) = state
+    let (status, page, era) = state
         .with(move |state| {
             let conditions_hold = transaction.expected.iter().all(|row| {
                 state.live_version(&row.table, &row.key) == row.row_version
             });
             if !conditions_hold {
                 let page = json!({"row_version": state.version});
-                return (StatusCode::PRECONDITION_FAILED, page);
+                return (StatusCode::PRECONDITION_FAILED, page, state.era);
             }
             state.version += 1;
             for put in transaction.puts {
@@ -383,8 +466,8 @@
                 state.put(&name.table, &name.key, None);
             }
             let page = json!({"row_version": state.version, "now_ms": 0});
-            (StatusCode::OK, page)
+            (StatusCode::OK, page, state.era)
         })
         .await;
-    Some(json_reply(status, &page))
+    Some(era_reply(status, &page, era))
 }
