Read the tables anew when the store returns from a copy

Cause: a feed went on at its version. A store that has issued versions up to that position again answers without 410, and what was written under them is missed for good. A host that starts knows only the copy. Ruled out as a cause: 410 itself, which leads to a whole reading at once.

Change: an answer of a later era ends the position and the table is read as a whole; one of an earlier era is dropped. After a return, hosts ask up to eight seeds for a newer revision: when they see it, when their zone's reader has one, and when they start, before they serve. Log line store_restored, counter store_returns.

--- a/crates/celerylead/src/metrics.rs
+++ b/crates/celerylead/src/metrics.rs
@@ -94,6 +94,7 @@
     pub(crate) revision: Gauge,
     pub(crate) lease_live: Gauge,
     pub(crate) platform_errors: Counter,
+    pub(crate) store_returns: Counter,
     pub(crate) readings: Family<TableLabels, Gauge>,
     pub(crate) peer_bytes: Counter,
     pub(crate) usage_waiting: Gauge,
@@ -125,6 +126,7 @@
         let revision = Gauge::default();
         let lease_live = Gauge::default();
         let platform_errors = Counter::default();
+        let store_returns = Counter::default();
         let readings = Family::default();
         let peer_bytes = Counter::default();
         let usage_waiting = Gauge::default();
@@ -216,6 +218,12 @@
             "Failed calls of the platform's services",
             platform_errors.clone(),
         );
+        registry.register(
+            "store_returns",
+            "Whole readings of a table because the store came back from an \
+             older copy",
+            store_returns.clone(),
+        );
         registry.register(
             "reading_answered_seconds",
             "Point of the last answered reading, by table, since the epoch",
@@ -284,6 +292,7 @@
             revision,
             lease_live,
             platform_errors,
+            store_returns,
             readings,
             peer_bytes,
             usage_waiting,
--- a/crates/celerylead/src/tasks/node/registry.rs
+++ b/crates/celerylead/src/tasks/node/registry.rs
@@ -129,8 +129,7 @@
         match step.map(|step| self.without_repeats(step)) {
             Ok(step) => {
                 let now = self.setup.clock.now();
-                let (FeedStep::Snapshot(reading) | FeedStep::Changes(reading)) =
-                    &step;
+                let reading = step.reading();
                 self.follower.record_read(reading.store_time, now);
                 self.last_answer = reading.store_time;
                 if let (Some(after), FeedStep::Changes(_)) = (after, &step)
@@ -142,6 +141,11 @@
                     self.zone_feed.gossip.send_excerpts(excerpts);
                 }
                 self.note_answer(began);
+                if let FeedStep::Restored(_) = &step {
+                    // Entries may be missing from the copy, however steady the
+                    // contact of any host with the registry was.
+                    self.gap_began = None;
+                }
                 self.adopt(&step);
                 READ_PAUSE
             }
@@ -247,11 +251,12 @@
     /// Drops the rows that were written again without a change: they say nothing
     /// new to this host, nor to another one at the same position.
     fn without_repeats(&mut self, mut step: FeedStep) -> FeedStep {
-        if let FeedStep::Snapshot(_) = &step {
+        if let FeedStep::Snapshot(_) | FeedStep::Restored(_) = &step {
             self.repeats = RepeatFilter::default();
         }
-        let (FeedStep::Snapshot(reading) | FeedStep::Changes(reading)) =
-            &mut step;
+        let (FeedStep::Snapshot(reading)
+        | FeedStep::Restored(reading)
+        | FeedStep::Changes(reading)) = &mut step;
         reading.rows.retain(|row| match row {
             RowChange::Written(row) => {
                 self.repeats.admit(&row.key, Some(&row.value))
@@ -305,13 +310,13 @@
         let now = self.setup.clock.now();
         match step {
             FeedStep::Snapshot(reading) => {
-                let listed = reading.rows.iter().filter_map(|row| match self
-                    .change(row)
-                {
-                    RosterChange::Listed(facts) => Some(facts),
-                    RosterChange::Withdrawn(_) => None,
-                });
-                let listed = listed.collect();
+                let listed = self.listed(reading);
+                self.entries.replace(listed, now);
+                self.publish();
+            }
+            FeedStep::Restored(reading) => {
+                let listed = self.listed(reading);
+                self.entries.registry_returned(now);
                 self.entries.replace(listed, now);
                 self.publish();
             }
@@ -328,6 +333,16 @@
         }
     }
 
+    /// Returns the runners that a reading of the whole registry lists.
+    fn listed(&mut self, reading: &StoreReading) -> Vec<RunnerFacts> {
+        let rows = reading.rows.iter();
+        let listed = rows.filter_map(|row| match self.change(row) {
+            RosterChange::Listed(facts) => Some(facts),
+            RosterChange::Withdrawn(_) => None,
+        });
+        listed.collect()
+    }
+
     /// Converts a row of the registry into a change of the roster. A runner
     /// whose row can't be decoded is withdrawn.
     fn change(&mut self, row: &RowChange) -> RosterChange {
--- a/crates/celerylead/src/tasks/node/watcher.rs
+++ b/crates/celerylead/src/tasks/node/watcher.rs
@@ -11,9 +11,10 @@
 //! therefore given up early enough for its table to be read again within the
 //! recovery time that the platform allows this host after a fault.
 
-use std::{sync::Arc, time::Duration};
+use std::{cmp::Ordering, sync::Arc, time::Duration};
 
-use tokio::sync::watch;
+use rand::seq::SliceRandom as _;
+use tokio::{sync::watch, task::JoinSet};
 
 use super::{
     CatalogWatch, RosterWatch, control,
@@ -21,7 +22,7 @@
     registry::{self, RevisionFeed, ZoneFeed},
 };
 use crate::{
-    catalog::ServiceCatalog,
+    catalog::{EvacuationList, ServiceCatalog},
     clock::{EpochMillis, HostClock},
     membership::{PeerContact, RegistryContact, RevisionNews},
     metrics::HostMetrics,
@@ -46,6 +47,10 @@
 /// Longest back-off after a failed store call.
 const MAX_BACKOFF: Duration = Duration::from_millis(800);
 
+/// Seeds that a host asks at once when the store may lack the latest revision; a
+/// bound on the load of a large fleet in which all hosts ask.
+const MAX_SEEDS_ASKED: usize = 8;
+
 /// Configuration and handles with which the tasks are started.
 #[derive(Clone)]
 pub(crate) struct WatcherSetup<C> {
@@ -117,6 +122,8 @@
     /// table has to be read.
     pub(super) after: Option<StoreVersion>,
     pub(super) failures: u32,
+    /// Latest era of the store in which the table was read; `None` before.
+    era: Option<u16>,
     /// Start of the last successful step.
     read_at: Option<EpochMillis>,
 }
@@ -125,18 +132,46 @@
 pub(super) enum FeedStep {
     /// All rows of the table.
     Snapshot(StoreReading),
+    /// All rows of the table after the store came back from an older copy, which
+    /// may lack the latest changes.
+    Restored(StoreReading),
     /// Rows that have changed since the position.
     Changes(StoreReading),
 }
 
+impl FeedStep {
+    pub(super) fn reading(&self) -> &StoreReading {
+        match self {
+            FeedStep::Snapshot(reading)
+            | FeedStep::Restored(reading)
+            | FeedStep::Changes(reading) => reading,
+        }
+    }
+}
+
 impl FeedPosition {
     pub(super) fn new(table: StoreTable) -> FeedPosition {
-        FeedPosition { table, after: None, failures: 0, read_at: None }
+        FeedPosition {
+            table,
+            after: None,
+            failures: 0,
+            era: None,
+            read_at: None,
+        }
+    }
+
+    /// Returns whether the store is known to have come back from an older copy
+    /// at some time, so that it may lack what it acknowledged.
+    pub(super) fn may_lack_changes(&self) -> bool {
+        self.era.is_some_and(|era| 0 < era)
     }
 
     /// Reads the changes since the position, or the whole table if there is no
-    /// position. After a failed step, doesn't wait for changes, so that the
-    /// next answer shows at once that the store is back.
+    /// position. An answer of a later era doesn't continue the position, as the
+    /// store has issued its versions anew; the table is then read as a whole. An
+    /// answer of an earlier era is a late one, and is dropped. After a failed
+    /// step, doesn't wait for changes, so that the next answer shows at once that
+    /// the store is back.
     pub(super) async fn step<C>(
         &mut self,
         setup: &WatcherSetup<C>,
@@ -145,18 +180,32 @@
         let (store, began) = (&setup.store, setup.clock.now());
         let wait = if 0 < self.failures { Duration::ZERO } else { wait };
         let step = match self.after {
-            None => store.read(self.table).await.map(FeedStep::Snapshot),
+            None => {
+                let read = store.read(self.table).await;
+                read.and_then(|reading| self.snapshot(reading))
+            }
             Some(after) => {
                 let read = store.follow(self.table, after, wait).await;
-                read.map(FeedStep::Changes)
+                read.and_then(|reading| changes(after, reading))
             }
         };
         let now = setup.clock.now();
         match &step {
-            Ok(FeedStep::Snapshot(reading) | FeedStep::Changes(reading)) => {
+            Ok(step) => {
+                let version = step.reading().version;
+                if let FeedStep::Restored(_) = step {
+                    setup.metrics.store_returns.inc();
+                    tracing::warn!(
+                        event = "store_restored",
+                        source = self.name(),
+                        former_era = self.era,
+                        %version,
+                    );
+                }
                 setup.metrics.note_reading(self.name(), now);
                 self.read_at = Some(began);
-                self.after = Some(reading.version);
+                self.after = Some(version);
+                self.era = Some(version.era());
                 self.failures = 0;
             }
             Err(fault) => {
@@ -180,6 +229,16 @@
         step
     }
 
+    /// Classifies a reading of the whole table.
+    fn snapshot(&self, reading: StoreReading) -> Result<FeedStep, StoreError> {
+        let era = reading.version.era();
+        match self.era {
+            Some(known) if era < known => Err(earlier_era()),
+            Some(known) if known < era => Ok(FeedStep::Restored(reading)),
+            _ => Ok(FeedStep::Snapshot(reading)),
+        }
+    }
+
     /// Returns the name of the table in logs and metrics.
     fn name(&self) -> &'static str {
         match self.table {
@@ -197,6 +256,23 @@
     }
 }
 
+/// Classifies a reading of the changes after a version.
+fn changes(
+    after: StoreVersion,
+    reading: StoreReading,
+) -> Result<FeedStep, StoreError> {
+    match reading.version.era().cmp(&after.era()) {
+        Ordering::Less => Err(earlier_era()),
+        Ordering::Equal => Ok(FeedStep::Changes(reading)),
+        Ordering::Greater => Err(StoreError::HistoryDropped),
+    }
+}
+
+fn earlier_era() -> StoreError {
+    let reason = "the answer is of an earlier era of the store";
+    StoreError::Refused(anyhow::anyhow!(reason))
+}
+
 struct ConfigurationTask<C> {
     setup: WatcherSetup<C>,
     feed: FeedPosition,
@@ -213,14 +289,7 @@
                 self.tell_evacuations(step).await;
             }
             match step {
-                Ok(
-                    FeedStep::Snapshot(reading) | FeedStep::Changes(reading),
-                ) => {
-                    reading.rows.iter().for_each(|row| self.adopt(row));
-                    if self.catalog.borrow().is_none() {
-                        tokio::time::sleep(BASE_BACKOFF).await;
-                    }
-                }
+                Ok(step) => self.adopt_step(&step).await,
                 Err(StoreError::HistoryDropped) => {}
                 Err(_) => {
                     let pause = tokio::time::sleep(self.feed.backoff());
@@ -252,13 +321,34 @@
         }
     }
 
+    /// Adopts the newest catalog of a step. A store that came back from a copy
+    /// may lack the latest revision until the operator writes it again. The seeds
+    /// are then asked too: by a host that starts, before it serves under an older
+    /// revision, and by any host that sees the return or hears of a newer one.
+    async fn adopt_step(&self, step: &FeedStep) {
+        let is_start = self.catalog.borrow().is_none();
+        if is_start && self.feed.may_lack_changes() {
+            self.fetch_from_seeds().await;
+        }
+        step.reading().rows.iter().for_each(|row| self.adopt(row));
+        let own = revision(self.catalog.borrow().as_deref());
+        let is_behind =
+            self.feed.may_lack_changes() && own < self.news.borrow().revision;
+        if is_behind || matches!(step, FeedStep::Restored(_)) {
+            self.fetch_from_seeds().await;
+        }
+        if self.catalog.borrow().is_none() {
+            tokio::time::sleep(BASE_BACKOFF).await;
+        }
+    }
+
     /// Passes on which zones are evacuated by a reading, before its catalog is
     /// in force: a host that starts then sends nothing to such a zone.
     async fn tell_evacuations(&self, step: &FeedStep) {
         let port = &self.setup.evacuations;
-        let (FeedStep::Snapshot(reading) | FeedStep::Changes(reading)) = step;
+        let reading = step.reading();
         let zone = |key| self.setup.codec.evacuated_zone(key);
-        if let FeedStep::Snapshot(_) = step {
+        if let FeedStep::Snapshot(_) | FeedStep::Restored(_) = step {
             let zones = reading.rows.iter().filter_map(|row| match row {
                 RowChange::Written(row) => {
                     Some((zone(&row.key)?.to_owned(), row.version))
@@ -319,13 +409,34 @@
     /// while the store is unavailable can serve.
     async fn fetch_from_seed(&self) {
         let Some(seed) = pick_seed(&self.setup.seeds) else { return };
-        // A seed of a version without this snapshot sends something else.
-        if let Ok(Some(list)) = control::fetch_evacuations(seed).await {
+        let snapshot = SeedSnapshot::fetch(seed).await;
+        self.adopt_snapshot(snapshot, seed).await;
+    }
+
+    /// Asks several seeds for their catalogs at once, and adopts the newest.
+    async fn fetch_from_seeds(&self) {
+        let mut seeds = self.setup.seeds.clone();
+        seeds.shuffle(&mut rand::rng());
+        let mut fetches = JoinSet::new();
+        for seed in seeds.into_iter().take(MAX_SEEDS_ASKED) {
+            fetches.spawn(
+                async move { (SeedSnapshot::fetch(&seed).await, seed) },
+            );
+        }
+        while let Some(fetched) = fetches.join_next().await {
+            if let Ok((snapshot, seed)) = fetched {
+                self.adopt_snapshot(snapshot, &seed).await;
+            }
+        }
+    }
+
+    async fn adopt_snapshot(&self, snapshot: SeedSnapshot, seed: &str) {
+        if let Some(list) = snapshot.evacuations {
             let port = &self.setup.evacuations;
             port.send(EvacuationEvent::Told(list)).await;
             port.applied().await;
         }
-        match control::fetch_catalog(seed).await {
+        match snapshot.catalog {
             Ok(Some(catalog)) => self.adopt_catalog(catalog, seed),
             Ok(None) => {}
             Err(error) => tracing::debug!(
@@ -337,6 +448,23 @@
     }
 }
 
+/// What a seed knows of the operator's settings.
+struct SeedSnapshot {
+    evacuations: Option<EvacuationList>,
+    catalog: anyhow::Result<Option<ServiceCatalog>>,
+}
+
+impl SeedSnapshot {
+    async fn fetch(seed: &str) -> SeedSnapshot {
+        let (evacuations, catalog) = tokio::join!(
+            control::fetch_evacuations(seed),
+            control::fetch_catalog(seed),
+        );
+        // A seed of a version without the evacuations sends something else.
+        SeedSnapshot { evacuations: evacuations.ok().flatten(), catalog }
+    }
+}
+
 /// Returns the revision of a catalog; 0 if none is known.
 pub(super) fn revision(catalog: Option<&ServiceCatalog>) -> u64 {
     catalog.map_or(0, |catalog| catalog.revision)
