Keep what is known of leaving runners over a return of the registry

Hosts took the copy's word and sent calls to them until the entries were written again.

Now a host keeps its own word until the runner writes again: a copied entry that it doesn't know isn't listed, and a start that was leaving stays so. The next entry counts even if its bytes are those of the copy.

roster::tests::a_copied_registry_does_not_undo_what_is_known; with the rule removed it fails with "a runner that has left after the copy: [] instead of [b]".

--- a/crates/celerylead/src/roster/list.rs
+++ b/crates/celerylead/src/roster/list.rs
@@ -80,6 +80,42 @@
         }
     }
 
+    /// Applies a full snapshot of a registry that came back from an older copy.
+    /// What the copy states may be outdated until the runner writes its entry
+    /// again:
+    ///
+    /// * A runner that it lacks may be alive, and is kept for a while.
+    /// * A runner that isn't known may have left, and isn't listed.
+    /// * A runner that is known to leave stays leaving.
+    ///
+    /// Returns the ids of the latter two, whose next entry counts even if it is
+    /// the same as the copied one.
+    pub fn restore(
+        &mut self,
+        facts: Vec<RunnerFacts>,
+        now: EpochMillis,
+    ) -> Vec<String> {
+        self.registry_returned(now);
+        let mut outdated = Vec::new();
+        let mut listed = Vec::new();
+        for mut facts in facts {
+            let id = facts.id.as_str();
+            let known = self.facts().find(|known| known.id == id);
+            let is_leaving = known.is_some_and(|known| {
+                known.leaving && !facts.leaving && known.is_same_start(&facts)
+            });
+            if known.is_none() || is_leaving {
+                outdated.push(id.to_owned());
+            }
+            if known.is_some() {
+                facts.leaving |= is_leaving;
+                listed.push(facts);
+            }
+        }
+        self.replace(listed, now);
+        outdated
+    }
+
     /// Drops the lapsed entries whose time is over, and returns whether there
     /// were any.
     pub fn expire(&mut self, now: EpochMillis) -> bool {
--- a/crates/celerylead/src/roster/tests.rs
+++ b/crates/celerylead/src/roster/tests.rs
@@ -208,3 +208,73 @@
         assert_eq!(read(later), (until, is_cold), "{name}");
     }
 }
+
+/// Guards against calls to a runner that has left, or has said that it leaves,
+/// and against live runners that are dropped, when the registry comes back from
+/// a copy that lacks the latest entries.
+#[test]
+fn a_copied_registry_does_not_undo_what_is_known() {
+    struct Case {
+        name: &'static str,
+        /// Ids known before, and whether they are leaving.
+        known: &'static [(&'static str, bool)],
+        /// Ids in the copy; none is leaving there.
+        copied: &'static [&'static str],
+        /// Ids used after the return, and whether they are leaving.
+        expected: &'static [(&'static str, bool)],
+        /// Ids whose next entry counts though it is unchanged.
+        outdated: &'static [&'static str],
+    }
+    let cases = [
+        Case {
+            name: "unchanged",
+            known: &[("a", false)],
+            copied: &["a"],
+            expected: &[("a", false)],
+            outdated: &[],
+        },
+        Case {
+            name: "a runner that registered after the copy",
+            known: &[("a", false), ("b", false)],
+            copied: &["a"],
+            expected: &[("a", false), ("b", false)],
+            outdated: &[],
+        },
+        Case {
+            name: "a runner that has left after the copy",
+            known: &[("a", false)],
+            copied: &["a", "b"],
+            expected: &[("a", false)],
+            outdated: &["b"],
+        },
+        Case {
+            name: "a runner that began to leave after the copy",
+            known: &[("a", true)],
+            copied: &["a"],
+            expected: &[("a", true)],
+            outdated: &["a"],
+        },
+    ];
+    for Case { name, known, copied, expected, outdated } in cases {
+        let now = EpochMillis(1_000);
+        let mut roster = RunnerRoster::default();
+        for (id, leaving) in known {
+            let facts = facts(id, *leaving);
+            roster.change(RosterChange::Listed(facts), now);
+        }
+        let copied = copied.iter().map(|id| facts(id, false)).collect();
+        assert_eq!(roster.restore(copied, now), outdated, "{name}");
+        let found: Vec<(&str, bool)> = roster
+            .facts()
+            .map(|facts| (facts.id.as_str(), facts.leaving))
+            .collect();
+        assert_eq!(found, expected, "{name}");
+        // The runner writes its entry again.
+        for id in outdated {
+            let facts = facts(id, false);
+            roster.change(RosterChange::Listed(facts), now);
+            let is_used = roster.facts().any(|f| f.id == *id && !f.leaving);
+            assert!(is_used, "{name}");
+        }
+    }
+}
--- a/crates/celerylead/src/tasks/node/registry.rs
+++ b/crates/celerylead/src/tasks/node/registry.rs
@@ -316,8 +316,8 @@
             }
             FeedStep::Restored(reading) => {
                 let listed = self.listed(reading);
-                self.entries.registry_returned(now);
-                self.entries.replace(listed, now);
+                let outdated = self.entries.restore(listed, now);
+                outdated.iter().for_each(|id| self.repeats.forget(id));
                 self.publish();
             }
             FeedStep::Changes(reading) => {
