Don't put off a renewal for the release of a former token

The former holder had thawed and announced the release of its own, older token; each host that hears a new release puts off its next store call by the handover delay (3.3 s), the holder too. The same happens after every pause of a holder, without a return of the store.

A release of a lower token than that of the known row is ignored.

tasks::node::lease_tests fails before: "a former token: left: true, right: false".

--- a/crates/celerylead/src/tasks/node/lease.rs
+++ b/crates/celerylead/src/tasks/node/lease.rs
@@ -156,7 +156,12 @@
         fencing: u64,
         now: EpochMillis,
     ) -> bool {
-        if !self.lease.record_release(fencing, now) {
+        let row = self.lease.row().map(|(row, _)| row.fencing);
+        // A host that was paused announces the release of its token long after
+        // another host took the lease, which has to be renewed in time.
+        if row.is_some_and(|newer| fencing < newer)
+            || !self.lease.record_release(fencing, now)
+        {
             return false;
         }
         let handover = OrdersLease::handover_delay(self.alternation_window);
--- a/crates/celerylead/src/tasks/node/mod.rs
+++ b/crates/celerylead/src/tasks/node/mod.rs
@@ -30,6 +30,8 @@
 mod host_rows;
 mod known_hosts;
 mod lease;
+#[cfg(test)]
+mod lease_tests;
 mod links;
 mod ordering;
 mod orders;
