Let peers with small windows read as slowly as their call may last

Cause: TCP_USER_TIMEOUT of 3 s on all connections. The kernel applies it while a window is too small for the next segment, whatever the peer reads. Ruled out: the relay, which had written the answers to their ends.

Change: the limit follows the message (wire/silence.rs): 3 s for what fits into any window, the time left to the call for larger requests and for runners' answers to callers. A caller that takes nothing for 3 s still gives way when connections run out. Requests to the store and between hosts are as before, so a silent zone is noticed as fast.

--- a/crates/celerylead/src/tasks/node/acceptor.rs
+++ b/crates/celerylead/src/tasks/node/acceptor.rs
@@ -25,7 +25,7 @@
 use super::{
     NodeContext, NodePhase,
     body::RelayBody,
-    call::{self, UnreadBody},
+    call::{self, AnswerDeadline, UnreadBody},
     caller_socket::{CallerSocket, ConnectionFlags},
 };
 use crate::{
@@ -161,6 +161,7 @@
             connection.await
         }
         Ok(()) = told => {
+            flags.gives_way.store(true, Ordering::Relaxed);
             // A part of a first head would be waited for.
             if !flags.served.load(Ordering::Relaxed) {
                 return;
@@ -184,6 +185,9 @@
     let in_flight = InFlight::begin(&context.metrics);
     let mut response = call::answer(context, request).await;
     drop(in_flight);
+    if let Some(AnswerDeadline(deadline)) = response.extensions().get() {
+        flags.silence.extend_to(*deadline);
+    }
     let unread = response.extensions().get::<UnreadBody>().is_some();
     if unread {
         flags.unread.store(true, Ordering::Relaxed);
--- a/crates/celerylead/src/tasks/node/call.rs
+++ b/crates/celerylead/src/tasks/node/call.rs
@@ -27,6 +27,11 @@
 #[derive(Clone, Copy)]
 pub(super) struct UnreadBody;
 
+/// Marks an answer that a runner gave, with the time until which its caller may
+/// read it.
+#[derive(Clone, Copy)]
+pub(super) struct AnswerDeadline(pub(super) Instant);
+
 /// Contents of the log line of a call.
 #[derive(Clone)]
 pub(crate) struct CallRecord {
@@ -205,7 +210,9 @@
         deadline,
         record,
     };
-    attempts.run(&catalog).await
+    let mut response = attempts.run(&catalog).await?;
+    response.extensions_mut().insert(AnswerDeadline(deadline));
+    Ok(response)
 }
 
 fn find_route<'a>(
--- a/crates/celerylead/src/tasks/node/caller_socket.rs
+++ b/crates/celerylead/src/tasks/node/caller_socket.rs
@@ -4,6 +4,9 @@
 //! connection. If it closed at once, bytes that still arrive would make the
 //! kernel reset the connection, and the caller might lose the answer. So the
 //! socket goes on reading for a moment and discards what comes.
+//!
+//! A caller may read its answer as slowly as its call may last. If its connection
+//! is told to give way to others, and the caller takes nothing, it is closed.
 
 use std::{
     future::Future as _,
@@ -20,15 +23,19 @@
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
-    time::Sleep,
+    time::{Instant, Sleep},
 };
 
+use crate::wire::silence::{LimitedStream, SHORT_SILENCE, SilenceLimit};
+
 /// Longest time for which a closing socket discards what arrives.
 const LINGER_TIME: Duration = Duration::from_millis(1_000);
 /// Most bytes that a closing socket discards.
 const LINGER_BYTES: usize = 256 << 10;
 /// Bytes discarded at once.
 const LINGER_PIECE_BYTES: usize = 4 << 10;
+/// Time between two checks whether a stalled connection was told to give way.
+const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
 /// What the service of a connection tells its socket and its task.
 #[derive(Debug, Default)]
@@ -37,15 +44,26 @@
     pub(super) served: AtomicBool,
     /// A request was answered whose body wasn't read to its end.
     pub(super) unread: AtomicBool,
+    /// The connection was told to give way to others.
+    pub(super) gives_way: AtomicBool,
+    /// For how long the caller may leave an answer unread.
+    pub(super) silence: SilenceLimit,
 }
 
 /// Socket of a caller, which closes in bounded time.
 pub(super) struct CallerSocket {
-    stream: TcpStream,
+    stream: LimitedStream,
     flags: Arc<ConnectionFlags>,
+    stall: Option<Stall>,
     closing: Option<Closing>,
 }
 
+/// A write that waits because the caller doesn't read.
+struct Stall {
+    since: Instant,
+    next_check: Pin<Box<Sleep>>,
+}
+
 /// A socket whose writing side is shut down.
 struct Closing {
     until: Pin<Box<Sleep>>,
@@ -57,7 +75,40 @@
         stream: TcpStream,
         flags: Arc<ConnectionFlags>,
     ) -> CallerSocket {
-        CallerSocket { stream, flags, closing: None }
+        let stream = LimitedStream::new(stream, flags.silence.clone());
+        CallerSocket { stream, flags, stall: None, closing: None }
+    }
+
+    /// Passes the result of a write on. A write that waits fails if the
+    /// connection is to give way and the caller has taken nothing for
+    /// [`SHORT_SILENCE`].
+    fn check_stall(
+        &mut self,
+        context: &mut Context<'_>,
+        written: Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        if written.is_ready() {
+            self.stall = None;
+            return written;
+        }
+        let stall = self.stall.get_or_insert_with(|| Stall {
+            since: Instant::now(),
+            next_check: Box::pin(tokio::time::sleep(STALL_CHECK_INTERVAL)),
+        });
+        while stall.next_check.as_mut().poll(context).is_ready() {
+            if self.flags.gives_way.load(Ordering::Relaxed)
+                && SHORT_SILENCE <= stall.since.elapsed()
+            {
+                let reason = "the caller takes nothing";
+                return Poll::Ready(Err(io::Error::new(
+                    io::ErrorKind::TimedOut,
+                    reason,
+                )));
+            }
+            let next = Instant::now() + STALL_CHECK_INTERVAL;
+            stall.next_check.as_mut().reset(next);
+        }
+        Poll::Pending
     }
 }
 
@@ -77,7 +128,8 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.check_stall(context, written)
     }
 
     fn poll_write_vectored(
@@ -85,7 +137,9 @@
         context: &mut Context<'_>,
         pieces: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, pieces)
+        let written =
+            Pin::new(&mut self.stream).poll_write_vectored(context, pieces);
+        self.check_stall(context, written)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/celerylead/src/wire/link.rs
+++ b/crates/celerylead/src/wire/link.rs
@@ -8,7 +8,11 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Request, Response, body::Incoming, client::conn::http1};
+use hyper::{
+    Request, Response,
+    body::{Body as _, Incoming},
+    client::conn::http1,
+};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{
@@ -21,6 +25,7 @@
     port::LinkUse,
     request::UnsentProof,
     step::{StepContext as _, StepName},
+    wire::silence::{LimitedStream, SHORT_SILENCE, SilenceLimit},
 };
 
 /// Idle time after which the kernel sends the first keep-alive probe.
@@ -29,8 +34,6 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(1_000);
 /// Number of unanswered probes after which the connection is dead.
 const KEEPALIVE_PROBES: u32 = 2;
-/// Time for which sent bytes may stay unacknowledged by the peer's kernel.
-const USER_TIMEOUT: Duration = Duration::from_millis(3_000);
 
 /// Pause after a failure to accept a connection. Most likely the process is
 /// out of file descriptors, and the next attempt would fail at once too.
@@ -60,7 +63,7 @@
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(KEEPALIVE_PROBES);
     socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
+    socket.set_tcp_user_timeout(Some(SHORT_SILENCE))
 }
 
 /// Most bytes that a connection buffers: the head of an answer, or what of its
@@ -72,6 +75,10 @@
 /// would occupy its caller up to the deadline.
 const MAX_INFORMATIONAL_HEADS: u32 = 8;
 
+/// Largest body of a request that fits into the window of any server, with its
+/// head. A server may read the rest of a larger one late.
+const SMALL_BODY_BYTES: u64 = 16 << 10;
+
 /// A server sent too many informational heads instead of a response.
 #[derive(Debug)]
 pub(crate) struct EndlessInformational;
@@ -93,6 +100,7 @@
     sender: http1::SendRequest<Full<Bytes>>,
     /// Number of informational heads since the latest request.
     informational: watch::Sender<u32>,
+    silence: SilenceLimit,
     peer: String,
     /// Number of requests sent on the connection.
     requests: u32,
@@ -136,6 +144,8 @@
                 .at(StepName::Connect, peer)?
                 .at(StepName::Connect, peer)?;
         set_socket_options(&stream).at(StepName::Connect, peer)?;
+        let silence = SilenceLimit::default();
+        let stream = LimitedStream::new(stream, silence.clone());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
@@ -151,6 +161,7 @@
         Ok(HttpLink {
             sender,
             informational: watch::Sender::new(0),
+            silence,
             peer: peer.to_owned(),
             requests: 0,
         })
@@ -194,6 +205,12 @@
             return Err(SendFault::Unsent(UnsentProof(()), error));
         }
         self.requests = self.requests.saturating_add(1);
+        match request.body().size_hint().exact() {
+            Some(bytes) if bytes <= SMALL_BODY_BYTES => {
+                self.silence.set_short();
+            }
+            _ => self.silence.extend_to(deadline),
+        }
         let answer = self.sender.try_send_request(request);
         let answer = tokio::select! {
             biased;
--- a/crates/celerylead/src/wire/mod.rs
+++ b/crates/celerylead/src/wire/mod.rs
@@ -11,6 +11,7 @@
 pub(crate) mod order;
 pub(crate) mod peer;
 pub(crate) mod reply;
+pub(crate) mod silence;
 pub(crate) mod table;
 #[cfg(test)]
 mod tests;
