Don't blame sound calls for a crash whose own answer had no head

Cause: calls whose answers had begun were the only candidates of a crash. If a runner ends before the head of the deadly answer arrives, the sound calls under way take the blame.

Change: a begun call hides the others only if one of its shared parts isn't known to be sound.

quarantine::tests::evidence_order fails before in 34 of the 36 plays without a head ("0 of 155 sound calls admitted"), in no other.

--- a/crates/celerylead/src/quarantine/crash.rs
+++ b/crates/celerylead/src/quarantine/crash.rs
@@ -179,21 +179,23 @@
     }
 
     /// Counts the trials of a part since it was last cleared. A crash that ended
-    /// a call which `is_explained` is due to another part. With `settled_at`,
-    /// counts only crashes that are settled by then.
+    /// a call which `is_explained` is due to another part. `was_sound` says whether
+    /// an answer on a part is known to have gone on. With `settled_at`, counts
+    /// only crashes that are settled by then.
     pub(super) fn trials(
         &self,
         part: PartId,
         cleared_at: Option<EpochMillis>,
         settled_at: Option<EpochMillis>,
         is_explained: impl Fn(&PromptParts) -> bool,
+        was_sound: impl Fn(PartId) -> bool,
     ) -> TrialCount {
         let mut trials: Vec<(EpochMillis, EpochMillis, bool)> = Vec::new();
         let is_settled = |record: &&CrashRecord| {
             settled_at.is_none_or(|now| record.is_settled(now))
         };
         for record in self.records.values().filter(is_settled) {
-            let candidates = record.candidates();
+            let candidates = record.candidates(&was_sound);
             if candidates.clone().any(|held| is_explained(&held.parts)) {
                 continue;
             }
@@ -261,11 +263,19 @@
     }
 
     /// Iterates over the calls that may have caused the crash. A runner crashes
-    /// on what it runs, so that calls it hadn't begun count only if no other
-    /// call is known.
-    fn candidates(&self) -> impl Iterator<Item = &CrashWitness> + Clone {
-        let any_begun = self.witnesses.iter().any(|held| held.witness.begun);
+    /// on what it runs, so that calls it hadn't begun don't count if a begun one
+    /// can be the cause. The head of the answer that ends a runner may be lost with
+    /// it, so a begun call whose shared parts were all sound is no such cause.
+    fn candidates(
+        &self,
+        was_sound: impl Fn(PartId) -> bool,
+    ) -> impl Iterator<Item = &CrashWitness> + Clone {
         let witnesses = self.witnesses.iter().map(|held| &held.witness);
-        witnesses.filter(move |witness| witness.begun || !any_begun)
+        let mut begun = witnesses.clone().filter(|witness| witness.begun);
+        let has_cause = begun.any(|witness| {
+            let mut shared = witness.parts.shared();
+            shared.any(|part| !was_sound(part))
+        });
+        witnesses.filter(move |witness| witness.begun || !has_cause)
     }
 }
--- a/crates/celerylead/src/quarantine/ledger.rs
+++ b/crates/celerylead/src/quarantine/ledger.rs
@@ -539,7 +539,14 @@
             })
         };
         let cleared_at = self.cleared_at(part);
-        self.crashes.trials(part, cleared_at, settled_at, is_explained)
+        let was_sound = |part| self.was_sound(part);
+        self.crashes.trials(
+            part,
+            cleared_at,
+            settled_at,
+            is_explained,
+            was_sound,
+        )
     }
 
     /// Makes the transitions that are due.
--- a/crates/celerylead/src/quarantine/tests.rs
+++ b/crates/celerylead/src/quarantine/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the evidence on parts of prompts and of the verdicts.
 
+mod evidence_order;
 mod prompts;
 mod several;
 mod unframed;
