Let hosts that start learn which suspected parts were sound

Cause: which parts were sound is known to processes only and told for one second after a crash. While all runners are down, no process that starts learns it anew. Ruled out: late evidence (both hosts had all witnesses) and the order of candidates (each deadly part had fewer trials than the sound ones).

Change: for 30 s after a crash, hosts repeat which suspected parts were sound, with the verdicts. In the first 2 s of a process every part needs the seven trials of a sound one.

quarantine::tests::a_host_that_starts_learns_which_parts_were_sound. The test news_is_repeated_for_a_while_only said that nothing is repeated after 2.7 s; it now says so of crashes, signs and verdicts, and of clearances from 30 s on, as these are repeated on purpose.

--- a/crates/celerylead/src/quarantine/crash.rs
+++ b/crates/celerylead/src/quarantine/crash.rs
@@ -138,6 +138,11 @@
         true
     }
 
+    /// Returns the time of the latest crash.
+    pub(super) fn last_end(&self) -> Option<EpochMillis> {
+        self.records.values().map(|record| record.ended_at).max()
+    }
+
     /// Returns the number of crashes.
     pub fn len(&self) -> usize {
         self.records.len()
--- a/crates/celerylead/src/quarantine/exchange.rs
+++ b/crates/celerylead/src/quarantine/exchange.rs
@@ -4,7 +4,7 @@
 //! for a while, so that a lost message costs only time. Verdicts in force are
 //! repeated for as long as they last.
 
-use std::time::Duration;
+use std::{cmp::Reverse, time::Duration};
 
 use super::{
     crash::CrashWitness,
@@ -32,6 +32,9 @@
 const REPEAT_PERIOD_PER_HOST: Duration = Duration::from_millis(50);
 /// Difference between two ends of the same term that transfer may cause.
 const TERM_TOLERANCE: Duration = Duration::from_millis(1_000);
+/// Time after the last crash for which hosts repeat which suspected parts were
+/// sound, as long as they repeat the verdicts.
+const SOUND_REPEAT_TIME: Duration = Duration::from_secs(30);
 /// Time for which news is gathered before it is told to all hosts at once.
 const GATHER_TIME: Duration = Duration::from_millis(10);
 /// Shortest time between two such tellings.
@@ -193,9 +196,25 @@
             .map(|(part, held)| verdict_row(*part, &held.state, now))
             .take(MAX_ROWS)
             .collect();
-        let cleared = self.cleared.iter();
-        let cleared = cleared.filter(|(_, held)| repeated(held.repeat_until));
+        // A host that has started since doesn't know which parts were sound.
+        let tells_sound = repeats_all
+            && self
+                .crashes
+                .last_end()
+                .is_some_and(|at| now < at.after(SOUND_REPEAT_TIME));
+        let mut cleared: Vec<(&PartId, &Clearance)> = self
+            .cleared
+            .iter()
+            .filter(|(_, held)| {
+                let is_sound = held.basis == ClearanceBasis::SoundAnswer;
+                repeated(held.repeat_until) || (tells_sound && is_sound)
+            })
+            .collect();
+        cleared.sort_by_key(|(_, held)| {
+            (!repeated(held.repeat_until), Reverse(held.at))
+        });
         let cleared = cleared
+            .into_iter()
             .flat_map(|(part, held)| clearance_rows(*part, held, now))
             .take(MAX_ROWS)
             .collect();
--- a/crates/celerylead/src/quarantine/ledger.rs
+++ b/crates/celerylead/src/quarantine/ledger.rs
@@ -134,6 +134,8 @@
     pub(super) cleared: SortedTable<PartId, Clearance>,
     pub(super) verdicts: SortedTable<PartId, HeldVerdict>,
     pub(super) news: NewsSchedule,
+    /// Time until which other hosts may still tell which parts were sound.
+    learns_until: EpochMillis,
 }
 
 impl SuspectLedger {
@@ -150,9 +152,16 @@
             cleared: SortedTable::default(),
             verdicts: SortedTable::default(),
             news: NewsSchedule::new(phase, now),
+            learns_until: now,
         }
     }
 
+    /// Takes every part for one that was sound until this time, as the other
+    /// hosts of a host that has just started know more.
+    pub fn learn_until(&mut self, until: EpochMillis) {
+        self.learns_until = until;
+    }
+
     /// Records that a call of this host ended with its runner.
     pub fn record_crash(
         &mut self,
@@ -426,7 +435,8 @@
                 (*part, *depth, self.trials(*part, Some(now)))
             })
             .filter(|(part, _, count)| {
-                let needed = match self.was_sound(*part) {
+                let is_learning = now < self.learns_until;
+                let needed = match is_learning || self.was_sound(*part) {
                     true => SOUND_TRIALS_TO_REJECT,
                     false => TRIALS_TO_REJECT,
                 };
--- a/crates/celerylead/src/quarantine/tests.rs
+++ b/crates/celerylead/src/quarantine/tests.rs
@@ -721,8 +721,76 @@
         ledger.record_sound(&parts(&[1]), EpochMillis(300));
         let (early, _) = ledger.report(8, EpochMillis(400));
         assert!(!early.is_empty(), "{name}");
+        // Which suspected parts were sound is told with the verdicts for longer.
         let (late, _) = ledger.report(8, EpochMillis(3_000));
+        let late = EvidenceReport { cleared: Vec::new(), ..late };
         assert!(late.is_empty(), "{name}: {late:?}");
+        let (last, _) = ledger.report(8, EpochMillis(30_200));
+        assert!(last.is_empty(), "{name}: {last:?}");
+    }
+}
+
+/// Guards against a host that has just started and rejects a part that all calls
+/// share: it knows no sound answers, and none can come while runners are down.
+#[test]
+fn a_host_that_starts_learns_which_parts_were_sound() {
+    struct Case {
+        name: &'static str,
+        /// Time from the start of the host until the other one repeats what it
+        /// knows, if it does.
+        told_after: Option<u64>,
+        /// Time from its start to the first of three crashes.
+        crashes_after: u64,
+        rejected: &'static [u64],
+    }
+    let cases = [
+        Case {
+            name: "told before the crashes",
+            told_after: Some(1_500),
+            crashes_after: 3_000,
+            rejected: &[],
+        },
+        Case {
+            name: "crashes before it can have been told",
+            told_after: None,
+            crashes_after: 100,
+            rejected: &[],
+        },
+        Case {
+            name: "alone for long",
+            told_after: None,
+            crashes_after: 3_000,
+            rejected: &[7],
+        },
+    ];
+    const START: u64 = 5_000;
+    for Case { name, told_after, crashes_after, rejected } in cases {
+        let mut other = ledger();
+        Step::Sound(&[7], 50).apply(&mut other);
+        Step::Crash(1, &[7, DEADLY], [100, 150]).apply(&mut other);
+        let mut started = SuspectLedger::new(0.0, EpochMillis(START));
+        started.learn_until(EpochMillis(START + 2_000));
+        if let Some(after) = told_after {
+            let now = EpochMillis(START + after);
+            let (report, _) = other.report(2, now);
+            started.merge(&report, now);
+        }
+        for number in 2..5 {
+            let at = START + crashes_after + number * 100;
+            let witness = CrashWitness {
+                parts: parts_of_call(&[7], at),
+                is_partial: false,
+                begun: true,
+                sent_at: EpochMillis(at),
+            };
+            let (runner, ended) = (start(number), EpochMillis(at + 50));
+            started.record_crash(&runner, &witness, ended);
+            let sign = RunnerSign::Refused;
+            started.record_sign(&runner, sign, ended, ended);
+        }
+        let end = START + crashes_after + 600;
+        let found = self::rejected(&started, end);
+        assert_eq!(found, rejected, "{name}");
     }
 }
 
--- a/crates/celerylead/src/quarantine/tests/evidence_order.rs
+++ b/crates/celerylead/src/quarantine/tests/evidence_order.rs
@@ -23,6 +23,10 @@
 const SOUND_PERIOD: u64 = 125;
 /// Time from a runner's end until its next start has its model.
 const DOWN: u64 = 4_300;
+/// Time by which the first restart comes before the end of a period.
+const FIRST_RESTART_LEAD: u64 = 200;
+/// Longest time for which a call waits for a runner.
+const PATIENCE: u64 = 1_500;
 /// Time from a host's end until its next process hears the other one.
 const START_TIME: u64 = 300;
 /// Time between two messages to the other host that repeat the news.
@@ -82,6 +86,8 @@
     runners: [(u64, u64); RUNNERS],
     starts: u64,
     answers: Vec<Answer>,
+    /// Calls that wait for a runner: their end, host and deadly part.
+    waiting: Vec<(u64, usize, Option<u64>)>,
     /// Calls whose end a host notices at a time.
     ends: Vec<(u64, Answer, RunnerStart)>,
     messages: Vec<(u64, usize, EvidenceReport)>,
@@ -105,6 +111,7 @@
             runners: std::array::from_fn(|index| (index as u64, 0)),
             starts: RUNNERS as u64,
             answers: Vec::new(),
+            waiting: Vec::new(),
             ends: Vec::new(),
             messages: Vec::new(),
             refusals: Vec::new(),
@@ -128,13 +135,11 @@
         for at in 0..self.case.calm + TROUBLED {
             self.deliver(at);
             self.note_ends(at);
-            if self.case.restarts.is_some_and(|period| {
-                self.case.calm <= at && at.is_multiple_of(period)
-            }) {
-                let host = (at / self.case.restarts.unwrap_or(1)) as usize % 2;
+            if let Some(host) = self.restarting(at) {
                 self.restart(host, EpochMillis(at));
                 self.up_at[host] = at + START_TIME;
                 self.answers.retain(|answer| answer.host != host);
+                self.waiting.retain(|(_, waits, _)| *waits != host);
                 self.ends.retain(|(_, answer, _)| answer.host != host);
             }
             if self.case.calm <= at
@@ -147,12 +152,22 @@
             if at.is_multiple_of(SOUND_PERIOD) {
                 self.call(None, at);
             }
+            self.send_waiting(at);
             self.crash(at);
             self.complete(at);
             self.gossip(at);
         }
     }
 
+    /// Returns the host that starts again at a time, if one does. The first does
+    /// so when all runners are down.
+    fn restarting(&self, at: u64) -> Option<usize> {
+        let period = self.case.restarts?;
+        let since = (at + FIRST_RESTART_LEAD).checked_sub(self.case.calm)?;
+        let is_due = 0 < since && since.is_multiple_of(period);
+        is_due.then_some((since / period) as usize % 2)
+    }
+
     /// A host starts again; the rows of the hosts keep the verdicts.
     fn restart(&mut self, host: usize, now: EpochMillis) {
         let kept = self.ledgers.iter().flat_map(|ledger| ledger.verdicts(now));
@@ -177,21 +192,35 @@
         if !is_admitted {
             return;
         }
+        if let PartAdmission::Probe(part) = admission {
+            self.ledgers[host].begin_probe(part, now);
+        }
+        self.waiting.push((at + PATIENCE, host, deadly));
+    }
+
+    /// Sends the calls that wait to random runners, if any is up.
+    fn send_waiting(&mut self, at: u64) {
+        self.waiting.retain(|(until, ..)| at < *until);
         let up: Vec<usize> = (0..RUNNERS)
             .filter(|index| self.runners[*index].1 <= at)
             .collect();
         if up.is_empty() {
             return;
         }
-        if let PartAdmission::Probe(part) = admission {
-            self.ledgers[host].begin_probe(part, now);
-        }
-        let runner = up[self.random.random_range(0..up.len())];
-        if deadly.is_some() {
-            self.deadly_at.push(at);
+        for (_, host, deadly) in std::mem::take(&mut self.waiting) {
+            let parts = parts_of_call(&self.shared_parts(deadly), at * 2);
+            let ledger = &mut self.ledgers[host];
+            let admission = ledger.admit(&parts, |_| false, EpochMillis(at));
+            if admission != PartAdmission::Admit {
+                continue;
+            }
+            let runner = up[self.random.random_range(0..up.len())];
+            if deadly.is_some() {
+                self.deadly_at.push(at);
+            }
+            let sent_at = at;
+            self.answers.push(Answer { host, runner, deadly, sent_at });
         }
-        let sent_at = at;
-        self.answers.push(Answer { host, runner, deadly, sent_at });
     }
 
     /// Ends the runners whose deadly calls have begun to be answered.
@@ -387,6 +416,12 @@
             restarts: Some(2_500),
             ..case
         },
+        Case {
+            name: "two parts, often",
+            parts: 2,
+            deadly_period: 200,
+            ..case
+        },
         Case {
             name: "two parts, often, hosts restart",
             parts: 2,
--- a/crates/celerylead/src/tasks/node/quarantine.rs
+++ b/crates/celerylead/src/tasks/node/quarantine.rs
@@ -1,6 +1,8 @@
 //! The router's view of prompt parts that crash runners: the ledger, and the
 //! log lines and metrics of what it finds.
 
+use std::time::Duration;
+
 use tokio::{sync::watch, time::Instant};
 
 use super::{
@@ -20,6 +22,10 @@
     roster::RunnerStart,
 };
 
+/// Time from the start of a host in which the others have told it which suspected
+/// parts were sound.
+const LEARNING_TIME: Duration = Duration::from_millis(2_000);
+
 /// The ledger of one host.
 pub(super) struct QuarantineDesk {
     host: String,
@@ -35,7 +41,8 @@
         metrics: HostMetrics,
         now: EpochMillis,
     ) -> QuarantineDesk {
-        let ledger = SuspectLedger::new(rand::random(), now);
+        let mut ledger = SuspectLedger::new(rand::random(), now);
+        ledger.learn_until(now.after(LEARNING_TIME));
         QuarantineDesk { host: host.to_owned(), ledger, kept, metrics }
     }
 
