--- a/crates/celerylead/src/tasks/node/attempt.rs
+++ b/crates/celerylead/src/tasks/node/attempt.rs
@@ -299,7 +299,8 @@
                 AttemptOutcome::Retry(request.rejected_by_runner(proof))
             }
             AnswerVerdict::Unusable(reason) => {
-                let error = anyhow::anyhow!(reason);
+                let error =
+                    anyhow::anyhow!("{reason}, status {}", head.status);
                 self.log_failure(&slot, "judge", &error);
                 slot.finish(CallEnd::Broken, None);
                 run_again(request, RefusalCode::RunnerFailed, &error)
