Name the part and its verdict in the line of a refused call

A call that was refused with `prompt_rejected` left a line without the part, so that the line couldn't be joined with the verdict or with the answers on the part. `request_refused` has `part`, `trials`, `terms` and `sent_ago_ms` of the verdict; `part_rejected` has `sent_ago_ms` and `was_sound`, which tells whether the host knows of an answer on the part that went on.

--- a/crates/celerylead/src/quarantine/ledger.rs
+++ b/crates/celerylead/src/quarantine/ledger.rs
@@ -296,6 +296,16 @@
         verdicts.map(move |(part, held)| verdict_row(*part, &held.state, now))
     }
 
+    /// Returns the verdict on a part, if one is in force.
+    pub fn verdict(
+        &self,
+        part: PartId,
+        now: EpochMillis,
+    ) -> Option<VerdictRow> {
+        let held = self.verdicts.get(&part)?;
+        Some(verdict_row(part, &held.state, now))
+    }
+
     /// Adds a call that ended with its runner. `ended` holds the time of the end
     /// and the time until which it is repeated.
     pub(super) fn add_witness(
--- a/crates/celerylead/src/quarantine/suspects.rs
+++ b/crates/celerylead/src/quarantine/suspects.rs
@@ -38,7 +38,7 @@
     }
 
     /// Returns whether an answer on a part is known to have gone on.
-    pub(super) fn was_sound(&self, part: PartId) -> bool {
+    pub fn was_sound(&self, part: PartId) -> bool {
         self.cleared.get(&part).is_some() || self.sound.last(part).is_some()
     }
 }
--- a/crates/celerylead/src/request/life.rs
+++ b/crates/celerylead/src/request/life.rs
@@ -195,6 +195,7 @@
             outcome: RunOutcome::OutcomeUnknown,
             message: format!("runner {runner}: {message}"),
             retry_at: None,
+            verdict: None,
         }
     }
 }
@@ -212,6 +213,7 @@
             outcome: RunOutcome::OutcomeUnknown,
             message: format!("runner {}: {message}", self.state.runner),
             retry_at: None,
+            verdict: None,
         }
     }
 }
--- a/crates/celerylead/src/request/refusal.rs
+++ b/crates/celerylead/src/request/refusal.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::clock::EpochMillis;
+use crate::{clock::EpochMillis, quarantine::VerdictRow};
 
 /// Whether a refused or failed request ran, as far as is known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -105,6 +105,8 @@
     pub message: String,
     /// Time from which a retry may succeed, if one is known.
     pub retry_at: Option<EpochMillis>,
+    /// Verdict on a part of the request's prompt, if that is the reason.
+    pub verdict: Option<VerdictRow>,
 }
 
 impl Refusal {
@@ -128,6 +130,7 @@
             outcome: RunOutcome::NotRun,
             message: message.to_owned(),
             retry_at: None,
+            verdict: None,
         }
     }
 
@@ -156,4 +159,10 @@
         self.retry_at = at;
         self
     }
+
+    /// Names the verdict that is the reason.
+    pub fn verdict(mut self, verdict: Option<VerdictRow>) -> Refusal {
+        self.verdict = verdict;
+        self
+    }
 }
--- a/crates/celerylead/src/request/tests.rs
+++ b/crates/celerylead/src/request/tests.rs
@@ -210,8 +210,13 @@
         },
     ];
     for Case { code, outcome, status } in cases {
-        let refusal =
-            Refusal { code, outcome, message: String::new(), retry_at: None };
+        let refusal = Refusal {
+            code,
+            outcome,
+            message: String::new(),
+            retry_at: None,
+            verdict: None,
+        };
         assert_eq!(refusal.status(), status, "{code:?} {outcome:?}");
     }
 }
--- a/crates/celerylead/src/tasks/node/attempt.rs
+++ b/crates/celerylead/src/tasks/node/attempt.rs
@@ -522,6 +522,7 @@
         outcome: RunOutcome::OutcomeUnknown,
         message: message.clone(),
         retry_at: None,
+        verdict: None,
     };
     match request.run_again() {
         Ok(request) => {
--- a/crates/celerylead/src/tasks/node/call.rs
+++ b/crates/celerylead/src/tasks/node/call.rs
@@ -134,6 +134,7 @@
     context.metrics.count_answer("", refusal.code.text());
     let id = call.map(|call| &call.id);
     let model = call.and_then(|call| call.model.as_ref());
+    let verdict = refusal.verdict.as_ref();
     tracing::info!(
         event = "request_refused",
         request_id = id.map(RequestId::as_str),
@@ -141,6 +142,10 @@
         code = refusal.code.text(),
         outcome = %refusal.outcome,
         reason = refusal.message,
+        part = verdict.map(|row| row.part.to_string()),
+        trials = verdict.map(|row| row.trials),
+        terms = verdict.map(|row| row.terms),
+        sent_ago_ms = verdict.map(|row| row.sent_ago_ms),
         revision = context.catalog().map(|catalog| catalog.revision),
         total_ms = started.elapsed().as_millis() as u64,
     );
--- a/crates/celerylead/src/tasks/node/quarantine.rs
+++ b/crates/celerylead/src/tasks/node/quarantine.rs
@@ -74,7 +74,8 @@
                      request was not run and must not be sent again"
                 );
                 let code = RefusalCode::PromptRejected;
-                return Err(Refusal::not_run(code, &message));
+                let verdict = self.ledger.verdict(part, now);
+                return Err(Refusal::not_run(code, &message).verdict(verdict));
             }
         };
         if requirements.sent && !self.ledger.allows_further_send(parts) {
@@ -221,8 +222,8 @@
         }
         for event in events {
             match event {
-                LedgerEvent::Rejected(row) => log_verdict(row, "own"),
-                LedgerEvent::Adopted(row) => log_verdict(row, "host"),
+                LedgerEvent::Rejected(row) => self.log_verdict(row, "own"),
+                LedgerEvent::Adopted(row) => self.log_verdict(row, "host"),
                 LedgerEvent::Cleared(part) => {
                     tracing::info!(event = "part_cleared", part = %part);
                 }
@@ -251,15 +252,17 @@
             !is_same
         });
     }
-}
 
-fn log_verdict(row: &VerdictRow, source: &str) {
-    tracing::warn!(
-        event = "part_rejected",
-        part = %row.part,
-        source,
-        trials = row.trials,
-        terms = row.terms,
-        left_ms = row.left_ms,
-    );
+    fn log_verdict(&self, row: &VerdictRow, source: &str) {
+        tracing::warn!(
+            event = "part_rejected",
+            part = %row.part,
+            source,
+            trials = row.trials,
+            terms = row.terms,
+            sent_ago_ms = row.sent_ago_ms,
+            left_ms = row.left_ms,
+            was_sound = self.ledger.was_sound(row.part),
+        );
+    }
 }
