--- a/crates/celerylead/src/tasks/node/attempt.rs
+++ b/crates/celerylead/src/tasks/node/attempt.rs
@@ -523,6 +523,7 @@
         outcome: RunOutcome::OutcomeUnknown,
         message: message.clone(),
         retry_at: None,
+        verdict: None,
     };
     match request.run_again() {
         Ok(request) => {
