Log and count answers that the HTTP library gives by itself

Change: the end of a connection by a parse error writes request_refused with the library's error and counts in answers_total; the reason of a body that broke off names the cause behind the library's error. No decision changes.

--- a/crates/celerylead/src/tasks/node/acceptor.rs
+++ b/crates/celerylead/src/tasks/node/acceptor.rs
@@ -171,6 +171,7 @@
         }
     };
     if let Err(error) = ended {
+        call::note_unparsed_head(&context, &error);
         tracing::debug!(event = "caller_closed", %error);
     }
 }
--- a/crates/celerylead/src/tasks/node/call.rs
+++ b/crates/celerylead/src/tasks/node/call.rs
@@ -131,9 +131,23 @@
     refusal: &Refusal,
     started: Instant,
 ) -> Response<RelayBody> {
+    note_refusal(context, call, refusal, Some(started));
+    let id = call.map(|call| &call.id);
+    let now = context.clock.now();
+    context.codec.refusal(refusal, id, now).map(RelayBody::Full)
+}
+
+/// Counts and logs a refusal.
+fn note_refusal<C>(
+    context: &NodeContext<C>,
+    call: Option<&CallHead>,
+    refusal: &Refusal,
+    started: Option<Instant>,
+) {
     context.metrics.count_answer("", refusal.code.text());
     let id = call.map(|call| &call.id);
     let model = call.and_then(|call| call.model.as_ref());
+    let total_ms = started.map(|at| at.elapsed().as_millis() as u64);
     tracing::info!(
         event = "request_refused",
         request_id = id.map(RequestId::as_str),
@@ -142,10 +156,25 @@
         outcome = %refusal.outcome,
         reason = refusal.message,
         revision = context.catalog().map(|catalog| catalog.revision),
-        total_ms = started.elapsed().as_millis() as u64,
+        total_ms,
     );
-    let now = context.clock.now();
-    context.codec.refusal(refusal, id, now).map(RelayBody::Full)
+}
+
+/// Counts and logs the answer that the HTTP library gives by itself to a head
+/// that it can't parse. Other errors of a connection aren't answered.
+pub(super) fn note_unparsed_head<C>(
+    context: &NodeContext<C>,
+    error: &hyper::Error,
+) {
+    if !error.is_parse() || error.is_parse_version_h2() {
+        return;
+    }
+    let code = match error.is_parse_too_large() {
+        true => RefusalCode::HeadTooLarge,
+        false => RefusalCode::BadRequest,
+    };
+    let message = format!("the HTTP library refuses the head: {error}");
+    note_refusal(context, None, &Refusal::not_run(code, &message), None);
 }
 
 /// Finds the route and the customer of a call, reads its body and relays it to
--- a/crates/celerylead/src/tasks/request_body.rs
+++ b/crates/celerylead/src/tasks/request_body.rs
@@ -61,7 +61,8 @@
             let bytes = match frame {
                 None => break,
                 Some(Err(error)) => {
-                    let message = format!("the body broke off: {error}");
+                    let cause = anyhow::Error::new(error);
+                    let message = format!("the body broke off: {cause:#}");
                     let code = RefusalCode::BadRequest;
                     return Err(self.end("broken_off", code, &message));
                 }
