Log whether a refusal came from the newest known configuration

A caller that gets 401 or 404 may have met a host whose configuration is older than the one in force.

The line now also has `newest_revision`, of which the host has heard from the store or another host, and `confirmed_ms`, the time since the store last said that there is none above it. The reader of the zone vouches for the hosts that follow it. Requests are handled as before.

--- a/crates/celerylead/src/catalog/mod.rs
+++ b/crates/celerylead/src/catalog/mod.rs
@@ -14,6 +14,7 @@
 
 mod customer;
 mod evacuation;
+mod evidence;
 mod route;
 mod service;
 #[cfg(test)]
@@ -24,6 +25,7 @@
 pub use self::{
     customer::{BilledCustomer, RateUnit, TokenRate},
     evacuation::{EvacuationList, ZoneMark},
+    evidence::RevisionEvidence,
     route::{CallRoute, RouteKind, SplitTarget},
     service::{ColdSpec, EngineModel, EngineSpec, ServiceSpec},
 };
--- a/crates/celerylead/src/catalog/tests.rs
+++ b/crates/celerylead/src/catalog/tests.rs
@@ -197,3 +197,75 @@
     }
     assert!(list.is_evacuated("kgn"), "marks of others don't displace it");
 }
+
+/// Guards against a refusal whose log line calls an older revision the newest.
+#[test]
+fn evidence_names_the_newest_revision_and_its_age() {
+    use super::RevisionEvidence;
+    use crate::EpochMillis;
+
+    enum Step {
+        Hear(u64),
+        Confirm(u64, u64),
+    }
+    use Step::{Confirm, Hear};
+    struct Case {
+        name: &'static str,
+        steps: &'static [Step],
+        newest: u64,
+        /// Age of the confirmation at the time 1,000.
+        age_ms: Option<u64>,
+    }
+    let cases = [
+        Case { name: "nothing", steps: &[], newest: 0, age_ms: None },
+        Case {
+            name: "from another host only",
+            steps: &[Hear(4)],
+            newest: 4,
+            age_ms: None,
+        },
+        Case {
+            name: "read from the store",
+            steps: &[Hear(4), Confirm(4, 700)],
+            newest: 4,
+            age_ms: Some(300),
+        },
+        Case {
+            name: "an earlier reading is reported late",
+            steps: &[Confirm(4, 700), Confirm(4, 600)],
+            newest: 4,
+            age_ms: Some(300),
+        },
+        Case {
+            name: "another host is behind",
+            steps: &[Confirm(4, 700), Confirm(3, 900)],
+            newest: 4,
+            age_ms: Some(300),
+        },
+        Case {
+            name: "a newer one is heard of",
+            steps: &[Confirm(4, 700), Hear(6)],
+            newest: 6,
+            age_ms: None,
+        },
+        Case {
+            name: "the store's clock isn't known yet",
+            steps: &[Confirm(4, 0)],
+            newest: 4,
+            age_ms: None,
+        },
+    ];
+    for Case { name, steps, newest, age_ms } in cases {
+        let mut evidence = RevisionEvidence::default();
+        for step in steps {
+            match *step {
+                Hear(revision) => evidence.hear(revision),
+                Confirm(revision, at) => {
+                    evidence.confirm(revision, EpochMillis(at));
+                }
+            }
+        }
+        assert_eq!(evidence.newest(), newest, "{name}");
+        assert_eq!(evidence.age_ms(EpochMillis(1_000)), age_ms, "{name}");
+    }
+}
--- a/crates/celerylead/src/tasks/node/call.rs
+++ b/crates/celerylead/src/tasks/node/call.rs
@@ -134,6 +134,8 @@
     context.metrics.count_answer("", refusal.code.text());
     let id = call.map(|call| &call.id);
     let model = call.and_then(|call| call.model.as_ref());
+    let now = context.clock.now();
+    let evidence = context.evidence.current();
     tracing::info!(
         event = "request_refused",
         request_id = id.map(RequestId::as_str),
@@ -142,9 +144,10 @@
         outcome = %refusal.outcome,
         reason = refusal.message,
         revision = context.catalog().map(|catalog| catalog.revision),
+        newest_revision = evidence.newest(),
+        confirmed_ms = evidence.age_ms(now),
         total_ms = started.elapsed().as_millis() as u64,
     );
-    let now = context.clock.now();
     context.codec.refusal(refusal, id, now).map(RelayBody::Full)
 }
 
--- a/crates/celerylead/src/tasks/node/mod.rs
+++ b/crates/celerylead/src/tasks/node/mod.rs
@@ -58,7 +58,10 @@
 
 use tokio::sync::watch;
 
-use self::{evacuations::EvacuationWatch, router_port::RouterPort};
+use self::{
+    evacuations::EvacuationWatch, router_port::RouterPort,
+    watcher::EvidenceView,
+};
 use crate::{
     catalog::ServiceCatalog, clock::HostClock, metrics::HostMetrics,
     roster::RunnerFacts, tasks::intake::IntakePort,
@@ -89,6 +92,7 @@
     pub(crate) codec: C,
     pub(crate) clock: HostClock,
     pub(crate) catalog: CatalogWatch,
+    pub(crate) evidence: EvidenceView,
     pub(crate) evacuations: EvacuationWatch,
     pub(crate) router: RouterPort,
     pub(crate) metrics: HostMetrics,
--- a/crates/celerylead/src/tasks/node/run.rs
+++ b/crates/celerylead/src/tasks/node/run.rs
@@ -147,7 +147,7 @@
         gossip: gossip_port.clone(),
     };
     let (evacuation_port, evacuations) = evacuations::start(metrics.clone());
-    let WatcherViews { catalog, roster, contact } = watcher::start(
+    let WatcherViews { catalog, evidence, roster, contact } = watcher::start(
         &WatcherSetup {
             codec: codec.clone(),
             store: store.clone(),
@@ -250,6 +250,7 @@
         codec,
         clock,
         catalog,
+        evidence,
         evacuations,
         router: router_port,
         metrics,
--- a/crates/celerylead/src/tasks/node/watcher.rs
+++ b/crates/celerylead/src/tasks/node/watcher.rs
@@ -22,7 +22,7 @@
     registry::{self, RevisionFeed, ZoneFeed},
 };
 use crate::{
-    catalog::{EvacuationList, ServiceCatalog},
+    catalog::{EvacuationList, RevisionEvidence, ServiceCatalog},
     clock::{EpochMillis, HostClock},
     membership::{PeerContact, RegistryContact, RevisionNews},
     metrics::HostMetrics,
@@ -85,6 +85,7 @@
 /// Values that the tasks publish to other tasks.
 pub(crate) struct WatcherViews {
     pub(crate) catalog: CatalogWatch,
+    pub(crate) evidence: EvidenceView,
     pub(crate) roster: RosterWatch,
     pub(crate) contact: watch::Receiver<RegistryContact>,
 }
@@ -99,22 +100,46 @@
     let (contact, contact_receiver) =
         watch::channel(RegistryContact::default());
     let (news, news_receiver) = watch::channel(RevisionNews::default());
+    let (evidence, evidence_receiver) =
+        watch::channel(RevisionEvidence::default());
+    let evidence_view =
+        EvidenceView { own: evidence_receiver, news: news_receiver.clone() };
     let configuration = ConfigurationTask {
         feed: FeedPosition::new(StoreTable::Configuration),
         setup: setup.clone(),
         news: news_receiver,
         catalog,
+        evidence,
     };
     crate::tasks::spawn(configuration.run());
     let revisions = RevisionFeed { catalog: catalog_receiver.clone(), news };
     registry::start(setup, zone_feed, revisions, contact, roster);
     WatcherViews {
         catalog: catalog_receiver,
+        evidence: evidence_view,
         roster: roster_receiver,
         contact: contact_receiver,
     }
 }
 
+/// What this host's own reads and the reader of its zone say of the newest
+/// revision.
+#[derive(Clone)]
+pub(crate) struct EvidenceView {
+    own: watch::Receiver<RevisionEvidence>,
+    news: watch::Receiver<RevisionNews>,
+}
+
+impl EvidenceView {
+    /// Returns all that is known now.
+    pub(crate) fn current(&self) -> RevisionEvidence {
+        let mut evidence = *self.own.borrow();
+        let news = *self.news.borrow();
+        evidence.confirm(news.revision, news.known_at);
+        evidence
+    }
+}
+
 /// A position in the feed of a table.
 pub(super) struct FeedPosition {
     table: StoreTable,
@@ -279,6 +304,7 @@
     /// The revision that another host of the zone has.
     news: watch::Receiver<RevisionNews>,
     catalog: watch::Sender<Option<Arc<ServiceCatalog>>>,
+    evidence: watch::Sender<RevisionEvidence>,
 }
 
 impl<C: EdgeCodec> ConfigurationTask<C> {
@@ -332,6 +358,9 @@
         }
         step.reading().rows.iter().for_each(|row| self.adopt(row));
         let own = revision(self.catalog.borrow().as_deref());
+        if let Some(read_at) = self.feed.read_at {
+            self.evidence.send_modify(|known| known.confirm(own, read_at));
+        }
         let is_behind =
             self.feed.may_lack_changes() && own < self.news.borrow().revision;
         if is_behind || matches!(step, FeedStep::Restored(_)) {
@@ -402,6 +431,7 @@
             source,
         );
         self.setup.metrics.revision.set(catalog.revision as i64);
+        self.evidence.send_modify(|known| known.hear(catalog.revision));
         self.catalog.send_replace(Some(Arc::new(catalog)));
     }
 
