--- a/crates/celerylead/src/tasks/node/call.rs
+++ b/crates/celerylead/src/tasks/node/call.rs
@@ -149,6 +149,8 @@
     let model = call.and_then(|call| call.model.as_ref());
     let verdict = refusal.verdict.as_ref();
     let total_ms = started.map(|at| at.elapsed().as_millis() as u64);
+    let now = context.clock.now();
+    let evidence = context.evidence.current();
     tracing::info!(
         event = "request_refused",
         request_id = id.map(RequestId::as_str),
@@ -161,6 +163,8 @@
         terms = verdict.map(|row| row.terms),
         sent_ago_ms = verdict.map(|row| row.sent_ago_ms),
         revision = context.catalog().map(|catalog| catalog.revision),
+        newest_revision = evidence.newest(),
+        confirmed_ms = evidence.age_ms(now),
         total_ms,
     );
 }
