Accept as many headers as fit into the largest head

What callers saw: 431 for a request with 96 or more further headers in a head of 2 KB, without X-Request-Id, log line or count. Callers don't repeat a request after 431 (DENIED).

Cause: hyper accepts 100 headers unless it is told otherwise, and the host didn't tell it. Class: a limit of a library that binds before the configured one. The users' page bounds a head by max_header_bytes ("limits bound what a client may send"); it names no number of headers.

Ruled out: a larger fixed number, which would only move the limit.

Change: max_headers is a quarter of max_header_bytes, since the shortest line has four bytes; 24,000 at most, as http::HeaderMap panics above 24,576 entries. A parsed table has up to thirty times the bytes of its head, so headers beyond 64 of a request take 400 bytes each of a new share (1/16 of memory_mb), without waiting, from the parsing of the head to the answer; a request that finds none gets 503 with its id and Retry-After.

--- a/crates/celerylead/src/intake/limits.rs
+++ b/crates/celerylead/src/intake/limits.rs
@@ -8,6 +8,20 @@
 const BODY_DIVISOR: u64 = 4;
 /// Part of the bytes for bodies that only small ones may take.
 const SMALL_DIVISOR: u64 = 4;
+/// Part of the memory for the tables of heads with many headers: 7.5 MB of the
+/// 120 MB of the smallest host, which holds the largest single table.
+const TABLE_DIVISOR: u64 = 16;
+/// Headers of a request that need no room of their own. Everyday requests have
+/// about ten.
+const PLAIN_HEADERS: usize = 64;
+/// Memory of each further header: an entry, its name and its place in the index
+/// for the request, and the same once more while it is forwarded.
+const HEADER_BYTES: usize = 400;
+/// Bytes of the shortest header line.
+const MIN_HEADER_LINE: usize = 4;
+/// Most headers of a request. The HTTP library's table panics above 24,576, and
+/// forwarding adds a few.
+const MAX_HEADERS: usize = 24_000;
 /// Part of the memory for connections: 40 MB of the 120 MB of the smallest
 /// host. The rest is the program with its tables, and what the allocator
 /// can't use.
@@ -23,6 +37,17 @@
 /// Connections that even the smallest host accepts.
 const MIN_CONNECTIONS: u64 = 16;
 
+/// Returns the most headers of a request whose head has at most `head_bytes`:
+/// as many as fit.
+pub(crate) fn max_headers(head_bytes: usize) -> usize {
+    (head_bytes / MIN_HEADER_LINE).clamp(PLAIN_HEADERS, MAX_HEADERS)
+}
+
+/// Returns the room that this number of headers needs.
+pub(crate) fn header_room(headers: usize) -> usize {
+    headers.saturating_sub(PLAIN_HEADERS) * HEADER_BYTES
+}
+
 /// What the callers of a host may take together.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct IntakeLimits {
@@ -30,6 +55,8 @@
     pub(crate) common_bytes: u64,
     /// Further bytes that only small bodies may take.
     pub(crate) small_bytes: u64,
+    /// Bytes that the tables of heads with many headers may take.
+    pub(crate) table_bytes: u64,
     memory_bytes: u64,
     descriptors: u64,
 }
@@ -42,6 +69,7 @@
         IntakeLimits {
             common_bytes: bodies - small_bytes,
             small_bytes,
+            table_bytes: memory_bytes / TABLE_DIVISOR,
             memory_bytes,
             descriptors,
         }
--- a/crates/celerylead/src/intake/mod.rs
+++ b/crates/celerylead/src/intake/mod.rs
@@ -3,7 +3,8 @@
 //! Nothing in this module reads a clock or a socket.
 //!
 //! * [`IntakeLimits`] divides the memory and the descriptors of a host: bytes
-//!   of bodies, a share of them for small bodies, connections.
+//!   of bodies, a share of them for small bodies, tables of headers,
+//!   connections.
 //! * A [`BodyLedger`] decides which body may take the next piece of the common
 //!   room, and which one gives way to it. Small bodies only reach the ledger
 //!   when their own share is used up.
@@ -20,7 +21,7 @@
 pub(crate) use self::{
     connections::ConnectionQueue,
     ledger::{BodyAction, BodyId, BodyLedger, BodyRequest},
-    limits::{IntakeLimits, SMALL_BODY_BYTES},
+    limits::{IntakeLimits, SMALL_BODY_BYTES, header_room, max_headers},
     progress::BodyProgress,
 };
 
--- a/crates/celerylead/src/intake/tests.rs
+++ b/crates/celerylead/src/intake/tests.rs
@@ -4,7 +4,8 @@
 
 use super::{
     BodyAction, BodyId, BodyLedger, BodyProgress, BodyRequest,
-    ConnectionQueue, IntakeLimits, SMALL_BODY_BYTES, next_piece,
+    ConnectionQueue, IntakeLimits, SMALL_BODY_BYTES, header_room, max_headers,
+    next_piece,
 };
 use crate::clock::EpochMillis;
 
@@ -335,6 +336,43 @@
     }
 }
 
+/// Guards against a number of headers that refuses a head within its limit, or
+/// at which the HTTP library panics.
+#[test]
+fn a_head_of_the_shortest_lines_has_room() {
+    struct Case {
+        name: &'static str,
+        head_bytes: usize,
+        headers: usize,
+        room: usize,
+    }
+    let cases = [
+        Case {
+            name: "the default",
+            head_bytes: 16 << 10,
+            headers: 4_096,
+            room: 4_032 * 400,
+        },
+        Case {
+            name: "larger heads",
+            head_bytes: 64 << 10,
+            headers: 16_384,
+            room: 16_320 * 400,
+        },
+        Case { name: "tiny heads", head_bytes: 1, headers: 64, room: 0 },
+        Case {
+            name: "heads of a megabyte",
+            head_bytes: 1 << 20,
+            headers: 24_000,
+            room: 23_936 * 400,
+        },
+    ];
+    for Case { name, head_bytes, headers, room } in cases {
+        assert_eq!(max_headers(head_bytes), headers, "{name}");
+        assert_eq!(header_room(headers), room, "{name}");
+    }
+}
+
 /// Guards against a new connection that gives way to the old ones, and against
 /// connections that give way without need.
 #[test]
--- a/crates/celerylead/src/request/refusal.rs
+++ b/crates/celerylead/src/request/refusal.rs
@@ -83,7 +83,7 @@
     NoRunner = 503 "no_runner";
     /// The host is shutting down or has no settings yet.
     NotReady = 503 "not_ready";
-    /// The host has no memory for the request's body.
+    /// The host has no memory for the request's headers or body.
     NoBodyRoom = 503 "no_body_room";
     /// The runner failed after the request was sent.
     RunnerFailed = 502 "runner_failed";
--- a/crates/celerylead/src/tasks/intake.rs
+++ b/crates/celerylead/src/tasks/intake.rs
@@ -19,7 +19,7 @@
     clock::{EpochMillis, HostClock},
     intake::{
         BodyAction, BodyId, BodyLedger, BodyRequest, IntakeLimits,
-        SMALL_BODY_BYTES,
+        SMALL_BODY_BYTES, header_room,
     },
     metrics::HostMetrics,
     sorted::SortedTable,
@@ -51,6 +51,7 @@
     events: mpsc::Sender<IntakeEvent>,
     ends: mpsc::Sender<BodyId>,
     small: Arc<Semaphore>,
+    tables: Arc<Semaphore>,
     next_id: AtomicU64,
     clock: HostClock,
     metrics: HostMetrics,
@@ -71,12 +72,15 @@
         give_way: SortedTable::default(),
     };
     super::spawn(task.run(event_inbox, end_inbox, clock.clone()));
-    let small = usize::try_from(limits.small_bytes).unwrap_or(usize::MAX);
-    let small = Semaphore::new(small.min(Semaphore::MAX_PERMITS));
+    let share = |bytes| {
+        let bytes = usize::try_from(bytes).unwrap_or(usize::MAX);
+        Arc::new(Semaphore::new(bytes.min(Semaphore::MAX_PERMITS)))
+    };
     IntakePort(Arc::new(IntakeHandles {
         events,
         ends,
-        small: Arc::new(small),
+        small: share(limits.small_bytes),
+        tables: share(limits.table_bytes),
         next_id: AtomicU64::new(0),
         clock,
         metrics,
@@ -183,6 +187,12 @@
     state: S,
 }
 
+/// Room of a request's headers; dropping it returns the room.
+pub(crate) struct HeaderRoom {
+    _permit: OwnedSemaphorePermit,
+    _held: HeldBytes,
+}
+
 /// Part of the common room; dropping it reports the end of its body.
 struct CommonRoom {
     id: BodyId,
@@ -258,6 +268,28 @@
         room.complete().await
     }
 
+    /// Takes room for the headers of a request; `None` if they need no room of
+    /// their own. Never waits: the headers are in memory already.
+    pub(crate) fn take_headers(
+        &self,
+        headers: usize,
+    ) -> Result<Option<HeaderRoom>, NoRoom> {
+        let bytes = header_room(headers);
+        if bytes == 0 {
+            return Ok(None);
+        }
+        let tables = Arc::clone(&self.0.tables);
+        // The largest head takes the whole share of a small host.
+        let permits = u64::try_from(bytes).unwrap_or(u64::MAX);
+        let permits = permits.min(self.0.limits.table_bytes);
+        let permits = u32::try_from(permits).map_err(|_| NoRoom)?;
+        let permit = tables.try_acquire_many_owned(permits);
+        let _permit = permit.map_err(|_| NoRoom)?;
+        let mut held = HeldBytes { bytes: 0, port: self.clone() };
+        held.add(bytes);
+        Ok(Some(HeaderRoom { _permit, _held: held }))
+    }
+
     fn open_common(&self) -> Result<CommonRoom, NoRoom> {
         let end = self.0.ends.clone().try_reserve_owned();
         let id = BodyId(self.0.next_id.fetch_add(1, Ordering::Relaxed));
--- a/crates/celerylead/src/tasks/node/acceptor.rs
+++ b/crates/celerylead/src/tasks/node/acceptor.rs
@@ -29,7 +29,10 @@
     caller_socket::{CallerSocket, ConnectionFlags},
 };
 use crate::{
-    intake::ConnectionQueue, metrics::HostMetrics, port::EdgeCodec, wire::link,
+    intake::{self, ConnectionQueue},
+    metrics::HostMetrics,
+    port::EdgeCodec,
+    wire::link,
 };
 
 /// Multiple of the configured idle time after which an idle connection is
@@ -151,6 +154,7 @@
         // The head has to fit.
         .max_buf_size(link::READ_BUFFER_BYTES.max(limits.head_bytes))
         .max_header_size(limits.head_bytes)
+        .max_headers(intake::max_headers(limits.head_bytes))
         .serve_connection(TokioIo::new(socket), service);
     tokio::pin!(connection);
     let ended = tokio::select! {
--- a/crates/celerylead/src/tasks/node/call.rs
+++ b/crates/celerylead/src/tasks/node/call.rs
@@ -17,7 +17,10 @@
     quarantine::PromptParts,
     relay::{CallHead, LoadBasis},
     request::{Refusal, RefusalCode, RequestId},
-    tasks::request_body::BodyIntake,
+    tasks::{
+        intake::HeaderRoom,
+        request_body::{BodyIntake, RETRY_AFTER},
+    },
 };
 
 /// Time that a caller is assumed to wait if its request doesn't state one.
@@ -101,7 +104,13 @@
         Ok(call) => call,
         Err(refusal) => return refuse(context, None, &refusal, started),
     };
-    match relay(context, &call, &parts, body, started).await {
+    // Held until the head, which the attempts forward, is dropped.
+    let room = take_header_room(context, &parts);
+    let relayed = match &room {
+        Ok(_) => relay(context, &call, &parts, body, started).await,
+        Err(refusal) => Err(refusal.clone()),
+    };
+    match relayed {
         Ok(response) => response,
         Err(refusal) => {
             let mut response = refuse(context, Some(&call), &refusal, started);
@@ -113,6 +122,19 @@
     }
 }
 
+/// Takes room for the headers of a request, whose table has up to thirty times
+/// the bytes of the head.
+fn take_header_room<C>(
+    context: &NodeContext<C>,
+    parts: &request::Parts,
+) -> Result<Option<HeaderRoom>, Refusal> {
+    context.intake.take_headers(parts.headers.len()).map_err(|_| {
+        let message = "there is no memory for the headers";
+        let refusal = Refusal::not_run(RefusalCode::NoBodyRoom, message);
+        refusal.retry_at(Some(context.clock.now().after(RETRY_AFTER)))
+    })
+}
+
 /// Returns whether a refusal of this code comes before the request's body was
 /// read to its end.
 fn leaves_body_unread(code: RefusalCode) -> bool {
--- a/crates/celerylead/src/tasks/request_body.rs
+++ b/crates/celerylead/src/tasks/request_body.rs
@@ -13,9 +13,9 @@
     request::{Refusal, RefusalCode},
 };
 
-/// Time after which a caller may try again whose body found no room: bodies
+/// Time after which a caller may try again whose request found no room: bodies
 /// that hold the room without going on give way after one second.
-const RETRY_AFTER: Duration = Duration::from_millis(1_000);
+pub(crate) const RETRY_AFTER: Duration = Duration::from_millis(1_000);
 
 /// Bounds of a body and what its reading needs.
 #[derive(Clone, Copy)]
--- a/crates/celerylead/tests/pages.rs
+++ b/crates/celerylead/tests/pages.rs
@@ -64,7 +64,7 @@
 
 | field of `[limits]` | default | meaning |
 |---|---|---|
-| `memory_mb` | that of the control group, else of the machine | Memory of the process; a quarter is for bodies and buffered answers, a third for connections. |
+| `memory_mb` | that of the control group, else of the machine | Memory of the process; a quarter is for bodies and buffered answers, a third for connections, a sixteenth for tables of headers. |
 | `max_fds` | the process's own limit | Descriptors of the process; 200 are for files, a connection may need two. |
 
 These follow from them and from the operator's configuration, and have no field of
@@ -79,7 +79,8 @@
 | pace of a body after that time | 1,024 bytes a second | 408 |
 | pace of a body while others need its memory | a second for each piece, and 64 KB/s | 408 |
 | wait for a head, from the answer before | twice `idle_timeout_ms` | the connection is closed |
-| headers of a request | 100 | 431 |
+| headers of a request | a quarter of `max_header_bytes`, 64 to 24,000 | 431 |
+| headers of a request beyond the first 64 | 400 bytes each, of 1/16 of `memory_mb` | 503 |
 | answer that isn't read | 3 s without progress | the connection is closed |
 | reading after a refusal | 1 s, 256 KB | the connection is closed |
 ";
