Deny a key or route only by a configuration that is surely the newest

Callers of a host that is cut off from the store, has started from another host's copy, or can't decode the newest configuration got 401 or 404 for a key or a route that the operator has added. Both are final, so a caller doesn't ask another host, though most would serve it.

Cause, of the class "a belief is used beyond the time for which it is known to hold": look-ups took the host's own revision for the newest one, however long ago the store had last said so. The known incident of this class, of polls that outlast the bound, concerned how soon a change arrives, not what a host says while it can't arrive.

A host now keeps the newest revision of which it has heard and when the store, to itself or to the reader of its zone, last confirmed that there is none above it. Without a confirmation of the last 3 s (two polls and their answers) a call for an unknown route or key gets 503, `settings_unconfirmed`, with a Retry-After of 0.2 s; it hasn't run. In contact, 401 and 404 stay as they were: a poll is answered at least every 2.5 s. Calls that the configuration knows aren't touched.

Ruled out: asking another host within the call, which fails in the same cut and lets each wrong key cost a message.

--- a/crates/celerylead/src/catalog/tests.rs
+++ b/crates/celerylead/src/catalog/tests.rs
@@ -269,3 +269,72 @@
         assert_eq!(evidence.age_ms(EpochMillis(1_000)), age_ms, "{name}");
     }
 }
+
+/// Guards against a final 401 or 404 by a host that may lack the newest revision,
+/// and against a 503 for an unknown key by one that surely has it.
+#[test]
+fn only_recent_evidence_shows_the_newest_revision() {
+    use std::time::Duration;
+
+    use super::RevisionEvidence;
+    use crate::EpochMillis;
+
+    enum Step {
+        Hear(u64),
+        Confirm(u64, u64),
+        Decoded(bool),
+    }
+    use Step::{Confirm, Decoded, Hear};
+    struct Case {
+        name: &'static str,
+        steps: &'static [Step],
+        /// Whether revision 4 is shown to be the newest at the time 5,000, with
+        /// a limit of 3,000.
+        shown: bool,
+    }
+    let cases = [
+        Case { name: "nothing is known", steps: &[], shown: false },
+        Case { name: "recent", steps: &[Confirm(4, 2_001)], shown: true },
+        Case { name: "too old", steps: &[Confirm(4, 2_000)], shown: false },
+        Case {
+            name: "confirmed anew",
+            steps: &[Confirm(4, 1_000), Confirm(4, 4_000)],
+            shown: true,
+        },
+        Case { name: "from another host", steps: &[Hear(4)], shown: false },
+        Case {
+            name: "another host has a newer one",
+            steps: &[Confirm(4, 4_900), Confirm(5, 4_950)],
+            shown: false,
+        },
+        Case {
+            name: "another host is behind",
+            steps: &[Confirm(4, 4_900), Confirm(3, 4_950)],
+            shown: true,
+        },
+        Case {
+            name: "a newer one can't be decoded",
+            steps: &[Confirm(4, 4_900), Decoded(false), Confirm(4, 4_950)],
+            shown: false,
+        },
+        Case {
+            name: "an unreadable one was replaced",
+            steps: &[Decoded(false), Decoded(true), Confirm(4, 4_950)],
+            shown: true,
+        },
+    ];
+    for Case { name, steps, shown } in cases {
+        let mut evidence = RevisionEvidence::default();
+        for step in steps {
+            match *step {
+                Hear(revision) => evidence.hear(revision),
+                Confirm(revision, at) => {
+                    evidence.confirm(revision, EpochMillis(at));
+                }
+                Decoded(is_readable) => evidence.record_decoding(is_readable),
+            }
+        }
+        let (now, limit) = (EpochMillis(5_000), Duration::from_millis(3_000));
+        assert_eq!(evidence.shows_newest(4, now, limit), shown, "{name}");
+    }
+}
--- a/crates/celerylead/src/request/refusal.rs
+++ b/crates/celerylead/src/request/refusal.rs
@@ -83,6 +83,9 @@
     NoRunner = 503 "no_runner";
     /// The host is shutting down or has no settings yet.
     NotReady = 503 "not_ready";
+    /// The host doesn't know of the path or key, and may lack the newest
+    /// settings.
+    SettingsUnconfirmed = 503 "settings_unconfirmed";
     /// The host has no memory for the request's body.
     NoBodyRoom = 503 "no_body_room";
     /// The runner failed after the request was sent.
--- a/crates/celerylead/src/tasks/node/call.rs
+++ b/crates/celerylead/src/tasks/node/call.rs
@@ -22,6 +22,10 @@
 
 /// Time that a caller is assumed to wait if its request doesn't state one.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(60);
+/// Time after which a caller may ask another host for a route or key that this
+/// one doesn't know. Short, as other hosts mostly know it; not zero, as none knows
+/// one that doesn't exist.
+const UNCONFIRMED_RETRY: Duration = Duration::from_millis(200);
 
 /// Marks an answer whose request's body wasn't read to its end.
 #[derive(Clone, Copy)]
@@ -163,8 +167,9 @@
     let catalog = context.catalog().ok_or_else(|| {
         Refusal::not_run(RefusalCode::NotReady, "no configuration is known")
     })?;
-    let route = find_route(&catalog, call, parts)?;
-    let customer = find_customer(&catalog, route, call)?;
+    let confirm = |denial| confirm_denial(context, &catalog, denial);
+    let route = find_route(&catalog, call, parts).map_err(confirm)?;
+    let customer = find_customer(&catalog, route, call).map_err(confirm)?;
     let caller_timeout =
         call.max_wait_ms.map_or(DEFAULT_TIMEOUT, Duration::from_millis);
     let timeout = caller_timeout.min(Duration::from_millis(route.timeout_ms));
@@ -218,6 +223,22 @@
     Ok(response)
 }
 
+/// Returns the denial of a route or key that the catalog lacks, or a refusal that
+/// lets the caller ask another host if the catalog may not be the newest.
+fn confirm_denial<C>(
+    context: &NodeContext<C>,
+    catalog: &ServiceCatalog,
+    denial: Refusal,
+) -> Refusal {
+    let now = context.clock.now();
+    if context.evidence.shows_newest(catalog.revision, now) {
+        return denial;
+    }
+    let code = RefusalCode::SettingsUnconfirmed;
+    Refusal::not_run(code, &denial.message)
+        .retry_at(Some(now.after(UNCONFIRMED_RETRY)))
+}
+
 fn find_route<'a>(
     catalog: &'a Arc<ServiceCatalog>,
     call: &CallHead,
--- a/crates/celerylead/src/tasks/node/watcher.rs
+++ b/crates/celerylead/src/tasks/node/watcher.rs
@@ -73,6 +73,13 @@
 }
 
 impl<C> WatcherSetup<C> {
+    /// Returns the age from which the last word of the store no longer shows
+    /// that a revision is the newest: the wait of two polls, as the word is as old
+    /// as the start of its poll, and the time for their answers.
+    fn evidence_limit(&self) -> Duration {
+        (self.poll_wait() + RECONNECT_MARGIN) * 2
+    }
+
     /// Returns the longest wait of a poll that still leaves time to read the
     /// table again within the recovery time.
     pub(super) fn poll_wait(&self) -> Duration {
@@ -102,8 +109,11 @@
     let (news, news_receiver) = watch::channel(RevisionNews::default());
     let (evidence, evidence_receiver) =
         watch::channel(RevisionEvidence::default());
-    let evidence_view =
-        EvidenceView { own: evidence_receiver, news: news_receiver.clone() };
+    let evidence_view = EvidenceView {
+        own: evidence_receiver,
+        news: news_receiver.clone(),
+        limit: setup.evidence_limit(),
+    };
     let configuration = ConfigurationTask {
         feed: FeedPosition::new(StoreTable::Configuration),
         setup: setup.clone(),
@@ -128,9 +138,19 @@
 pub(crate) struct EvidenceView {
     own: watch::Receiver<RevisionEvidence>,
     news: watch::Receiver<RevisionNews>,
+    limit: Duration,
 }
 
 impl EvidenceView {
+    /// Returns whether `revision` is known to be the newest one.
+    pub(crate) fn shows_newest(
+        &self,
+        revision: u64,
+        now: EpochMillis,
+    ) -> bool {
+        self.current().shows_newest(revision, now, self.limit)
+    }
+
     /// Returns all that is known now.
     pub(crate) fn current(&self) -> RevisionEvidence {
         let mut evidence = *self.own.borrow();
@@ -406,14 +426,21 @@
     fn adopt(&self, row: &RowChange) {
         let RowChange::Written(row) = row else { return };
         match self.setup.codec.read_catalog(&row.key, &row.value) {
-            Ok(Some(catalog)) => self.adopt_catalog(catalog, "store"),
+            Ok(Some(catalog)) => {
+                self.adopt_catalog(catalog, "store");
+                self.evidence.send_modify(|known| known.record_decoding(true));
+            }
             Ok(None) => {}
-            Err(error) => tracing::warn!(
-                event = "configuration_unreadable",
-                row = row.key,
-                version = %row.version,
-                error = format!("{error:#}"),
-            ),
+            Err(error) => {
+                self.evidence
+                    .send_modify(|known| known.record_decoding(false));
+                tracing::warn!(
+                    event = "configuration_unreadable",
+                    row = row.key,
+                    version = %row.version,
+                    error = format!("{error:#}"),
+                );
+            }
         }
     }
 
