Don't hold an unsigned client error against its runner

What callers would see: a runner that others use is out of use for 0.5 s and more, as three requests in a row drew an unsigned 4xx from its HTTP library, for instance 431 for more headers than that takes. Such requests are then tried at the next runner too.

Cause: since unsigned failures can't be passed on, an unsigned 4xx ended its call as Broken, which counts towards the ejection of the runner; before, it was Neutral. Class: a caller's own request taken as evidence about a server.

Other unsigned statuses count against the runner as before.

No host test shows the ejection itself.

--- a/crates/celerylead/src/port/codec.rs
+++ b/crates/celerylead/src/port/codec.rs
@@ -43,6 +43,10 @@
     Failure,
     /// An answer that must not be returned to the caller, with the reason.
     Unusable(&'static str),
+    /// A client error that isn't known to be the runner's. It must not be
+    /// returned, and as the call itself may be its cause, it says nothing about
+    /// the runner.
+    UnsignedClientError,
 }
 
 /// Whether a connection carried other calls before the latest one.
--- a/crates/celerylead/src/tasks/node/attempt.rs
+++ b/crates/celerylead/src/tasks/node/attempt.rs
@@ -305,6 +305,15 @@
                 slot.finish(CallEnd::Broken, None);
                 run_again(request, RefusalCode::RunnerFailed, &error)
             }
+            AnswerVerdict::UnsignedClientError => {
+                let status = head.status;
+                let error = anyhow::anyhow!(
+                    "the client error bears no signature, status {status}"
+                );
+                self.log_failure(&slot, "judge", &error);
+                slot.finish(CallEnd::Neutral, None);
+                run_again(request, RefusalCode::RunnerFailed, &error)
+            }
             AnswerVerdict::Success if self.route.kind.is_stream() => {
                 self.stream_answer(&head, upstream, slot, link)
             }
