Apply a changed limit on heads to open connections

What callers saw: after max_header_bytes was raised from 16 to 64 KB, 431 for a head of 40 KB on every connection that was opened before the change, or before any configuration was known, and 200 on new ones. Callers reuse connections and don't repeat a request after 431 (DENIED). After the limit was lowered, old connections kept the larger one.

Cause: hyper fixes its limits when it begins to read a connection, and the host set them once. Class: a setting that is read when a connection opens and not when it decides. The idle time was another one, and follows now as well: it grows with the configuration and never shrinks under a caller that may still rely on it.

Ruled out: closing idle connections, as callers' requests would cross the close; a library limit that never binds, as its read buffer grows to that limit.

Change: the task of a connection (moved from acceptor.rs to caller_connection.rs) takes the socket back from the library when other limits are in force and neither a request nor an answer is on it, puts the bytes that were read back, and has it read anew. The library has to confirm that it is between two requests, and the latest body must have been read to its end; else the connection ends after the request in flight, as before a planned stop. So no rest of a body can be read as a head.

--- a/crates/celerylead/src/tasks/node/acceptor.rs
+++ b/crates/celerylead/src/tasks/node/acceptor.rs
@@ -1,44 +1,17 @@
-//! The task that owns the callers' listener, and one task for each
-//! connection.
+//! The task that owns the callers' listener.
 
-use std::{
-    convert::Infallible,
-    sync::{Arc, atomic::Ordering},
-    time::Duration,
-};
+use std::time::Duration;
 
-use hyper::{
-    Request, Response,
-    body::Incoming,
-    header::{self, HeaderValue},
-    server::conn::http1,
-    service::service_fn,
-};
-use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
-    net::{TcpListener, TcpStream},
+    net::TcpListener,
     sync::{oneshot, watch},
     task::JoinSet,
     time::Instant,
 };
 
-use super::{
-    NodeContext, NodePhase,
-    body::RelayBody,
-    call::{self, AnswerDeadline, UnreadBody},
-    caller_socket::{CallerSocket, ConnectionFlags},
-};
-use crate::{
-    intake::{self, ConnectionQueue},
-    metrics::HostMetrics,
-    port::EdgeCodec,
-    wire::link,
-};
+use super::{NodeContext, NodePhase, caller_connection};
+use crate::{intake::ConnectionQueue, port::EdgeCodec, wire::link};
 
-/// Multiple of the configured idle time after which an idle connection is
-/// closed. Callers may follow a changed setting at once, while an open
-/// connection keeps the setting with which it was opened.
-const IDLE_FACTOR: u32 = 2;
 /// Time after which a further connection is told to give way, if those told
 /// before are still busy.
 const GIVE_WAY_INTERVAL: Duration = Duration::from_millis(50);
@@ -64,7 +37,8 @@
             stream = link::accept(&listener), if !is_over => {
                 let (handle, told) = oneshot::channel();
                 let id = queue.add(handle);
-                let task = serve(stream, context.clone(), told);
+                let context = context.clone();
+                let task = caller_connection::serve(stream, context, told);
                 connections.spawn(async move {
                     task.await;
                     id
@@ -120,103 +94,6 @@
 }
 
 /// Waits until the host reaches [`NodePhase::Ending`].
-async fn until_ending(phase: &mut watch::Receiver<NodePhase>) {
+pub(super) async fn until_ending(phase: &mut watch::Receiver<NodePhase>) {
     let _ = phase.wait_for(|phase| *phase == NodePhase::Ending).await;
 }
-
-/// Serves a connection until it ends. One that is told to give way ends after
-/// the request in flight, or at once if it has sent none.
-async fn serve<C: EdgeCodec>(
-    stream: TcpStream,
-    context: NodeContext<C>,
-    told: oneshot::Receiver<()>,
-) {
-    if let Err(error) = link::set_socket_options(&stream) {
-        tracing::debug!(event = "caller_closed", %error);
-        return;
-    }
-    let limits =
-        context.catalog().map(|catalog| catalog.limits).unwrap_or_default();
-    let idle = Duration::from_millis(limits.idle_ms) * IDLE_FACTOR;
-    let mut phase = context.phase.clone();
-    let flags = Arc::new(ConnectionFlags::default());
-    let service = service_fn(|request| {
-        let (context, flags) = (&context, &flags);
-        async move {
-            flags.served.store(true, Ordering::Relaxed);
-            Ok::<_, Infallible>(answer(context, flags, request).await)
-        }
-    });
-    let socket = CallerSocket::new(stream, Arc::clone(&flags));
-    let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(idle)
-        // The head has to fit.
-        .max_buf_size(link::READ_BUFFER_BYTES.max(limits.head_bytes))
-        .max_header_size(limits.head_bytes)
-        .max_headers(intake::max_headers(limits.head_bytes))
-        .serve_connection(TokioIo::new(socket), service);
-    tokio::pin!(connection);
-    let ended = tokio::select! {
-        ended = connection.as_mut() => ended,
-        () = until_ending(&mut phase) => {
-            // Ends after the request in flight, if there is one.
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
-        Ok(()) = told => {
-            flags.gives_way.store(true, Ordering::Relaxed);
-            // A part of a first head would be waited for.
-            if !flags.served.load(Ordering::Relaxed) {
-                return;
-            }
-            connection.as_mut().graceful_shutdown();
-            connection.await
-        }
-    };
-    if let Err(error) = ended {
-        call::note_unparsed_head(&context, &error);
-        tracing::debug!(event = "caller_closed", %error);
-    }
-}
-
-/// Answers one request. Asks the caller to close the connection unless the
-/// host is serving, or if the request's body wasn't read to its end.
-async fn answer<C: EdgeCodec>(
-    context: &NodeContext<C>,
-    flags: &ConnectionFlags,
-    request: Request<Incoming>,
-) -> Response<RelayBody> {
-    let in_flight = InFlight::begin(&context.metrics);
-    let mut response = call::answer(context, request).await;
-    drop(in_flight);
-    if let Some(AnswerDeadline(deadline)) = response.extensions().get() {
-        flags.silence.extend_to(*deadline);
-    }
-    let unread = response.extensions().get::<UnreadBody>().is_some();
-    if unread {
-        flags.unread.store(true, Ordering::Relaxed);
-    }
-    if unread || *context.phase.borrow() != NodePhase::Serving {
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(header::CONNECTION, close);
-    }
-    response
-}
-
-/// Counts a request as in flight until its answer begins or its caller
-/// disconnects.
-struct InFlight<'a>(&'a HostMetrics);
-
-impl InFlight<'_> {
-    fn begin(metrics: &HostMetrics) -> InFlight<'_> {
-        metrics.in_flight.inc();
-        InFlight(metrics)
-    }
-}
-
-impl Drop for InFlight<'_> {
-    fn drop(&mut self) {
-        self.0.in_flight.dec();
-    }
-}
--- a/crates/celerylead/src/tasks/node/caller_socket.rs
+++ b/crates/celerylead/src/tasks/node/caller_socket.rs
@@ -20,6 +20,7 @@
     time::Duration,
 };
 
+use bytes::Bytes;
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
@@ -46,14 +47,30 @@
     pub(super) unread: AtomicBool,
     /// The connection was told to give way to others.
     pub(super) gives_way: AtomicBool,
+    /// A request was read whose answer hasn't ended.
+    pub(super) busy: AtomicBool,
+    /// The body of the latest request was read to its end.
+    pub(super) body_read: AtomicBool,
+    /// Bytes wait because the caller doesn't read, or the socket is closing.
+    pub(super) writing: AtomicBool,
     /// For how long the caller may leave an answer unread.
     pub(super) silence: SilenceLimit,
 }
 
+impl ConnectionFlags {
+    /// Returns whether no request and no answer is on the connection.
+    pub(super) fn is_between_requests(&self) -> bool {
+        !self.busy.load(Ordering::Relaxed)
+            && !self.writing.load(Ordering::Relaxed)
+    }
+}
+
 /// Socket of a caller, which closes in bounded time.
 pub(super) struct CallerSocket {
     stream: LimitedStream,
     flags: Arc<ConnectionFlags>,
+    /// Bytes that were read before and are read again.
+    put_back: Bytes,
     stall: Option<Stall>,
     closing: Option<Closing>,
 }
@@ -76,7 +93,16 @@
         flags: Arc<ConnectionFlags>,
     ) -> CallerSocket {
         let stream = LimitedStream::new(stream, flags.silence.clone());
-        CallerSocket { stream, flags, stall: None, closing: None }
+        let put_back = Bytes::new();
+        CallerSocket { stream, flags, put_back, stall: None, closing: None }
+    }
+
+    /// Takes bytes back that were read last, to be read again first.
+    pub(super) fn put_back(&mut self, bytes: Bytes) {
+        self.put_back = match self.put_back.is_empty() {
+            true => bytes,
+            false => [bytes, self.put_back.clone()].concat().into(),
+        };
     }
 
     /// Passes the result of a write on. A write that waits fails if the
@@ -87,6 +113,7 @@
         context: &mut Context<'_>,
         written: Poll<io::Result<usize>>,
     ) -> Poll<io::Result<usize>> {
+        self.flags.writing.store(written.is_pending(), Ordering::Relaxed);
         if written.is_ready() {
             self.stall = None;
             return written;
@@ -118,6 +145,11 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if !self.put_back.is_empty() {
+            let length = self.put_back.len().min(buffer.remaining());
+            buffer.put_slice(&self.put_back.split_to(length));
+            return Poll::Ready(Ok(()));
+        }
         Pin::new(&mut self.stream).poll_read(context, buffer)
     }
 }
@@ -158,6 +190,7 @@
         context: &mut Context<'_>,
     ) -> Poll<io::Result<()>> {
         let this = &mut *self;
+        this.flags.writing.store(true, Ordering::Relaxed);
         let closing = match &mut this.closing {
             Some(closing) => closing,
             none => {
--- a/crates/celerylead/src/tasks/node/mod.rs
+++ b/crates/celerylead/src/tasks/node/mod.rs
@@ -4,6 +4,7 @@
 //! | task | owns |
 //! |---|---|
 //! | `acceptor` | the callers' listener; starts a task for each connection |
+//! | `caller_connection` | one connection of a caller |
 //! | `router` | the relay table, token buckets, retry budgets, idle connections to runners |
 //! | `watcher` | the position in the feed of the configuration |
 //! | `registry` | the position in the feed of the registry, the roster |
@@ -21,6 +22,7 @@
 mod attempt;
 mod body;
 mod call;
+mod caller_connection;
 mod caller_socket;
 mod capacity_report;
 mod control;
