Let a zone's reader vouch only for a configuration that it reads

Cause: a follower dated the reader's revision by the store's answer about the registry, which shows that the reader reaches the store and not that it read the configuration.

Change: an excerpt says whether the sender's own readings of the configuration show its revision to be the newest. Without that a follower polls at the usual pace and confirms by its own reads.

--- a/crates/celerylead/src/catalog/evidence.rs
+++ b/crates/celerylead/src/catalog/evidence.rs
@@ -43,10 +43,8 @@
     /// Records that `revision` exists.
     pub fn hear(&mut self, revision: u64) {
         if self.newest < revision {
-            *self = RevisionEvidence {
-                newest: revision,
-                ..RevisionEvidence::default()
-            };
+            self.newest = revision;
+            self.confirmed_at = None;
         }
     }
 
--- a/crates/celerylead/src/catalog/tests.rs
+++ b/crates/celerylead/src/catalog/tests.rs
@@ -317,6 +317,11 @@
             steps: &[Confirm(4, 4_900), Decoded(false), Confirm(4, 4_950)],
             shown: false,
         },
+        Case {
+            name: "another host has one below the unreadable one",
+            steps: &[Decoded(false), Hear(4), Confirm(4, 4_950)],
+            shown: false,
+        },
         Case {
             name: "an unreadable one was replaced",
             steps: &[Decoded(false), Decoded(true), Confirm(4, 4_950)],
--- a/crates/celerylead/src/membership/excerpt.rs
+++ b/crates/celerylead/src/membership/excerpt.rs
@@ -57,6 +57,9 @@
     pub store_time: EpochMillis,
     /// Revision of the configuration in force at the sender.
     pub revision: u64,
+    /// Whether the sender's own readings of the configuration lately showed that
+    /// there is none above `revision`.
+    pub is_newest: bool,
     /// The changes between the two positions, in the order of their versions.
     pub rows: Vec<ExcerptRow>,
 }
@@ -69,6 +72,8 @@
 pub struct RevisionNews {
     /// The revision.
     pub revision: u64,
+    /// Whether the other host's own readings lately showed none above it.
+    pub is_newest: bool,
     /// Time up to which the other host was in contact with the store.
     pub known_at: EpochMillis,
 }
@@ -83,7 +88,7 @@
     /// use celerylead::{EpochMillis, membership::RevisionNews};
     ///
     /// let known_at = EpochMillis(1_000);
-    /// let news = RevisionNews { revision: 4, known_at };
+    /// let news = RevisionNews { revision: 4, is_newest: true, known_at };
     /// assert_eq!(news.current_until(), EpochMillis(2_300));
     /// ```
     pub fn current_until(self) -> EpochMillis {
@@ -107,8 +112,14 @@
     /// assert_eq!(answer.clone().split(), [answer]);
     /// ```
     pub fn split(self) -> Vec<FeedExcerpt> {
-        let FeedExcerpt { mut after, version, store_time, revision, rows } =
-            self;
+        let FeedExcerpt {
+            mut after,
+            version,
+            store_time,
+            revision,
+            is_newest,
+            rows,
+        } = self;
         let mut excerpts = Vec::new();
         let mut open: Vec<ExcerptRow> = Vec::new();
         let mut size = 0;
@@ -125,6 +136,7 @@
                     version,
                     store_time,
                     revision,
+                    is_newest,
                     rows,
                 });
                 (after, size) = (last, 0);
@@ -142,6 +154,7 @@
             version,
             store_time,
             revision,
+            is_newest,
             rows,
         });
         excerpts
@@ -218,7 +231,8 @@
     /// Returns what an excerpt says of the sender's configuration.
     pub fn news(&self, excerpt: &FeedExcerpt) -> RevisionNews {
         let known_at = self.answered_at(excerpt);
-        RevisionNews { revision: excerpt.revision, known_at }
+        let FeedExcerpt { revision, is_newest, .. } = *excerpt;
+        RevisionNews { revision, is_newest, known_at }
     }
 
     /// Returns the time from which the host reads the registry itself.
--- a/crates/celerylead/src/membership/tests/excerpt.rs
+++ b/crates/celerylead/src/membership/tests/excerpt.rs
@@ -65,6 +65,7 @@
             version: StoreVersion::new(0, 20),
             store_time: EpochMillis(5),
             revision: 3,
+            is_newest: true,
             rows: rows.collect(),
         };
         let found: Vec<(u64, u64, usize)> = excerpt
@@ -133,12 +134,13 @@
             version: StoreVersion::new(0, case.version),
             store_time: EpochMillis(case.store_time),
             revision: 3,
+            is_newest: true,
             rows: Vec::new(),
         };
         let verdict = follower.admit(StoreVersion::new(0, 10), &excerpt);
         assert_eq!(verdict, case.verdict, "{}", case.name);
         let known_at = EpochMillis(case.store_time + 1_005);
-        let news = RevisionNews { revision: 3, known_at };
+        let news = RevisionNews { revision: 3, is_newest: true, known_at };
         assert_eq!(follower.news(&excerpt), news, "{}", case.name);
         let due = follower.read_due();
         assert_eq!(due, EpochMillis(case.read_due), "{}", case.name);
--- a/crates/celerylead/src/tasks/node/registry.rs
+++ b/crates/celerylead/src/tasks/node/registry.rs
@@ -19,6 +19,7 @@
     watcher::{FeedPosition, FeedStep, WatcherSetup, pick_seed, revision},
 };
 use crate::{
+    catalog::RevisionEvidence,
     clock::EpochMillis,
     membership::{
         ExcerptRow, ExcerptVerdict, FeedExcerpt, FeedFollower,
@@ -56,6 +57,8 @@
 pub(super) struct RevisionFeed {
     /// This host's catalog.
     pub(super) catalog: CatalogWatch,
+    /// What this host's own readings show of the newest revision.
+    pub(super) evidence: watch::Receiver<RevisionEvidence>,
     /// The revision that another host of the zone has.
     pub(super) news: watch::Sender<RevisionNews>,
 }
@@ -135,9 +138,7 @@
                 if let (Some(after), FeedStep::Changes(_)) = (after, &step)
                     && *self.zone_feed.is_reader.borrow()
                 {
-                    let revision =
-                        revision(self.revisions.catalog.borrow().as_deref());
-                    let excerpts = excerpt(after, revision, reading).split();
+                    let excerpts = self.excerpt(after, reading).split();
                     self.zone_feed.gossip.send_excerpts(excerpts);
                 }
                 self.note_answer(began);
@@ -213,16 +214,45 @@
         if !*self.zone_feed.is_reader.borrow() {
             return;
         }
-        let revision = revision(self.revisions.catalog.borrow().as_deref());
         let reading = StoreReading {
             rows: Vec::new(),
             version: after,
             store_time: self.last_answer,
         };
-        let excerpt = excerpt(after, revision, &reading);
+        let excerpt = self.excerpt(after, &reading);
         self.zone_feed.gossip.send_excerpts(vec![excerpt]);
     }
 
+    /// Returns a reading of the feed from the position `after` as an excerpt.
+    fn excerpt(
+        &self,
+        after: StoreVersion,
+        reading: &StoreReading,
+    ) -> FeedExcerpt {
+        let rows = reading.rows.iter().map(|row| match row {
+            RowChange::Written(row) => ExcerptRow {
+                key: row.key.clone(),
+                version: row.version,
+                value: Some(row.value.to_vec()),
+            },
+            RowChange::Removed { key, version } => {
+                ExcerptRow { key: key.clone(), version: *version, value: None }
+            }
+        });
+        let revision = revision(self.revisions.catalog.borrow().as_deref());
+        let now = self.setup.clock.now();
+        let limit = self.setup.evidence_limit();
+        let evidence = *self.revisions.evidence.borrow();
+        FeedExcerpt {
+            after,
+            version: reading.version,
+            store_time: reading.store_time,
+            revision,
+            is_newest: evidence.shows_newest(revision, now, limit),
+            rows: rows.collect(),
+        }
+    }
+
     /// Applies an excerpt, and returns false if one before it was missed.
     fn adopt_excerpt(&mut self, excerpt: FeedExcerpt) -> bool {
         let Some(after) = self.feed.after else { return true };
@@ -428,31 +458,6 @@
     }
 }
 
-/// Returns a reading of the feed from the position `after` as an excerpt.
-fn excerpt(
-    after: StoreVersion,
-    revision: u64,
-    reading: &StoreReading,
-) -> FeedExcerpt {
-    let rows = reading.rows.iter().map(|row| match row {
-        RowChange::Written(row) => ExcerptRow {
-            key: row.key.clone(),
-            version: row.version,
-            value: Some(row.value.to_vec()),
-        },
-        RowChange::Removed { key, version } => {
-            ExcerptRow { key: key.clone(), version: *version, value: None }
-        }
-    });
-    FeedExcerpt {
-        after,
-        version: reading.version,
-        store_time: reading.store_time,
-        revision,
-        rows: rows.collect(),
-    }
-}
-
 fn row_change(row: ExcerptRow) -> RowChange {
     let ExcerptRow { key, version, value } = row;
     match value {
--- a/crates/celerylead/src/tasks/node/watcher.rs
+++ b/crates/celerylead/src/tasks/node/watcher.rs
@@ -76,7 +76,7 @@
     /// Returns the age from which the last word of the store no longer shows
     /// that a revision is the newest: the wait of two polls, as the word is as old
     /// as the start of its poll, and the time for their answers.
-    fn evidence_limit(&self) -> Duration {
+    pub(super) fn evidence_limit(&self) -> Duration {
         (self.poll_wait() + RECONNECT_MARGIN) * 2
     }
 
@@ -114,6 +114,11 @@
         news: news_receiver.clone(),
         limit: setup.evidence_limit(),
     };
+    let revisions = RevisionFeed {
+        catalog: catalog_receiver.clone(),
+        evidence: evidence_view.own.clone(),
+        news,
+    };
     let configuration = ConfigurationTask {
         feed: FeedPosition::new(StoreTable::Configuration),
         setup: setup.clone(),
@@ -122,7 +127,6 @@
         evidence,
     };
     crate::tasks::spawn(configuration.run());
-    let revisions = RevisionFeed { catalog: catalog_receiver.clone(), news };
     registry::start(setup, zone_feed, revisions, contact, roster);
     WatcherViews {
         catalog: catalog_receiver,
@@ -155,7 +159,11 @@
     pub(crate) fn current(&self) -> RevisionEvidence {
         let mut evidence = *self.own.borrow();
         let news = *self.news.borrow();
-        evidence.confirm(news.revision, news.known_at);
+        if news.is_newest {
+            evidence.confirm(news.revision, news.known_at);
+        } else {
+            evidence.hear(news.revision);
+        }
         evidence
     }
 }
@@ -348,15 +356,16 @@
         }
     }
 
-    /// Polls the feed. While the zone's reader sends news, its word shows that
-    /// a poll is lost, so the poll may be long; it is then given up, and
-    /// `None` returned, once the news is newer or no longer current.
+    /// Polls the feed. While the zone's reader has the same revision and knows it
+    /// to be the newest, its word shows that a poll is lost, so the poll may be
+    /// long; it is then given up, and `None` returned, once the reader says
+    /// otherwise or its word is no longer current.
     async fn poll(&mut self) -> Option<Result<FeedStep, StoreError>> {
         let clock = self.setup.clock.clone();
         let news = *self.news.borrow_and_update();
         let is_current = clock.now() < news.current_until();
         let own = revision(self.catalog.borrow().as_deref());
-        if !is_current || own < news.revision {
+        if !is_current || !news.is_newest || own != news.revision {
             let wait = self.setup.poll_wait();
             return Some(self.feed.step(&self.setup, wait).await);
         }
@@ -527,7 +536,7 @@
     catalog.map_or(0, |catalog| catalog.revision)
 }
 
-/// Waits until the news is of a revision above `own`, or isn't current.
+/// Waits until the news isn't that `own` is the newest revision, or isn't current.
 async fn outdated(
     news: &mut watch::Receiver<RevisionNews>,
     own: u64,
@@ -536,7 +545,7 @@
     loop {
         let latest = *news.borrow_and_update();
         let left = clock.now().until(latest.current_until());
-        if own < latest.revision || left.is_zero() {
+        if !latest.is_newest || own != latest.revision || left.is_zero() {
             return;
         }
         tokio::select! {
--- a/crates/stand-ins/src/rows.rs
+++ b/crates/stand-ins/src/rows.rs
@@ -27,6 +27,8 @@
     None,
     /// Closes every connection without an answer.
     Down,
+    /// Closes the connections of reads of this table without an answer.
+    TableDown(&'static str),
     /// Answers every call with 503.
     Busy,
     /// Never answers.
@@ -35,6 +37,14 @@
     LostAnswers,
 }
 
+impl RowFault {
+    /// Returns whether reads of a table end without an answer.
+    fn cuts_reads_of(self, table: &str) -> bool {
+        self == RowFault::Down
+            || matches!(self, RowFault::TableDown(cut) if cut == table)
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Row {
     table: String,
@@ -342,9 +352,12 @@
             return Some(json_reply(status, &json!({})));
         }
         RowFault::Silent => std::future::pending().await,
-        RowFault::None | RowFault::LostAnswers => {}
+        RowFault::None | RowFault::LostAnswers | RowFault::TableDown(_) => {}
     }
     let query = request.uri().query().unwrap_or("").to_owned();
+    if fault.cuts_reads_of(&query_parameter(&query, "table")) {
+        return None;
+    }
     match request.uri().path() {
         "/-/rows-get" => Some(get_rows(&state, &query).await),
         "/-/rows-feed" => read_feed(&state, &query).await,
@@ -413,7 +426,7 @@
         let name = table.clone();
         let found = state
             .with(move |state| {
-                if state.fault == RowFault::Down || state.era != began_in {
+                if state.fault.cuts_reads_of(&name) || state.era != began_in {
                     return Err(None);
                 }
                 if after < state.history_start || state.version < after {
