Say that a body is malformed when its chunks are refused

What callers saw: 400 "the body broke off" for a body with 64 KB of chunk extensions, or without a chunk size, though they had sent all of it; the metrics counted it as broken_off.

Cause: each error of a body counted as its early end. Refusing is proper: RFC 9112, section 7.1.1, asks servers to limit the length of extensions and to answer 4xx beyond it. Class: one reason for two causes.

Change: the kind of the error behind the library's decides between "the body is malformed" (cause malformed) and "the body broke off" (broken_off). The status stays 400.

--- a/crates/celerylead/src/tasks/request_body.rs
+++ b/crates/celerylead/src/tasks/request_body.rs
@@ -1,6 +1,6 @@
 //! Reading of the bodies of callers' requests.
 
-use std::time::Duration;
+use std::{io, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
@@ -60,12 +60,7 @@
             };
             let bytes = match frame {
                 None => break,
-                Some(Err(error)) => {
-                    let cause = anyhow::Error::new(error);
-                    let message = format!("the body broke off: {cause:#}");
-                    let code = RefusalCode::BadRequest;
-                    return Err(self.end("broken_off", code, &message));
-                }
+                Some(Err(error)) => return Err(self.unreadable(error)),
                 Some(Ok(frame)) => frame.into_data().unwrap_or_default(),
             };
             if self.limit - buffer.len() < bytes.len() {
@@ -104,6 +99,25 @@
         tokio::time::sleep_until(due).await;
     }
 
+    /// Refuses a body that ended before its end, or whose chunks the HTTP
+    /// library refuses. A server may limit their extensions (RFC 9112, section
+    /// 7.1.1).
+    fn unreadable(&self, error: hyper::Error) -> Refusal {
+        let error = anyhow::Error::new(error);
+        let kind = error
+            .chain()
+            .find_map(|cause| cause.downcast_ref::<io::Error>())
+            .map(io::Error::kind);
+        let (cause, what) = match kind {
+            Some(io::ErrorKind::InvalidData | io::ErrorKind::InvalidInput) => {
+                ("malformed", "the body is malformed")
+            }
+            _ => ("broken_off", "the body broke off"),
+        };
+        let message = format!("{what}: {error:#}");
+        self.end(cause, RefusalCode::BadRequest, &message)
+    }
+
     fn too_large(&self) -> Refusal {
         let message = format!("the body is larger than {} bytes", self.limit);
         self.end("too_large", RefusalCode::BodyTooLarge, &message)
