Announce the close after a refusal that leaves the body unread

What callers saw: after 400, 401, 404 or 503 by the head of a request whose body was still to come, an answer without Connection: close, then a closed connection and a reset for what they still sent. A reset may take an answer away that the caller hasn't read yet (RFC 9112, section 9.6), and the next request on a connection that seemed to stay open is lost.

Cause: only refusals while the body was being read (408, 413, 503) were marked as leaving it unread. Class: a rule that was tied to status codes instead of to what was read.

Change: a request whose body nobody has begun to read is marked, whatever its answer. The socket then goes on reading for a second or 256 KB, as after 413.

--- a/crates/celerylead/src/tasks/node/call.rs
+++ b/crates/celerylead/src/tasks/node/call.rs
@@ -6,7 +6,12 @@
 
 use std::{sync::Arc, time::Duration};
 
-use hyper::{Request as HttpRequest, Response, body::Incoming, http::request};
+use bytes::Bytes;
+use hyper::{
+    Request as HttpRequest, Response,
+    body::{Body as _, Incoming},
+    http::request,
+};
 use tokio::time::Instant;
 
 use super::{NodeContext, NodePhase, attempt::CallAttempts, body::RelayBody};
@@ -95,19 +100,33 @@
     context: &NodeContext<C>,
     request: HttpRequest<Incoming>,
 ) -> Response<RelayBody> {
-    let started = Instant::now();
     let (parts, body) = request.into_parts();
-    if context.codec.is_readiness_probe(&parts) {
+    let mut body = Some(body);
+    let mut response = answer_head(context, &parts, &mut body).await;
+    if body.is_some_and(|body| !body.is_end_stream()) {
+        response.extensions_mut().insert(UnreadBody);
+    }
+    response
+}
+
+/// Answers a request by its head, and takes its body if that is to be read.
+async fn answer_head<C: EdgeCodec>(
+    context: &NodeContext<C>,
+    parts: &request::Parts,
+    body: &mut Option<Incoming>,
+) -> Response<RelayBody> {
+    let started = Instant::now();
+    if context.codec.is_readiness_probe(parts) {
         return super::control::ready(context).map(RelayBody::Full);
     }
-    let call = match context.codec.read_call(&parts) {
+    let call = match context.codec.read_call(parts) {
         Ok(call) => call,
         Err(refusal) => return refuse(context, None, &refusal, started),
     };
     // Held until the head, which the attempts forward, is dropped.
-    let room = take_header_room(context, &parts);
+    let room = take_header_room(context, parts);
     let relayed = match &room {
-        Ok(_) => relay(context, &call, &parts, body, started).await,
+        Ok(_) => relay(context, &call, parts, body, started).await,
         Err(refusal) => Err(refusal.clone()),
     };
     match relayed {
@@ -205,7 +224,7 @@
     context: &NodeContext<C>,
     call: &CallHead,
     parts: &request::Parts,
-    body: Incoming,
+    body: &mut Option<Incoming>,
     started: Instant,
 ) -> Result<Response<RelayBody>, Refusal> {
     let catalog = context.catalog().ok_or_else(|| {
@@ -223,7 +242,10 @@
         idle: Duration::from_millis(catalog.limits.idle_ms),
         deadline,
     };
-    let body = intake.read(body).await?;
+    let body = match body.take() {
+        Some(body) => intake.read(body).await?,
+        None => Bytes::new(),
+    };
     // Callers keep sending on connections that are open, and a call that began
     // now could outlast the process.
     if *context.phase.borrow() == NodePhase::Ending {
