Name the request in refusals of an invalid head

What callers saw: 400 without X-Request-Id for a head that can be parsed and has an id but is invalid otherwise (a deadline that isn't a number, a header twice).

Cause: the id is read together with the rest of the head, and was dropped with it at the first fault.

Change: the codec reads the id by itself when the head is refused.

--- a/crates/celerylead/src/port/codec.rs
+++ b/crates/celerylead/src/port/codec.rs
@@ -127,6 +127,9 @@
     /// Returns the refusal to send if the head is invalid.
     fn read_call(&self, head: &request::Parts) -> Result<CallHead, Refusal>;
 
+    /// Returns the id of a request, also if its head is invalid otherwise.
+    fn read_id(&self, head: &request::Parts) -> Option<RequestId>;
+
     /// Builds the request that forwards a call to a runner.
     ///
     /// # Errors
--- a/crates/celerylead/src/tasks/node/call.rs
+++ b/crates/celerylead/src/tasks/node/call.rs
@@ -18,6 +18,7 @@
 use crate::{
     catalog::{BilledCustomer, CallRoute, ServiceCatalog},
     metrics::HostMetrics,
+    model::ModelName,
     port::EdgeCodec,
     quarantine::PromptParts,
     relay::{CallHead, LoadBasis},
@@ -121,7 +122,11 @@
     }
     let call = match context.codec.read_call(parts) {
         Ok(call) => call,
-        Err(refusal) => return refuse(context, None, &refusal, started),
+        Err(refusal) => {
+            let id = context.codec.read_id(parts);
+            let refused = RefusedCall { id: id.as_ref(), model: None };
+            return refuse(context, refused, &refusal, started);
+        }
     };
     // Held until the head, which the attempts forward, is dropped.
     let room = take_header_room(context, parts);
@@ -132,7 +137,9 @@
     match relayed {
         Ok(response) => response,
         Err(refusal) => {
-            let mut response = refuse(context, Some(&call), &refusal, started);
+            let model = call.model.as_ref();
+            let refused = RefusedCall { id: Some(&call.id), model };
+            let mut response = refuse(context, refused, &refusal, started);
             if leaves_body_unread(refusal.code) {
                 response.extensions_mut().insert(UnreadBody);
             }
@@ -165,29 +172,34 @@
     )
 }
 
+/// What is known of a call that is refused.
+#[derive(Clone, Copy, Default)]
+struct RefusedCall<'a> {
+    id: Option<&'a RequestId>,
+    model: Option<&'a ModelName>,
+}
+
 /// Counts and logs a refusal, and returns the answer for the caller.
 fn refuse<C: EdgeCodec>(
     context: &NodeContext<C>,
-    call: Option<&CallHead>,
+    refused: RefusedCall<'_>,
     refusal: &Refusal,
     started: Instant,
 ) -> Response<RelayBody> {
-    note_refusal(context, call, refusal, Some(started));
-    let id = call.map(|call| &call.id);
+    note_refusal(context, refused, refusal, Some(started));
     let now = context.clock.now();
-    context.codec.refusal(refusal, id, now).map(RelayBody::Full)
+    context.codec.refusal(refusal, refused.id, now).map(RelayBody::Full)
 }
 
 /// Counts and logs a refusal.
 fn note_refusal<C>(
     context: &NodeContext<C>,
-    call: Option<&CallHead>,
+    refused: RefusedCall<'_>,
     refusal: &Refusal,
     started: Option<Instant>,
 ) {
     context.metrics.count_answer("", refusal.code.text());
-    let id = call.map(|call| &call.id);
-    let model = call.and_then(|call| call.model.as_ref());
+    let RefusedCall { id, model } = refused;
     let total_ms = started.map(|at| at.elapsed().as_millis() as u64);
     tracing::info!(
         event = "request_refused",
@@ -215,7 +227,8 @@
         false => RefusalCode::BadRequest,
     };
     let message = format!("the HTTP library refuses the head: {error}");
-    note_refusal(context, None, &Refusal::not_run(code, &message), None);
+    let refusal = Refusal::not_run(code, &message);
+    note_refusal(context, RefusedCall::default(), &refusal, None);
 }
 
 /// Finds the route and the customer of a call, reads its body and relays it to
