--- a/crates/celerylead/src/tasks/node/call.rs
+++ b/crates/celerylead/src/tasks/node/call.rs
@@ -6,13 +6,19 @@
 
 use std::{sync::Arc, time::Duration};
 
-use hyper::{Request as HttpRequest, Response, body::Incoming, http::request};
+use bytes::Bytes;
+use hyper::{
+    Request as HttpRequest, Response,
+    body::{Body as _, Incoming},
+    http::request,
+};
 use tokio::time::Instant;
 
 use super::{NodeContext, NodePhase, attempt::CallAttempts, body::RelayBody};
 use crate::{
     catalog::{BilledCustomer, CallRoute, ServiceCatalog},
     metrics::HostMetrics,
+    model::ModelName,
     port::EdgeCodec,
     quarantine::PromptParts,
     relay::{CallHead, LoadBasis},
@@ -99,25 +105,45 @@
     context: &NodeContext<C>,
     request: HttpRequest<Incoming>,
 ) -> Response<RelayBody> {
-    let started = Instant::now();
     let (parts, body) = request.into_parts();
-    if context.codec.is_readiness_probe(&parts) {
+    let mut body = Some(body);
+    let mut response = answer_head(context, &parts, &mut body).await;
+    if body.is_some_and(|body| !body.is_end_stream()) {
+        response.extensions_mut().insert(UnreadBody);
+    }
+    response
+}
+
+/// Answers a request by its head, and takes its body if that is to be read.
+async fn answer_head<C: EdgeCodec>(
+    context: &NodeContext<C>,
+    parts: &request::Parts,
+    body: &mut Option<Incoming>,
+) -> Response<RelayBody> {
+    let started = Instant::now();
+    if context.codec.is_readiness_probe(parts) {
         return super::control::ready(context).map(RelayBody::Full);
     }
-    let call = match context.codec.read_call(&parts) {
+    let call = match context.codec.read_call(parts) {
         Ok(call) => call,
-        Err(refusal) => return refuse(context, None, &refusal, started),
+        Err(refusal) => {
+            let id = context.codec.read_id(parts);
+            let refused = RefusedCall { id: id.as_ref(), model: None };
+            return refuse(context, refused, &refusal, started);
+        }
     };
     // Held until the head, which the attempts forward, is dropped.
-    let room = take_header_room(context, &parts);
+    let room = take_header_room(context, parts);
     let relayed = match &room {
-        Ok(_) => relay(context, &call, &parts, body, started).await,
+        Ok(_) => relay(context, &call, parts, body, started).await,
         Err(refusal) => Err(refusal.clone()),
     };
     match relayed {
         Ok(response) => response,
         Err(refusal) => {
-            let mut response = refuse(context, Some(&call), &refusal, started);
+            let model = call.model.as_ref();
+            let refused = RefusedCall { id: Some(&call.id), model };
+            let mut response = refuse(context, refused, &refusal, started);
             if leaves_body_unread(refusal.code) {
                 response.extensions_mut().insert(UnreadBody);
             }
@@ -150,29 +176,34 @@
     )
 }
 
+/// What is known of a call that is refused.
+#[derive(Clone, Copy, Default)]
+struct RefusedCall<'a> {
+    id: Option<&'a RequestId>,
+    model: Option<&'a ModelName>,
+}
+
 /// Counts and logs a refusal, and returns the answer for the caller.
 fn refuse<C: EdgeCodec>(
     context: &NodeContext<C>,
-    call: Option<&CallHead>,
+    refused: RefusedCall<'_>,
     refusal: &Refusal,
     started: Instant,
 ) -> Response<RelayBody> {
-    note_refusal(context, call, refusal, Some(started));
-    let id = call.map(|call| &call.id);
+    note_refusal(context, refused, refusal, Some(started));
     let now = context.clock.now();
-    context.codec.refusal(refusal, id, now).map(RelayBody::Full)
+    context.codec.refusal(refusal, refused.id, now).map(RelayBody::Full)
 }
 
 /// Counts and logs a refusal.
 fn note_refusal<C>(
     context: &NodeContext<C>,
-    call: Option<&CallHead>,
+    refused: RefusedCall<'_>,
     refusal: &Refusal,
     started: Option<Instant>,
 ) {
     context.metrics.count_answer("", refusal.code.text());
-    let id = call.map(|call| &call.id);
-    let model = call.and_then(|call| call.model.as_ref());
+    let RefusedCall { id, model } = refused;
     let verdict = refusal.verdict.as_ref();
     let total_ms = started.map(|at| at.elapsed().as_millis() as u64);
     let now = context.clock.now();
@@ -209,7 +240,8 @@
         false => RefusalCode::BadRequest,
     };
     let message = format!("the HTTP library refuses the head: {error}");
-    note_refusal(context, None, &Refusal::not_run(code, &message), None);
+    let refusal = Refusal::not_run(code, &message);
+    note_refusal(context, RefusedCall::default(), &refusal, None);
 }
 
 /// Finds the route and the customer of a call, reads its body and relays it to
@@ -218,7 +250,7 @@
     context: &NodeContext<C>,
     call: &CallHead,
     parts: &request::Parts,
-    body: Incoming,
+    body: &mut Option<Incoming>,
     started: Instant,
 ) -> Result<Response<RelayBody>, Refusal> {
     let catalog = context.catalog().ok_or_else(|| {
@@ -237,7 +269,10 @@
         idle: Duration::from_millis(catalog.limits.idle_ms),
         deadline,
     };
-    let body = intake.read(body).await?;
+    let body = match body.take() {
+        Some(body) => intake.read(body).await?,
+        None => Bytes::new(),
+    };
     // Callers keep sending on connections that are open, and a call that began
     // now could outlast the process.
     if *context.phase.borrow() == NodePhase::Ending {
