Let callers that don't go on lose their connections first

Cause: the acceptor stops accepting above its bound on connections and asks the oldest one to close after its request in flight. A request whose body stands still is in flight until the deadline of its call or twice idle_timeout_ms, so every place is held by callers that don't go on. The budget for bodies makes them give way for memory; nothing made them give way for a connection. The class: a bounded resource that is released by a deadline of the client's choice, not by need. Bodies that go on by single bytes do the same.

Change: a connection reports to the acceptor when its body has brought no byte for a second or is slower than 64 KB/s, or when its answer hasn't been taken for three seconds, and when it goes on again. ConnectionQueue chooses the oldest reported connection first. Its body ends with 408 and outcome not-run, its socket doesn't linger, and the next newcomer is accepted. The pace is that at which a body gives way for memory, now shared by BodyLedger and BodyProgress. The interval of 50 ms between two choices is a stored deadline, as messages would otherwise restart it. Without more connections than the bound nothing changes.

--- a/crates/celerylead/src/intake/connections.rs
+++ b/crates/celerylead/src/intake/connections.rs
@@ -6,18 +6,33 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct ConnectionId(u64);
 
+/// What a connection reports about its caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ConnectionEvent {
+    /// The caller neither goes on with its body nor takes its answer.
+    Stalled(ConnectionId),
+    /// The caller has gone on.
+    Resumed(ConnectionId),
+}
+
 /// The open connections of callers that weren't told to give way. `H` is the
 /// handle by which a connection is told.
 #[derive(Debug)]
 pub(crate) struct ConnectionQueue<H> {
     next: u64,
     untold: SortedTable<ConnectionId, H>,
+    /// Those of `untold` whose callers don't go on.
+    stalled: SortedTable<ConnectionId, ()>,
 }
 
 impl<H> ConnectionQueue<H> {
     /// Creates an empty queue.
     pub(crate) fn new() -> ConnectionQueue<H> {
-        ConnectionQueue { next: 0, untold: SortedTable::default() }
+        ConnectionQueue {
+            next: 0,
+            untold: SortedTable::default(),
+            stalled: SortedTable::default(),
+        }
     }
 
     /// Adds a connection.
@@ -30,17 +45,38 @@
 
     /// Removes a connection that has ended.
     pub(crate) fn remove(&mut self, id: ConnectionId) {
+        self.stalled.remove(&id);
         self.untold.remove(&id);
     }
 
+    /// Notes what a connection reports, unless it gives way already or has ended.
+    pub(crate) fn note(&mut self, event: ConnectionEvent) {
+        match event {
+            ConnectionEvent::Stalled(id) if self.untold.get(&id).is_some() => {
+                self.stalled.insert(id, ());
+            }
+            ConnectionEvent::Stalled(_) => {}
+            ConnectionEvent::Resumed(id) => {
+                self.stalled.remove(&id);
+            }
+        }
+    }
+
     /// Returns the handle of the connection that gives way while `open` of at
-    /// most `bound` are open: the oldest one, but never the latest, for which
-    /// the others give way.
+    /// most `bound` are open: the oldest one whose caller doesn't go on, as it
+    /// ends at once, or else the oldest one, but never the latest, for which the
+    /// others give way.
     pub(crate) fn give_way(&mut self, open: usize, bound: usize) -> Option<H> {
-        if open <= bound || self.untold.len() <= 1 {
+        if open <= bound {
             return None;
         }
-        let oldest = *self.untold.keys().next()?;
-        self.untold.remove(&oldest)
+        let stalled = self.stalled.keys().next().copied();
+        let chosen = match stalled {
+            Some(id) => id,
+            None if self.untold.len() <= 1 => return None,
+            None => *self.untold.keys().next()?,
+        };
+        self.stalled.remove(&chosen);
+        self.untold.remove(&chosen)
     }
 }
--- a/crates/celerylead/src/intake/ledger.rs
+++ b/crates/celerylead/src/intake/ledger.rs
@@ -2,14 +2,9 @@
 
 use std::time::Duration;
 
+use super::progress::{YIELD_GRACE, YIELDING_BYTES_PER_MS};
 use crate::{clock::EpochMillis, sorted::SortedTable};
 
-/// Time after which a body gives way, besides that for the bytes of its piece.
-const PIECE_GRACE: Duration = Duration::from_millis(1_000);
-/// Bytes per millisecond below which a body gives way to others: ten bodies
-/// share a link of 10 Mbit/s at twice this pace.
-const YIELDING_BYTES_PER_MS: u64 = 64;
-
 /// Identifier of a body, which grows with each body of the host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct BodyId(pub(crate) u64);
@@ -184,5 +179,5 @@
 /// Returns the time by which a piece of this many bytes is due.
 fn due(bytes: u64, now: EpochMillis) -> EpochMillis {
     let span = Duration::from_millis(bytes / YIELDING_BYTES_PER_MS);
-    now.after(PIECE_GRACE).after(span)
+    now.after(YIELD_GRACE).after(span)
 }
--- a/crates/celerylead/src/intake/mod.rs
+++ b/crates/celerylead/src/intake/mod.rs
@@ -7,7 +7,8 @@
 //! * A [`BodyLedger`] decides which body may take the next piece of the common
 //!   room, and which one gives way to it. Small bodies only reach the ledger
 //!   when their own share is used up.
-//! * [`BodyProgress`] tells until when a body must go on.
+//! * [`BodyProgress`] tells until when a body must go on, and from when on its
+//!   connection gives way to others.
 //! * A [`ConnectionQueue`] decides which connection gives way to a new one.
 
 mod connections;
@@ -18,7 +19,7 @@
 mod tests;
 
 pub(crate) use self::{
-    connections::ConnectionQueue,
+    connections::{ConnectionEvent, ConnectionId, ConnectionQueue},
     ledger::{BodyAction, BodyId, BodyLedger, BodyRequest},
     limits::{IntakeLimits, SMALL_BODY_BYTES},
     progress::BodyProgress,
--- a/crates/celerylead/src/intake/tests.rs
+++ b/crates/celerylead/src/intake/tests.rs
@@ -4,7 +4,8 @@
 
 use super::{
     BodyAction, BodyId, BodyLedger, BodyProgress, BodyRequest,
-    ConnectionQueue, IntakeLimits, SMALL_BODY_BYTES, next_piece,
+    ConnectionEvent, ConnectionQueue, IntakeLimits, SMALL_BODY_BYTES,
+    next_piece,
 };
 use crate::clock::EpochMillis;
 
@@ -229,7 +230,7 @@
 }
 
 /// Guards against a body that is given up although it goes on, and against one
-/// that never ends.
+/// that never ends or keeps its connection from others.
 #[test]
 fn a_body_without_progress_has_an_end() {
     struct Case {
@@ -237,37 +238,54 @@
         /// Arrivals: time in milliseconds and bytes.
         arrivals: &'static [(u64, usize)],
         deadline: u64,
+        yields_at: u64,
     }
     let idle = Duration::from_millis(1_000);
     let cases = [
-        Case { name: "nothing", arrivals: &[], deadline: 2_000 },
+        Case {
+            name: "nothing",
+            arrivals: &[],
+            deadline: 2_000,
+            yields_at: 1_000,
+        },
         Case {
             name: "everything at once",
             arrivals: &[(0, 1 << 20)],
             deadline: 2_000,
+            yields_at: 1_000,
         },
         Case {
             name: "a kilobyte a second",
             arrivals: &[(1_000, 1_024), (2_000, 1_024)],
             deadline: 4_000,
+            yields_at: 1_032,
         },
         Case {
             name: "a byte a second",
             arrivals: &[(1_000, 1), (2_000, 1)],
             deadline: 2_000,
+            yields_at: 1_000,
         },
         Case {
             name: "slow after a fast start",
             arrivals: &[(0, 10_240), (2_000, 1), (4_000, 1)],
             deadline: 6_000,
+            yields_at: 1_160,
+        },
+        Case {
+            name: "as fast as a busy link",
+            arrivals: &[(500, 65_536), (1_000, 65_536)],
+            deadline: 3_000,
+            yields_at: 2_000,
         },
     ];
-    for Case { name, arrivals, deadline } in cases {
+    for Case { name, arrivals, deadline, yields_at } in cases {
         let mut progress = BodyProgress::begin(idle, EpochMillis(0));
         for (millis, bytes) in arrivals {
             progress.received(*bytes, idle, EpochMillis(*millis));
         }
         assert_eq!(progress.deadline(), EpochMillis(deadline), "{name}");
+        assert_eq!(progress.yields_at(), EpochMillis(yields_at), "{name}");
     }
 }
 
@@ -348,3 +366,77 @@
     assert_eq!(queue.give_way(3, 2), Some("second"));
     assert_eq!(queue.give_way(3, 2), None, "only the latest is left");
 }
+
+/// Guards against connections whose callers go on that give way before those
+/// whose callers don't, and against one that is chosen twice.
+#[test]
+fn a_stalled_connection_gives_way_first() {
+    #[derive(Clone, Copy)]
+    enum Step {
+        Stalls(usize),
+        Resumes(usize),
+        Ends(usize),
+        GivesWay(Option<usize>),
+    }
+    use Step::{Ends, GivesWay, Resumes, Stalls};
+    struct Case {
+        name: &'static str,
+        steps: &'static [Step],
+    }
+    let cases = [
+        Case {
+            name: "the stalled one, then the oldest",
+            steps: &[Stalls(2), GivesWay(Some(2)), GivesWay(Some(0))],
+        },
+        Case {
+            name: "the oldest of those stalled",
+            steps: &[
+                Stalls(3),
+                Stalls(1),
+                GivesWay(Some(1)),
+                GivesWay(Some(3)),
+            ],
+        },
+        Case {
+            name: "one that has gone on counts by its age",
+            steps: &[Stalls(2), Resumes(2), GivesWay(Some(0))],
+        },
+        Case {
+            name: "one that has ended isn't chosen",
+            steps: &[Stalls(2), Ends(2), GivesWay(Some(0))],
+        },
+        Case {
+            name: "a report after the end",
+            steps: &[Ends(2), Stalls(2), GivesWay(Some(0))],
+        },
+        Case {
+            name: "one that gives way and stalls later isn't chosen again",
+            steps: &[GivesWay(Some(0)), Stalls(0), GivesWay(Some(1))],
+        },
+        Case {
+            name: "the latest, if it is the last and stalls",
+            steps: &[
+                Ends(0),
+                Ends(1),
+                Ends(2),
+                GivesWay(None),
+                Stalls(3),
+                GivesWay(Some(3)),
+            ],
+        },
+    ];
+    for Case { name, steps } in cases {
+        let mut queue = ConnectionQueue::new();
+        let ids = [0, 1, 2, 3].map(|number| queue.add(number));
+        for step in steps {
+            match *step {
+                Stalls(n) => queue.note(ConnectionEvent::Stalled(ids[n])),
+                Resumes(n) => queue.note(ConnectionEvent::Resumed(ids[n])),
+                Ends(n) => queue.remove(ids[n]),
+                GivesWay(chosen) => {
+                    assert_eq!(queue.give_way(5, 4), chosen, "{name}");
+                }
+            }
+        }
+    }
+}
--- a/crates/celerylead/src/tasks/call.rs
+++ b/crates/celerylead/src/tasks/call.rs
@@ -197,6 +197,7 @@
 ) -> Result<Bytes, Refusal> {
     let limit = usize::try_from(limit_kb.saturating_mul(1_024));
     let intake = BodyIntake {
+        place: None,
         port: &context.intake,
         limit: limit.unwrap_or(usize::MAX),
         idle: BODY_TIMEOUT,
--- a/crates/celerylead/src/tasks/mod.rs
+++ b/crates/celerylead/src/tasks/mod.rs
@@ -26,6 +26,7 @@
 pub(crate) mod acceptor;
 pub(crate) mod admin;
 pub(crate) mod call;
+pub(crate) mod connection_place;
 pub(crate) mod context;
 pub(crate) mod dispatch;
 pub(crate) mod exchange;
--- a/crates/celerylead/src/tasks/node/acceptor.rs
+++ b/crates/celerylead/src/tasks/node/acceptor.rs
@@ -17,7 +17,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::{oneshot, watch},
+    sync::{mpsc, watch},
     task::JoinSet,
     time::Instant,
 };
@@ -29,7 +29,11 @@
     caller_socket::{CallerSocket, ConnectionFlags},
 };
 use crate::{
-    intake::ConnectionQueue, metrics::HostMetrics, port::EdgeCodec, wire::link,
+    intake::ConnectionQueue,
+    metrics::HostMetrics,
+    port::EdgeCodec,
+    tasks::{MAILBOX_CAPACITY, connection_place::ConnectionPlace},
+    wire::link,
 };
 
 /// Multiple of the configured idle time after which an idle connection is
@@ -51,7 +55,9 @@
     let mut phase = context.phase.clone();
     let mut connections = JoinSet::new();
     let mut queue = ConnectionQueue::new();
+    let (events, mut event_inbox) = mpsc::channel(MAILBOX_CAPACITY);
     let mut report = GiveWayReport::default();
+    let mut next_give_way = Instant::now();
     loop {
         let bound = context.connection_bound();
         // One more than the bound is accepted, since only then it is known
@@ -59,9 +65,11 @@
         let is_over = bound < connections.len();
         tokio::select! {
             stream = link::accept(&listener), if !is_over => {
-                let (handle, told) = oneshot::channel();
+                let (handle, gives_way) = watch::channel(false);
                 let id = queue.add(handle);
-                let task = serve(stream, context.clone(), told);
+                let place =
+                    ConnectionPlace::new(id, events.clone(), gives_way);
+                let task = serve(stream, context.clone(), place);
                 connections.spawn(async move {
                     task.await;
                     id
@@ -72,13 +80,18 @@
                     queue.remove(id);
                 }
             }
-            () = tokio::time::sleep(GIVE_WAY_INTERVAL), if is_over => {}
+            Some(event) = event_inbox.recv() => {
+                queue.note(event);
+                continue;
+            }
+            () = tokio::time::sleep_until(next_give_way), if is_over => {}
             () = until_ending(&mut phase) => break,
         }
         let open = connections.len();
         context.metrics.open_connections.set(gauge_value(open));
+        next_give_way = Instant::now() + GIVE_WAY_INTERVAL;
         if let Some(handle) = queue.give_way(open, bound) {
-            let _: Result<(), ()> = handle.send(());
+            handle.send_replace(true);
             context.metrics.count_close("gave_way");
             report.note(open, bound);
         }
@@ -122,11 +135,12 @@
 }
 
 /// Serves a connection until it ends. One that is told to give way ends after
-/// the request in flight, or at once if it has sent none.
+/// the request in flight, or at once if it has sent none or the caller leaves
+/// its answer unread.
 async fn serve<C: EdgeCodec>(
     stream: TcpStream,
     context: NodeContext<C>,
-    told: oneshot::Receiver<()>,
+    place: ConnectionPlace,
 ) {
     if let Err(error) = link::set_socket_options(&stream) {
         tracing::debug!(event = "caller_closed", %error);
@@ -137,14 +151,16 @@
     let idle = Duration::from_millis(limits.idle_ms) * IDLE_FACTOR;
     let mut phase = context.phase.clone();
     let flags = Arc::new(ConnectionFlags::default());
+    let place = Arc::new(place);
     let service = service_fn(|request| {
-        let (context, flags) = (&context, &flags);
+        let (context, flags, place) = (&context, &flags, &place);
         async move {
             flags.served.store(true, Ordering::Relaxed);
-            Ok::<_, Infallible>(answer(context, flags, request).await)
+            Ok::<_, Infallible>(answer(context, flags, place, request).await)
         }
     });
-    let socket = CallerSocket::new(stream, Arc::clone(&flags));
+    let socket =
+        CallerSocket::new(stream, Arc::clone(&flags), Arc::clone(&place));
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
@@ -160,10 +176,11 @@
             connection.as_mut().graceful_shutdown();
             connection.await
         }
-        Ok(()) = told => {
-            flags.gives_way.store(true, Ordering::Relaxed);
+        () = place.wait_until_giving_way() => {
             // A part of a first head would be waited for.
-            if !flags.served.load(Ordering::Relaxed) {
+            if !flags.served.load(Ordering::Relaxed)
+                || flags.untaken.load(Ordering::Relaxed)
+            {
                 return;
             }
             connection.as_mut().graceful_shutdown();
@@ -180,10 +197,11 @@
 async fn answer<C: EdgeCodec>(
     context: &NodeContext<C>,
     flags: &ConnectionFlags,
+    place: &ConnectionPlace,
     request: Request<Incoming>,
 ) -> Response<RelayBody> {
     let in_flight = InFlight::begin(&context.metrics);
-    let mut response = call::answer(context, request).await;
+    let mut response = call::answer(context, place, request).await;
     drop(in_flight);
     if let Some(AnswerDeadline(deadline)) = response.extensions().get() {
         flags.silence.extend_to(*deadline);
--- a/crates/celerylead/src/tasks/node/call.rs
+++ b/crates/celerylead/src/tasks/node/call.rs
@@ -17,7 +17,7 @@
     quarantine::PromptParts,
     relay::{CallHead, LoadBasis},
     request::{Refusal, RefusalCode, RequestId},
-    tasks::request_body::BodyIntake,
+    tasks::{connection_place::ConnectionPlace, request_body::BodyIntake},
 };
 
 /// Time that a caller is assumed to wait if its request doesn't state one.
@@ -90,6 +90,7 @@
 /// Answers a request: a readiness probe or a call.
 pub(crate) async fn answer<C: EdgeCodec>(
     context: &NodeContext<C>,
+    place: &ConnectionPlace,
     request: HttpRequest<Incoming>,
 ) -> Response<RelayBody> {
     let started = Instant::now();
@@ -101,7 +102,7 @@
         Ok(call) => call,
         Err(refusal) => return refuse(context, None, &refusal, started),
     };
-    match relay(context, &call, &parts, body, started).await {
+    match relay(context, place, &call, &parts, body, started).await {
         Ok(response) => response,
         Err(refusal) => {
             let mut response = refuse(context, Some(&call), &refusal, started);
@@ -152,6 +153,7 @@
 /// a runner.
 async fn relay<C: EdgeCodec>(
     context: &NodeContext<C>,
+    place: &ConnectionPlace,
     call: &CallHead,
     parts: &request::Parts,
     body: Incoming,
@@ -168,6 +170,7 @@
     let deadline = started + timeout;
     let intake = BodyIntake {
         port: &context.intake,
+        place: Some(place),
         limit: catalog.limits.body_bytes,
         idle: Duration::from_millis(catalog.limits.idle_ms),
         deadline,
--- a/crates/celerylead/src/tasks/node/caller_socket.rs
+++ b/crates/celerylead/src/tasks/node/caller_socket.rs
@@ -26,7 +26,10 @@
     time::{Instant, Sleep},
 };
 
-use crate::wire::silence::{LimitedStream, SHORT_SILENCE, SilenceLimit};
+use crate::{
+    tasks::connection_place::ConnectionPlace,
+    wire::silence::{LimitedStream, SHORT_SILENCE, SilenceLimit},
+};
 
 /// Longest time for which a closing socket discards what arrives.
 const LINGER_TIME: Duration = Duration::from_millis(1_000);
@@ -44,8 +47,8 @@
     pub(super) served: AtomicBool,
     /// A request was answered whose body wasn't read to its end.
     pub(super) unread: AtomicBool,
-    /// The connection was told to give way to others.
-    pub(super) gives_way: AtomicBool,
+    /// The caller has taken nothing of an answer for [`SHORT_SILENCE`].
+    pub(super) untaken: AtomicBool,
     /// For how long the caller may leave an answer unread.
     pub(super) silence: SilenceLimit,
 }
@@ -54,6 +57,7 @@
 pub(super) struct CallerSocket {
     stream: LimitedStream,
     flags: Arc<ConnectionFlags>,
+    place: Arc<ConnectionPlace>,
     stall: Option<Stall>,
     closing: Option<Closing>,
 }
@@ -74,9 +78,10 @@
     pub(super) fn new(
         stream: TcpStream,
         flags: Arc<ConnectionFlags>,
+        place: Arc<ConnectionPlace>,
     ) -> CallerSocket {
         let stream = LimitedStream::new(stream, flags.silence.clone());
-        CallerSocket { stream, flags, stall: None, closing: None }
+        CallerSocket { stream, flags, place, stall: None, closing: None }
     }
 
     /// Passes the result of a write on. A write that waits fails if the
@@ -88,7 +93,11 @@
         written: Poll<io::Result<usize>>,
     ) -> Poll<io::Result<usize>> {
         if written.is_ready() {
-            self.stall = None;
+            if self.stall.take().is_some()
+                && self.flags.untaken.swap(false, Ordering::Relaxed)
+            {
+                self.place.report_resumed();
+            }
             return written;
         }
         let stall = self.stall.get_or_insert_with(|| Stall {
@@ -96,8 +105,11 @@
             next_check: Box::pin(tokio::time::sleep(STALL_CHECK_INTERVAL)),
         });
         while stall.next_check.as_mut().poll(context).is_ready() {
-            if self.flags.gives_way.load(Ordering::Relaxed)
-                && SHORT_SILENCE <= stall.since.elapsed()
+            if SHORT_SILENCE <= stall.since.elapsed() {
+                self.flags.untaken.store(true, Ordering::Relaxed);
+                self.place.report_stalled();
+            }
+            if self.place.gives_way() && SHORT_SILENCE <= stall.since.elapsed()
             {
                 let reason = "the caller takes nothing";
                 return Poll::Ready(Err(io::Error::new(
@@ -180,6 +192,12 @@
                 }
                 // The caller has closed or is gone.
                 Poll::Ready(_) => return Poll::Ready(Ok(())),
+                // Nothing is expected of a caller that has stopped.
+                Poll::Pending
+                    if this.place.gives_way() && this.place.is_stalled() =>
+                {
+                    return Poll::Ready(Ok(()));
+                }
                 Poll::Pending => {
                     ready!(closing.until.as_mut().poll(context));
                     return Poll::Ready(Ok(()));
--- a/crates/celerylead/src/tasks/request_body.rs
+++ b/crates/celerylead/src/tasks/request_body.rs
@@ -7,7 +7,10 @@
 use hyper::body::{Body, Incoming};
 use tokio::time::Instant;
 
-use super::intake::{BodyRoom, IntakePort, Receiving};
+use super::{
+    connection_place::ConnectionPlace,
+    intake::{BodyRoom, IntakePort, Receiving},
+};
 use crate::{
     intake::{self, BodyProgress},
     request::{Refusal, RefusalCode},
@@ -21,6 +24,8 @@
 #[derive(Clone, Copy)]
 pub(crate) struct BodyIntake<'a> {
     pub(crate) port: &'a IntakePort,
+    /// Place of the connection, if the host bounds their number.
+    pub(crate) place: Option<&'a ConnectionPlace>,
     /// Most bytes of the body.
     pub(crate) limit: usize,
     /// Longest pause between two pieces that the configuration allows.
@@ -57,7 +62,13 @@
                 frame = body.frame() => frame,
                 () = room.told_to_give_way() => return Err(self.gave_way()),
                 () = self.late(&progress) => return Err(self.too_late()),
+                () = self.yield_place(&progress) => {
+                    return Err(self.gave_place());
+                }
             };
+            if let Some(place) = self.place {
+                place.report_resumed();
+            }
             let bytes = match frame {
                 None => break,
                 Some(Err(error)) => {
@@ -103,6 +114,17 @@
         tokio::time::sleep_until(due).await;
     }
 
+    /// Waits until the connection must give way to others because the body
+    /// doesn't go on.
+    async fn yield_place(&self, progress: &BodyProgress) {
+        let Some(place) = self.place else {
+            return std::future::pending().await;
+        };
+        let left = self.port.now().until(progress.yields_at());
+        tokio::time::sleep(left).await;
+        place.yield_stalled().await;
+    }
+
     fn too_large(&self) -> Refusal {
         let message = format!("the body is larger than {} bytes", self.limit);
         self.end("too_large", RefusalCode::BodyTooLarge, &message)
@@ -119,6 +141,11 @@
         self.end("gave_way", RefusalCode::BodyTimeout, message)
     }
 
+    fn gave_place(&self) -> Refusal {
+        let message = "the body was slow and others needed its connection";
+        self.end("gave_place", RefusalCode::BodyTimeout, message)
+    }
+
     fn too_late(&self) -> Refusal {
         let message = "the body didn't come in time";
         self.end("late", RefusalCode::BodyTimeout, message)
--- a/crates/celerylead/tests/pages.rs
+++ b/crates/celerylead/tests/pages.rs
@@ -74,10 +74,11 @@
 |---|---|---|
 | bodies and buffered answers | 3/16 of `memory_mb` | bodies that don't go on give way (408), others are refused (503) |
 | bodies up to 16 KB | a further 1/16 | they share the room above |
-| connections of callers | a third of `memory_mb` by 48 KB and `max_header_bytes` each; half of `max_fds` less 200; at least 16 | the oldest one ends after its request in flight |
+| connections of callers | a third of `memory_mb` by 48 KB and `max_header_bytes` each; half of `max_fds` less 200; at least 16 | the oldest one whose caller doesn't go on ends (408 within a body); if there is none, the oldest one after its request in flight |
 | pause within a body | twice `idle_timeout_ms` | 408 |
 | pace of a body after that time | 1,024 bytes a second | 408 |
 | pace of a body while others need its memory | a second for each piece, and 64 KB/s | 408 |
+| pace of a body while others need its connection | no second without a byte; a second for the body, and 64 KB/s | 408 |
 | wait for a head, from the answer before | twice `idle_timeout_ms` | the connection is closed |
 | headers of a request | 100 | 431 |
 | answer that isn't read | 3 s without progress | the connection is closed |
