Bound the connections of the ready and control addresses

Clients that open connections to the ready or the control address of a host take one descriptor each without end, and up to 400 KB for a head that never ends: the process exceeds its descriptors and its memory.

Cause: the bounds on connections and heads belong to the callers' listener. The two other listeners of tasks::node::control spawned a task for each connection and left the size of a head to the HTTP library. The class: a bound that is attached to one way in instead of to the resource.

Change: each listener has at most 48 connections and buffers 16 KB of a head.

--- a/crates/celerylead/src/tasks/node/control.rs
+++ b/crates/celerylead/src/tasks/node/control.rs
@@ -4,7 +4,11 @@
 //! unavailable: the catalog, which contains keys only as hashes, the evacuated
 //! zones and the roster.
 
-use std::{convert::Infallible, time::Duration};
+use std::{
+    convert::Infallible,
+    sync::atomic::{AtomicBool, Ordering},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt as _, Full, Limited};
@@ -14,11 +18,17 @@
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
 use serde::de::DeserializeOwned;
-use tokio::{net::TcpListener, time::Instant};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::oneshot,
+    task::JoinSet,
+    time::Instant,
+};
 
 use super::{NodeContext, NodePhase, RosterWatch, router_port::RouterEvent};
 use crate::{
     catalog::{EvacuationList, ServiceCatalog},
+    intake::ConnectionQueue,
     port::{EdgeCodec, HttpLink, SendFault},
     quarantine::PartId,
     roster::RunnerFacts,
@@ -44,36 +54,108 @@
 /// request head.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Most connections of one listener. Probes, scrapes and snapshots are short,
+/// and the two listeners stay below the descriptors that aren't for callers.
+const MAX_CONNECTIONS: usize = 48;
+/// Most bytes that a connection buffers of a head, or of what follows it.
+const READ_BUFFER_BYTES: usize = 16 << 10;
+/// Time after which a further connection must give way, if those before are
+/// still busy.
+const GIVE_WAY_INTERVAL: Duration = Duration::from_millis(50);
+/// Time from its start within which the first request of a connection is
+/// awaited, even if the connection must give way. When many hosts fetch a
+/// snapshot at once, the oldest one may have just connected.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(200);
+/// Time for which a connection that must give way may go on with an answer: as
+/// long as other hosts wait for one.
+const LAST_ANSWER_TIME: Duration = SNAPSHOT_TIMEOUT;
+
 /// Accepts the connections of one listener and answers their requests.
 pub(crate) async fn run<C: EdgeCodec>(
     listener: TcpListener,
     context: NodeContext<C>,
     roster: RosterWatch,
 ) {
+    let mut connections = JoinSet::new();
+    let mut queue = ConnectionQueue::new();
+    let mut next_give_way = Instant::now();
     loop {
-        let stream = link::accept(&listener).await;
-        let context = context.clone();
-        let roster = roster.clone();
-        crate::tasks::spawn(async move {
-            if link::set_socket_options(&stream).is_err() {
-                return;
+        let is_over = MAX_CONNECTIONS < connections.len();
+        tokio::select! {
+            stream = link::accept(&listener), if !is_over => {
+                let (handle, give_way) = oneshot::channel();
+                let id = queue.add(handle);
+                let task =
+                    serve(stream, context.clone(), roster.clone(), give_way);
+                connections.spawn(async move {
+                    task.await;
+                    id
+                });
+            }
+            Some(ended) = connections.join_next() => {
+                if let Ok(id) = ended {
+                    queue.remove(id);
+                }
             }
-            let service = service_fn(|request| {
-                let (context, roster) = (&context, &roster);
-                async move {
-                    let answered = answer(context, roster, &request).await;
-                    Ok::<_, Infallible>(answered)
+            () = tokio::time::sleep_until(next_give_way), if is_over => {}
+        }
+        next_give_way = Instant::now() + GIVE_WAY_INTERVAL;
+        let handle = queue.give_way(connections.len(), MAX_CONNECTIONS);
+        if let Some(handle) = handle {
+            let _: Result<(), ()> = handle.send(());
+            context.metrics.count_close("control_gave_way");
+        }
+    }
+}
+
+/// Serves a connection until it ends. One that must give way ends at once if
+/// it has sent no request within [`FIRST_REQUEST_TIME`], else after
+/// [`LAST_ANSWER_TIME`].
+async fn serve<C: EdgeCodec>(
+    stream: TcpStream,
+    context: NodeContext<C>,
+    roster: RosterWatch,
+    give_way: oneshot::Receiver<()>,
+) {
+    if link::set_socket_options(&stream).is_err() {
+        return;
+    }
+    let first_request_due = Instant::now() + FIRST_REQUEST_TIME;
+    let served = AtomicBool::new(false);
+    let service = service_fn(|request| {
+        let (context, roster, served) = (&context, &roster, &served);
+        async move {
+            served.store(true, Ordering::Relaxed);
+            let answered = answer(context, roster, &request).await;
+            Ok::<_, Infallible>(answered)
+        }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(IDLE_TIMEOUT)
+        .max_buf_size(READ_BUFFER_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        Ok(()) = give_way => {
+            if !served.load(Ordering::Relaxed) {
+                let first =
+                    tokio::time::timeout_at(first_request_due, &mut connection);
+                if first.await.is_ok() || !served.load(Ordering::Relaxed) {
+                    return;
                 }
-            });
-            let served = http1::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(IDLE_TIMEOUT)
-                .serve_connection(TokioIo::new(stream), service)
-                .await;
-            if let Err(error) = served {
-                tracing::debug!(event = "control_closed", %error);
             }
-        });
+            connection.as_mut().graceful_shutdown();
+            let ended = tokio::time::timeout(LAST_ANSWER_TIME, connection);
+            match ended.await {
+                Ok(ended) => ended,
+                Err(_) => return,
+            }
+        }
+    };
+    if let Err(error) = ended {
+        tracing::debug!(event = "control_closed", %error);
     }
 }
 
--- a/crates/celerylead/tests/pages.rs
+++ b/crates/celerylead/tests/pages.rs
@@ -83,6 +83,8 @@
 | headers of a request | 100 | 431 |
 | answer that isn't read | 3 s without progress | the connection is closed |
 | reading after a refusal | 1 s, 256 KB | the connection is closed |
+| connections to the ready or the control address | 48 each | the oldest one ends: at once if it has sent no request in its first 200 ms, else within a second |
+| head of a request to these addresses | 16 KB | 431 |
 ";
 
 #[test]
