--- a/crates/celerylead/src/tasks/node/acceptor.rs
+++ b/crates/celerylead/src/tasks/node/acceptor.rs
@@ -4,13 +4,18 @@
 
 use tokio::{
     net::TcpListener,
-    sync::{oneshot, watch},
+    sync::{mpsc, watch},
     task::JoinSet,
     time::Instant,
 };
 
 use super::{NodeContext, NodePhase, caller_connection};
-use crate::{intake::ConnectionQueue, port::EdgeCodec, wire::link};
+use crate::{
+    intake::ConnectionQueue,
+    port::EdgeCodec,
+    tasks::{MAILBOX_CAPACITY, connection_place::ConnectionPlace},
+    wire::link,
+};
 
 /// Time after which a further connection is told to give way, if those told
 /// before are still busy.
@@ -27,7 +32,9 @@
     let mut phase = context.phase.clone();
     let mut connections = JoinSet::new();
     let mut queue = ConnectionQueue::new();
+    let (events, mut event_inbox) = mpsc::channel(MAILBOX_CAPACITY);
     let mut report = GiveWayReport::default();
+    let mut next_give_way = Instant::now();
     loop {
         let bound = context.connection_bound();
         // One more than the bound is accepted, since only then it is known
@@ -35,10 +42,12 @@
         let is_over = bound < connections.len();
         tokio::select! {
             stream = link::accept(&listener), if !is_over => {
-                let (handle, told) = oneshot::channel();
+                let (handle, gives_way) = watch::channel(false);
                 let id = queue.add(handle);
+                let place =
+                    ConnectionPlace::new(id, events.clone(), gives_way);
                 let context = context.clone();
-                let task = caller_connection::serve(stream, context, told);
+                let task = caller_connection::serve(stream, context, place);
                 connections.spawn(async move {
                     task.await;
                     id
@@ -49,13 +58,18 @@
                     queue.remove(id);
                 }
             }
-            () = tokio::time::sleep(GIVE_WAY_INTERVAL), if is_over => {}
+            Some(event) = event_inbox.recv() => {
+                queue.note(event);
+                continue;
+            }
+            () = tokio::time::sleep_until(next_give_way), if is_over => {}
             () = until_ending(&mut phase) => break,
         }
         let open = connections.len();
         context.metrics.open_connections.set(gauge_value(open));
+        next_give_way = Instant::now() + GIVE_WAY_INTERVAL;
         if let Some(handle) = queue.give_way(open, bound) {
-            let _: Result<(), ()> = handle.send(());
+            handle.send_replace(true);
             context.metrics.count_close("gave_way");
             report.note(open, bound);
         }
--- a/crates/celerylead/src/tasks/node/call.rs
+++ b/crates/celerylead/src/tasks/node/call.rs
@@ -24,6 +24,7 @@
     relay::{CallHead, LoadBasis},
     request::{Refusal, RefusalCode, RequestId},
     tasks::{
+        connection_place::ConnectionPlace,
         intake::HeaderRoom,
         request_body::{BodyIntake, RETRY_AFTER},
     },
@@ -103,11 +104,12 @@
 /// Answers a request: a readiness probe or a call.
 pub(crate) async fn answer<C: EdgeCodec>(
     context: &NodeContext<C>,
+    place: &ConnectionPlace,
     request: HttpRequest<Incoming>,
 ) -> Response<RelayBody> {
     let (parts, body) = request.into_parts();
     let mut body = Some(body);
-    let mut response = answer_head(context, &parts, &mut body).await;
+    let mut response = answer_head(context, place, &parts, &mut body).await;
     if body.is_some_and(|body| !body.is_end_stream()) {
         response.extensions_mut().insert(UnreadBody);
     }
@@ -117,6 +119,7 @@
 /// Answers a request by its head, and takes its body if that is to be read.
 async fn answer_head<C: EdgeCodec>(
     context: &NodeContext<C>,
+    place: &ConnectionPlace,
     parts: &request::Parts,
     body: &mut Option<Incoming>,
 ) -> Response<RelayBody> {
@@ -135,7 +138,7 @@
     // Held until the head, which the attempts forward, is dropped.
     let room = take_header_room(context, parts);
     let relayed = match &room {
-        Ok(_) => relay(context, &call, parts, body, started).await,
+        Ok(_) => relay(context, place, &call, parts, body, started).await,
         Err(refusal) => Err(refusal.clone()),
     };
     match relayed {
@@ -248,6 +251,7 @@
 /// a runner.
 async fn relay<C: EdgeCodec>(
     context: &NodeContext<C>,
+    place: &ConnectionPlace,
     call: &CallHead,
     parts: &request::Parts,
     body: &mut Option<Incoming>,
@@ -265,6 +269,7 @@
     let deadline = started + timeout;
     let intake = BodyIntake {
         port: &context.intake,
+        place: Some(place),
         limit: catalog.limits.body_bytes,
         idle: Duration::from_millis(catalog.limits.idle_ms),
         deadline,
--- a/crates/celerylead/src/tasks/node/caller_connection.rs
+++ b/crates/celerylead/src/tasks/node/caller_connection.rs
@@ -23,7 +23,7 @@
     service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::{net::TcpStream, sync::oneshot};
+use tokio::net::TcpStream;
 
 use super::{
     CatalogWatch, NodeContext, NodePhase, acceptor,
@@ -31,7 +31,10 @@
     call::{self, AnswerDeadline, UnreadBody},
     caller_socket::{CallerSocket, ConnectionFlags},
 };
-use crate::{intake, metrics::HostMetrics, port::EdgeCodec, wire::link};
+use crate::{
+    intake, metrics::HostMetrics, port::EdgeCodec,
+    tasks::connection_place::ConnectionPlace, wire::link,
+};
 
 /// Multiple of the configured idle time after which an idle connection is
 /// closed, as callers may learn of a longer time before the host does.
@@ -69,21 +72,24 @@
 }
 
 /// Serves a connection until it ends. One that is told to give way ends after
-/// the request in flight, or at once if it has sent none.
+/// the request in flight, or at once if it has sent none or the caller leaves
+/// its answer unread.
 pub(super) async fn serve<C: EdgeCodec>(
     stream: TcpStream,
     context: NodeContext<C>,
-    mut told: oneshot::Receiver<()>,
+    place: ConnectionPlace,
 ) {
     if let Err(error) = link::set_socket_options(&stream) {
         tracing::debug!(event = "caller_closed", %error);
         return;
     }
     let flags = Arc::new(ConnectionFlags::default());
-    let mut socket = CallerSocket::new(stream, Arc::clone(&flags));
+    let place = Arc::new(place);
+    let mut socket =
+        CallerSocket::new(stream, Arc::clone(&flags), Arc::clone(&place));
     let mut limits = ReadLimits::in_force(&context.catalog, Duration::ZERO);
     loop {
-        match read(socket, limits, &context, &flags, &mut told).await {
+        match read(socket, limits, &context, &flags, &place).await {
             Ok(Some(returned)) => socket = returned,
             Ok(None) => return,
             Err(error) => {
@@ -103,13 +109,13 @@
     limits: ReadLimits,
     context: &NodeContext<C>,
     flags: &Arc<ConnectionFlags>,
-    told: &mut oneshot::Receiver<()>,
+    place: &ConnectionPlace,
 ) -> hyper::Result<Option<CallerSocket>> {
     let service = service_fn(|request| {
         // The library polls a connection that it gives back only if the
         // service's future is `Unpin`.
         Box::pin(async move {
-            Ok::<_, Infallible>(answer(context, flags, request).await)
+            Ok::<_, Infallible>(answer(context, flags, place, request).await)
         })
     });
     let mut connection = http1::Builder::new()
@@ -121,16 +127,16 @@
         .max_headers(intake::max_headers(limits.head_bytes))
         .serve_connection(TokioIo::new(socket), service);
     let mut phase = context.phase.clone();
-    let may_be_told = !told.is_terminated();
     // What the connection has done is known before it is asked for its state.
     let outdated = tokio::select! {
         biased;
         ended = &mut connection => return ended.map(|()| None),
         () = acceptor::until_ending(&mut phase) => false,
-        Ok(()) = &mut *told, if may_be_told => {
-            flags.gives_way.store(true, Ordering::Relaxed);
+        () = place.wait_until_giving_way() => {
             // A part of a first head would be waited for.
-            if !flags.served.load(Ordering::Relaxed) {
+            if !flags.served.load(Ordering::Relaxed)
+                || flags.untaken.load(Ordering::Relaxed)
+            {
                 return Ok(None);
             }
             false
@@ -179,13 +185,14 @@
 async fn answer<C: EdgeCodec>(
     context: &NodeContext<C>,
     flags: &Arc<ConnectionFlags>,
+    place: &ConnectionPlace,
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
     flags.served.store(true, Ordering::Relaxed);
     let in_answer = InAnswer::begin(flags);
     let has_no_body = request.body().is_end_stream();
     let in_flight = InFlight::begin(&context.metrics);
-    let mut response = call::answer(context, request).await;
+    let mut response = call::answer(context, place, request).await;
     drop(in_flight);
     let deadline = response.extensions().get::<AnswerDeadline>();
     if let Some(AnswerDeadline(deadline)) = deadline {
--- a/crates/celerylead/src/tasks/node/caller_socket.rs
+++ b/crates/celerylead/src/tasks/node/caller_socket.rs
@@ -27,7 +27,10 @@
     time::{Instant, Sleep},
 };
 
-use crate::wire::silence::{LimitedStream, SHORT_SILENCE, SilenceLimit};
+use crate::{
+    tasks::connection_place::ConnectionPlace,
+    wire::silence::{LimitedStream, SHORT_SILENCE, SilenceLimit},
+};
 
 /// Longest time for which a closing socket discards what arrives.
 const LINGER_TIME: Duration = Duration::from_millis(1_000);
@@ -45,8 +48,8 @@
     pub(super) served: AtomicBool,
     /// A request was answered whose body wasn't read to its end.
     pub(super) unread: AtomicBool,
-    /// The connection was told to give way to others.
-    pub(super) gives_way: AtomicBool,
+    /// The caller has taken nothing of an answer for [`SHORT_SILENCE`].
+    pub(super) untaken: AtomicBool,
     /// A request was read whose answer hasn't ended.
     pub(super) busy: AtomicBool,
     /// The body of the latest request was read to its end.
@@ -69,6 +72,7 @@
 pub(super) struct CallerSocket {
     stream: LimitedStream,
     flags: Arc<ConnectionFlags>,
+    place: Arc<ConnectionPlace>,
     /// Bytes that were read before and are read again.
     put_back: Bytes,
     stall: Option<Stall>,
@@ -91,10 +95,18 @@
     pub(super) fn new(
         stream: TcpStream,
         flags: Arc<ConnectionFlags>,
+        place: Arc<ConnectionPlace>,
     ) -> CallerSocket {
         let stream = LimitedStream::new(stream, flags.silence.clone());
         let put_back = Bytes::new();
-        CallerSocket { stream, flags, put_back, stall: None, closing: None }
+        CallerSocket {
+            stream,
+            flags,
+            place,
+            put_back,
+            stall: None,
+            closing: None,
+        }
     }
 
     /// Takes bytes back that were read last, to be read again first.
@@ -115,7 +127,11 @@
     ) -> Poll<io::Result<usize>> {
         self.flags.writing.store(written.is_pending(), Ordering::Relaxed);
         if written.is_ready() {
-            self.stall = None;
+            if self.stall.take().is_some()
+                && self.flags.untaken.swap(false, Ordering::Relaxed)
+            {
+                self.place.report_resumed();
+            }
             return written;
         }
         let stall = self.stall.get_or_insert_with(|| Stall {
@@ -123,8 +139,11 @@
             next_check: Box::pin(tokio::time::sleep(STALL_CHECK_INTERVAL)),
         });
         while stall.next_check.as_mut().poll(context).is_ready() {
-            if self.flags.gives_way.load(Ordering::Relaxed)
-                && SHORT_SILENCE <= stall.since.elapsed()
+            if SHORT_SILENCE <= stall.since.elapsed() {
+                self.flags.untaken.store(true, Ordering::Relaxed);
+                self.place.report_stalled();
+            }
+            if self.place.gives_way() && SHORT_SILENCE <= stall.since.elapsed()
             {
                 let reason = "the caller takes nothing";
                 return Poll::Ready(Err(io::Error::new(
@@ -213,6 +232,12 @@
                 }
                 // The caller has closed or is gone.
                 Poll::Ready(_) => return Poll::Ready(Ok(())),
+                // Nothing is expected of a caller that has stopped.
+                Poll::Pending
+                    if this.place.gives_way() && this.place.is_stalled() =>
+                {
+                    return Poll::Ready(Ok(()));
+                }
                 Poll::Pending => {
                     ready!(closing.until.as_mut().poll(context));
                     return Poll::Ready(Ok(()));
