Bound what the kernel holds unsent for callers

Callers that don't read their answers make the machine of a host run out of memory although the process stays small: the kernel takes up to 4 MB (tcp_wmem) of answers for each connection. What a node holds for slow readers counts toward its memory, and a control group counts these buffers.

Cause: the budgets count what the process allocates. A write that the kernel takes leaves them, so pipelined answers of 250 KB went to the kernel one after the other, 1 MB for each connection. The class: memory that is accounted by the layer which passes it on, not where it lies.

Change: callers' connections, and those of the ready and control addresses, have TCP_NOTSENT_LOWAT at 16 KB. What can't be sent waits in the process, where the common room for bodies and buffered answers bounds it. It doesn't bound what is under way, so callers far away get the same pace; SO_SNDBUF would.

--- a/crates/celerylead/src/tasks/node/acceptor.rs
+++ b/crates/celerylead/src/tasks/node/acceptor.rs
@@ -142,7 +142,7 @@
     context: NodeContext<C>,
     place: ConnectionPlace,
 ) {
-    if let Err(error) = link::set_socket_options(&stream) {
+    if let Err(error) = link::set_caller_options(&stream) {
         tracing::debug!(event = "caller_closed", %error);
         return;
     }
--- a/crates/celerylead/src/tasks/node/control.rs
+++ b/crates/celerylead/src/tasks/node/control.rs
@@ -117,7 +117,7 @@
     roster: RosterWatch,
     give_way: oneshot::Receiver<()>,
 ) {
-    if link::set_socket_options(&stream).is_err() {
+    if link::set_caller_options(&stream).is_err() {
         return;
     }
     let first_request_due = Instant::now() + FIRST_REQUEST_TIME;
--- a/crates/celerylead/src/wire/link.rs
+++ b/crates/celerylead/src/wire/link.rs
@@ -66,6 +66,18 @@
     socket.set_tcp_user_timeout(Some(SHORT_SILENCE))
 }
 
+/// Most bytes that the kernel takes for a caller beyond what it can send. It
+/// would else take megabytes for each caller that doesn't read, on the account
+/// of the process.
+const MAX_UNSENT_BYTES: u32 = 16 << 10;
+
+/// Sets the options of a caller's connection. What the caller doesn't read
+/// stays in the process, which bounds it.
+pub(crate) fn set_caller_options(stream: &TcpStream) -> io::Result<()> {
+    set_socket_options(stream)?;
+    SockRef::from(stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES)
+}
+
 /// Most bytes that a connection buffers: the head of an answer, or what of its
 /// body the caller hasn't taken. Hundreds of connections may be full at once.
 pub(crate) const READ_BUFFER_BYTES: usize = 32 << 10;
--- a/crates/celerylead/tests/pages.rs
+++ b/crates/celerylead/tests/pages.rs
@@ -82,6 +82,7 @@
 | wait for a head, from the answer before | twice `idle_timeout_ms` | the connection is closed |
 | headers of a request | 100 | 431 |
 | answer that isn't read | 3 s without progress | the connection is closed |
+| bytes of an answer that the kernel holds unsent | 16 KB | they wait in the process, which counts them |
 | reading after a refusal | 1 s, 256 KB | the connection is closed |
 | connections to the ready or the control address | 48 each | the oldest one ends: at once if it has sent no request in its first 200 ms, else within a second |
 | head of a request to these addresses | 16 KB | 431 |
