Confirm a verdict on a prompt part by a probe before rejecting calls

What callers saw: after three crashes each of which ended a call with a part on which no answer had gone on yet, every host refused all calls with it for 60 s with a final 400. Clients don't repeat a request after 400. Where the host that probes the part first got no call with it, the other hosts went on refusing it.

Cause: a verdict is a guess, but was final from the start, and the guess was tested only after a minute and by one host. The class is an irreversible answer on unconfirmed evidence. Wrong guesses: a rare part whose calls wait long for their first event while runners end for other causes, and a part that shares its calls with a deadly one and wasn't seen sound before.

Change: a part is suspended at first. Calls with it get 503 with Retry-After (prompt_suspended); after a second one of them is sent as a probe. Its answer ends the verdict, the end of its runner confirms it, and only then calls get 400, for a minute and for twice as long after each further probe. Only the host that sent the probe judges it, and only by the probe itself. Each second on probation twice as many hosts may probe; a probe is told to all, in the verdict's row, and holds the others back. If another part of the probe has enough trials too, both are suspended, calls with both are rejected, and calls with one of them tell them apart. While runners end for other causes, a verdict needs five trials.

Ruled out: a longer wait instead of 503 (holds the bodies of deadly calls), and a probe that has all suspected parts (its end wouldn't tell which is the cause).

--- a/crates/celerylead/src/quarantine/ledger.rs
+++ b/crates/celerylead/src/quarantine/ledger.rs
@@ -24,6 +24,14 @@
 /// all deadly parts there are: with three of these, six trials before one of them
 /// has enough.
 const SOUND_TRIALS_TO_REJECT: u32 = 7;
+/// Trials after which a probe confirms a verdict while runners end for other
+/// causes, as the runner of a sound probe may.
+const TRIALS_AMID_OTHERS: u32 = 5;
+/// Crashes of other causes within [`OTHERS_TIME`] from which a probe's may be one
+/// of them. A second deadly part has a verdict of its own by then.
+const MIN_OTHERS: usize = 3;
+/// Time for which a crash of another cause counts.
+const OTHERS_TIME: Duration = Duration::from_secs(10);
 /// Trials from which a call isn't sent again after its runner ended.
 const TRIALS_TO_HOLD: u32 = 2;
 /// Time for which news is repeated to the other hosts, each of which is sent
@@ -36,6 +44,9 @@
 /// Difference that transfer may cause between the times of two events, as hosts
 /// tell each other how long ago these were.
 const TRANSFER_TOLERANCE: Duration = Duration::from_millis(50);
+/// Difference that late messages may cause between the times of the same probe in
+/// the verdicts on its parts.
+const GROUP_TOLERANCE: Duration = Duration::from_millis(500);
 /// Time for which a clearance is remembered.
 const CLEARANCE_MEMORY: Duration = Duration::from_secs(600);
 /// Time for which a call that ended with its runner is weighed again: until the
@@ -52,6 +63,9 @@
     Admit,
     /// The call may be sent as the probe of this part.
     Probe(PartId),
+    /// Whether this part crashes runners isn't confirmed yet, or is probed; a
+    /// call may be admitted from this time on.
+    Suspend(PartId, EpochMillis),
     /// This part is rejected.
     Reject(PartId),
 }
@@ -60,9 +74,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum LedgerEvent {
-    /// A part is rejected by this host's evidence.
+    /// A part is suspended or, after a probe, rejected by this host's evidence.
     Rejected(VerdictRow),
-    /// A part is rejected by another host's verdict.
+    /// A part is suspended or rejected by another host's verdict.
     Adopted(VerdictRow),
     /// A part is no longer rejected, as an answer on it went on or an operator
     /// said so.
@@ -117,8 +131,9 @@
 /// let now = EpochMillis(5_000);
 /// ledger.report(1, now);
 /// let parts = PromptParts::of_prompt([0xa, 0xb, 0xc0]);
-/// let admission = ledger.admit(&parts, |_| false, now);
-/// assert_eq!(admission, PartAdmission::Reject(PartId(0xb)));
+/// let admission = ledger.admit(&parts, |_| 0, now);
+/// let until = EpochMillis(6_000);
+/// assert_eq!(admission, PartAdmission::Suspend(PartId(0xb), until));
 /// ```
 #[derive(Debug)]
 pub struct SuspectLedger {
@@ -241,34 +256,70 @@
                 && let VerdictState::Probing(verdict) = held.state
             {
                 held.state = VerdictState::Probation(verdict.undecided(now));
+                held.repeat_until = now.after(REPEAT_TIME);
+                self.news.tell_soon(now);
             }
         }
     }
 
-    /// Decides whether a call may be sent to a runner. `is_prober` says
-    /// whether this host is the one that probes a part.
+    /// Decides whether a call may be sent to a runner. `rank` tells how many
+    /// hosts come before this one in probing a part.
     pub fn admit(
         &mut self,
         parts: &PromptParts,
-        is_prober: impl Fn(PartId) -> bool,
+        rank: impl Fn(PartId) -> usize,
         now: EpochMillis,
     ) -> PartAdmission {
-        let mut admission = PartAdmission::Admit;
         if self.verdicts.is_empty() {
-            return admission;
+            return PartAdmission::Admit;
         }
+        let mut suspended: Option<(EpochMillis, PartId)> = None;
+        let mut probed = None;
         for part in parts.iter() {
             let Some(held) = self.verdicts.get_mut(&part) else { continue };
             let Some(mut state) = held.state.advance(now) else { continue };
             state.touch(now);
             held.state = state;
-            let on_probation = matches!(state, VerdictState::Probation(_));
-            if !on_probation || !is_prober(part) {
-                return PartAdmission::Reject(part);
+            if let VerdictState::Probation(verdict) = state
+                && verdict.may_probe(rank(part), now)
+            {
+                probed.get_or_insert(part);
+                continue;
             }
-            admission = PartAdmission::Probe(part);
+            let Some(retry_at) = state.retry_at(now) else {
+                return PartAdmission::Reject(part);
+            };
+            suspended = suspended.max(Some((retry_at, part)));
+        }
+        if let Some(part) = self.whole_group(parts) {
+            return PartAdmission::Reject(part);
+        }
+        match (suspended, probed) {
+            (Some((at, part)), _) => PartAdmission::Suspend(part, at),
+            (None, Some(part)) => PartAdmission::Probe(part),
+            (None, None) => PartAdmission::Admit,
         }
-        admission
+    }
+
+    /// Returns a part of a call that has all parts of a probe that may have ended
+    /// its runner. Such a call would end the next one, whichever part is the
+    /// cause; one with fewer of them tells them apart.
+    fn whole_group(&self, parts: &PromptParts) -> Option<PartId> {
+        let unconfirmed = || {
+            self.verdicts.iter().filter(|(_, held)| held.state.counts().1 <= 1)
+        };
+        let of_call = unconfirmed().filter(|(part, _)| parts.contains(**part));
+        let mut of_call = of_call.map(|(part, held)| (*part, &held.state));
+        let whole = of_call.find(|(_, state)| {
+            let group = unconfirmed().filter(|(_, other)| {
+                let gap = state.sent_at().0.abs_diff(other.state.sent_at().0);
+                u128::from(gap) <= GROUP_TOLERANCE.as_millis()
+            });
+            let mut group = group.map(|(part, _)| *part);
+            let size = group.clone().count();
+            1 < size && group.all(|part| parts.contains(part))
+        });
+        whole.map(|(part, _)| part)
     }
 
     /// Records that a call was sent as the probe of a part.
@@ -277,6 +328,8 @@
             && let VerdictState::Probation(verdict) = held.state
         {
             held.state = VerdictState::Probing(verdict.probe(now));
+            held.repeat_until = now.after(REPEAT_TIME);
+            self.news.tell_soon(now);
         }
     }
 
@@ -386,7 +439,7 @@
         }
     }
 
-    /// Weighs the calls whose runners' ends may be settled by now. Rejects the
+    /// Weighs the calls whose runners' ends may be settled by now. Suspends the
     /// part that explains the crashes best, if one has enough trials, and then
     /// the best for those crashes that it doesn't explain.
     pub(super) fn weigh(&mut self, now: EpochMillis) -> Vec<LedgerEvent> {
@@ -402,17 +455,14 @@
             }
         }
         while let Some((part, count)) = self.best_explanation(&parts, now) {
-            if MAX_VERDICTS <= self.verdicts.len() {
-                events.push(LedgerEvent::TableFull(part));
-                break;
-            }
             let verdict =
                 PartVerdict::first(part, count.trials, count.sent_at, now);
-            let state = VerdictState::Rejected(verdict);
-            let repeat_until = now.after(REPEAT_TIME);
-            self.verdicts.insert(part, HeldVerdict { state, repeat_until });
-            self.news.tell_soon(now);
-            events.push(LedgerEvent::Rejected(verdict_row(part, &state, now)));
+            let state = VerdictState::Suspended(verdict);
+            let event = self.pronounce(part, state, now);
+            events.push(event);
+            if event == LedgerEvent::TableFull(part) {
+                break;
+            }
         }
         events
     }
@@ -462,25 +512,102 @@
         best.map(|(part, _, count)| (part, count))
     }
 
-    /// Applies another crash to a part with a verdict. During its term the
-    /// crash is due to a call that was under way; after it, to a probe.
-    fn confirm(
+    /// Applies another crash to a part with a verdict.
+    fn confirm(&mut self, part: PartId, now: EpochMillis) -> Vec<LedgerEvent> {
+        let count = self
+            .trials_without(part, Some(now), |other| self.is_confirmed(other));
+        let TrialCount { sent_at, .. } = count;
+        let held = self.verdicts.get_mut(&part);
+        let held = held.filter(|held| held.state.sent_at() < sent_at);
+        let noted = held.and_then(|held| held.state.note_crash(sent_at));
+        let Some(verdict) = noted else { return Vec::new() };
+        let rivals = self.rivals(part, sent_at, now);
+        let is_sure = TRIALS_AMID_OTHERS <= verdict.trials + 1
+            || !self.has_other_crashes(part, now);
+        let state = match (rivals.is_empty() && is_sure) || 1 < verdict.terms {
+            true => VerdictState::Rejected(verdict.confirm(now)),
+            false => VerdictState::Suspended(verdict.suspend(now)),
+        };
+        let mut events = vec![self.pronounce(part, state, now)];
+        if let VerdictState::Suspended(_) = state {
+            for (rival, count) in rivals {
+                let trials = count.trials;
+                let verdict = PartVerdict::first(rival, trials, sent_at, now);
+                let state = VerdictState::Suspended(verdict);
+                events.push(self.pronounce(rival, state, now));
+            }
+        }
+        events
+    }
+
+    /// Puts a verdict in force and tells the other hosts.
+    fn pronounce(
         &mut self,
         part: PartId,
+        state: VerdictState,
         now: EpochMillis,
-    ) -> Option<LedgerEvent> {
-        let TrialCount { sent_at, .. } = self.trials(part, Some(now));
-        let held = self.verdicts.get_mut(&part)?;
-        if sent_at <= held.state.sent_at() {
-            return None;
-        }
-        if let VerdictState::Rejected(verdict) = &mut held.state {
-            verdict.sent_at = sent_at;
-            return None;
-        }
-        held.state = VerdictState::Rejected(held.state.renew(sent_at, now));
-        held.repeat_until = now.after(REPEAT_TIME);
-        Some(LedgerEvent::Rejected(verdict_row(part, &held.state, now)))
+    ) -> LedgerEvent {
+        if MAX_VERDICTS <= self.verdicts.len()
+            && self.verdicts.get(&part).is_none()
+        {
+            return LedgerEvent::TableFull(part);
+        }
+        let repeat_until = now.after(REPEAT_TIME);
+        self.verdicts.insert(part, HeldVerdict { state, repeat_until });
+        self.news.tell_soon(now);
+        LedgerEvent::Rejected(verdict_row(part, &state, now))
+    }
+
+    /// Returns the other parts of a probe that may have ended its runner: those
+    /// with an unconfirmed verdict, or with enough trials for one. The last parts
+    /// of calls are their own.
+    fn rivals(
+        &self,
+        part: PartId,
+        sent_at: EpochMillis,
+        now: EpochMillis,
+    ) -> Vec<(PartId, TrialCount)> {
+        let mut probes = self.unsettled.iter().map(|(witness, _)| witness);
+        let probe = probes.find(|witness| {
+            witness.sent_at == sent_at && witness.parts.contains(part)
+        });
+        let Some(probe) = probe else { return Vec::new() };
+        let others = probe.parts.shared().filter(|other| {
+            *other != part
+                && !self.was_sound(*other)
+                && !self.is_confirmed(*other)
+        });
+        let counted = others.map(|other| {
+            let explains = |third| self.is_confirmed(third);
+            (other, self.trials_without(other, Some(now), explains))
+        });
+        counted
+            .filter(|(other, count)| {
+                TRIALS_TO_REJECT <= count.trials
+                    || self.verdicts.get(other).is_some()
+            })
+            .collect()
+    }
+
+    /// Returns whether runners end for causes that no part explains: neither this
+    /// one nor one with a verdict, nor one that may get a verdict.
+    fn has_other_crashes(&self, part: PartId, now: EpochMillis) -> bool {
+        let since = now.before(OTHERS_TIME);
+        let others = self.crashes.count_without(since, |parts| {
+            parts.iter().any(|other| {
+                other == part
+                    || self.verdicts.get(&other).is_some()
+                    || (!self.was_sound(other)
+                        && TRIALS_TO_HOLD <= self.trials(other, None).trials)
+            })
+        });
+        MIN_OTHERS <= others
+    }
+
+    /// Returns whether a probe has confirmed a verdict on a part.
+    fn is_confirmed(&self, part: PartId) -> bool {
+        let held = self.verdicts.get(&part);
+        held.is_some_and(|held| 1 < held.state.counts().1)
     }
 
     /// Records that a part was cleared at a time, and on what basis.
@@ -543,20 +670,31 @@
         self.cleared.get(&part).map(|held| held.at)
     }
 
-    /// Counts the trials of a part, without the crashes that a rejected part
-    /// explains; with `settled_at`, those that are settled by then.
+    /// Counts the trials of a part, without the crashes that a part with a
+    /// verdict explains; with `settled_at`, those that are settled by then.
     fn trials(
         &self,
         part: PartId,
         settled_at: Option<EpochMillis>,
+    ) -> TrialCount {
+        self.trials_without(part, settled_at, |other| {
+            self.verdicts.get(&other).is_some()
+        })
+    }
+
+    /// Counts the trials of a part, without the crashes that another part of
+    /// their calls explains.
+    fn trials_without(
+        &self,
+        part: PartId,
+        settled_at: Option<EpochMillis>,
+        explains: impl Fn(PartId) -> bool,
     ) -> TrialCount {
         if self.suspects.get(&part).is_none() {
             return TrialCount::default();
         }
         let is_explained = |parts: &PromptParts| {
-            parts.iter().any(|other| {
-                other != part && self.verdicts.get(&other).is_some()
-            })
+            parts.iter().any(|other| other != part && explains(other))
         };
         let cleared_at = self.cleared_at(part);
         let was_sound = |part| self.was_sound(part);
--- a/crates/celerylead/src/quarantine/tests/evidence_order.rs
+++ b/crates/celerylead/src/quarantine/tests/evidence_order.rs
@@ -13,6 +13,7 @@
     roster::RunnerStart,
 };
 
+const HOSTS: usize = 2;
 const RUNNERS: usize = 4;
 /// Parts that all calls share, and one that all sound ones have besides.
 const SHARED: u64 = 20;
@@ -86,8 +87,9 @@
     runners: [(u64, u64); RUNNERS],
     starts: u64,
     answers: Vec<Answer>,
-    /// Calls that wait for a runner: their end, host and deadly part.
-    waiting: Vec<(u64, usize, Option<u64>)>,
+    /// Calls that wait for a runner: their end, host and deadly part, and whether
+    /// they are probes.
+    waiting: Vec<(u64, usize, Option<u64>, bool)>,
     /// Calls whose end a host notices at a time.
     ends: Vec<(u64, Answer, RunnerStart)>,
     messages: Vec<(u64, usize, EvidenceReport)>,
@@ -139,7 +141,7 @@
                 self.restart(host, EpochMillis(at));
                 self.up_at[host] = at + START_TIME;
                 self.answers.retain(|answer| answer.host != host);
-                self.waiting.retain(|(_, waits, _)| *waits != host);
+                self.waiting.retain(|(_, waits, ..)| *waits != host);
                 self.ends.retain(|(_, answer, _)| answer.host != host);
             }
             if self.case.calm <= at
@@ -184,8 +186,9 @@
             host = 1 - host;
         }
         let parts = parts_of_call(&self.shared_parts(deadly), at * 2);
-        let admission = self.ledgers[host].admit(&parts, |_| host == 0, now);
-        let is_admitted = !matches!(admission, PartAdmission::Reject(_));
+        let admission = self.ledgers[host].admit(&parts, |_| host, now);
+        let is_probe = matches!(admission, PartAdmission::Probe(_));
+        let is_admitted = is_probe || admission == PartAdmission::Admit;
         if deadly.is_none() {
             self.sound.push((at, is_admitted));
         }
@@ -195,7 +198,7 @@
         if let PartAdmission::Probe(part) = admission {
             self.ledgers[host].begin_probe(part, now);
         }
-        self.waiting.push((at + PATIENCE, host, deadly));
+        self.waiting.push((at + PATIENCE, host, deadly, is_probe));
     }
 
     /// Sends the calls that wait to random runners, if any is up.
@@ -207,11 +210,11 @@
         if up.is_empty() {
             return;
         }
-        for (_, host, deadly) in std::mem::take(&mut self.waiting) {
+        for (_, host, deadly, is_probe) in std::mem::take(&mut self.waiting) {
             let parts = parts_of_call(&self.shared_parts(deadly), at * 2);
             let ledger = &mut self.ledgers[host];
-            let admission = ledger.admit(&parts, |_| false, EpochMillis(at));
-            if admission != PartAdmission::Admit {
+            let admission = ledger.admit(&parts, |_| HOSTS, EpochMillis(at));
+            if !is_probe && admission != PartAdmission::Admit {
                 continue;
             }
             let runner = up[self.random.random_range(0..up.len())];
