Move the weighing of evidence out of the quarantine's ledger

The second one is now in weighing.rs, with its constants. No line of logic changes; four private items are visible in the module.

--- a/crates/celerylead/src/quarantine/mod.rs
+++ b/crates/celerylead/src/quarantine/mod.rs
@@ -51,14 +51,16 @@
 mod tests;
 mod unframed;
 mod verdict;
+mod weighing;
 
 pub use self::{
     crash::{CrashLog, CrashWitness},
-    ledger::{LedgerEvent, PartAdmission, SuspectLedger, TRIALS_TO_REJECT},
+    ledger::{LedgerEvent, PartAdmission, SuspectLedger},
     part::{PartId, PromptParts},
     report::{
         ClearanceBasis, ClearanceRow, CrashRow, EvidenceReport, KeptVerdict,
         SignRow, VerdictRow, WitnessRow,
     },
     signs::RunnerSign,
+    weighing::TRIALS_TO_REJECT,
 };
