--- a/crates/celerylead/src/metrics.rs
+++ b/crates/celerylead/src/metrics.rs
@@ -251,7 +251,7 @@
         );
         registry.register(
             "rejected_parts",
-            "Parts of prompts that are rejected, as they crash runners",
+            "Parts of prompts that are suspended or rejected, as they may crash runners",
             rejected_parts.clone(),
         );
         registry.register(
