Take back the early probes of suspected prompt parts

A refused connection that dates the end of a runner also put the verdict off by a crash.

So the first term is a minute again.

--- a/crates/celerylead/src/membership/mod.rs
+++ b/crates/celerylead/src/membership/mod.rs
@@ -49,6 +49,6 @@
         LeaseClaim, OrderPermit, OrdersLease, OrdersRow, RENEW_PERIOD,
         StoredOrdersRow,
     },
-    rendezvous::{best_host, host_rank, rendezvous_weight},
+    rendezvous::{best_host, rendezvous_weight},
     zone_digest::{AggregateSource, FleetDigest, ZoneDigest, ZonePart},
 };
--- a/crates/celerylead/src/membership/rendezvous.rs
+++ b/crates/celerylead/src/membership/rendezvous.rs
@@ -25,29 +25,6 @@
     u64::from_be_bytes(weight)
 }
 
-/// Returns the number of hosts that have a higher weight for `name` than `own`.
-///
-/// # Examples
-///
-/// ```
-/// use celerylead::membership::{best_host, host_rank};
-///
-/// let hosts = ["kgn-1", "kgn-2"];
-/// let best = best_host(hosts, "parish").unwrap();
-/// assert_eq!(host_rank(hosts, best, "parish"), 0);
-/// ```
-pub fn host_rank<'a>(
-    hosts: impl IntoIterator<Item = &'a str>,
-    own: &str,
-    name: &str,
-) -> usize {
-    let weight = (rendezvous_weight(own, name), own);
-    let hosts = hosts.into_iter();
-    hosts
-        .filter(|host| weight < (rendezvous_weight(host, name), *host))
-        .count()
-}
-
 /// Returns the host to which `name` is assigned.
 ///
 /// When a host joins or leaves, only the names that it gains or loses move.
--- a/crates/celerylead/src/quarantine/crash.rs
+++ b/crates/celerylead/src/quarantine/crash.rs
@@ -119,9 +119,7 @@
             is_confirmed: false,
             witnesses: Vec::new(),
         });
-        // A start that is known ends once, however late a host notices.
-        let has_ended = record.is_confirmed && start.born.is_some();
-        if record.ended_at.after(SAME_CRASH_TIME) <= ended_at && !has_ended {
+        if record.ended_at.after(SAME_CRASH_TIME) <= ended_at {
             // The runner went on after the earlier fault.
             record.ended_at = ended_at;
             record.is_confirmed = false;
@@ -177,18 +175,11 @@
         refused: EpochMillis,
     ) -> bool {
         let Some(record) = self.records.get_mut(start) else { return false };
-        // A host that notices late that its calls have ended gives a late end.
-        let mut sent =
-            record.witnesses.iter().map(|held| held.witness.sent_at);
-        let was_running = sent.all(|sent_at| sent_at <= refused);
-        let is_near = record.ended_at <= refused.after(REFUSAL_LEAD);
-        if record.is_confirmed || !(was_running || is_near) {
+        if record.is_confirmed || refused.after(REFUSAL_LEAD) < record.ended_at
+        {
             return false;
         }
         record.is_confirmed = true;
-        if was_running {
-            record.ended_at = record.ended_at.min(refused);
-        }
         true
     }
 
@@ -237,21 +228,6 @@
         count
     }
 
-    /// Counts the crashes since a time of which `is_explained` holds for no call.
-    pub(super) fn count_without(
-        &self,
-        since: EpochMillis,
-        is_explained: impl Fn(&PromptParts) -> bool,
-    ) -> usize {
-        let records = self.records.values();
-        let without = records.filter(|record| {
-            let mut witnesses = record.witnesses.iter();
-            since <= record.ended_at
-                && !witnesses.any(|held| is_explained(&held.witness.parts))
-        });
-        without.count()
-    }
-
     /// Iterates over the crashes with those witnesses that this host repeats to
     /// the others.
     pub(super) fn repeated(
--- a/crates/celerylead/src/quarantine/exchange.rs
+++ b/crates/celerylead/src/quarantine/exchange.rs
@@ -18,7 +18,7 @@
         VerdictRow, WitnessRow,
     },
     signs::RunnerSign,
-    verdict::{MAX_TERM, VerdictState},
+    verdict::{MAX_TERM, PartVerdict, VerdictState},
 };
 use crate::{clock::EpochMillis, roster::RunnerStart};
 
@@ -189,9 +189,8 @@
         let repeated = |until: EpochMillis| now < until;
         let ago = |at: EpochMillis| ago_ms(at, now);
         let verdicts = self.verdicts.iter().filter(|(_, held)| {
-            let is_lasting =
-                held.state.has_term() || held.state.is_probed_here();
-            repeated(held.repeat_until) || (repeats_all && is_lasting)
+            held.state.until().is_some()
+                && (repeats_all || repeated(held.repeat_until))
         });
         let verdicts = verdicts
             .map(|(part, held)| verdict_row(*part, &held.state, now))
@@ -249,37 +248,28 @@
     ) -> Option<LedgerEvent> {
         let sent_at = now.before(Duration::from_millis(row.sent_ago_ms));
         let left = Duration::from_millis(row.left_ms).min(MAX_TERM);
+        let until = now.after(left);
         if let Some(held) = self.cleared.get_mut(&row.part)
             && sent_at <= held.at
         {
             held.repeat_until = now.after(REPEAT_TIME);
             return None;
         }
-        if let Some(held) = self.verdicts.get_mut(&row.part) {
-            if let Some(state) = held.state.advance(now) {
-                held.state = state;
-            }
-            let until = now.after(left);
-            let terms = held.state.counts().1;
-            let is_longer = terms <= row.terms
-                && held.state.has_term()
-                && held
-                    .state
-                    .until()
-                    .is_some_and(|own| own.after(TERM_TOLERANCE) < until);
-            if row.terms == terms && !is_longer {
-                held.state = held.state.hear_probe(until, now);
-                held.state.raise_trials(row.trials);
-            }
-            if row.terms <= terms && !is_longer {
+        if let Some(held) = self.verdicts.get(&row.part) {
+            let is_longer = held
+                .state
+                .until()
+                .is_some_and(|own| own.after(TERM_TOLERANCE) < until);
+            if row.terms <= held.state.counts().1 && !is_longer {
                 return None;
             }
         } else if MAX_VERDICTS <= self.verdicts.len() {
             return Some(LedgerEvent::TableFull(row.part));
         }
         let VerdictRow { part, trials, terms, .. } = *row;
-        let counts = (trials, terms);
-        let state = VerdictState::reported(part, counts, sent_at, left, now);
+        let verdict =
+            PartVerdict::reported(part, (trials, terms), sent_at, until);
+        let state = VerdictState::Rejected(verdict);
         let repeat_until = EpochMillis::default();
         self.verdicts.insert(part, HeldVerdict { state, repeat_until });
         Some(LedgerEvent::Adopted(*row))
--- a/crates/celerylead/src/quarantine/ledger.rs
+++ b/crates/celerylead/src/quarantine/ledger.rs
@@ -1,23 +1,31 @@
 //! The evidence that one host has, and the verdicts that it knows.
 
-use std::time::Duration;
+use std::{cmp::Reverse, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
 use super::{
-    crash::{CrashLog, CrashWitness},
+    crash::{CrashLog, CrashWitness, TrialCount},
     exchange::{NewsSchedule, verdict_row},
     part::{PartId, PromptParts},
     report::{ClearanceBasis, VerdictRow},
     signs::{RunnerSign, SignLog},
     sound::SoundLog,
     unframed::UnframedEnds,
-    verdict::VerdictState,
+    verdict::{PartVerdict, VerdictState},
 };
 use crate::{clock::EpochMillis, roster::RunnerStart, sorted::SortedTable};
 
+/// Trials after which a part is rejected. Two may be a coincidence: a rare
+/// sound part may meet two crashes of other causes before its next answer.
+pub const TRIALS_TO_REJECT: u32 = 3;
+/// Trials after which a part is rejected on which an answer is known to have
+/// gone on. Prompts share their first parts, which therefore gather the trials of
+/// all deadly parts there are: with three of these, six trials before one of them
+/// has enough.
+const SOUND_TRIALS_TO_REJECT: u32 = 7;
 /// Trials from which a call isn't sent again after its runner ended.
-pub(super) const TRIALS_TO_HOLD: u32 = 2;
+const TRIALS_TO_HOLD: u32 = 2;
 /// Time for which news is repeated to the other hosts, each of which is sent
 /// gossip at least twice within it.
 pub(super) const REPEAT_TIME: Duration = Duration::from_millis(1_000);
@@ -28,9 +36,6 @@
 /// Difference that transfer may cause between the times of two events, as hosts
 /// tell each other how long ago these were.
 const TRANSFER_TOLERANCE: Duration = Duration::from_millis(50);
-/// Difference that late messages may cause between the times of the same probe in
-/// the verdicts on its parts.
-const GROUP_TOLERANCE: Duration = Duration::from_millis(500);
 /// Time for which a clearance is remembered.
 const CLEARANCE_MEMORY: Duration = Duration::from_secs(600);
 /// Time for which a call that ended with its runner is weighed again: until the
@@ -47,9 +52,6 @@
     Admit,
     /// The call may be sent as the probe of this part.
     Probe(PartId),
-    /// Whether this part crashes runners isn't confirmed yet, or is probed; a
-    /// call may be admitted from this time on.
-    Suspend(PartId, EpochMillis),
     /// This part is rejected.
     Reject(PartId),
 }
@@ -58,9 +60,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum LedgerEvent {
-    /// A part is suspended or, after a probe, rejected by this host's evidence.
+    /// A part is rejected by this host's evidence.
     Rejected(VerdictRow),
-    /// A part is suspended or rejected by another host's verdict.
+    /// A part is rejected by another host's verdict.
     Adopted(VerdictRow),
     /// A part is no longer rejected, as an answer on it went on or an operator
     /// said so.
@@ -115,15 +117,14 @@
 /// let now = EpochMillis(5_000);
 /// ledger.report(1, now);
 /// let parts = PromptParts::of_prompt([0xa, 0xb, 0xc0]);
-/// let admission = ledger.admit(&parts, |_| 0, now);
-/// let until = EpochMillis(6_000);
-/// assert_eq!(admission, PartAdmission::Suspend(PartId(0xb), until));
+/// let admission = ledger.admit(&parts, |_| false, now);
+/// assert_eq!(admission, PartAdmission::Reject(PartId(0xb)));
 /// ```
 #[derive(Debug)]
 pub struct SuspectLedger {
     pub(super) crashes: CrashLog,
     /// Calls that ended with a runner whose end isn't settled yet.
-    pub(super) unsettled: Vec<(CrashWitness, EpochMillis)>,
+    unsettled: Vec<(CrashWitness, EpochMillis)>,
     pub(super) signs: SignLog,
     pub(super) sound: SoundLog,
     pub(super) unframed: UnframedEnds,
@@ -134,7 +135,7 @@
     pub(super) verdicts: SortedTable<PartId, HeldVerdict>,
     pub(super) news: NewsSchedule,
     /// Time until which other hosts may still tell which parts were sound.
-    pub(super) learns_until: EpochMillis,
+    learns_until: EpochMillis,
 }
 
 impl SuspectLedger {
@@ -240,70 +241,34 @@
                 && let VerdictState::Probing(verdict) = held.state
             {
                 held.state = VerdictState::Probation(verdict.undecided(now));
-                held.repeat_until = now.after(REPEAT_TIME);
-                self.news.tell_soon(now);
             }
         }
     }
 
-    /// Decides whether a call may be sent to a runner. `rank` tells how many
-    /// hosts come before this one in probing a part.
+    /// Decides whether a call may be sent to a runner. `is_prober` says
+    /// whether this host is the one that probes a part.
     pub fn admit(
         &mut self,
         parts: &PromptParts,
-        rank: impl Fn(PartId) -> usize,
+        is_prober: impl Fn(PartId) -> bool,
         now: EpochMillis,
     ) -> PartAdmission {
+        let mut admission = PartAdmission::Admit;
         if self.verdicts.is_empty() {
-            return PartAdmission::Admit;
+            return admission;
         }
-        let mut suspended: Option<(EpochMillis, PartId)> = None;
-        let mut probed = None;
         for part in parts.iter() {
             let Some(held) = self.verdicts.get_mut(&part) else { continue };
             let Some(mut state) = held.state.advance(now) else { continue };
             state.touch(now);
             held.state = state;
-            if let VerdictState::Probation(verdict) = state
-                && verdict.may_probe(rank(part), now)
-            {
-                probed.get_or_insert(part);
-                continue;
-            }
-            let Some(retry_at) = state.retry_at(now) else {
+            let on_probation = matches!(state, VerdictState::Probation(_));
+            if !on_probation || !is_prober(part) {
                 return PartAdmission::Reject(part);
-            };
-            suspended = suspended.max(Some((retry_at, part)));
-        }
-        if let Some(part) = self.whole_group(parts) {
-            return PartAdmission::Reject(part);
-        }
-        match (suspended, probed) {
-            (Some((at, part)), _) => PartAdmission::Suspend(part, at),
-            (None, Some(part)) => PartAdmission::Probe(part),
-            (None, None) => PartAdmission::Admit,
+            }
+            admission = PartAdmission::Probe(part);
         }
-    }
-
-    /// Returns a part of a call that has all parts of a probe that may have ended
-    /// its runner. Such a call would end the next one, whichever part is the
-    /// cause; one with fewer of them tells them apart.
-    fn whole_group(&self, parts: &PromptParts) -> Option<PartId> {
-        let unconfirmed = || {
-            self.verdicts.iter().filter(|(_, held)| held.state.counts().1 <= 1)
-        };
-        let of_call = unconfirmed().filter(|(part, _)| parts.contains(**part));
-        let mut of_call = of_call.map(|(part, held)| (*part, &held.state));
-        let whole = of_call.find(|(_, state)| {
-            let group = unconfirmed().filter(|(_, other)| {
-                let gap = state.sent_at().0.abs_diff(other.state.sent_at().0);
-                u128::from(gap) <= GROUP_TOLERANCE.as_millis()
-            });
-            let mut group = group.map(|(part, _)| *part);
-            let size = group.clone().count();
-            1 < size && group.all(|part| parts.contains(part))
-        });
-        whole.map(|(part, _)| part)
+        admission
     }
 
     /// Records that a call was sent as the probe of a part.
@@ -312,8 +277,6 @@
             && let VerdictState::Probation(verdict) = held.state
         {
             held.state = VerdictState::Probing(verdict.probe(now));
-            held.repeat_until = now.after(REPEAT_TIME);
-            self.news.tell_soon(now);
         }
     }
 
@@ -423,6 +386,103 @@
         }
     }
 
+    /// Weighs the calls whose runners' ends may be settled by now. Rejects the
+    /// part that explains the crashes best, if one has enough trials, and then
+    /// the best for those crashes that it doesn't explain.
+    pub(super) fn weigh(&mut self, now: EpochMillis) -> Vec<LedgerEvent> {
+        let mut events = Vec::new();
+        self.unsettled.retain(|(_, until)| now < *until);
+        if self.unsettled.is_empty() {
+            return events;
+        }
+        let parts = self.unsettled_parts();
+        for (part, _) in &parts {
+            if self.verdicts.get(part).is_some() {
+                events.extend(self.confirm(*part, now));
+            }
+        }
+        while let Some((part, count)) = self.best_explanation(&parts, now) {
+            if MAX_VERDICTS <= self.verdicts.len() {
+                events.push(LedgerEvent::TableFull(part));
+                break;
+            }
+            let verdict =
+                PartVerdict::first(part, count.trials, count.sent_at, now);
+            let state = VerdictState::Rejected(verdict);
+            let repeat_until = now.after(REPEAT_TIME);
+            self.verdicts.insert(part, HeldVerdict { state, repeat_until });
+            self.news.tell_soon(now);
+            events.push(LedgerEvent::Rejected(verdict_row(part, &state, now)));
+        }
+        events
+    }
+
+    /// Returns the parts of the unsettled calls, each with its greatest depth in
+    /// a prompt.
+    fn unsettled_parts(&self) -> Vec<(PartId, usize)> {
+        let mut depths: SortedTable<PartId, usize> = SortedTable::default();
+        for (witness, _) in &self.unsettled {
+            for (depth, part) in witness.parts.iter().enumerate() {
+                let greatest = depths.entry(part, || depth);
+                *greatest = depth.max(*greatest);
+            }
+        }
+        depths.iter().map(|(part, depth)| (*part, *depth)).collect()
+    }
+
+    /// Returns the part with enough trials that explains the crashes best: one
+    /// on which no answer is known to have gone on, then the one with most
+    /// trials, then the deepest in its prompt, which the fewest calls share.
+    fn best_explanation(
+        &self,
+        parts: &[(PartId, usize)],
+        now: EpochMillis,
+    ) -> Option<(PartId, TrialCount)> {
+        let unjudged =
+            parts.iter().filter(|(part, _)| self.verdicts.get(part).is_none());
+        let counted = unjudged
+            .map(|(part, depth)| {
+                (*part, *depth, self.trials(*part, Some(now)))
+            })
+            .filter(|(part, _, count)| {
+                let is_learning = now < self.learns_until;
+                let needed = match is_learning || self.was_sound(*part) {
+                    true => SOUND_TRIALS_TO_REJECT,
+                    false => TRIALS_TO_REJECT,
+                };
+                needed <= count.trials
+            });
+        let best = counted.max_by_key(|(part, depth, count)| {
+            (Reverse(self.was_sound(*part)), count.trials, *depth)
+        });
+        // A sound part is no explanation where another part may be left out.
+        let best = best.filter(|(part, _, count)| {
+            !(count.is_partial && self.was_sound(*part))
+        });
+        best.map(|(part, _, count)| (part, count))
+    }
+
+    /// Applies another crash to a part with a verdict. During its term the
+    /// crash is due to a call that was under way; after it, to a probe.
+    fn confirm(
+        &mut self,
+        part: PartId,
+        now: EpochMillis,
+    ) -> Option<LedgerEvent> {
+        let TrialCount { sent_at, .. } = self.trials(part, Some(now));
+        let held = self.verdicts.get_mut(&part)?;
+        if sent_at <= held.state.sent_at() {
+            return None;
+        }
+        if let VerdictState::Rejected(verdict) = &mut held.state {
+            verdict.sent_at = sent_at;
+            return None;
+        }
+        held.state = VerdictState::Rejected(held.state.renew(sent_at, now));
+        held.repeat_until = now.after(REPEAT_TIME);
+        Some(LedgerEvent::Rejected(verdict_row(part, &held.state, now)))
+    }
+
     /// Records that a part was cleared at a time, and on what basis.
     pub(super) fn clear(
         &mut self,
@@ -479,10 +539,36 @@
         })
     }
 
-    pub(super) fn cleared_at(&self, part: PartId) -> Option<EpochMillis> {
+    fn cleared_at(&self, part: PartId) -> Option<EpochMillis> {
         self.cleared.get(&part).map(|held| held.at)
     }
 
+    /// Counts the trials of a part, without the crashes that a rejected part
+    /// explains; with `settled_at`, those that are settled by then.
+    fn trials(
+        &self,
+        part: PartId,
+        settled_at: Option<EpochMillis>,
+    ) -> TrialCount {
+        if self.suspects.get(&part).is_none() {
+            return TrialCount::default();
+        }
+        let is_explained = |parts: &PromptParts| {
+            parts.iter().any(|other| {
+                other != part && self.verdicts.get(&other).is_some()
+            })
+        };
+        let cleared_at = self.cleared_at(part);
+        let was_sound = |part| self.was_sound(part);
+        self.crashes.trials(
+            part,
+            cleared_at,
+            settled_at,
+            is_explained,
+            was_sound,
+        )
+    }
+
     /// Makes the transitions that are due.
     pub(super) fn advance(&mut self, now: EpochMillis) -> Vec<LedgerEvent> {
         let mut dropped = Vec::new();
--- a/crates/celerylead/src/quarantine/mod.rs
+++ b/crates/celerylead/src/quarantine/mod.rs
@@ -18,20 +18,13 @@
 //! * An answer that goes on clears the parts of its prompt, at all hosts. Parts
 //!   that many calls share are cleared within moments, so that only a part on
 //!   which no answer goes on can gather trials.
-//! * After [`TRIALS_TO_REJECT`] trials the part is suspended: all hosts refuse
-//!   calls with it for now, as the verdict may be wrong. A call with a part under
-//!   suspicion isn't sent to a second runner.
-//! * After a term of a second one host of the fleet sends one call as a probe,
-//!   and tells the others. If its answer goes on, the part is cleared. If its
-//!   runner ends, the part is rejected: calls with it are refused for good for a
-//!   minute, until the next probe, and then for twice as long each time. The host
-//!   that comes first for a part may get no call with it, so that with time
-//!   others may probe it.
-//! * A probe that has another part with enough trials doesn't tell which of them
-//!   is the cause: both are suspended, calls with both are rejected, and calls with
-//!   one of them probe it.
-//! * An answer that was under way when the verdict was found clears the part too,
-//!   and so does an operator.
+//! * After [`TRIALS_TO_REJECT`] trials the part is rejected: calls with it are
+//!   refused for good, by all hosts. A call with a part under suspicion isn't
+//!   sent to a second runner.
+//! * A verdict ends by itself: after its term one host of the fleet sends one
+//!   call as a probe. If its answer goes on, the part is cleared; if its runner
+//!   ends, the next term is twice as long. An answer that was under way when
+//!   the verdict was found clears the part too, and so does an operator.
 //! * A call has as many suspects as its head names parts, if these are few. Of
 //!   many, those that look like sound ones are left out, and then no
 //!   part on which an answer went on is rejected: the cause isn't known.
@@ -51,16 +44,14 @@
 mod tests;
 mod unframed;
 mod verdict;
-mod weighing;
 
 pub use self::{
     crash::{CrashLog, CrashWitness},
-    ledger::{LedgerEvent, PartAdmission, SuspectLedger},
+    ledger::{LedgerEvent, PartAdmission, SuspectLedger, TRIALS_TO_REJECT},
     part::{PartId, PromptParts},
     report::{
         ClearanceBasis, ClearanceRow, CrashRow, EvidenceReport, KeptVerdict,
         SignRow, VerdictRow, WitnessRow,
     },
     signs::RunnerSign,
-    weighing::TRIALS_TO_REJECT,
 };
--- a/crates/celerylead/src/quarantine/report.rs
+++ b/crates/celerylead/src/quarantine/report.rs
@@ -73,29 +73,10 @@
     /// Time since the last call that crashed a runner was sent, in
     /// milliseconds.
     pub sent_ago_ms: u64,
-    /// Time left until the part may be probed, as far as the host knows of no
-    /// earlier end of a probe under way, in milliseconds.
+    /// Time left until the part may be probed, in milliseconds.
     pub left_ms: u64,
 }
 
-impl VerdictRow {
-    /// Returns whether a probe has confirmed the verdict.
-    ///
-    /// # Examples
-    ///
-    /// ```
-    /// use celerylead::quarantine::{PartId, VerdictRow};
-    ///
-    /// let part = PartId(0x91);
-    /// let (sent_ago_ms, left_ms) = (40, 1_960);
-    /// let row = VerdictRow { part, trials: 3, terms: 1, sent_ago_ms, left_ms };
-    /// assert!(!row.is_confirmed());
-    /// ```
-    pub fn is_confirmed(&self) -> bool {
-        1 < self.terms
-    }
-}
-
 /// A verdict as the platform's store keeps it for hosts that start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/celerylead/src/quarantine/tests.rs
+++ b/crates/celerylead/src/quarantine/tests.rs
@@ -3,7 +3,6 @@
 mod evidence_order;
 mod prompts;
 mod several;
-mod sound_parts;
 mod unframed;
 
 use std::time::Duration;
@@ -17,12 +16,8 @@
 
 /// Part that crashes runners, in the cases that have one.
 const DEADLY: u64 = 0xdead;
-/// Term of a verdict that no probe has confirmed.
-const SUSPENSION: Duration = Duration::from_millis(1_000);
-/// First term of a confirmed verdict.
+/// Length of a verdict's first term.
 const FIRST_TERM: Duration = Duration::from_secs(60);
-/// Time of the confirmation in [`confirmed_ledger`].
-const CONFIRMED_AT: u64 = 2_455;
 
 /// Something that a ledger learns.
 #[derive(Clone, Copy)]
@@ -411,220 +406,89 @@
     ledger
 }
 
-/// Returns a ledger whose verdict on [`DEADLY`] a probe has confirmed at
-/// [`CONFIRMED_AT`].
-fn confirmed_ledger() -> SuspectLedger {
-    let mut ledger = rejecting_ledger();
-    let now = EpochMillis(2_400);
-    ledger.admit(&parts(&[DEADLY]), |_| 0, now);
-    ledger.begin_probe(PartId(DEADLY), now);
-    Step::Crash(8, &[DEADLY], [2_400, 2_450]).apply(&mut ledger);
-    ledger
-}
-
-/// Guards against verdicts without an end, against a final refusal before a probe
-/// has confirmed the verdict, and against a part that stays refused as the host
-/// that probes it first gets no call with it.
+/// Guards against verdicts without an end, and against more than one probe of a
+/// part by term and fleet.
 #[test]
 fn a_verdict_ends_by_one_probe_of_one_host() {
     struct Case {
         name: &'static str,
-        /// Whether a probe has confirmed the verdict.
-        is_confirmed: bool,
-        /// Time from the verdict.
+        /// Time from the verdict, and whether this host is the prober.
         after: Duration,
-        /// Number of hosts that come before this one.
-        rank: usize,
+        is_prober: bool,
         expected: PartAdmission,
     }
-    let part = PartId(DEADLY);
-    let reject = PartAdmission::Reject(part);
-    let probe = PartAdmission::Probe(part);
-    let second = Duration::from_secs(1);
-    let ended = EpochMillis(355).after(SUSPENSION);
+    let reject = PartAdmission::Reject(PartId(DEADLY));
     let cases = [
         Case {
-            name: "within the first term",
-            is_confirmed: false,
-            after: SUSPENSION / 2,
-            rank: 0,
-            expected: PartAdmission::Suspend(part, ended),
-        },
-        Case {
-            name: "after the first term, another host probes",
-            is_confirmed: false,
-            after: SUSPENSION,
-            rank: 1,
-            expected: PartAdmission::Suspend(part, ended.after(second)),
-        },
-        Case {
-            name: "after the first term",
-            is_confirmed: false,
-            after: SUSPENSION,
-            rank: 0,
-            expected: probe,
-        },
-        Case {
-            name: "the first of five hosts gets no call",
-            is_confirmed: false,
-            after: SUSPENSION + second * 3,
-            rank: 4,
-            expected: probe,
-        },
-        Case {
-            name: "most of 560 hosts get no call",
-            is_confirmed: false,
-            after: SUSPENSION + second * 10,
-            rank: 559,
-            expected: probe,
-        },
-        Case {
-            name: "within the second term",
-            is_confirmed: true,
-            after: FIRST_TERM - second,
-            rank: 0,
+            name: "within the term",
+            after: FIRST_TERM - Duration::from_secs(1),
+            is_prober: true,
             expected: reject,
         },
         Case {
-            name: "after the second term, another host probes",
-            is_confirmed: true,
+            name: "after the term, another host probes",
             after: FIRST_TERM,
-            rank: 1,
-            expected: PartAdmission::Suspend(
-                part,
-                EpochMillis(CONFIRMED_AT).after(FIRST_TERM + second),
-            ),
+            is_prober: false,
+            expected: reject,
         },
         Case {
-            name: "after the second term",
-            is_confirmed: true,
+            name: "after the term",
             after: FIRST_TERM,
-            rank: 0,
-            expected: probe,
+            is_prober: true,
+            expected: PartAdmission::Probe(PartId(DEADLY)),
         },
     ];
     let parts = parts(&[DEADLY]);
-    for Case { name, is_confirmed, after, rank, expected } in cases {
-        let (mut ledger, at) = match is_confirmed {
-            true => (confirmed_ledger(), CONFIRMED_AT),
-            false => (rejecting_ledger(), 355),
-        };
-        let now = EpochMillis(at).after(after);
-        assert_eq!(ledger.admit(&parts, |_| rank, now), expected, "{name}");
-    }
-}
-
-/// Guards against more than one probe of a part at a time, by the fleet.
-#[test]
-fn no_host_probes_a_part_that_another_one_probes() {
-    struct Case {
-        name: &'static str,
-        /// Time from the begin of the probe to the call at the other host.
-        after: u64,
-        /// Whether the probe has told nothing in the meantime.
-        is_undecided: bool,
-        expected: PartAdmission,
-    }
-    const PROBED_AT: u64 = 2_400;
-    let part = PartId(DEADLY);
-    let at = |after| EpochMillis(PROBED_AT + after);
-    let cases = [
-        Case {
-            name: "under way",
-            after: 9_000,
-            is_undecided: false,
-            expected: PartAdmission::Suspend(part, at(10_000)),
-        },
-        Case {
-            name: "its end was never told",
-            after: 21_000,
-            is_undecided: false,
-            expected: PartAdmission::Probe(part),
-        },
-        Case {
-            name: "it told nothing",
-            after: 9_000,
-            is_undecided: true,
-            expected: PartAdmission::Probe(part),
-        },
-    ];
-    let parts = parts(&[DEADLY]);
-    for Case { name, after, is_undecided, expected } in cases {
-        let mut ledgers = [rejecting_ledger(), rejecting_ledger()];
-        let [prober, other] = &mut ledgers;
-        prober.admit(&parts, |_| 0, at(0));
-        prober.begin_probe(part, at(0));
-        let second = prober.admit(&parts, |_| 0, at(1));
-        let refused = PartAdmission::Suspend(part, at(1_001));
-        assert_eq!(second, refused, "{name}: the second call");
-        other.merge(&prober.report(2, at(20)).0, at(30));
-        if is_undecided {
-            prober.record_neutral(&parts, at(500));
-            other.merge(&prober.report(2, at(520)).0, at(530));
-        }
-        assert_eq!(other.admit(&parts, |_| 1, at(after)), expected, "{name}");
+    for Case { name, after, is_prober, expected } in cases {
+        let mut ledger = rejecting_ledger();
+        let now = EpochMillis(355).after(after);
+        assert_eq!(
+            ledger.admit(&parts, |_| is_prober, now),
+            expected,
+            "{name}"
+        );
     }
+    // The second call isn't a probe while the first one is under way.
+    let mut ledger = rejecting_ledger();
+    let now = EpochMillis(355).after(FIRST_TERM);
+    ledger.admit(&parts, |_| true, now);
+    ledger.begin_probe(PartId(DEADLY), now);
+    assert_eq!(ledger.admit(&parts, |_| true, now), reject);
+    ledger.record_neutral(&parts, now);
+    let probe = PartAdmission::Probe(PartId(DEADLY));
+    assert_eq!(ledger.admit(&parts, |_| true, now), probe);
 }
 
 /// Guards against a part that is tried at its old pace although its probes keep
-/// crashing runners, against one that stays rejected although it is sound, and
-/// against a verdict that is confirmed by a call which was no probe.
+/// crashing runners, and against one that stays rejected although it is sound.
 #[test]
 fn a_probe_decides_what_follows() {
     struct Case {
         name: &'static str,
-        is_confirmed: bool,
-        probed_at: u64,
         step: Step,
         /// Time left of the next term; `None` if the part is cleared.
         left: Option<Duration>,
     }
-    const PROBED_AT: u64 = 62_500;
-    let case = Case {
-        name: "its runner ends",
-        is_confirmed: true,
-        probed_at: PROBED_AT,
-        step: Step::Crash(9, &[DEADLY], [PROBED_AT, PROBED_AT + 50]),
-        left: Some(FIRST_TERM * 2),
-    };
+    const PROBED_AT: u64 = 60_400;
     let cases = [
         Case {
-            name: "its answer goes on",
-            step: Step::Sound(&[DEADLY], PROBED_AT + 400),
-            left: None,
-            ..case
-        },
-        Case {
-            name: "its runner ends, in the first term",
-            is_confirmed: false,
-            probed_at: 2_400,
-            step: Step::Crash(9, &[DEADLY], [2_400, 2_450]),
-            left: Some(FIRST_TERM),
+            name: "its runner ends",
+            step: Step::Crash(9, &[DEADLY], [PROBED_AT, PROBED_AT + 50]),
+            left: Some(FIRST_TERM * 2),
         },
         Case {
-            name: "its answer goes on, in the first term",
-            is_confirmed: false,
-            probed_at: 2_400,
-            step: Step::Sound(&[DEADLY], 2_800),
+            name: "its answer goes on",
+            step: Step::Sound(&[DEADLY], PROBED_AT + 400),
             left: None,
         },
-        Case {
-            name: "a call from before the verdict ends with its runner",
-            is_confirmed: false,
-            probed_at: 2_400,
-            step: Step::Crash(9, &[DEADLY], [352, 2_450]),
-            left: Some(Duration::from_millis(19_945)),
-        },
-        case,
     ];
-    for Case { name, is_confirmed, probed_at, step, left } in cases {
-        let mut ledger =
-            if is_confirmed { confirmed_ledger() } else { rejecting_ledger() };
-        let now = EpochMillis(probed_at);
-        ledger.admit(&parts(&[DEADLY]), |_| 0, now);
+    for Case { name, step, left } in cases {
+        let mut ledger = rejecting_ledger();
+        let now = EpochMillis(PROBED_AT);
+        ledger.admit(&parts(&[DEADLY]), |_| true, now);
         ledger.begin_probe(PartId(DEADLY), now);
         step.apply(&mut ledger);
-        let row = ledger.verdicts(EpochMillis(probed_at + 55)).next();
+        let row = ledger.verdicts(EpochMillis(PROBED_AT + 55)).next();
         let found = row.map(|row| Duration::from_millis(row.left_ms));
         assert_eq!(found, left, "{name}");
     }
@@ -634,7 +498,7 @@
 /// verdict, or bring back one that has ended.
 #[test]
 fn a_verdict_is_repeated_until_it_is_disproved() {
-    let mut first = confirmed_ledger();
+    let mut first = rejecting_ledger();
     let mut second = ledger();
     // Long after the news was repeated, the verdict still is.
     let mut now = EpochMillis(20_000);
@@ -756,7 +620,7 @@
     let parts = parts(&[1]);
     ledger.record_sound(&parts, now);
     assert_eq!(
-        ledger.admit(&parts, |_| 0, now),
+        ledger.admit(&parts, |_| false, now),
         PartAdmission::Admit,
         "an answer that goes on clears the part"
     );
@@ -985,7 +849,7 @@
         }
         assert_eq!(rejected(&ledger, 4_000), [DEADLY], "{name}");
         let now = EpochMillis(4_000);
-        let admission = ledger.admit(&parts(shared), |_| 0, now);
+        let admission = ledger.admit(&parts(shared), |_| false, now);
         assert_eq!(admission, PartAdmission::Admit, "{name}: a sound call");
     }
 }
--- a/crates/celerylead/src/quarantine/tests/evidence_order.rs
+++ b/crates/celerylead/src/quarantine/tests/evidence_order.rs
@@ -13,7 +13,6 @@
     roster::RunnerStart,
 };
 
-const HOSTS: usize = 2;
 const RUNNERS: usize = 4;
 /// Parts that all calls share, and one that all sound ones have besides.
 const SHARED: u64 = 20;
@@ -87,9 +86,8 @@
     runners: [(u64, u64); RUNNERS],
     starts: u64,
     answers: Vec<Answer>,
-    /// Calls that wait for a runner: their end, host and deadly part, and whether
-    /// they are probes.
-    waiting: Vec<(u64, usize, Option<u64>, bool)>,
+    /// Calls that wait for a runner: their end, host and deadly part.
+    waiting: Vec<(u64, usize, Option<u64>)>,
     /// Calls whose end a host notices at a time.
     ends: Vec<(u64, Answer, RunnerStart)>,
     messages: Vec<(u64, usize, EvidenceReport)>,
@@ -141,7 +139,7 @@
                 self.restart(host, EpochMillis(at));
                 self.up_at[host] = at + START_TIME;
                 self.answers.retain(|answer| answer.host != host);
-                self.waiting.retain(|(_, waits, ..)| *waits != host);
+                self.waiting.retain(|(_, waits, _)| *waits != host);
                 self.ends.retain(|(_, answer, _)| answer.host != host);
             }
             if self.case.calm <= at
@@ -186,9 +184,8 @@
             host = 1 - host;
         }
         let parts = parts_of_call(&self.shared_parts(deadly), at * 2);
-        let admission = self.ledgers[host].admit(&parts, |_| host, now);
-        let is_probe = matches!(admission, PartAdmission::Probe(_));
-        let is_admitted = is_probe || admission == PartAdmission::Admit;
+        let admission = self.ledgers[host].admit(&parts, |_| host == 0, now);
+        let is_admitted = !matches!(admission, PartAdmission::Reject(_));
         if deadly.is_none() {
             self.sound.push((at, is_admitted));
         }
@@ -198,7 +195,7 @@
         if let PartAdmission::Probe(part) = admission {
             self.ledgers[host].begin_probe(part, now);
         }
-        self.waiting.push((at + PATIENCE, host, deadly, is_probe));
+        self.waiting.push((at + PATIENCE, host, deadly));
     }
 
     /// Sends the calls that wait to random runners, if any is up.
@@ -210,11 +207,11 @@
         if up.is_empty() {
             return;
         }
-        for (_, host, deadly, is_probe) in std::mem::take(&mut self.waiting) {
+        for (_, host, deadly) in std::mem::take(&mut self.waiting) {
             let parts = parts_of_call(&self.shared_parts(deadly), at * 2);
             let ledger = &mut self.ledgers[host];
-            let admission = ledger.admit(&parts, |_| HOSTS, EpochMillis(at));
-            if !is_probe && admission != PartAdmission::Admit {
+            let admission = ledger.admit(&parts, |_| false, EpochMillis(at));
+            if admission != PartAdmission::Admit {
                 continue;
             }
             let runner = up[self.random.random_range(0..up.len())];
--- a/crates/celerylead/src/request/refusal.rs
+++ b/crates/celerylead/src/request/refusal.rs
@@ -69,9 +69,6 @@
     KeyInRequest = 400 "key_in_request";
     /// A part of the request's prompt crashes backend servers.
     PromptRejected = 400 "prompt_rejected";
-    /// A part of the request's prompt may crash backend servers, which isn't
-    /// confirmed.
-    PromptSuspended = 503 "prompt_suspended";
     /// The request's body is larger than allowed.
     BodyTooLarge = 413 "body_too_large";
     /// The request's head is larger than allowed.
--- a/crates/celerylead/src/tasks/node/quarantine.rs
+++ b/crates/celerylead/src/tasks/node/quarantine.rs
@@ -26,10 +26,6 @@
 /// parts were sound.
 const LEARNING_TIME: Duration = Duration::from_millis(2_000);
 
-/// Time over which the callers of a suspended part are spread that return, so
-/// that some of them come after the probe.
-const RETRY_SPREAD: Duration = Duration::from_millis(500);
-
 /// The ledger of one host.
 pub(super) struct QuarantineDesk {
     host: String,
@@ -65,23 +61,13 @@
         let requirements = &call.requirements;
         let parts = &requirements.parts;
         let own = self.host.as_str();
-        let rank = |part: PartId| {
-            membership::host_rank(hosts.live(now), own, &part.to_string())
+        let is_prober = |part: PartId| {
+            let fleet = hosts.live(now).chain([own]);
+            membership::best_host(fleet, &part.to_string()) == Some(own)
         };
-        let probed = match self.ledger.admit(parts, rank, now) {
+        let probed = match self.ledger.admit(parts, is_prober, now) {
             PartAdmission::Admit => None,
             PartAdmission::Probe(part) => Some(part),
-            PartAdmission::Suspend(part, retry_at) => {
-                let message = format!(
-                    "part {part} of the prompt may crash backend servers, \
-                     which is about to be tested; the request was not run"
-                );
-                let spread = RETRY_SPREAD.mul_f64(rand::random());
-                let code = RefusalCode::PromptSuspended;
-                return Err(Refusal::not_run(code, &message)
-                    .retry_at(Some(retry_at.after(spread)))
-                    .verdict(self.ledger.verdict(part, now)));
-            }
             PartAdmission::Reject(part) => {
                 let message = format!(
                     "part {part} of the prompt crashes backend servers; the \
@@ -268,30 +254,15 @@
     }
 
     fn log_verdict(&self, row: &VerdictRow, source: &str) {
-        let VerdictRow { part, trials, terms, sent_ago_ms, left_ms } = *row;
-        let was_sound = self.ledger.was_sound(part);
-        if row.is_confirmed() {
-            tracing::warn!(
-                event = "part_rejected",
-                part = %part,
-                source,
-                trials,
-                terms,
-                sent_ago_ms,
-                left_ms,
-                was_sound,
-            );
-        } else {
-            tracing::warn!(
-                event = "part_suspended",
-                part = %part,
-                source,
-                trials,
-                terms,
-                sent_ago_ms,
-                left_ms,
-                was_sound,
-            );
-        }
+        tracing::warn!(
+            event = "part_rejected",
+            part = %row.part,
+            source,
+            trials = row.trials,
+            terms = row.terms,
+            sent_ago_ms = row.sent_ago_ms,
+            left_ms = row.left_ms,
+            was_sound = self.ledger.was_sound(row.part),
+        );
     }
 }
