Refuse for good only on a verdict that a probe has confirmed

Cause: a verdict is a guess until a probe has tested it, and the refusal was final from the start. Class: a final answer on a belief that wasn't confirmed.

Change: in its first term, before any probe, a verdict gives 503 prompt_suspended with Retry-After, a truthful promise as nothing has run; 400 once the end of a probe's runner has confirmed it.

--- a/crates/celerylead/src/quarantine/report.rs
+++ b/crates/celerylead/src/quarantine/report.rs
@@ -77,6 +77,26 @@
     pub left_ms: u64,
 }
 
+impl VerdictRow {
+    /// Returns whether a probe has confirmed the verdict. Until then it rests on a
+    /// coincidence of crashes, and a refusal on its account can't be final.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celerylead::quarantine::{PartId, VerdictRow};
+    ///
+    /// let part = PartId(0xb);
+    /// let (trials, terms, sent_ago_ms, left_ms) = (3, 1, 250, 60_000);
+    /// let row = VerdictRow { part, trials, terms, sent_ago_ms, left_ms };
+    /// assert!(!row.is_confirmed());
+    /// assert!(VerdictRow { terms: 2, ..row }.is_confirmed());
+    /// ```
+    pub fn is_confirmed(&self) -> bool {
+        1 < self.terms
+    }
+}
+
 /// A verdict as the platform's store keeps it for hosts that start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/celerylead/src/quarantine/tests.rs
+++ b/crates/celerylead/src/quarantine/tests.rs
@@ -459,6 +459,39 @@
     assert_eq!(ledger.admit(&parts, |_| true, now), probe);
 }
 
+/// Guards against a final refusal on account of crashes that may be a
+/// coincidence.
+#[test]
+fn only_a_probe_makes_a_verdict_final() {
+    struct Case {
+        name: &'static str,
+        step: Option<Step>,
+        is_confirmed: bool,
+    }
+    const PROBED_AT: u64 = 60_400;
+    let cases = [
+        Case { name: "three trials", step: None, is_confirmed: false },
+        Case {
+            name: "the runner of a probe ends",
+            step: Some(Step::Crash(9, &[DEADLY], [PROBED_AT, PROBED_AT + 50])),
+            is_confirmed: true,
+        },
+    ];
+    for Case { name, step, is_confirmed } in cases {
+        let mut ledger = rejecting_ledger();
+        let now = EpochMillis(PROBED_AT);
+        ledger.admit(&parts(&[DEADLY]), |_| true, now);
+        if let Some(step) = step {
+            ledger.begin_probe(PartId(DEADLY), now);
+            step.apply(&mut ledger);
+        }
+        let at = EpochMillis(PROBED_AT + 55);
+        let row = ledger.verdict(PartId(DEADLY), at);
+        let found = row.map(|row| row.is_confirmed());
+        assert_eq!(found, Some(is_confirmed), "{name}");
+    }
+}
+
 /// Guards against a part that is tried at its old pace although its probes keep
 /// crashing runners, and against one that stays rejected although it is sound.
 #[test]
--- a/crates/celerylead/src/request/refusal.rs
+++ b/crates/celerylead/src/request/refusal.rs
@@ -79,6 +79,9 @@
     BurstTooSmall = 429 "request_exceeds_burst";
     /// The customer is over its rate.
     RateLimited = 429 "rate_limited";
+    /// A part of the request's prompt may crash backend servers, which no probe
+    /// has confirmed yet.
+    PromptSuspended = 503 "prompt_suspended";
     /// No runner became free in time.
     NoRunner = 503 "no_runner";
     /// The host is shutting down or has no settings yet.
--- a/crates/celerylead/src/tasks/node/quarantine.rs
+++ b/crates/celerylead/src/tasks/node/quarantine.rs
@@ -26,6 +26,10 @@
 /// parts were sound.
 const LEARNING_TIME: Duration = Duration::from_millis(2_000);
 
+/// Shortest time after which a caller may return whose prompt has a part under
+/// suspicion: the time in which a probe mostly ends.
+const MIN_SUSPENSION_WAIT: Duration = Duration::from_millis(1_000);
+
 /// The ledger of one host.
 pub(super) struct QuarantineDesk {
     host: String,
@@ -69,13 +73,8 @@
             PartAdmission::Admit => None,
             PartAdmission::Probe(part) => Some(part),
             PartAdmission::Reject(part) => {
-                let message = format!(
-                    "part {part} of the prompt crashes backend servers; the \
-                     request was not run and must not be sent again"
-                );
-                let code = RefusalCode::PromptRejected;
                 let verdict = self.ledger.verdict(part, now);
-                return Err(Refusal::not_run(code, &message).verdict(verdict));
+                return Err(refusal(part, verdict, now));
             }
         };
         if requirements.sent && !self.ledger.allows_further_send(parts) {
@@ -266,3 +265,29 @@
         );
     }
 }
+
+/// Returns the refusal of a call with this part in its prompt. Callers don't
+/// return after a final refusal, so it takes a verdict that a probe has confirmed.
+fn refusal(
+    part: PartId,
+    verdict: Option<VerdictRow>,
+    now: EpochMillis,
+) -> Refusal {
+    let refusal = if verdict.is_some_and(|row| row.is_confirmed()) {
+        let message = format!(
+            "part {part} of the prompt crashes backend servers; the request \
+             was not run and must not be sent again"
+        );
+        Refusal::not_run(RefusalCode::PromptRejected, &message)
+    } else {
+        let message = format!(
+            "part {part} of the prompt may crash backend servers; the request \
+             was not run"
+        );
+        let left = verdict.map_or(0, |row| row.left_ms);
+        let wait = Duration::from_millis(left).max(MIN_SUSPENSION_WAIT);
+        Refusal::not_run(RefusalCode::PromptSuspended, &message)
+            .retry_at(Some(now.after(wait)))
+    };
+    refusal.verdict(verdict)
+}
