--- a/review/kit-3/kit.rs
+++ b/review/kit-3/kit.rs
@@ -908,7 +908,7 @@
         };
         let text = format!(
             "{{\"version\":7,\"routes\":[{{\"name\":\"r-1\",\
-             \"hostname\":\"review.example\",\"prefix\":\"/work/\",\
+             \"hostname\":\"review.example\",\"prefix\":\"/lookup/\",\
              \"type\":\"{kind}\",\"timeout_ms\":4000,\
              \"target_latency_ms\":250,\"gap_target_ms\":150,\
              \"priority\":1,\"upstream\":\"{service}\",\"max_attempts\":1,\
@@ -1041,7 +1041,7 @@
             parts => format!("X-Prompt-Prefix: {parts},{number:x}:100\r\n"),
         };
         let call = format!(
-            "POST /work/1 HTTP/1.1\r\nHost: review.example\r\n\
+            "POST /lookup/1 HTTP/1.1\r\nHost: review.example\r\n\
              X-Request-Id: {id}\r\nX-Deadline-Ms: 4000\r\n\
              Authorization: Bearer key-1\r\nX-Token-Count: {tokens}\r\n\
              {model}{prefix}Connection: close\r\n\
