Reject parts that crashes can't tell apart as a group

Cause: among parts with the same trials, none of which was ever sound, the ledger rejected the deepest. That is a guess, wrong wherever the deadly part comes first, and the refusals kept away the calls that would have told the two apart.

Ruled out: the depth itself (any fixed order fails for one of the two prompts), and evidence that differs between hosts (all three had the same three crashes).

Change: parts that the same crashes count for are rejected as an ambiguity group. Calls with all of them are refused; a call with only some of them is sent as a trial, one at a time, by the host that probes the group. Sound, its parts leave the group; crashed, those leave that it didn't have; after two such crashes in a term the rest waits for its end. Groups travel in a message of their own, which hosts of the former version ignore, and are kept in the hosts' rows. The same cause on a related path: a probe renewed the verdict on its part although an unknown part was beside it; such a part joins the group now.

Four tests expected the guess and state the group instead: "of two alike", "a sound call ended with the first crash too", the lifted verdict and the unframed end, and the prompt that is sent again and again, which also has to be told from its shared parts by one trial.

--- a/crates/celerylead/src/membership/digest.rs
+++ b/crates/celerylead/src/membership/digest.rs
@@ -15,7 +15,7 @@
     catalog::EvacuationList,
     model::ModelName,
     placement::{ModelDemand, ResidencyList},
-    quarantine::{EvidenceReport, KeptVerdict},
+    quarantine::{EvidenceReport, GroupRow, KeptVerdict},
     request::RetryClaim,
     roster::RunnerStart,
     store_version::StoreVersion,
@@ -121,6 +121,9 @@
     /// Evacuated zones that the sender knows. Hosts of a version without this
     /// message ignore it.
     Evacuations(EvacuationList),
+    /// Verdicts on parts that crashes can't be told apart by. Hosts of a version
+    /// without this message ignore it.
+    SuspectGroups(Vec<GroupRow>),
 }
 
 /// Row of a host, with the address at which other hosts reach it.
--- a/crates/celerylead/src/quarantine/crash.rs
+++ b/crates/celerylead/src/quarantine/crash.rs
@@ -68,6 +68,35 @@
     pub(super) is_partial: bool,
 }
 
+/// A crash that may be due to a part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct PartEnd<'a> {
+    pub(super) ended_at: EpochMillis,
+    /// Time at which the last call with the part was sent.
+    pub(super) sent_at: EpochMillis,
+    /// Whether the crash may be due to a part that its witnesses leave out.
+    is_partial: bool,
+    /// The start of the runner that ended.
+    pub(super) start: &'a RunnerStart,
+}
+
+impl TrialCount {
+    /// Counts the trials in these crashes, which are sorted by time.
+    pub(super) fn of(ends: &[PartEnd<'_>]) -> TrialCount {
+        let mut count = TrialCount::default();
+        let mut last_end = EpochMillis::default();
+        for end in ends {
+            count.is_partial |= end.is_partial;
+            if last_end < end.sent_at {
+                last_end = end.ended_at;
+                count.trials += 1;
+                count.sent_at = end.sent_at;
+            }
+        }
+        count
+    }
+}
+
 /// The latest crashes, by start of the runner.
 ///
 /// # Examples
@@ -183,23 +212,26 @@
         true
     }
 
-    /// Counts the trials of a part since it was last cleared. A crash that ended
-    /// a call which `is_explained` is due to another part. `was_sound` says whether
-    /// an answer on a part is known to have gone on. With `settled_at`, counts
-    /// only crashes that are settled by then.
-    pub(super) fn trials(
+    /// Returns the crashes that may be due to a part since it was last cleared,
+    /// sorted by time. A crash that ended a call which `is_explained` is due to
+    /// another part. `was_sound` says whether an answer on a part is known to have
+    /// gone on. With `settled_at`, returns only crashes that are settled by then.
+    pub(super) fn ends_of(
         &self,
         part: PartId,
         cleared_at: Option<EpochMillis>,
         settled_at: Option<EpochMillis>,
         is_explained: impl Fn(&PromptParts) -> bool,
         was_sound: impl Fn(PartId) -> bool,
-    ) -> TrialCount {
-        let mut trials: Vec<(EpochMillis, EpochMillis, bool)> = Vec::new();
-        let is_settled = |record: &&CrashRecord| {
+    ) -> Vec<PartEnd<'_>> {
+        let mut ends = Vec::new();
+        let is_settled = |record: &CrashRecord| {
             settled_at.is_none_or(|now| record.is_settled(now))
         };
-        for record in self.records.values().filter(is_settled) {
+        for (start, record) in self.records.iter() {
+            if !is_settled(record) {
+                continue;
+            }
             let candidates = record.candidates(&was_sound);
             if candidates.clone().any(|held| is_explained(&held.parts)) {
                 continue;
@@ -210,22 +242,34 @@
                 .map(|witness| witness.sent_at)
                 .filter(|sent_at| cleared_at.is_none_or(|at| at < *sent_at))
                 .max();
-            trials.extend(
-                sent.map(|sent_at| (record.ended_at, sent_at, is_partial)),
-            );
-        }
-        trials.sort();
-        let mut count = TrialCount::default();
-        let mut last_end = EpochMillis::default();
-        for (ended_at, sent_at, is_partial) in trials {
-            count.is_partial |= is_partial;
-            if last_end < sent_at {
-                last_end = ended_at;
-                count.trials += 1;
-                count.sent_at = sent_at;
-            }
+            let ended_at = record.ended_at;
+            ends.extend(sent.map(|sent_at| PartEnd {
+                ended_at,
+                sent_at,
+                is_partial,
+                start,
+            }));
         }
-        count
+        ends.sort();
+        ends
+    }
+
+    /// Returns the parts of those calls with a part that were sent at `sent_at`
+    /// and ended with their runner, without parts that belong to one call alone.
+    pub(super) fn shared_parts_with(
+        &self,
+        part: PartId,
+        sent_at: EpochMillis,
+    ) -> Vec<PartId> {
+        let held = self.records.values().flat_map(|record| &record.witnesses);
+        let sent = held.map(|held| &held.witness).filter(|witness| {
+            witness.sent_at == sent_at && witness.parts.contains(part)
+        });
+        let mut parts: Vec<PartId> =
+            sent.flat_map(|witness| witness.parts.shared()).collect();
+        parts.sort_unstable();
+        parts.dedup();
+        parts
     }
 
     /// Iterates over the crashes with those witnesses that this host repeats to
--- a/crates/celerylead/src/quarantine/exchange.rs
+++ b/crates/celerylead/src/quarantine/exchange.rs
@@ -7,6 +7,7 @@
 use std::{cmp::Reverse, time::Duration};
 
 use super::{
+    ambiguity::{AmbiguityGroup, MAX_MEMBERS},
     crash::CrashWitness,
     ledger::{
         Clearance, HeldVerdict, LedgerEvent, MAX_VERDICTS, REPEAT_TIME,
@@ -14,8 +15,8 @@
     },
     part::PartId,
     report::{
-        ClearanceBasis, ClearanceRow, CrashRow, EvidenceReport, SignRow,
-        VerdictRow, WitnessRow,
+        ClearanceBasis, ClearanceRow, CrashRow, EvidenceReport, GroupRow,
+        KeptVerdict, SignRow, VerdictRow, WitnessRow,
     },
     signs::RunnerSign,
     verdict::{MAX_TERM, PartVerdict, VerdictState},
@@ -41,6 +42,8 @@
 const MIN_TELL_PERIOD: Duration = Duration::from_millis(100);
 /// Most rows of each kind in a report.
 const MAX_ROWS: usize = 48;
+/// Most groups in a report; each may have [`MAX_MEMBERS`] parts.
+const MAX_GROUPS: usize = 8;
 
 /// When the other hosts are told what.
 #[derive(Debug)]
@@ -170,7 +173,10 @@
             }
         }
         for row in &report.verdicts {
-            events.extend(self.adopt(row, now));
+            events.extend(self.adopt_group(&[row.part], row, 0, now));
+        }
+        for GroupRow { parts, narrowed, verdict } in &report.groups {
+            events.extend(self.adopt_group(parts, verdict, *narrowed, now));
         }
         events.extend(self.weigh(now));
         events
@@ -188,14 +194,28 @@
         let repeats_all = self.news.repeats_all(hosts, now);
         let repeated = |until: EpochMillis| now < until;
         let ago = |at: EpochMillis| ago_ms(at, now);
-        let verdicts = self.verdicts.iter().filter(|(_, held)| {
+        let in_force = self.verdicts.iter().filter(|(_, held)| {
             held.state.until().is_some()
                 && (repeats_all || repeated(held.repeat_until))
         });
-        let verdicts = verdicts
+        let is_single = |held: &HeldVerdict| held.group.others().is_empty();
+        let verdicts = in_force
+            .clone()
+            .filter(|(_, held)| is_single(held))
             .map(|(part, held)| verdict_row(*part, &held.state, now))
             .take(MAX_ROWS)
             .collect();
+        let groups = in_force
+            .filter(|(part, held)| {
+                !is_single(held) && held.group.lead(**part) == **part
+            })
+            .map(|(part, held)| GroupRow {
+                parts: held.group.members(*part),
+                narrowed: held.group.narrowed(),
+                verdict: verdict_row(*part, &held.state, now),
+            })
+            .take(MAX_GROUPS)
+            .collect();
         // A host that has started since doesn't know which parts were sound.
         let tells_sound = repeats_all
             && self
@@ -237,25 +257,74 @@
                 }),
             }
         }
-        (EvidenceReport { crashes, signs, cleared, verdicts }, events)
+        (EvidenceReport { crashes, signs, cleared, verdicts, groups }, events)
+    }
+
+    /// Returns the verdicts in force as they are kept for hosts that start.
+    pub fn kept_verdicts(&self, now: EpochMillis) -> Vec<KeptVerdict> {
+        let verdicts = self.verdicts.iter();
+        verdicts
+            .map(|(part, held)| {
+                let row = verdict_row(*part, &held.state, now);
+                KeptVerdict::of(&row, held.group.others(), now)
+            })
+            .collect()
+    }
+
+    /// Adopts a verdict of another host on these parts, of which one at least is
+    /// the cause. If this host knows a group with one of them, the cause is
+    /// among the parts that both have.
+    fn adopt_group(
+        &mut self,
+        parts: &[PartId],
+        row: &VerdictRow,
+        narrowed: u32,
+        now: EpochMillis,
+    ) -> Vec<LedgerEvent> {
+        let sent_at = now.before(Duration::from_millis(row.sent_ago_ms));
+        let mut parts: Vec<PartId> =
+            parts.iter().copied().take(MAX_MEMBERS).collect();
+        parts.sort_unstable();
+        parts.dedup();
+        parts.retain(|part| match self.cleared.get_mut(part) {
+            Some(held) if sent_at <= held.at => {
+                held.repeat_until = now.after(REPEAT_TIME);
+                false
+            }
+            _ => true,
+        });
+        let mut events = Vec::new();
+        let known = parts.iter().find_map(|part| {
+            let held = self.verdicts.get(part);
+            held.map(|held| held.group.members(*part))
+        });
+        if let Some(known) = known {
+            parts.retain(|part| known.binary_search(part).is_ok());
+            if parts.len() < known.len() {
+                events.extend(self.narrow(&known, &parts, now));
+            }
+        }
+        for part in &parts {
+            let mut group = AmbiguityGroup::of(*part, &parts, sent_at);
+            group.note_narrowed(narrowed);
+            let row = VerdictRow { part: *part, ..*row };
+            events.extend(self.adopt(&row, group, now));
+        }
+        events
     }
 
-    /// Adopts a verdict of another host, unless this host knows better.
+    /// Adopts a verdict of another host on a part, unless this host knows better.
     fn adopt(
         &mut self,
         row: &VerdictRow,
+        mut group: AmbiguityGroup,
         now: EpochMillis,
     ) -> Option<LedgerEvent> {
         let sent_at = now.before(Duration::from_millis(row.sent_ago_ms));
         let left = Duration::from_millis(row.left_ms).min(MAX_TERM);
         let until = now.after(left);
-        if let Some(held) = self.cleared.get_mut(&row.part)
-            && sent_at <= held.at
-        {
-            held.repeat_until = now.after(REPEAT_TIME);
-            return None;
-        }
-        if let Some(held) = self.verdicts.get(&row.part) {
+        if let Some(held) = self.verdicts.get_mut(&row.part) {
+            held.group.note_narrowed(group.narrowed());
             let is_longer = held
                 .state
                 .until()
@@ -263,15 +332,16 @@
             if row.terms <= held.state.counts().1 && !is_longer {
                 return None;
             }
+            group = held.group.clone();
         } else if MAX_VERDICTS <= self.verdicts.len() {
             return Some(LedgerEvent::TableFull(row.part));
         }
         let VerdictRow { part, trials, terms, .. } = *row;
-        let verdict =
-            PartVerdict::reported(part, (trials, terms), sent_at, until);
+        let verdict = PartVerdict::reported((trials, terms), sent_at, until);
         let state = VerdictState::Rejected(verdict);
         let repeat_until = EpochMillis::default();
-        self.verdicts.insert(part, HeldVerdict { state, repeat_until });
+        let held = HeldVerdict { state, group, repeat_until };
+        self.verdicts.insert(part, held);
         Some(LedgerEvent::Adopted(*row))
     }
 }
--- a/crates/celerylead/src/quarantine/ledger.rs
+++ b/crates/celerylead/src/quarantine/ledger.rs
@@ -5,7 +5,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    crash::{CrashLog, CrashWitness, TrialCount},
+    ambiguity::AmbiguityGroup,
+    crash::{CrashLog, CrashWitness, PartEnd, TrialCount},
     exchange::{NewsSchedule, verdict_row},
     part::{PartId, PromptParts},
     report::{ClearanceBasis, VerdictRow},
@@ -54,6 +55,9 @@
     Probe(PartId),
     /// This part is rejected.
     Reject(PartId),
+    /// Another call is to tell this part from others with the same evidence
+    /// first.
+    Await(PartId),
 }
 
 /// A change of what the ledger believes.
@@ -69,14 +73,18 @@
     Cleared(PartId),
     /// A verdict that concerned no call for long was dropped.
     Dropped(PartId),
+    /// A crash without this part leaves those to reject that it had the same
+    /// evidence as.
+    Excluded(PartId),
     /// A part isn't rejected, as too many are.
     TableFull(PartId),
 }
 
 /// A verdict, and how long this host repeats it to the others.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct HeldVerdict {
     pub(super) state: VerdictState,
+    pub(super) group: AmbiguityGroup,
     pub(super) repeat_until: EpochMillis,
 }
 
@@ -105,6 +113,8 @@
 /// };
 ///
 /// let mut ledger = SuspectLedger::new(0.0, EpochMillis(0));
+/// let sound = PromptParts::of_prompt([0xa, 0xc0]);
+/// ledger.record_sound(&sound, EpochMillis(500));
 /// for crash in 1..=3 {
 ///     let parts = PromptParts::of_prompt([0xa, 0xb, 0xc0 + crash]);
 ///     let start = RunnerStart { id: format!("i-{crash}"), born: None };
@@ -174,6 +184,7 @@
         if !witness.parts.is_empty() {
             self.news.tell_soon(now);
         }
+        self.settle_trials(&witness.parts, now);
         self.add_witness(start, &witness, (now, repeat_until), now);
         self.weigh(now)
     }
@@ -219,15 +230,20 @@
         events
     }
 
-    /// Ends the verdict on a part, as an operator asks for.
+    /// Ends the verdict on a part, as an operator asks for, and on those that
+    /// have the same evidence.
     pub fn lift(
         &mut self,
         part: PartId,
         now: EpochMillis,
-    ) -> Option<LedgerEvent> {
-        self.verdicts.get(&part)?;
-        let basis = ClearanceBasis::Operator;
-        self.clear(part, (now, basis), now.after(REPEAT_TIME))
+    ) -> Vec<LedgerEvent> {
+        let Some(held) = self.verdicts.get(&part) else { return Vec::new() };
+        let cleared = (now, ClearanceBasis::Operator);
+        let repeat_until = now.after(REPEAT_TIME);
+        let members = held.group.members(part).into_iter();
+        members
+            .filter_map(|member| self.clear(member, cleared, repeat_until))
+            .collect()
     }
 
     /// Records the end of a call that says nothing of its parts, for the case
@@ -243,10 +259,13 @@
                 held.state = VerdictState::Probation(verdict.undecided(now));
             }
         }
+        self.end_trials(parts, now);
     }
 
     /// Decides whether a call may be sent to a runner. `is_prober` says
-    /// whether this host is the one that probes a part.
+    /// whether this host is the one that probes a part. A call with all parts of
+    /// an ambiguity group is known to have the cause; one with only some of them
+    /// may be sent to tell them apart, one at a time.
     pub fn admit(
         &mut self,
         parts: &PromptParts,
@@ -263,19 +282,38 @@
             state.touch(now);
             held.state = state;
             let on_probation = matches!(state, VerdictState::Probation(_));
-            if !on_probation || !is_prober(part) {
+            let lead = held.group.lead(part);
+            if held.group.is_whole_in(parts) {
+                if !on_probation
+                    || held.group.is_on_trial(now)
+                    || !is_prober(lead)
+                {
+                    return PartAdmission::Reject(part);
+                }
+            } else if !on_probation && held.group.is_exhausted() {
                 return PartAdmission::Reject(part);
+            } else if matches!(state, VerdictState::Probing(_))
+                || held.group.is_on_trial(now)
+                || !is_prober(lead)
+            {
+                return PartAdmission::Await(part);
             }
             admission = PartAdmission::Probe(part);
         }
         admission
     }
 
-    /// Records that a call was sent as the probe of a part.
-    pub fn begin_probe(&mut self, part: PartId, now: EpochMillis) {
-        if let Some(held) = self.verdicts.get_mut(&part)
-            && let VerdictState::Probation(verdict) = held.state
-        {
+    /// Records that a call with these parts was sent as the probe of a part.
+    pub fn begin_probe(
+        &mut self,
+        part: PartId,
+        parts: &PromptParts,
+        now: EpochMillis,
+    ) {
+        let Some(held) = self.verdicts.get_mut(&part) else { return };
+        if !held.group.is_whole_in(parts) {
+            self.begin_trial(part, now);
+        } else if let VerdictState::Probation(verdict) = held.state {
             held.state = VerdictState::Probing(verdict.probe(now));
         }
     }
@@ -306,6 +344,13 @@
         Some(verdict_row(part, &held.state, now))
     }
 
+    /// Returns the parts that the crashes can't tell a rejected part from.
+    pub fn others_of(&self, part: PartId) -> PromptParts {
+        let held = self.verdicts.get(&part);
+        let others = held.map_or(&[][..], |held| held.group.others());
+        PromptParts::of_prompt(others.iter().map(|part| part.0))
+    }
+
     /// Adds a call that ended with its runner. `ended` holds the time of the end
     /// and the time until which it is repeated.
     pub(super) fn add_witness(
@@ -387,8 +432,9 @@
     }
 
     /// Weighs the calls whose runners' ends may be settled by now. Rejects the
-    /// part that explains the crashes best, if one has enough trials, and then
-    /// the best for those crashes that it doesn't explain.
+    /// part that explains the crashes best, if one has enough trials, with those
+    /// that the crashes can't be told from, and then the best for those crashes
+    /// that it doesn't explain.
     pub(super) fn weigh(&mut self, now: EpochMillis) -> Vec<LedgerEvent> {
         let mut events = Vec::new();
         self.unsettled.retain(|(_, until)| now < *until);
@@ -401,18 +447,25 @@
                 events.extend(self.confirm(*part, now));
             }
         }
+        events.extend(self.narrow_groups(now));
         while let Some((part, count)) = self.best_explanation(&parts, now) {
-            if MAX_VERDICTS <= self.verdicts.len() {
+            let members = self.ambiguous_with(part, &parts, now);
+            if MAX_VERDICTS < self.verdicts.len() + members.len() {
                 events.push(LedgerEvent::TableFull(part));
                 break;
             }
-            let verdict =
-                PartVerdict::first(part, count.trials, count.sent_at, now);
-            let state = VerdictState::Rejected(verdict);
             let repeat_until = now.after(REPEAT_TIME);
-            self.verdicts.insert(part, HeldVerdict { state, repeat_until });
+            for member in &members {
+                let TrialCount { trials, sent_at, .. } = count;
+                let verdict = PartVerdict::first(trials, sent_at, now);
+                let state = VerdictState::Rejected(verdict);
+                let group = AmbiguityGroup::of(*member, &members, sent_at);
+                let held = HeldVerdict { state, group, repeat_until };
+                self.verdicts.insert(*member, held);
+                let row = verdict_row(*member, &state, now);
+                events.push(LedgerEvent::Rejected(row));
+            }
             self.news.tell_soon(now);
-            events.push(LedgerEvent::Rejected(verdict_row(part, &state, now)));
         }
         events
     }
@@ -478,9 +531,11 @@
             verdict.sent_at = sent_at;
             return None;
         }
-        held.state = VerdictState::Rejected(held.state.renew(sent_at, now));
+        let state = VerdictState::Rejected(held.state.renew(sent_at, now));
+        held.state = state;
         held.repeat_until = now.after(REPEAT_TIME);
-        Some(LedgerEvent::Rejected(verdict_row(part, &held.state, now)))
+        self.widen_group(part, sent_at);
+        Some(LedgerEvent::Rejected(verdict_row(part, &state, now)))
     }
 
     /// Records that a part was cleared at a time, and on what basis.
@@ -517,7 +572,7 @@
             }
         }
         if self.verdicts.get(&part)?.state.sent_at() <= at {
-            self.verdicts.remove(&part);
+            self.remove_verdict(part);
             return Some(LedgerEvent::Cleared(part));
         }
         None
@@ -543,47 +598,50 @@
         self.cleared.get(&part).map(|held| held.at)
     }
 
-    /// Counts the trials of a part, without the crashes that a rejected part
-    /// explains; with `settled_at`, those that are settled by then.
-    fn trials(
+    /// Returns the crashes that may be due to a part, without those that a part
+    /// with a verdict explains; with `settled_at`, those that are settled by then.
+    pub(super) fn ends_of(
         &self,
         part: PartId,
         settled_at: Option<EpochMillis>,
-    ) -> TrialCount {
+    ) -> Vec<PartEnd<'_>> {
         if self.suspects.get(&part).is_none() {
-            return TrialCount::default();
+            return Vec::new();
         }
         let is_explained = |parts: &PromptParts| {
             parts.iter().any(|other| {
-                other != part && self.verdicts.get(&other).is_some()
+                let held = self.verdicts.get(&other);
+                other != part && held.is_some_and(|h| !h.group.has(part))
             })
         };
         let cleared_at = self.cleared_at(part);
         let was_sound = |part| self.was_sound(part);
-        self.crashes.trials(
-            part,
-            cleared_at,
-            settled_at,
-            is_explained,
-            was_sound,
-        )
+        let crashes = &self.crashes;
+        crashes.ends_of(part, cleared_at, settled_at, is_explained, was_sound)
+    }
+
+    fn trials(
+        &self,
+        part: PartId,
+        settled_at: Option<EpochMillis>,
+    ) -> TrialCount {
+        TrialCount::of(&self.ends_of(part, settled_at))
     }
 
     /// Makes the transitions that are due.
     pub(super) fn advance(&mut self, now: EpochMillis) -> Vec<LedgerEvent> {
         let mut dropped = Vec::new();
-        self.verdicts.retain(|part, held| match held.state.advance(now) {
-            Some(state) => {
-                held.state = state;
-                true
-            }
-            None => {
-                dropped.push(LedgerEvent::Dropped(*part));
-                false
+        for (part, held) in self.verdicts.iter_mut() {
+            match held.state.advance(now) {
+                Some(state) => held.state = state,
+                None => dropped.push(*part),
             }
-        });
+        }
+        for part in &dropped {
+            self.remove_verdict(*part);
+        }
         self.cleared.retain(|_, held| now < held.at.after(CLEARANCE_MEMORY));
         self.news.advance(now);
-        dropped
+        dropped.into_iter().map(LedgerEvent::Dropped).collect()
     }
 }
--- a/crates/celerylead/src/quarantine/mod.rs
+++ b/crates/celerylead/src/quarantine/mod.rs
@@ -21,6 +21,9 @@
 //! * After [`TRIALS_TO_REJECT`] trials the part is rejected: calls with it are
 //!   refused for good, by all hosts. A call with a part under suspicion isn't
 //!   sent to a second runner.
+//! * Parts that the crashes can't be told apart by are rejected together: only
+//!   calls with all of them are refused, and a call with some of them is tried,
+//!   one at a time in the fleet.
 //! * A verdict ends by itself: after its term one host of the fleet sends one
 //!   call as a probe. If its answer goes on, the part is cleared; if its runner
 //!   ends, the next term is twice as long. An answer that was under way when
@@ -32,6 +35,7 @@
 //! Every table is bounded. A caller who makes up parts can neither fill them,
 //! as only calls that ended with a runner enter, nor displace a verdict.
 
+mod ambiguity;
 mod crash;
 mod exchange;
 mod ledger;
@@ -50,8 +54,8 @@
     ledger::{LedgerEvent, PartAdmission, SuspectLedger, TRIALS_TO_REJECT},
     part::{PartId, PromptParts},
     report::{
-        ClearanceBasis, ClearanceRow, CrashRow, EvidenceReport, KeptVerdict,
-        SignRow, VerdictRow, WitnessRow,
+        ClearanceBasis, ClearanceRow, CrashRow, EvidenceReport, GroupRow,
+        KeptVerdict, SignRow, VerdictRow, WitnessRow,
     },
     signs::RunnerSign,
 };
--- a/crates/celerylead/src/quarantine/report.rs
+++ b/crates/celerylead/src/quarantine/report.rs
@@ -97,8 +97,20 @@
     }
 }
 
+/// A verdict in force on parts that the crashes can't be told apart by.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct GroupRow {
+    /// The parts, of which one at least is the cause.
+    pub parts: Vec<PartId>,
+    /// Crashes by which parts left the group.
+    pub narrowed: u32,
+    /// The verdict on the first part; those on the others are the same.
+    pub verdict: VerdictRow,
+}
+
 /// A verdict as the platform's store keeps it for hosts that start.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct KeptVerdict {
     /// The rejected part.
@@ -111,20 +123,30 @@
     pub sent_at: EpochMillis,
     /// Time from which the part may be probed.
     pub until: EpochMillis,
+    /// Parts that the crashes can't tell it from. Hosts of a version without
+    /// groups reject the part by itself.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub others: Vec<PartId>,
 }
 
 impl KeptVerdict {
-    /// Converts a verdict as described at `now`.
-    pub fn of(row: &VerdictRow, now: EpochMillis) -> KeptVerdict {
+    /// Converts a verdict as described at `now`, on a part that the crashes
+    /// can't tell from the `others`.
+    pub fn of(
+        row: &VerdictRow,
+        others: &[PartId],
+        now: EpochMillis,
+    ) -> KeptVerdict {
         let VerdictRow { part, trials, terms, sent_ago_ms, left_ms } = *row;
         let sent_at = now.before(Duration::from_millis(sent_ago_ms));
         let until = now.after(Duration::from_millis(left_ms));
-        KeptVerdict { part, trials, terms, sent_at, until }
+        let others = others.to_vec();
+        KeptVerdict { part, trials, terms, sent_at, until, others }
     }
 
     /// Describes the verdict at `now`.
     pub fn row(&self, now: EpochMillis) -> VerdictRow {
-        let KeptVerdict { part, trials, terms, sent_at, until } = *self;
+        let KeptVerdict { part, trials, terms, sent_at, until, .. } = *self;
         let sent_ago_ms = sent_at.until(now).as_millis() as u64;
         let left_ms = now.until(until).as_millis() as u64;
         VerdictRow { part, trials, terms, sent_ago_ms, left_ms }
@@ -136,7 +158,7 @@
         convert: impl Fn(EpochMillis) -> EpochMillis,
     ) -> KeptVerdict {
         let (sent_at, until) = (convert(self.sent_at), convert(self.until));
-        KeptVerdict { sent_at, until, ..*self }
+        KeptVerdict { sent_at, until, ..self.clone() }
     }
 }
 
@@ -171,16 +193,40 @@
     pub signs: Vec<SignRow>,
     /// Parts that are cleared of suspicion.
     pub cleared: Vec<ClearanceRow>,
-    /// Verdicts in force.
+    /// Verdicts in force on single parts.
     pub verdicts: Vec<VerdictRow>,
+    /// Verdicts in force on groups. They travel in a message of their own, as
+    /// hosts of a version without them can't read a longer report.
+    #[serde(skip)]
+    pub groups: Vec<GroupRow>,
 }
 
 impl EvidenceReport {
+    /// Returns the report of verdicts that the store kept.
+    pub(crate) fn of_kept(
+        kept: &[KeptVerdict],
+        now: EpochMillis,
+    ) -> EvidenceReport {
+        let mut report = EvidenceReport::default();
+        for held in kept {
+            let verdict = held.row(now);
+            if held.others.is_empty() {
+                report.verdicts.push(verdict);
+                continue;
+            }
+            let others = held.others.iter().copied();
+            let parts = others.chain([held.part]).collect();
+            report.groups.push(GroupRow { parts, narrowed: 0, verdict });
+        }
+        report
+    }
+
     /// Returns whether there is nothing to tell.
     pub fn is_empty(&self) -> bool {
         self.crashes.is_empty()
             && self.signs.is_empty()
             && self.cleared.is_empty()
             && self.verdicts.is_empty()
+            && self.groups.is_empty()
     }
 }
--- a/crates/celerylead/src/quarantine/tests.rs
+++ b/crates/celerylead/src/quarantine/tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the evidence on parts of prompts and of the verdicts.
 
+mod ambiguity;
 mod evidence_order;
 mod prompts;
 mod several;
@@ -211,14 +212,14 @@
             rejected: &[DEADLY],
         },
         Case {
-            name: "of two alike, the one that fewer calls share",
+            name: "of two alike, both until a call tells them apart",
             steps: &[
                 Crash(1, &[7, DEADLY], [100, 150]),
                 Crash(2, &[7, DEADLY], [200, 250]),
                 Crash(3, &[7, DEADLY], [300, 350]),
                 Crash(4, &[7, DEADLY], [400, 450]),
             ],
-            rejected: &[DEADLY],
+            rejected: &[7, DEADLY],
         },
         Case {
             name: "a sound call ended with the first crash too",
@@ -228,7 +229,7 @@
                 Break(2, &[7, DEADLY], [200, 250]),
                 Break(3, &[7, DEADLY], [300, 350]),
             ],
-            rejected: &[DEADLY],
+            rejected: &[7, DEADLY],
         },
         Case {
             name: "what the runner hadn't begun isn't evidence",
@@ -452,7 +453,7 @@
     let mut ledger = rejecting_ledger();
     let now = EpochMillis(355).after(FIRST_TERM);
     ledger.admit(&parts, |_| true, now);
-    ledger.begin_probe(PartId(DEADLY), now);
+    ledger.begin_probe(PartId(DEADLY), &parts, now);
     assert_eq!(ledger.admit(&parts, |_| true, now), reject);
     ledger.record_neutral(&parts, now);
     let probe = PartAdmission::Probe(PartId(DEADLY));
@@ -482,7 +483,7 @@
         let now = EpochMillis(PROBED_AT);
         ledger.admit(&parts(&[DEADLY]), |_| true, now);
         if let Some(step) = step {
-            ledger.begin_probe(PartId(DEADLY), now);
+            ledger.begin_probe(PartId(DEADLY), &parts(&[DEADLY]), now);
             step.apply(&mut ledger);
         }
         let at = EpochMillis(PROBED_AT + 55);
@@ -519,7 +520,7 @@
         let mut ledger = rejecting_ledger();
         let now = EpochMillis(PROBED_AT);
         ledger.admit(&parts(&[DEADLY]), |_| true, now);
-        ledger.begin_probe(PartId(DEADLY), now);
+        ledger.begin_probe(PartId(DEADLY), &parts(&[DEADLY]), now);
         step.apply(&mut ledger);
         let row = ledger.verdicts(EpochMillis(PROBED_AT + 55)).next();
         let found = row.map(|row| Duration::from_millis(row.left_ms));
@@ -647,6 +648,7 @@
             basis: ClearanceBasis::SoundAnswer,
         }],
         verdicts: vec![row],
+        groups: Vec::new(),
     };
     let now = EpochMillis(1_000);
     ledger.merge(&report, now);
@@ -704,7 +706,7 @@
                 let times = [number * 100, number * 100 + 50];
                 Step::Crash(number, &[7, DEADLY], times).apply(ledger);
             }
-            assert_eq!(rejected(ledger, 500), [DEADLY], "{name}");
+            assert_eq!(rejected(ledger, 500), [7, DEADLY], "{name}");
         }
         let [ledger, other, third] = &mut ledgers;
         let now = EpochMillis(600);
@@ -837,18 +839,27 @@
         shared: &'static [u64],
         /// Whether sound calls with the same shared parts go on in between.
         sound_between: bool,
+        /// Shared parts that the crashes can't tell from the last one.
+        ambiguous: &'static [u64],
     }
     let cases = [
         Case {
             name: "beside sound calls",
             shared: &[1, 2],
             sound_between: true,
+            ambiguous: &[],
+        },
+        Case {
+            name: "by itself",
+            shared: &[1, 2],
+            sound_between: false,
+            ambiguous: &[1, 2],
         },
-        Case { name: "by itself", shared: &[1, 2], sound_between: false },
         Case {
             name: "without shared parts",
             shared: &[],
             sound_between: false,
+            ambiguous: &[],
         },
         Case {
             name: "behind more parts than are looked at",
@@ -856,9 +867,10 @@
                 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17,
             ],
             sound_between: true,
+            ambiguous: &[],
         },
     ];
-    for Case { name, shared, sound_between } in cases {
+    for Case { name, shared, sound_between, ambiguous } in cases {
         let mut ledger = ledger();
         let ids = shared.iter().copied().chain([DEADLY]);
         let deadly = PromptParts::of_prompt(ids);
@@ -880,8 +892,24 @@
                 ledger.record_sound(&call, at);
             }
         }
-        assert_eq!(rejected(&ledger, 4_000), [DEADLY], "{name}");
+        let expected: Vec<u64> =
+            ambiguous.iter().copied().chain([DEADLY]).collect();
+        assert_eq!(rejected(&ledger, 4_000), expected, "{name}");
         let now = EpochMillis(4_000);
+        let admission = ledger.admit(&deadly, |_| true, now);
+        let is_rejected = matches!(admission, PartAdmission::Reject(_));
+        assert!(is_rejected, "{name}: the prompt again, {admission:?}");
+        if let Some(part) = ambiguous.last() {
+            let admission = ledger.admit(&parts(shared), |_| true, now);
+            assert!(
+                matches!(admission, PartAdmission::Probe(_)),
+                "{name}: a sound call, {admission:?}"
+            );
+            ledger.begin_probe(PartId(*part), &parts(shared), now);
+            ledger.record_sound(&parts(shared), EpochMillis(4_300));
+        }
+        let now = EpochMillis(4_300);
+        assert_eq!(rejected(&ledger, 4_300), [DEADLY], "{name}");
         let admission = ledger.admit(&parts(shared), |_| false, now);
         assert_eq!(admission, PartAdmission::Admit, "{name}: a sound call");
     }
--- a/crates/celerylead/src/quarantine/tests/evidence_order.rs
+++ b/crates/celerylead/src/quarantine/tests/evidence_order.rs
@@ -185,7 +185,10 @@
         }
         let parts = parts_of_call(&self.shared_parts(deadly), at * 2);
         let admission = self.ledgers[host].admit(&parts, |_| host == 0, now);
-        let is_admitted = !matches!(admission, PartAdmission::Reject(_));
+        let is_admitted = matches!(
+            admission,
+            PartAdmission::Admit | PartAdmission::Probe(_)
+        );
         if deadly.is_none() {
             self.sound.push((at, is_admitted));
         }
@@ -193,7 +196,7 @@
             return;
         }
         if let PartAdmission::Probe(part) = admission {
-            self.ledgers[host].begin_probe(part, now);
+            self.ledgers[host].begin_probe(part, &parts, now);
         }
         self.waiting.push((at + PATIENCE, host, deadly));
     }
--- a/crates/celerylead/src/quarantine/tests/unframed.rs
+++ b/crates/celerylead/src/quarantine/tests/unframed.rs
@@ -83,7 +83,7 @@
             }
         }
         ledger.report(1, EpochMillis(60_000));
-        let expected = if is_rejected { &[DEADLY][..] } else { &[] };
+        let expected = if is_rejected { &[1, DEADLY][..] } else { &[] };
         assert_eq!(rejected(&ledger, 60_000), expected, "{name}");
     }
 }
--- a/crates/celerylead/src/quarantine/verdict.rs
+++ b/crates/celerylead/src/quarantine/verdict.rs
@@ -6,7 +6,6 @@
 
 use std::time::Duration;
 
-use super::part::PartId;
 use crate::clock::EpochMillis;
 
 /// Length of a verdict's first term; each further one is twice as long.
@@ -17,7 +16,7 @@
 pub(super) const MAX_TERM: Duration =
     Duration::from_secs(FIRST_TERM.as_secs() << MAX_TERM_DOUBLINGS);
 /// Time after which a probe whose end wasn't noticed is given up.
-const PROBE_TIMEOUT: Duration = Duration::from_secs(20);
+pub(super) const PROBE_TIMEOUT: Duration = Duration::from_secs(20);
 /// Time on probation after which a verdict that concerned no call is dropped.
 const IDLE_TIME: Duration = Duration::from_secs(600);
 
@@ -42,8 +41,6 @@
 /// A verdict on a part, in state `S`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct PartVerdict<S> {
-    /// The part.
-    pub(super) part: PartId,
     /// Trials behind the verdict.
     pub(super) trials: u32,
     /// Terms that the verdict has had, the present one included.
@@ -64,8 +61,8 @@
 
 impl<S> PartVerdict<S> {
     fn into_state<T>(self, state: T) -> PartVerdict<T> {
-        let PartVerdict { part, trials, terms, sent_at, .. } = self;
-        PartVerdict { part, trials, terms, sent_at, state }
+        let PartVerdict { trials, terms, sent_at, .. } = self;
+        PartVerdict { trials, terms, sent_at, state }
     }
 
     /// Rejects the part for another term, which is twice as long.
@@ -87,23 +84,21 @@
 impl PartVerdict<Rejected> {
     /// Rejects a part for the first time.
     pub(super) fn first(
-        part: PartId,
         trials: u32,
         sent_at: EpochMillis,
         now: EpochMillis,
     ) -> PartVerdict<Rejected> {
         let state = Rejected { until: now.after(FIRST_TERM) };
-        PartVerdict { part, trials, terms: 1, sent_at, state }
+        PartVerdict { trials, terms: 1, sent_at, state }
     }
 
     /// Takes a verdict over that another host reports.
     pub(super) fn reported(
-        part: PartId,
         (trials, terms): (u32, u32),
         sent_at: EpochMillis,
         until: EpochMillis,
     ) -> PartVerdict<Rejected> {
-        PartVerdict { part, trials, terms, sent_at, state: Rejected { until } }
+        PartVerdict { trials, terms, sent_at, state: Rejected { until } }
     }
 
     /// Returns the end of the term.
--- a/crates/celerylead/src/tasks/node/aggregation.rs
+++ b/crates/celerylead/src/tasks/node/aggregation.rs
@@ -11,7 +11,7 @@
 use tokio::time::Instant;
 
 use super::{
-    gossip::GossipTask,
+    gossip::{GossipTask, evidence_messages},
     gossip_port::PlacerEvent,
     router_port::{RouterEvent, RouterReport},
 };
@@ -194,7 +194,8 @@
             news.extend(encode(&HostMessage::Departing(departures)));
         }
         if !evidence.is_empty() {
-            news.extend(encode(&HostMessage::Evidence(evidence)));
+            let messages = evidence_messages(evidence);
+            news.extend(messages.filter_map(|message| encode(&message)));
         }
         self.aggregation.news = news;
     }
--- a/crates/celerylead/src/tasks/node/gossip.rs
+++ b/crates/celerylead/src/tasks/node/gossip.rs
@@ -36,7 +36,7 @@
         SequenceTracker,
     },
     port::StorePort,
-    quarantine::KeptVerdict,
+    quarantine::{EvidenceReport, KeptVerdict},
     request::RetryClaim,
     roster::HeldModel,
     sorted::SortedTable,
@@ -223,8 +223,10 @@
                 }
             }
             GossipEvent::Evidence(report) => {
-                let message = HostMessage::Evidence(report);
-                self.send(&message, &self.addresses()).await;
+                let addresses = self.addresses();
+                for message in evidence_messages(report) {
+                    self.send(&message, &addresses).await;
+                }
             }
             GossipEvent::Broadcast(message) => {
                 self.send_to_all(&message).await;
@@ -362,8 +364,7 @@
             self.send(&message, &digest_recipients).await;
             self.send(&message, &demand_recipients).await;
         }
-        if !evidence.is_empty() {
-            let message = HostMessage::Evidence(evidence);
+        for message in evidence_messages(evidence) {
             self.send(&message, &digest_recipients).await;
             self.send(&message, &demand_recipients).await;
         }
@@ -427,6 +428,13 @@
         }
     }
 
+    async fn merge_evidence(&self, report: EvidenceReport) {
+        let at = self.setup.clock.now();
+        let report = Box::new(report);
+        let event = RouterEvent::Evidence { report, at };
+        let _ = self.router.sender.send(event).await;
+    }
+
     /// Applies a message of another host. One that should have been forwarded
     /// isn't expected within another one, and is ignored.
     async fn apply(&mut self, message: HostMessage) {
@@ -482,11 +490,11 @@
                     tracing::debug!(event = "excerpt_dropped");
                 }
             }
-            HostMessage::Evidence(report) => {
-                let at = self.setup.clock.now();
-                let report = Box::new(report);
-                let event = RouterEvent::Evidence { report, at };
-                let _ = self.router.sender.send(event).await;
+            HostMessage::Evidence(report) => self.merge_evidence(report).await,
+            HostMessage::SuspectGroups(groups) => {
+                let report =
+                    EvidenceReport { groups, ..EvidenceReport::default() };
+                self.merge_evidence(report).await;
             }
             HostMessage::Evacuations(list) => {
                 let event = EvacuationEvent::Told(list);
@@ -512,6 +520,18 @@
     }
 }
 
+/// Returns the messages with what the other hosts should be told.
+pub(super) fn evidence_messages(
+    mut report: EvidenceReport,
+) -> impl Iterator<Item = HostMessage> {
+    let groups = std::mem::take(&mut report.groups);
+    let evidence =
+        (!report.is_empty()).then_some(HostMessage::Evidence(report));
+    let groups =
+        (!groups.is_empty()).then_some(HostMessage::SuspectGroups(groups));
+    evidence.into_iter().chain(groups)
+}
+
 /// Returns the names of models and of their adapters.
 fn model_names(models: &[HeldModel]) -> Vec<ModelName> {
     let mut names = Vec::new();
--- a/crates/celerylead/src/tasks/node/quarantine.rs
+++ b/crates/celerylead/src/tasks/node/quarantine.rs
@@ -76,6 +76,15 @@
                 let verdict = self.ledger.verdict(part, now);
                 return Err(refusal(part, verdict, now));
             }
+            PartAdmission::Await(part) => {
+                let verdict = self.ledger.verdict(part, now);
+                return Err(suspension(
+                    part,
+                    verdict,
+                    MIN_SUSPENSION_WAIT,
+                    now,
+                ));
+            }
         };
         if requirements.sent && !self.ledger.allows_further_send(parts) {
             let message = "a part of the prompt may have ended the runner";
@@ -85,10 +94,16 @@
         Ok(probed)
     }
 
-    /// Notes that a call was sent as the probe of a part.
-    pub(super) fn begin_probe(&mut self, part: PartId, now: EpochMillis) {
-        tracing::info!(event = "part_probed", part = %part);
-        self.ledger.begin_probe(part, now);
+    /// Notes that a call with these parts was sent as the probe of a part.
+    pub(super) fn begin_probe(
+        &mut self,
+        part: PartId,
+        parts: &PromptParts,
+        now: EpochMillis,
+    ) {
+        let others = self.ledger.others_of(part);
+        tracing::info!(event = "part_probed", part = %part, %others, %parts);
+        self.ledger.begin_probe(part, parts, now);
     }
 
     /// Notes what the end of a call tells.
@@ -168,8 +183,7 @@
 
     /// Adopts the verdicts that the hosts' rows keep.
     pub(super) fn adopt(&mut self, kept: &[KeptVerdict], now: EpochMillis) {
-        let verdicts = kept.iter().map(|verdict| verdict.row(now)).collect();
-        let report = EvidenceReport { verdicts, ..EvidenceReport::default() };
+        let report = EvidenceReport::of_kept(kept, now);
         self.merge(&report, now);
     }
 
@@ -209,9 +223,9 @@
 
     /// Ends the verdict on a part; returns whether there was one.
     pub(super) fn lift(&mut self, part: PartId, now: EpochMillis) -> bool {
-        let event = self.ledger.lift(part, now);
-        self.announce(event.as_slice(), now);
-        event.is_some()
+        let events = self.ledger.lift(part, now);
+        self.announce(&events, now);
+        !events.is_empty()
     }
 
     /// Logs changes of the verdicts and updates the metrics.
@@ -229,6 +243,9 @@
                 LedgerEvent::Dropped(part) => {
                     tracing::info!(event = "part_forgotten", part = %part);
                 }
+                LedgerEvent::Excluded(part) => {
+                    tracing::info!(event = "part_excluded", part = %part);
+                }
                 LedgerEvent::TableFull(part) => {
                     tracing::warn!(event = "part_verdicts_full", part = %part);
                 }
@@ -241,11 +258,11 @@
 
     /// Publishes the verdicts that are to be kept, if others are in force.
     fn keep(&self, now: EpochMillis) {
-        let rows = self.ledger.verdicts(now);
-        let kept: Vec<KeptVerdict> =
-            rows.map(|row| KeptVerdict::of(&row, now)).collect();
+        let kept = self.ledger.kept_verdicts(now);
         self.kept.send_if_modified(|former| {
-            let key = |verdict: &KeptVerdict| (verdict.part, verdict.terms);
+            let key = |verdict: &KeptVerdict| {
+                (verdict.part, verdict.terms, verdict.others.clone())
+            };
             let is_same = former.iter().map(key).eq(kept.iter().map(key));
             *former = kept;
             !is_same
@@ -261,6 +278,7 @@
             terms = row.terms,
             sent_ago_ms = row.sent_ago_ms,
             left_ms = row.left_ms,
+            others = %self.ledger.others_of(row.part),
             was_sound = self.ledger.was_sound(row.part),
         );
     }
@@ -273,21 +291,30 @@
     verdict: Option<VerdictRow>,
     now: EpochMillis,
 ) -> Refusal {
-    let refusal = if verdict.is_some_and(|row| row.is_confirmed()) {
-        let message = format!(
-            "part {part} of the prompt crashes backend servers; the request \
-             was not run and must not be sent again"
-        );
-        Refusal::not_run(RefusalCode::PromptRejected, &message)
-    } else {
-        let message = format!(
-            "part {part} of the prompt may crash backend servers; the request \
-             was not run"
-        );
+    if !verdict.is_some_and(|row| row.is_confirmed()) {
         let left = verdict.map_or(0, |row| row.left_ms);
         let wait = Duration::from_millis(left).max(MIN_SUSPENSION_WAIT);
-        Refusal::not_run(RefusalCode::PromptSuspended, &message)
-            .retry_at(Some(now.after(wait)))
-    };
-    refusal.verdict(verdict)
+        return suspension(part, verdict, wait, now);
+    }
+    let message = format!(
+        "part {part} of the prompt crashes backend servers; the request was \
+         not run and must not be sent again"
+    );
+    Refusal::not_run(RefusalCode::PromptRejected, &message).verdict(verdict)
+}
+
+/// Returns the refusal of a call that may be served after `wait`.
+fn suspension(
+    part: PartId,
+    verdict: Option<VerdictRow>,
+    wait: Duration,
+    now: EpochMillis,
+) -> Refusal {
+    let message = format!(
+        "part {part} of the prompt may crash backend servers; the request was \
+         not run"
+    );
+    Refusal::not_run(RefusalCode::PromptSuspended, &message)
+        .retry_at(Some(now.after(wait)))
+        .verdict(verdict)
 }
--- a/crates/celerylead/src/tasks/node/router_admission.rs
+++ b/crates/celerylead/src/tasks/node/router_admission.rs
@@ -97,7 +97,8 @@
             Err(fault) => return Some((entry, fault)),
         };
         if let Some(part) = probed {
-            self.quarantine.begin_probe(part, now);
+            let parts = &requirements.parts;
+            self.quarantine.begin_probe(part, parts, now);
         }
         self.admission.note_placed(&entry, now);
         let ticket = &entry.ticket;
