Refund only charges that a bucket has taken

Cause: a call came to the router with its charge as owed and as refundable at once. The router checks the deadline and the parts of the prompt before it takes the charge, and a refusal for either gave back what no bucket had taken. The host's total fell with it, from which the other hosts' levels rise.

Ruled out: refunds made twice, and the other hosts' reading of a total that falls, which a real refund needs.

Change: the charge has a life cycle, CallCharge<Owed> and CallCharge<Taken>; the router hands the taken one to the caller's attempts and gets it back with the next one, and a refund consumes it. FleetBuckets keeps the buckets of all customers with a rate and the totals of those whose rate was taken away. The same cause on related paths: a charge of a former bucket was refunded to a later one, whose total began at zero again in the same process.

--- a/crates/celerylead/src/customer/fleet.rs
+++ b/crates/celerylead/src/customer/fleet.rs
@@ -81,6 +81,8 @@
     assume_level_at: Option<EpochMillis>,
     /// Units that this host has spent since its start.
     spent: i64,
+    /// Number of earlier buckets of the customer on this host.
+    generation: u64,
     reported: SortedTable<String, ReportedTotal>,
     reported_sum: Option<ReportedSum>,
 }
@@ -94,11 +96,28 @@
             refilled_at: now,
             assume_level_at: Some(now.after(LEVEL_TIMEOUT)),
             spent: 0,
+            generation: 0,
             reported: SortedTable::default(),
             reported_sum: None,
         }
     }
 
+    /// Lets the bucket go on from the total of an earlier one.
+    pub(super) fn continuing(
+        mut self,
+        spent: i64,
+        generation: u64,
+    ) -> FleetBucket {
+        self.spent = spent;
+        self.generation = generation;
+        self
+    }
+
+    /// Returns the number of earlier buckets of the customer on this host.
+    pub(super) fn generation(&self) -> u64 {
+        self.generation
+    }
+
     /// Returns the units that this host has spent since its start.
     pub fn spent(&self) -> i64 {
         self.spent
@@ -150,7 +169,7 @@
     }
 
     /// Refunds the cost of a call that certainly didn't run.
-    pub fn refund(&mut self, cost: u64) {
+    pub(super) fn refund(&mut self, cost: u64) {
         self.level = (self.level + cost as f64).min(self.rate.burst as f64);
         self.spent = self.spent.saturating_sub(units(cost));
     }
--- a/crates/celerylead/src/customer/mod.rs
+++ b/crates/celerylead/src/customer/mod.rs
@@ -7,9 +7,11 @@
 //! * The rate is divided into shares ([`share`]), and the host that holds a
 //!   share enforces it with a token bucket ([`RateBucket`]).
 //! * Each host keeps a bucket of the whole rate, and the hosts report their
-//!   spending to each other ([`FleetBucket`]).
+//!   spending to each other ([`FleetBucket`], [`FleetBuckets`]).
 
 mod bucket;
+mod buckets;
+mod charge;
 mod fleet;
 mod key;
 mod limiter;
@@ -20,6 +22,8 @@
 
 pub use self::{
     bucket::{GRANT_HOLD, RateBucket, TokenGrant},
+    buckets::{ChargeDenial, FleetBuckets},
+    charge::{CallCharge, ChargeState, Owed, Taken},
     fleet::{FleetBucket, HostLiveness},
     key::{CallerKey, KeyHash},
     limiter::{
--- a/crates/celerylead/src/customer/tests.rs
+++ b/crates/celerylead/src/customer/tests.rs
@@ -1,4 +1,5 @@
 mod bucket;
+mod buckets;
 mod division;
 mod fleet;
 mod restarts;
--- a/crates/celerylead/src/relay/call.rs
+++ b/crates/celerylead/src/relay/call.rs
@@ -88,9 +88,6 @@
     pub model: Option<ModelName>,
     /// Memory that the call takes on a runner, in tokens.
     pub tokens: u64,
-    /// Customer, and the units that the call takes of the customer's rate;
-    /// `None` once the call has been charged.
-    pub charge: Option<(String, u64)>,
     /// Runners that were already tried for this call.
     pub tried: Vec<String>,
     /// Whether the call was sent to one of the tried runners. Sending it
--- a/crates/celerylead/src/relay/tests.rs
+++ b/crates/celerylead/src/relay/tests.rs
@@ -89,7 +89,6 @@
         service: service.to_owned(),
         model: model.map(|text| text.parse::<ModelName>().unwrap()),
         tokens: 1_000,
-        charge: None,
         tried: Vec::new(),
         sent: false,
         deadline: EpochMillis(110_000),
--- a/crates/celerylead/src/request/admission/tests.rs
+++ b/crates/celerylead/src/request/admission/tests.rs
@@ -257,7 +257,6 @@
             service: "advisor".to_owned(),
             model: Some(name),
             tokens: call.tokens,
-            charge: None,
             tried: Vec::new(),
             sent: false,
             deadline,
--- a/crates/celerylead/src/tasks/node/attempt.rs
+++ b/crates/celerylead/src/tasks/node/attempt.rs
@@ -26,6 +26,7 @@
 use crate::{
     catalog::{BilledCustomer, CallRoute, ServiceCatalog},
     clock::EpochMillis,
+    customer::{CallCharge, ChargeState},
     port::{
         AnswerVerdict, EdgeCodec, ForwardTarget, HttpLink, LinkReuse,
         SendFault,
@@ -88,22 +89,21 @@
         let idempotent = self.route.kind.is_idempotent();
         let mut request = Request::received(id, idempotent).admitted();
         let mut requirements = self.call_requirements(catalog)?;
-        let mut refundable = requirements.charge.clone();
+        let mut charge = self.charge();
         let mut fallback = None;
         let mut reruns = 0;
         loop {
             let now = self.context.clock.now();
             let router = &self.context.router;
-            let refund = refundable.clone();
             let asked_at = Instant::now();
-            let routed = router.route(&requirements, refund, now).await;
+            let routed = router.route(&requirements, charge, now).await;
             self.record.held_ms += asked_at.elapsed().as_millis() as u64;
-            let slot = match routed {
+            let mut slot = match routed {
                 Ok(slot) => slot,
                 Err(refusal) => return conclude(fallback, request, refusal),
             };
             self.record.basis = slot.choice.basis;
-            requirements.charge = None;
+            charge = std::mem::take(&mut slot.charge);
             requirements.tried.push(slot.choice.runner.clone());
             let outcome = self.attempt(slot, request).await;
             requirements.sent = 0 < self.record.sends;
@@ -113,7 +113,7 @@
                 AttemptOutcome::Retry(retry) => request = retry,
                 AttemptOutcome::Rerun(rerun, latest) => {
                     request = rerun;
-                    refundable = None;
+                    charge = ChargeState::Settled;
                     reruns += 1;
                     if self.route.max_attempts <= reruns {
                         let refusal = Refusal::not_run(
@@ -139,11 +139,6 @@
         let engine = catalog
             .service(service)
             .is_some_and(|service| service.engine.is_some());
-        let charge = self.customer.and_then(|customer| {
-            let rate = customer.rate?;
-            let cost = rate.cost(self.call.total_tokens());
-            Some((customer.name.clone(), cost))
-        });
         let now = self.context.clock.now();
         let left = self.deadline - Instant::now();
         Ok(CallRequirements {
@@ -151,7 +146,6 @@
             service: service.to_owned(),
             model: self.call.model.clone().filter(|_| engine),
             tokens: self.call.total_tokens().unwrap_or(0),
-            charge,
             tried: Vec::new(),
             sent: false,
             deadline: now.after(left),
@@ -160,6 +154,16 @@
         })
     }
 
+    /// Returns the charge for the call, if its customer has a rate.
+    fn charge(&self) -> ChargeState {
+        let Some(customer) = self.customer else {
+            return ChargeState::Settled;
+        };
+        let Some(rate) = customer.rate else { return ChargeState::Settled };
+        let cost = rate.cost(self.call.total_tokens());
+        ChargeState::Owed(CallCharge::owed(&customer.name, cost))
+    }
+
     /// Returns how large and how urgent the call is.
     fn call_profile(&self, now: EpochMillis) -> CallProfile {
         let (prompt_tokens, output_tokens) =
--- a/crates/celerylead/src/tasks/node/router.rs
+++ b/crates/celerylead/src/tasks/node/router.rs
@@ -25,7 +25,10 @@
 use crate::{
     catalog::ServiceCatalog,
     clock::{EpochMillis, HostClock},
-    customer::{FleetBucket, HostLiveness},
+    customer::{
+        CallCharge, ChargeDenial, ChargeState, FleetBuckets, HostLiveness,
+        Owed,
+    },
     metrics::HostMetrics,
     model::ModelName,
     placement::DemandMeter,
@@ -70,7 +73,7 @@
     /// Time from which the shares of cold runners are determined again; `None`
     /// if no service has cold runners.
     pub(super) cold_refresh_at: Option<EpochMillis>,
-    pub(super) buckets: SortedTable<String, FleetBucket>,
+    pub(super) buckets: FleetBuckets,
     pub(super) host_liveness: HostLiveness,
     pub(super) retries: RetryKeeper,
     demand: DemandMeter,
@@ -99,7 +102,7 @@
             setup.cold_bounds,
         ),
         cold_refresh_at: None,
-        buckets: SortedTable::default(),
+        buckets: FleetBuckets::default(),
         host_liveness: HostLiveness::default(),
         retries: RetryKeeper::new(
             setup.allowance,
@@ -287,18 +290,10 @@
 
     fn adopt_catalog(&mut self, catalog: Arc<ServiceCatalog>) {
         let now = self.setup.clock.now();
-        let mut former = std::mem::take(&mut self.buckets);
-        for customer in catalog.customers() {
-            let Some(rate) = customer.rate else { continue };
-            let bucket = match former.remove(&customer.name) {
-                Some(mut bucket) => {
-                    bucket.resize(rate);
-                    bucket
-                }
-                None => FleetBucket::empty(rate, now),
-            };
-            self.buckets.insert(customer.name.clone(), bucket);
-        }
+        let rates = catalog.customers().filter_map(|customer| {
+            Some((customer.name.as_str(), customer.rate?))
+        });
+        self.buckets.set_rates(rates, now);
         self.set_cold_services(&catalog);
         self.catalog = catalog;
         self.update_scarcity();
@@ -359,38 +354,66 @@
                 }
             }
         }
-        if let Some((customer, cost)) = call.requirements.charge.take() {
-            let bucket = self.buckets.get(&customer);
-            if let Some(limit) = bucket.and_then(|b| b.exceeded_limit(cost)) {
+        if let ChargeState::Owed(charge) = std::mem::take(&mut call.charge) {
+            match self.take_charge(charge, now) {
+                Ok(state) => call.charge = state,
+                Err(refusal) => {
+                    let _ = call.reply.send(Err(refusal));
+                    return;
+                }
+            }
+        }
+        if call.requirements.tried.is_empty() {
+            self.note_demand(&call.requirements, now);
+        }
+        self.dispatch(call, now);
+    }
+
+    /// Charges a call to its customer.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal of a call that its customer's rate doesn't allow.
+    fn take_charge(
+        &mut self,
+        charge: CallCharge<Owed>,
+        now: EpochMillis,
+    ) -> Result<ChargeState, Refusal> {
+        let customer = charge.customer().to_owned();
+        let cost = charge.cost();
+        let denial = match self.buckets.take(charge, &self.host_liveness, now)
+        {
+            Ok(taken) => {
+                return Ok(
+                    taken.map_or(ChargeState::Settled, ChargeState::Taken)
+                );
+            }
+            Err(denial) => denial,
+        };
+        match denial {
+            ChargeDenial::TooLarge(limit) => {
                 let message = format!(
                     "the call costs {cost}, accepted are up to {limit}"
                 );
                 let code = RefusalCode::BurstTooSmall;
-                let _ = call.reply.send(Err(Refusal::not_run(code, &message)));
-                return;
+                Err(Refusal::not_run(code, &message))
             }
-            if let Some(bucket) = self.buckets.get_mut(&customer)
-                && let Err(at) = bucket.take(cost, &self.host_liveness, now)
-            {
+            ChargeDenial::OverRate(at) => {
+                let bucket = self.buckets.get(&customer);
+                let (level, per_second) = bucket.map_or((0, 0), |bucket| {
+                    (bucket.level(), bucket.per_second())
+                });
                 let message = format!(
                     "customer {customer} is over its rate: cost {cost}, \
-                     level {}, {} a second, {} of {} hosts silent",
-                    bucket.level(),
-                    bucket.per_second(),
+                     level {level}, {per_second} a second, {} of {} hosts \
+                     silent",
                     self.host_liveness.silent(now).count(),
                     self.host_liveness.count(),
                 );
                 let code = RefusalCode::RateLimited;
-                let refusal = Refusal::not_run(code, &message);
-                let _ = call.reply.send(Err(refusal.retry_at(Some(at))));
-                return;
+                Err(Refusal::not_run(code, &message).retry_at(Some(at)))
             }
-            call.refundable = Some((customer, cost));
-        }
-        if call.requirements.tried.is_empty() {
-            self.note_demand(&call.requirements, now);
         }
-        self.dispatch(call, now);
     }
 
     /// Counts the demand of a call that was admitted within its customer's
--- a/crates/celerylead/src/tasks/node/router_admission.rs
+++ b/crates/celerylead/src/tasks/node/router_admission.rs
@@ -10,6 +10,7 @@
 };
 use crate::{
     clock::EpochMillis,
+    customer::ChargeState,
     metrics::{RefusalLabels, WaitLabels, WaitedLabels},
     model::ModelName,
     relay::{LoadBasis, PickFault, RelayChoice, RelayTable},
@@ -137,7 +138,7 @@
             link.map(|link| (link, true))
         };
         let parts = &call.requirements.parts;
-        let slot = RelaySlot::new(choice, link, call.seat, parts);
+        let slot = RelaySlot::new(choice, link, call.seat, parts, call.charge);
         let _ = call.reply.send(Ok(slot));
     }
 
@@ -361,13 +362,12 @@
         }
     }
 
-    /// Refuses a call, and refunds its charge if the charge is refundable.
+    /// Refuses a call, and refunds its charge if one was taken and the call
+    /// hasn't run.
     pub(super) fn send_refusal(&mut self, call: QueuedCall, refusal: Refusal) {
         self.release_retry(&call);
-        if let Some((customer, cost)) = &call.refundable
-            && let Some(bucket) = self.buckets.get_mut(customer)
-        {
-            bucket.refund(*cost);
+        if let ChargeState::Taken(charge) = call.charge {
+            self.buckets.refund(charge);
         }
         let _ = call.reply.send(Err(refusal));
     }
--- a/crates/celerylead/src/tasks/node/router_digests.rs
+++ b/crates/celerylead/src/tasks/node/router_digests.rs
@@ -69,7 +69,7 @@
                 .buckets
                 .iter()
                 .map(|(customer, bucket)| SpentTotal {
-                    customer: customer.clone(),
+                    customer: customer.to_owned(),
                     total: bucket.spent(),
                     level: bucket.known_level(),
                 })
--- a/crates/celerylead/src/tasks/node/router_port.rs
+++ b/crates/celerylead/src/tasks/node/router_port.rs
@@ -10,6 +10,7 @@
 use super::{links::LinkTerm, trace::CallTrace};
 use crate::{
     clock::EpochMillis,
+    customer::ChargeState,
     membership::{FleetDigest, HostDigest},
     model::ModelName,
     placement::ModelDemand,
@@ -108,8 +109,7 @@
 /// A call that waits for the choice of its runner.
 pub(crate) struct QueuedCall {
     pub(super) requirements: CallRequirements,
-    /// Customer and cost of the charge that a refusal gives back.
-    pub(super) refundable: Option<(String, u64)>,
+    pub(super) charge: ChargeState,
     /// Limit of the wait of a call without a target.
     pub(super) wait_until: EpochMillis,
     /// Why the call got no runner when it was last tried.
@@ -151,6 +151,8 @@
     pub(crate) choice: RelayChoice,
     /// Idle connection to the runner, and whether it is certain to be open.
     pub(crate) link: Option<(HttpLink, bool)>,
+    /// The charge of the call, which hasn't run yet.
+    pub(crate) charge: ChargeState,
     sender: mpsc::Sender<RouterEvent>,
     head_reported: bool,
     first_event_reported: bool,
@@ -166,10 +168,12 @@
         link: Option<(HttpLink, bool)>,
         seat: SlotSeat,
         parts: &PromptParts,
+        charge: ChargeState,
     ) -> RelaySlot {
         RelaySlot {
             choice,
             link,
+            charge,
             sender: seat.sender,
             head_reported: false,
             first_event_reported: false,
@@ -266,12 +270,12 @@
 
 impl RouterPort {
     /// Waits until the router has chosen a runner for a call, or has refused
-    /// the call. `refundable` is the charge that a refusal gives back; it is
-    /// given only for a call that certainly hasn't run.
+    /// the call. The slot holds the charge once it is taken; a refusal gives it
+    /// back.
     pub(crate) async fn route(
         &self,
         requirements: &CallRequirements,
-        refundable: Option<(String, u64)>,
+        charge: ChargeState,
         now: EpochMillis,
     ) -> Result<RelaySlot, Refusal> {
         let permit = self.completion_sender.clone().reserve_owned().await;
@@ -281,7 +285,7 @@
         let event = |reply| {
             RouterEvent::Route(Box::new(QueuedCall {
                 requirements: requirements.clone(),
-                refundable,
+                charge,
                 wait_until: now.after(left.min(MAX_QUEUE_WAIT)),
                 fault: None,
                 retry: None,
--- a/crates/celerylead/src/tasks/node/tests.rs
+++ b/crates/celerylead/src/tasks/node/tests.rs
@@ -15,11 +15,15 @@
     router_port::{self, RouterEvent, RouterPort},
 };
 use crate::{
-    catalog::{CallLimits, ServiceCatalog, ServiceSpec},
+    catalog::{
+        BilledCustomer, CallLimits, RateUnit, ServiceCatalog, ServiceSpec,
+        TokenRate,
+    },
     clock::{EpochMillis, HostClock},
+    customer::{CallCharge, ChargeState},
     membership::{HostDigest, RunnerLoad},
     metrics::HostMetrics,
-    quarantine::PromptParts,
+    quarantine::{EvidenceReport, PartId, PromptParts, VerdictRow},
     relay::{CallProfile, CallRequirements, ColdBounds},
     request::{CallScheduling, RequestId, RetryAllowance},
     roster::RunnerFacts,
@@ -28,31 +32,41 @@
 /// Number of calls that the runner runs at a time.
 const SLOTS: u32 = 4;
 
+/// Customer with a rate.
+const CUSTOMER: &str = "parish";
+const RATE: TokenRate =
+    TokenRate { per_second: 1_000, burst: 2_000, unit: RateUnit::Calls };
+
 /// A router with one runner of a service without an engine.
 struct TestRouter {
     port: RouterPort,
     clock: HostClock,
     metrics: HostMetrics,
     rosters: watch::Sender<Option<Arc<Vec<RunnerFacts>>>>,
-    // Kept open, as the router holds its receiver.
-    _catalogs: watch::Sender<Option<Arc<ServiceCatalog>>>,
+    catalogs: watch::Sender<Option<Arc<ServiceCatalog>>>,
+}
+
+/// Returns a catalog with one service and one customer.
+fn catalog(revision: u64, rate: Option<TokenRate>) -> ServiceCatalog {
+    let service = ServiceSpec {
+        name: "ledger".to_owned(),
+        max_links: 100,
+        engine: None,
+        cold: None,
+    };
+    let customer =
+        BilledCustomer { name: CUSTOMER.to_owned(), priority: None, rate };
+    ServiceCatalog::new(
+        revision,
+        CallLimits::default(),
+        Vec::new(),
+        vec![service],
+        vec![(customer, Vec::new())],
+    )
 }
 
 impl TestRouter {
     async fn start() -> TestRouter {
-        let service = ServiceSpec {
-            name: "ledger".to_owned(),
-            max_links: 100,
-            engine: None,
-            cold: None,
-        };
-        let catalog = ServiceCatalog::new(
-            1,
-            CallLimits::default(),
-            Vec::new(),
-            vec![service],
-            Vec::new(),
-        );
         let runner = RunnerFacts {
             id: "i-1".to_owned(),
             service: "ledger".to_owned(),
@@ -91,10 +105,9 @@
             metrics: metrics.clone(),
         };
         router::start(setup, inbox);
-        catalogs.send_replace(Some(Arc::new(catalog)));
+        catalogs.send_replace(Some(Arc::new(catalog(1, Some(RATE)))));
         rosters.send_replace(Some(Arc::new(vec![runner])));
-        let _catalogs = catalogs;
-        let router = TestRouter { port, clock, metrics, rosters, _catalogs };
+        let router = TestRouter { port, clock, metrics, rosters, catalogs };
         // Waits until the router knows the runner.
         router.route(Duration::from_secs(60)).await;
         router
@@ -125,7 +138,6 @@
             service: "ledger".to_owned(),
             model: None,
             tokens: 0,
-            charge: None,
             tried: Vec::new(),
             sent: false,
             deadline: now.after(timeout),
@@ -134,12 +146,25 @@
         }
     }
 
+    /// Returns what the host reports as spent by the customer.
+    async fn spent(&self) -> Option<i64> {
+        let event = RouterEvent::ReadReport;
+        let report = crate::tasks::ask(&self.port.sender, event).await;
+        let spent = report.unwrap().digest.spent;
+        spent.first().map(|spent| spent.total)
+    }
+
     /// Routes a call with this timeout; returns how long the routing took.
     async fn route(&self, timeout: Duration) -> Duration {
         let now = self.clock.now();
         let requirements = self.requirements(timeout);
         let began = Instant::now();
-        assert!(self.port.route(&requirements, None, now).await.is_ok());
+        assert!(
+            self.port
+                .route(&requirements, ChargeState::Settled, now)
+                .await
+                .is_ok()
+        );
         began.elapsed()
     }
 }
@@ -175,7 +200,11 @@
     for number in 0..CALLERS {
         let requirements = router.requirements(Duration::from_secs(60));
         let now = router.clock.now();
-        let mut call = Box::pin(router.port.route(&requirements, None, now));
+        let mut call = Box::pin(router.port.route(
+            &requirements,
+            ChargeState::Settled,
+            now,
+        ));
         // Sends the call to the router.
         poll_fn(|context| {
             let _ = call.as_mut().poll(context);
@@ -205,7 +234,9 @@
         requirements.profile.priority = priority;
         requirements.profile.target = Some(now.after(target));
         let port = router.port.clone();
-        tokio::spawn(async move { port.route(&requirements, None, now).await })
+        tokio::spawn(async move {
+            port.route(&requirements, ChargeState::Settled, now).await
+        })
     };
     let batch = route(2, Duration::from_secs(8));
     tokio::time::sleep(STEP).await;
@@ -260,8 +291,105 @@
         .collect();
     let requirements = router.requirements(CALL_TIMEOUT);
     let now = router.clock.now();
-    let call = router.port.route(&requirements, None, now);
+    let call = router.port.route(&requirements, ChargeState::Settled, now);
     let routed = tokio::time::timeout(CALL_TIMEOUT, call).await;
     senders.iter().for_each(tokio::task::JoinHandle::abort);
     assert!(routed.is_ok_and(|routed| routed.is_err()));
 }
+
+/// Guards against refunds of charges that weren't made, by which a customer spends
+/// the same tokens again and again at all hosts.
+#[tokio::test]
+async fn only_a_charge_that_was_taken_is_refunded() {
+    const COST: u64 = 100;
+    const DEADLY: u64 = 0xdead;
+    /// Time in which a bucket holds enough.
+    const FILL_TIME: Duration = Duration::from_millis(700);
+    struct Case {
+        name: &'static str,
+        /// Parts of the call's prompt.
+        parts: &'static [u64],
+        timeout: Duration,
+        /// Whether the host's runner has room.
+        has_room: bool,
+        is_routed: bool,
+        /// Whether the customer has no rate for a moment while the call waits.
+        is_reset: bool,
+        spent: i64,
+    }
+    let case = Case {
+        name: "",
+        parts: &[],
+        timeout: Duration::from_secs(2),
+        has_room: true,
+        is_routed: false,
+        is_reset: false,
+        spent: 0,
+    };
+    let cases = [
+        Case {
+            name: "a part of its prompt is rejected",
+            parts: &[DEADLY, 1],
+            ..case
+        },
+        Case {
+            name: "its deadline has passed",
+            timeout: Duration::ZERO,
+            ..case
+        },
+        Case { name: "it gets no runner", has_room: false, ..case },
+        Case {
+            name: "it gets no runner, and the customer's bucket is another one",
+            has_room: false,
+            is_reset: true,
+            spent: COST as i64,
+            ..case
+        },
+        Case {
+            name: "it gets a runner",
+            is_routed: true,
+            spent: COST as i64,
+            ..case
+        },
+    ];
+    for case in cases {
+        let router = TestRouter::start().await;
+        let verdict = VerdictRow {
+            part: PartId(DEADLY),
+            trials: 3,
+            terms: 1,
+            sent_ago_ms: 0,
+            left_ms: 60_000,
+        };
+        let report = EvidenceReport {
+            verdicts: vec![verdict],
+            ..EvidenceReport::default()
+        };
+        let (report, at) = (Box::new(report), router.clock.now());
+        let event = RouterEvent::Evidence { report, at };
+        router.port.sender.send(event).await.unwrap();
+        if !case.has_room {
+            router.report_peer_calls(2 * SLOTS).await;
+        }
+        tokio::time::sleep(FILL_TIME).await;
+        let mut requirements = router.requirements(case.timeout);
+        requirements.parts =
+            PromptParts::of_prompt(case.parts.iter().copied());
+        let charge = ChargeState::Owed(CallCharge::owed(CUSTOMER, COST));
+        let call =
+            router.port.route(&requirements, charge, router.clock.now());
+        let reset = async {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            if case.is_reset {
+                for (revision, rate) in [(2, None), (3, Some(RATE))] {
+                    let catalog = Arc::new(catalog(revision, rate));
+                    router.catalogs.send_replace(Some(catalog));
+                    tokio::time::sleep(Duration::from_millis(50)).await;
+                }
+            }
+        };
+        let (routed, ()) = tokio::join!(call, reset);
+        assert_eq!(routed.is_ok(), case.is_routed, "{}", case.name);
+        assert_eq!(router.spent().await, Some(case.spent), "{}", case.name);
+    }
+}
