Let hosts that start without the store know the others

Cause: other hosts were learnt only from the store's table. A host without it sent its spending to nobody, so that the others debited its even share only, and it took all that they left, as did each other host that started like it.

Ruled out, by reading: the level at the start, adopted from the first digest as after any start, and a stale configuration.

A host whose first read of the table isn't answered asks its seeds for it, and introduces itself to all hosts on it, once a round, until it has read the table. Learnt hosts outlive a read that doesn't list them while they are heard, and leave the list when they are silent. Liveness, claims of retries, cold shares, probers, zone readers and aggregators take their hosts from the same list.

--- a/crates/celerylead/src/membership/digest.rs
+++ b/crates/celerylead/src/membership/digest.rs
@@ -8,6 +8,7 @@
 
 use super::{
     excerpt::FeedExcerpt,
+    listing::HostListing,
     orders::OrdersRow,
     zone_digest::{FleetDigest, ZoneDigest, ZonePart},
 };
@@ -124,6 +125,9 @@
     /// Verdicts on parts that crashes can't be told apart by. Hosts of a version
     /// without this message ignore it.
     SuspectGroups(Vec<GroupRow>),
+    /// The sender, which the store has turned away since its start. Hosts of a
+    /// version without this message go by the hosts' table.
+    Introduction(HostListing),
 }
 
 /// Row of a host, with the address at which other hosts reach it.
--- a/crates/celerylead/src/membership/mod.rs
+++ b/crates/celerylead/src/membership/mod.rs
@@ -24,6 +24,7 @@
 mod excerpt;
 mod gossip;
 mod lease;
+mod listing;
 mod orders;
 mod rendezvous;
 mod zone_digest;
@@ -45,6 +46,7 @@
     },
     gossip::{GOSSIP_TICK, GossipTick},
     lease::{HeldLease, HostLease, HostTag, LeasePhase, MAX_PAUSE},
+    listing::{GONE_SILENCE, HostListing, HostOrigin},
     orders::{
         LeaseClaim, OrderPermit, OrdersLease, OrdersRow, RENEW_PERIOD,
         StoredOrdersRow,
--- a/crates/celerylead/src/membership/tests.rs
+++ b/crates/celerylead/src/membership/tests.rs
@@ -1,6 +1,7 @@
 mod aggregation;
 mod excerpt;
 mod gossip;
+mod listing;
 mod orders;
 
 use super::{HeldLease, HostLease, HostTag, LeasePhase, best_host};
--- a/crates/celerylead/src/tasks/node/control.rs
+++ b/crates/celerylead/src/tasks/node/control.rs
@@ -2,7 +2,7 @@
 //!
 //! Snapshots contain what another host needs to serve while the store is
 //! unavailable: the catalog, which contains keys only as hashes, the evacuated
-//! zones and the roster.
+//! zones, the roster and the hosts.
 
 use std::{
     convert::Infallible,
@@ -29,6 +29,7 @@
 use crate::{
     catalog::{EvacuationList, ServiceCatalog},
     intake::ConnectionQueue,
+    membership::HostListing,
     port::{EdgeCodec, HttpLink, SendFault},
     quarantine::PartId,
     roster::RunnerFacts,
@@ -43,6 +44,8 @@
 const EVACUATIONS_PATH: &str = "/snapshot/evacuations";
 /// Path of the roster's snapshot, which other hosts read.
 const ROSTER_PATH: &str = "/snapshot/roster";
+/// Path of the list of hosts, which hosts read that start without the store.
+const HOSTS_PATH: &str = "/snapshot/hosts";
 /// Path of the verdicts on parts of prompts. `DELETE` on the path followed by a
 /// slash and a part ends the part's verdict.
 const VERDICTS_PATH: &str = "/quarantine";
@@ -179,6 +182,7 @@
             let facts = roster.borrow().clone();
             snapshot(facts.as_deref())
         }
+        HOSTS_PATH => snapshot(context.gossip.hosts().await.as_deref()),
         _ => ready(context),
     }
 }
@@ -259,6 +263,13 @@
     fetch(address, EVACUATIONS_PATH).await
 }
 
+/// Fetches the hosts that another one knows; `None` if it knows no list.
+pub(crate) async fn fetch_hosts(
+    address: &str,
+) -> anyhow::Result<Option<Vec<HostListing>>> {
+    fetch(address, HOSTS_PATH).await
+}
+
 /// Fetches the roster of another host; empty if that host has none.
 pub(crate) async fn fetch_roster(
     address: &str,
--- a/crates/celerylead/src/tasks/node/gossip.rs
+++ b/crates/celerylead/src/tasks/node/gossip.rs
@@ -21,13 +21,15 @@
     gossip_port::{GossipEvent, PlacerEvent},
     host_rows::{self, HostsReading},
     router_port::{RouterEvent, RouterPort, RouterReport},
+    seed_hosts,
 };
 use crate::{
     catalog::EvacuationList,
     clock::HostClock,
     membership::{
         FeedExcerpt, GOSSIP_TICK, GossipTick, HostCapacity, HostDigest,
-        HostMessage, HostRow, PeerContact, RegistryContact,
+        HostListing, HostMessage, HostOrigin, HostRow, PeerContact,
+        RegistryContact,
     },
     metrics::HostMetrics,
     model::ModelName,
@@ -40,7 +42,6 @@
     request::RetryClaim,
     roster::HeldModel,
     sorted::SortedTable,
-    store_version::StoreVersion,
 };
 
 /// Largest datagram that is received; digests are a few hundred bytes.
@@ -51,6 +52,8 @@
 pub(crate) struct GossipSetup {
     pub(crate) row: HostRow,
     pub(crate) store: StorePort,
+    /// Control addresses of other hosts.
+    pub(crate) seeds: Vec<String>,
     pub(crate) clock: HostClock,
     pub(crate) metrics: HostMetrics,
     /// This host's contact with the registry.
@@ -77,13 +80,13 @@
     pub(crate) evacuation_port: EvacuationPort,
 }
 
-/// Another host, as listed in the hosts' table.
+/// Another host, as listed in the hosts' table or by another host.
+#[derive(Clone)]
 pub(super) struct KnownHost {
     pub(super) zone: String,
     pub(super) address: SocketAddr,
     pub(super) capacity: Option<HostCapacity>,
-    /// Version of the host's row.
-    pub(super) version: StoreVersion,
+    pub(super) origin: HostOrigin,
     /// Time at which the host's last digest arrived, or at which the host was
     /// first listed.
     pub(super) last_digest_at: Instant,
@@ -95,6 +98,10 @@
     pub(super) router: RouterPort,
     pub(super) placer: mpsc::Sender<PlacerEvent>,
     pub(super) hosts: SortedTable<String, KnownHost>,
+    /// Whether the hosts are known from a list, of the table or of a seed.
+    pub(super) has_list: bool,
+    /// Whether the table has been read.
+    pub(super) has_read: watch::Sender<bool>,
     pub(super) aggregation: AggregationDesk,
     /// Host that last reported what runners hold: the holder of the orders
     /// lease.
@@ -122,6 +129,14 @@
     placer: mpsc::Sender<PlacerEvent>,
 ) {
     let (row_sender, row_receiver) = mpsc::channel(1);
+    let (listing_sender, listing_receiver) = mpsc::channel(1);
+    let (has_read, read_receiver) = watch::channel(false);
+    let seeds = setup.seeds.clone();
+    crate::tasks::spawn(seed_hosts::learn_hosts(
+        seeds,
+        listing_sender,
+        read_receiver,
+    ));
     let early_read = Arc::new(Notify::new());
     let row_maintenance = host_rows::maintain_row(
         setup.clone(),
@@ -140,6 +155,8 @@
         router,
         placer,
         hosts: SortedTable::default(),
+        has_list: false,
+        has_read,
         lease_holder: None,
         residency_sequence: SequenceTracker::default(),
         tick_number: 0,
@@ -147,7 +164,7 @@
         unknown_hosts: SortedTable::default(),
         early_read,
     };
-    crate::tasks::spawn(task.run(inbox, row_receiver));
+    crate::tasks::spawn(task.run(inbox, row_receiver, listing_receiver));
 }
 
 impl GossipTask {
@@ -155,6 +172,7 @@
         mut self,
         mut inbox: mpsc::Receiver<GossipEvent>,
         mut row_receiver: mpsc::Receiver<HostsReading>,
+        mut listing_receiver: mpsc::Receiver<Vec<HostListing>>,
     ) {
         let mut interval = tokio::time::interval(GOSSIP_TICK);
         let mut has_phase = false;
@@ -175,6 +193,10 @@
                 Some(reading) = row_receiver.recv() => {
                     self.adopt(reading).await;
                 },
+                Some(listings) = listing_receiver.recv() => {
+                    self.has_list = true;
+                    self.learn(listings).await;
+                }
                 received = self.socket.recv_from(&mut buffer) => {
                     match received {
                         Ok((len, _)) => self.receive(&buffer[..len]).await,
@@ -228,6 +250,9 @@
                     self.send(&message, &addresses).await;
                 }
             }
+            GossipEvent::ReadHosts(reply) => {
+                let _ = reply.send(self.listings());
+            }
             GossipEvent::Broadcast(message) => {
                 self.send_to_all(&message).await;
                 if let HostMessage::Residency {
@@ -322,6 +347,8 @@
         self.tick_number = self.tick_number.wrapping_add(1);
         if tick.begins_round() {
             self.choose_reader();
+            self.introduce().await;
+            self.forget_silent_learnt().await;
             self.repeat_evacuations().await;
             self.update_placer();
             let event = RouterEvent::ReadDemand;
@@ -496,6 +523,9 @@
                     EvidenceReport { groups, ..EvidenceReport::default() };
                 self.merge_evidence(report).await;
             }
+            HostMessage::Introduction(listing) => {
+                self.learn(vec![listing]).await;
+            }
             HostMessage::Evacuations(list) => {
                 let event = EvacuationEvent::Told(list);
                 self.setup.evacuation_port.send(event).await;
--- a/crates/celerylead/src/tasks/node/gossip_port.rs
+++ b/crates/celerylead/src/tasks/node/gossip_port.rs
@@ -1,10 +1,12 @@
 //! Messages to the gossip task, and from it to the placer, and the handle with
 //! which other tasks send them.
 
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 
 use crate::{
-    membership::{FeedExcerpt, HostDigest, HostMessage, OrdersRow, ZonePart},
+    membership::{
+        FeedExcerpt, HostDigest, HostListing, HostMessage, OrdersRow, ZonePart,
+    },
     model::ModelName,
     quarantine::EvidenceReport,
     roster::RunnerStart,
@@ -22,6 +24,8 @@
     Broadcast(HostMessage),
     /// Send parts of the registry's feed to the other hosts of the zone.
     Excerpts(Vec<FeedExcerpt>),
+    /// Request for the hosts that this one knows; `None` before it knows a list.
+    ReadHosts(oneshot::Sender<Option<Vec<HostListing>>>),
 }
 
 /// Message to the placer about the hosts.
@@ -82,6 +86,12 @@
         }
     }
 
+    /// Returns the hosts that this one knows, itself included; `None` before it
+    /// knows a list.
+    pub(crate) async fn hosts(&self) -> Option<Vec<HostListing>> {
+        crate::tasks::ask(&self.sender, GossipEvent::ReadHosts).await?
+    }
+
     /// Sends a message to all hosts, this one included.
     pub(crate) async fn broadcast(&self, message: HostMessage) {
         let _ = self.sender.send(GossipEvent::Broadcast(message)).await;
--- a/crates/celerylead/src/tasks/node/mod.rs
+++ b/crates/celerylead/src/tasks/node/mod.rs
@@ -49,6 +49,7 @@
 mod router_port;
 mod router_runners;
 mod run;
+mod seed_hosts;
 #[cfg(test)]
 mod tests;
 mod trace;
@@ -61,8 +62,8 @@
 use tokio::sync::watch;
 
 use self::{
-    evacuations::EvacuationWatch, router_port::RouterPort,
-    watcher::EvidenceView,
+    evacuations::EvacuationWatch, gossip_port::GossipPort,
+    router_port::RouterPort, watcher::EvidenceView,
 };
 use crate::{
     catalog::ServiceCatalog, clock::HostClock, metrics::HostMetrics,
@@ -97,6 +98,7 @@
     pub(crate) evidence: EvidenceView,
     pub(crate) evacuations: EvacuationWatch,
     pub(crate) router: RouterPort,
+    pub(crate) gossip: GossipPort,
     pub(crate) metrics: HostMetrics,
     pub(crate) phase: watch::Receiver<NodePhase>,
     pub(crate) intake: IntakePort,
