Split the admission of calls out of the suspect ledger

Cause: with ambiguity groups the ledger's file held two jobs in 647 lines, and the decision on a call was four nested conditions.

Change: quarantine/admission.rs decides on calls by the verdicts on their parts, through HeldVerdict::decide. A group that is narrowed by another host's report no longer counts as narrowed by a crash.

--- a/crates/celerylead/src/quarantine/ambiguity.rs
+++ b/crates/celerylead/src/quarantine/ambiguity.rs
@@ -175,10 +175,17 @@
                 narrowed.push((members, kept));
             }
         }
-        let narrowed = narrowed.into_iter();
-        narrowed
-            .flat_map(|(members, kept)| self.narrow(&members, &kept, now))
-            .collect()
+        let mut events = Vec::new();
+        for (members, kept) in narrowed {
+            events.extend(self.narrow(&members, &kept, now));
+            for member in &kept {
+                if let Some(held) = self.verdicts.get_mut(member) {
+                    let narrowed = held.group.narrowed.saturating_add(1);
+                    held.group.narrowed = narrowed;
+                }
+            }
+        }
+        events
     }
 
     /// Leaves only the `kept` members in a group.
@@ -197,7 +204,6 @@
         }
         for member in kept {
             let Some(held) = self.verdicts.get_mut(member) else { continue };
-            held.group.narrowed = held.group.narrowed.saturating_add(1);
             held.repeat_until = now.after(REPEAT_TIME);
         }
         self.news.tell_soon(now);
--- a/crates/celerylead/src/quarantine/ledger.rs
+++ b/crates/celerylead/src/quarantine/ledger.rs
@@ -26,7 +26,7 @@
 /// has enough.
 const SOUND_TRIALS_TO_REJECT: u32 = 7;
 /// Trials from which a call isn't sent again after its runner ended.
-const TRIALS_TO_HOLD: u32 = 2;
+pub(super) const TRIALS_TO_HOLD: u32 = 2;
 /// Time for which news is repeated to the other hosts, each of which is sent
 /// gossip at least twice within it.
 pub(super) const REPEAT_TIME: Duration = Duration::from_millis(1_000);
@@ -45,21 +45,6 @@
 /// Most calls that are weighed again.
 const MAX_UNSETTLED: usize = 64;
 
-/// What the ledger says of a call.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum PartAdmission {
-    /// No part of its prompt is rejected.
-    Admit,
-    /// The call may be sent as the probe of this part.
-    Probe(PartId),
-    /// This part is rejected.
-    Reject(PartId),
-    /// Another call is to tell this part from others with the same evidence
-    /// first.
-    Await(PartId),
-}
-
 /// A change of what the ledger believes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -246,85 +231,6 @@
             .collect()
     }
 
-    /// Records the end of a call that says nothing of its parts, for the case
-    /// that it was a probe.
-    pub fn record_neutral(&mut self, parts: &PromptParts, now: EpochMillis) {
-        if self.verdicts.is_empty() {
-            return;
-        }
-        for part in parts.iter() {
-            if let Some(held) = self.verdicts.get_mut(&part)
-                && let VerdictState::Probing(verdict) = held.state
-            {
-                held.state = VerdictState::Probation(verdict.undecided(now));
-            }
-        }
-        self.end_trials(parts, now);
-    }
-
-    /// Decides whether a call may be sent to a runner. `is_prober` says
-    /// whether this host is the one that probes a part. A call with all parts of
-    /// an ambiguity group is known to have the cause; one with only some of them
-    /// may be sent to tell them apart, one at a time.
-    pub fn admit(
-        &mut self,
-        parts: &PromptParts,
-        is_prober: impl Fn(PartId) -> bool,
-        now: EpochMillis,
-    ) -> PartAdmission {
-        let mut admission = PartAdmission::Admit;
-        if self.verdicts.is_empty() {
-            return admission;
-        }
-        for part in parts.iter() {
-            let Some(held) = self.verdicts.get_mut(&part) else { continue };
-            let Some(mut state) = held.state.advance(now) else { continue };
-            state.touch(now);
-            held.state = state;
-            let on_probation = matches!(state, VerdictState::Probation(_));
-            let lead = held.group.lead(part);
-            if held.group.is_whole_in(parts) {
-                if !on_probation
-                    || held.group.is_on_trial(now)
-                    || !is_prober(lead)
-                {
-                    return PartAdmission::Reject(part);
-                }
-            } else if !on_probation && held.group.is_exhausted() {
-                return PartAdmission::Reject(part);
-            } else if matches!(state, VerdictState::Probing(_))
-                || held.group.is_on_trial(now)
-                || !is_prober(lead)
-            {
-                return PartAdmission::Await(part);
-            }
-            admission = PartAdmission::Probe(part);
-        }
-        admission
-    }
-
-    /// Records that a call with these parts was sent as the probe of a part.
-    pub fn begin_probe(
-        &mut self,
-        part: PartId,
-        parts: &PromptParts,
-        now: EpochMillis,
-    ) {
-        let Some(held) = self.verdicts.get_mut(&part) else { return };
-        if !held.group.is_whole_in(parts) {
-            self.begin_trial(part, now);
-        } else if let VerdictState::Probation(verdict) = held.state {
-            held.state = VerdictState::Probing(verdict.probe(now));
-        }
-    }
-
-    /// Returns whether a call that was sent to a runner may be sent to another
-    /// one: no part of its prompt may be the cause of the first one's end.
-    pub fn allows_further_send(&self, parts: &PromptParts) -> bool {
-        let mut parts = parts.iter();
-        parts.all(|part| self.trials(part, None).trials < TRIALS_TO_HOLD)
-    }
-
     /// Iterates over the verdicts in force, sorted by part.
     pub fn verdicts(
         &self,
@@ -620,7 +526,7 @@
         crashes.ends_of(part, cleared_at, settled_at, is_explained, was_sound)
     }
 
-    fn trials(
+    pub(super) fn trials(
         &self,
         part: PartId,
         settled_at: Option<EpochMillis>,
--- a/crates/celerylead/src/quarantine/mod.rs
+++ b/crates/celerylead/src/quarantine/mod.rs
@@ -35,6 +35,7 @@
 //! Every table is bounded. A caller who makes up parts can neither fill them,
 //! as only calls that ended with a runner enter, nor displace a verdict.
 
+mod admission;
 mod ambiguity;
 mod crash;
 mod exchange;
@@ -50,8 +51,9 @@
 mod verdict;
 
 pub use self::{
+    admission::PartAdmission,
     crash::{CrashLog, CrashWitness},
-    ledger::{LedgerEvent, PartAdmission, SuspectLedger, TRIALS_TO_REJECT},
+    ledger::{LedgerEvent, SuspectLedger, TRIALS_TO_REJECT},
     part::{PartId, PromptParts},
     report::{
         ClearanceBasis, ClearanceRow, CrashRow, EvidenceReport, GroupRow,
