Record demand only for models that exist

Cause: the router recorded the demand for whatever name a call stated, and the meter forgot no name.

Change: demand counts for models and adapters that the configuration or a runner has; the meter keeps the 8,192 in highest demand. The same cause on a related path: made-up adapters were asked for at the host that orders, whose planner kept every missed name; only known ones are asked for now, and the planner keeps 1,024 at a time. The product's own interface refuses unknown models first, and is unchanged.

--- a/crates/celerylead/src/catalog/service.rs
+++ b/crates/celerylead/src/catalog/service.rs
@@ -2,6 +2,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::model::ModelName;
+
 /// A model that the runners of a service can hold.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -22,6 +24,45 @@
     pub adapter_mb: f64,
 }
 
+impl EngineModel {
+    /// Iterates over the names of the model's adapters.
+    ///
+    /// # Examples
+    ///
+    /// ```
+    /// use celerylead::catalog::EngineModel;
+    ///
+    /// let model = EngineModel {
+    ///     name: "outline".to_owned(),
+    ///     size_mb: 70.0,
+    ///     load_ms: 1_000,
+    ///     warm_ms: 300,
+    ///     disk_ms: 500,
+    ///     adapters: 2,
+    ///     adapter_mb: 0.1,
+    /// };
+    /// assert!(model.adapter_names().eq(["a1", "a2"]));
+    /// assert!(model.has_adapter("a2"));
+    /// assert!(!model.has_adapter("a3"));
+    /// ```
+    pub fn adapter_names(&self) -> impl Iterator<Item = String> {
+        (1..=self.adapters).map(adapter_name)
+    }
+
+    /// Returns whether the model has an adapter of this name.
+    pub fn has_adapter(&self, name: &str) -> bool {
+        let number = name.strip_prefix('a').and_then(|n| n.parse().ok());
+        number.is_some_and(|number: u32| {
+            (1..=self.adapters).contains(&number)
+                && adapter_name(number) == name
+        })
+    }
+}
+
+fn adapter_name(number: u32) -> String {
+    format!("a{number}")
+}
+
 /// The runners of a service whose runners are model engines.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -81,6 +122,15 @@
         self.memory_mb * runners as f64 * SCARCE_SHARE < models_mb
     }
 
+    /// Returns whether the configuration has this model or adapter.
+    pub fn lists(&self, name: &ModelName) -> bool {
+        let model = self.model(&name.model);
+        model.is_some_and(|model| match &name.adapter {
+            Some(adapter) => model.has_adapter(adapter),
+            None => true,
+        })
+    }
+
     /// Returns the model of this name.
     pub fn model(&self, name: &str) -> Option<&EngineModel> {
         let models = &self.models;
--- a/crates/celerylead/src/placement/adapters.rs
+++ b/crates/celerylead/src/placement/adapters.rs
@@ -33,6 +33,8 @@
 
 /// How long a call that found its adapter on no runner counts as waiting.
 const MISS_MAX_AGE: Duration = Duration::from_millis(2_000);
+/// Most adapters that count as missed at a time; callers may state any name.
+const MAX_MISSES: usize = 1_024;
 /// How long a loaded adapter is protected from eviction. Within this time the
 /// calls that waited for the adapter start and use it.
 const MIN_RESIDENCY: Duration = Duration::from_millis(700);
@@ -92,8 +94,15 @@
 }
 
 impl AdapterPlanner {
-    /// Records that a call found an adapter on no runner.
+    /// Records that a call found an adapter on no runner. Once too many are
+    /// missed at a time, further ones aren't recorded.
     pub fn record_miss(&mut self, name: &ModelName, now: EpochMillis) {
+        if MAX_MISSES <= self.misses.len() {
+            self.misses.retain(|_, at| now < at.after(MISS_MAX_AGE));
+            if MAX_MISSES <= self.misses.len() {
+                return;
+            }
+        }
         self.misses.insert(name.clone(), now);
     }
 
@@ -339,9 +348,9 @@
             self.demand.get(&model.name).is_some_and(|rate| 0 < *rate)
         });
         let names = models.flat_map(|model| {
-            (1..=model.adapters).map(|number| ModelName {
+            model.adapter_names().map(|adapter| ModelName {
                 model: model.name.clone(),
-                adapter: Some(format!("a{number}")),
+                adapter: Some(adapter),
             })
         });
         let mut missing = names.filter(|name| self.replicas(name) == 0);
--- a/crates/celerylead/src/placement/demand.rs
+++ b/crates/celerylead/src/placement/demand.rs
@@ -9,6 +9,9 @@
 /// Default number of models whose demand a host reports: those in highest
 /// demand.
 const MAX_REPORTED_MODELS: usize = 16;
+/// Most models and adapters whose demand is remembered; those in least demand are
+/// forgotten first.
+const MAX_MODELS: usize = 8_192;
 /// Demand below which a model isn't reported, in tokens per second.
 const MIN_REPORTED_DEMAND: u64 = 1;
 
@@ -68,10 +71,25 @@
             *sum = DecayedSum { tokens, updated_at: now };
             return;
         }
+        if MAX_MODELS <= self.models.len() {
+            self.forget_lower_half(now);
+        }
         let sum = DecayedSum { tokens: tokens as f64, updated_at: now };
         self.models.insert(model.to_owned(), sum);
     }
 
+    /// Forgets the half in least demand, so that the cost of a full table is
+    /// spread over many records.
+    fn forget_lower_half(&mut self, now: EpochMillis) {
+        let half_life = self.half_life;
+        let sums = self.models.values();
+        let mut sums: Vec<f64> =
+            sums.map(|sum| sum.decayed(now, half_life)).collect();
+        sums.sort_by(f64::total_cmp);
+        let middle = sums[sums.len() / 2];
+        self.models.retain(|_, sum| middle < sum.decayed(now, half_life));
+    }
+
     /// Returns the demand for the models in highest demand, in tokens per
     /// second.
     pub fn rates(&self, now: EpochMillis) -> ModelDemand {
--- a/crates/celerylead/src/placement/tests.rs
+++ b/crates/celerylead/src/placement/tests.rs
@@ -1,5 +1,6 @@
 mod adapters;
 mod broadcast;
+mod demand;
 mod fleet;
 mod loads;
 mod managed;
--- a/crates/celerylead/src/relay/table.rs
+++ b/crates/celerylead/src/relay/table.rs
@@ -202,6 +202,11 @@
         accepting.chain(cold).chain(evacuated).chain(departing)
     }
 
+    /// Returns whether a runner holds a model or adapter.
+    pub fn holds(&self, name: &ModelName, now: EpochMillis) -> bool {
+        self.backends().any(|backend| backend.holds(name, now))
+    }
+
     /// Sets the models and adapters that a runner holds according to the
     /// lease holder. The announcement is newer than the roster, and overrides
     /// the roster until the announcement expires.
--- a/crates/celerylead/src/tasks/node/router.rs
+++ b/crates/celerylead/src/tasks/node/router.rs
@@ -416,6 +416,20 @@
         }
     }
 
+    /// Returns whether the configuration or a runner has a model or adapter, of
+    /// which callers may state any name.
+    pub(super) fn knows_model(
+        &self,
+        service: &str,
+        name: &ModelName,
+        now: EpochMillis,
+    ) -> bool {
+        let service = self.catalog.service(service);
+        let engine = service.and_then(|service| service.engine.as_ref());
+        engine.is_some_and(|engine| engine.lists(name))
+            || self.table.holds(name, now)
+    }
+
     /// Counts the demand of a call that was admitted within its customer's
     /// rate.
     fn note_demand(
@@ -424,6 +438,9 @@
         now: EpochMillis,
     ) {
         let Some(name) = &requirements.model else { return };
+        if !self.knows_model(&requirements.service, name, now) {
+            return;
+        }
         let work = if self.has_scarce_models {
             self.paces.weigh(&name.model, requirements.tokens)
         } else {
--- a/crates/celerylead/src/tasks/node/router_admission.rs
+++ b/crates/celerylead/src/tasks/node/router_admission.rs
@@ -150,8 +150,10 @@
         now: EpochMillis,
     ) {
         entry.call.fault = Some(fault);
+        let requirements = &entry.call.requirements;
         if fault == PickFault::NoAdapter
-            && let Some(name) = &entry.call.requirements.model
+            && let Some(name) = &requirements.model
+            && self.knows_model(&requirements.service, name, now)
         {
             self.request_adapter(name, now);
         }
--- a/crates/celerylead/src/tasks/node/tests.rs
+++ b/crates/celerylead/src/tasks/node/tests.rs
@@ -16,17 +16,18 @@
 };
 use crate::{
     catalog::{
-        BilledCustomer, CallLimits, RateUnit, ServiceCatalog, ServiceSpec,
-        TokenRate,
+        BilledCustomer, CallLimits, EngineModel, EngineSpec, RateUnit,
+        ServiceCatalog, ServiceSpec, TokenRate,
     },
     clock::{EpochMillis, HostClock},
     customer::{CallCharge, ChargeState},
     membership::{HostDigest, RunnerLoad},
     metrics::HostMetrics,
+    model::ModelName,
     quarantine::{EvidenceReport, PartId, PromptParts, VerdictRow},
     relay::{CallProfile, CallRequirements, ColdBounds},
     request::{CallScheduling, RequestId, RetryAllowance},
-    roster::RunnerFacts,
+    roster::{HeldModel, RunnerFacts},
 };
 
 /// Number of calls that the runner runs at a time.
@@ -54,13 +55,35 @@
         engine: None,
         cold: None,
     };
+    let model = EngineModel {
+        name: "bend".to_owned(),
+        size_mb: 40.0,
+        load_ms: 200,
+        warm_ms: 50,
+        disk_ms: 100,
+        adapters: 2,
+        adapter_mb: 1.0,
+    };
+    let engine = EngineSpec {
+        batch: 4,
+        token_capacity: 100_000,
+        memory_mb: 100.0,
+        adapter_places: 2,
+        loads_per_second: 2.0,
+        models: vec![model],
+    };
+    let advisor = ServiceSpec {
+        name: "advisor".to_owned(),
+        engine: Some(engine),
+        ..service.clone()
+    };
     let customer =
         BilledCustomer { name: CUSTOMER.to_owned(), priority: None, rate };
     ServiceCatalog::new(
         revision,
         CallLimits::default(),
         Vec::new(),
-        vec![service],
+        vec![advisor, service],
         vec![(customer, Vec::new())],
     )
 }
@@ -106,7 +129,15 @@
         };
         router::start(setup, inbox);
         catalogs.send_replace(Some(Arc::new(catalog(1, Some(RATE)))));
-        rosters.send_replace(Some(Arc::new(vec![runner])));
+        let draft =
+            HeldModel { name: "draft".to_owned(), adapters: Vec::new() };
+        let engine = RunnerFacts {
+            id: "i-2".to_owned(),
+            service: "advisor".to_owned(),
+            models: vec![draft],
+            ..runner.clone()
+        };
+        rosters.send_replace(Some(Arc::new(vec![runner, engine])));
         let router = TestRouter { port, clock, metrics, rosters, catalogs };
         // Waits until the router knows the runner.
         router.route(Duration::from_secs(60)).await;
@@ -393,3 +424,78 @@
         assert_eq!(router.spent().await, Some(case.spent), "{}", case.name);
     }
 }
+
+/// Guards against memory that callers take by asking for models that don't exist,
+/// each by another name.
+#[tokio::test]
+async fn only_models_that_exist_are_in_demand() {
+    struct Case {
+        name: &'static str,
+        model: &'static str,
+        adapter: Option<&'static str>,
+        is_in_demand: bool,
+    }
+    let cases = [
+        Case {
+            name: "a configured model",
+            model: "bend",
+            adapter: None,
+            is_in_demand: true,
+        },
+        Case {
+            name: "a configured adapter",
+            model: "bend",
+            adapter: Some("a2"),
+            is_in_demand: true,
+        },
+        Case {
+            name: "an adapter beyond the configured ones",
+            model: "bend",
+            adapter: Some("a3"),
+            is_in_demand: false,
+        },
+        Case {
+            name: "another spelling of an adapter",
+            model: "bend",
+            adapter: Some("a02"),
+            is_in_demand: false,
+        },
+        Case {
+            name: "a model that a runner holds",
+            model: "draft",
+            adapter: None,
+            is_in_demand: true,
+        },
+        Case {
+            name: "a made-up model",
+            model: "bend-1",
+            adapter: None,
+            is_in_demand: false,
+        },
+        Case {
+            name: "a made-up adapter of a made-up model",
+            model: "bend-1",
+            adapter: Some("a1"),
+            is_in_demand: false,
+        },
+    ];
+    let router = TestRouter::start().await;
+    for Case { name, model, adapter, is_in_demand } in cases {
+        let mut requirements = router.requirements(Duration::from_millis(100));
+        requirements.service = "advisor".to_owned();
+        requirements.tokens = 10_000;
+        let stated = ModelName {
+            model: model.to_owned(),
+            adapter: adapter.map(str::to_owned),
+        };
+        requirements.model = Some(stated.clone());
+        let now = router.clock.now();
+        let charge = ChargeState::Settled;
+        let _ = router.port.route(&requirements, charge, now).await;
+        let event = RouterEvent::ReadDemand;
+        let demand = crate::tasks::ask(&router.port.sender, event).await;
+        let demand = demand.unwrap();
+        let found = demand.get(&stated.to_string()).is_some();
+        assert_eq!(found, is_in_demand, "{name}: {demand:?}");
+    }
+}
