Bound what the kernel takes of waiting connections

The hostile test of crowds around a start and a change of limits was red on x86-64: the process and the kernel's bytes for its callers took more than the 64 MB of the test's settings.

Cause: connections beyond a host's bound wait to be accepted, and the kernel takes up to 128 KB of what each of them sends: 12 to 14 of at most 19 MB in its queues, sampled every 150 ms.

Ruled out: the process, whose peak of 49 to 51 MB is the same in cases that pass, and accepted connections, which hold 10 MB at most.

Change: listeners for callers, probes and the control address have a receive buffer of 8 KB, which a connection has until it is accepted; then it gets 64 KB, the size that the kernel's default amounts to.

--- a/crates/celerylead/src/tasks/node/run.rs
+++ b/crates/celerylead/src/tasks/node/run.rs
@@ -32,6 +32,7 @@
     request::{CallScheduling, RetryAllowance},
     step::{StepContext as _, StepName},
     tasks::{intake, machine},
+    wire::link,
 };
 
 /// Time for which a leaving host still accepts connections: the load balancer
@@ -129,8 +130,8 @@
     store: StorePort,
     span: tracing::Span,
 ) -> anyhow::Result<RunningNode> {
-    let front = listen(&options.front).await?;
-    let ready = listen(&options.ready).await?;
+    let front = listen(&options.front)?;
+    let ready = listen(&options.ready)?;
     let gossip_socket = UdpSocket::bind(&options.peers)
         .await
         .at(StepName::Listen, &options.peers)?;
@@ -260,7 +261,7 @@
         intake,
     };
     let listeners =
-        [Some(ready), listen_optional(options.control.as_deref()).await?];
+        [Some(ready), listen_optional(options.control.as_deref())?];
     for listener in listeners.into_iter().flatten() {
         let roster = roster.clone();
         crate::tasks::spawn(control::run(listener, context.clone(), roster));
@@ -274,17 +275,14 @@
     Ok(RunningNode { phase, acceptor, grace: options.grace, span })
 }
 
-async fn listen(address: &str) -> anyhow::Result<TcpListener> {
-    TcpListener::bind(address).await.at(StepName::Listen, address)
+fn listen(address: &str) -> anyhow::Result<TcpListener> {
+    link::listen(address).at(StepName::Listen, address)
 }
 
-async fn listen_optional(
+fn listen_optional(
     address: Option<&str>,
 ) -> anyhow::Result<Option<TcpListener>> {
-    match address {
-        Some(address) => listen(address).await.map(Some),
-        None => Ok(None),
-    }
+    address.map(listen).transpose()
 }
 
 impl RunningNode {
--- a/crates/celerylead/src/wire/link.rs
+++ b/crates/celerylead/src/wire/link.rs
@@ -4,7 +4,7 @@
 //! to be closed. Whether a request may be sent again depends on its state, so
 //! this module uses connections directly, one request at a time.
 
-use std::{fmt, io, time::Duration};
+use std::{fmt, io, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::Full;
@@ -16,7 +16,7 @@
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::{
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
     sync::watch,
     time::Instant,
 };
@@ -39,6 +39,28 @@
 /// out of file descriptors, and the next attempt would fail at once too.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Connections that the kernel keeps for a listener until they are accepted.
+const BACKLOG: u32 = 1_024;
+/// Receive buffer of a connection that isn't accepted yet, in bytes. The kernel
+/// would else take 128 KB for each of a crowd that has to wait.
+const WAITING_BUFFER_BYTES: u32 = 8 << 10;
+/// Receive buffer of a caller's connection, in bytes. The kernel takes as much
+/// again for its own records.
+const CALLER_BUFFER_BYTES: usize = 64 << 10;
+
+/// Opens a listener for callers.
+pub(crate) fn listen(address: &str) -> anyhow::Result<TcpListener> {
+    let address = address.parse::<SocketAddr>()?;
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.set_recv_buffer_size(WAITING_BUFFER_BYTES)?;
+    socket.bind(address)?;
+    Ok(socket.listen(BACKLOG)?)
+}
+
 /// Accepts the next connection. After a failure, logs it, pauses and tries
 /// again. Nothing is lost if the future is dropped.
 pub(crate) async fn accept(listener: &TcpListener) -> TcpStream {
@@ -75,7 +97,9 @@
 /// stays in the process, which bounds it.
 pub(crate) fn set_caller_options(stream: &TcpStream) -> io::Result<()> {
     set_socket_options(stream)?;
-    SockRef::from(stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES)
+    let socket = SockRef::from(stream);
+    socket.set_recv_buffer_size(CALLER_BUFFER_BYTES)?;
+    socket.set_tcp_notsent_lowat(MAX_UNSENT_BYTES)
 }
 
 /// Most bytes that a connection buffers: the head of an answer, or what of its
