Don't blame a group for a crash that another part may explain

With several deadly parts at once, a trial of an ambiguity group could end by another one of them. Callers would then see 503 for every call with the part that the calls of all share, for a term of 60 s.

Cause: any crash of a call with only some members narrowed their group. Trials of that other part also didn't count for it, as a member of the group was in its calls.

Ruled out: trials only of calls without unknown parts. Where all calls have some, as after a start of all hosts, nothing could clear a group before its term ends.

Change: one crash narrows a group if no other part of its calls may be the cause, else it takes three; and it counts as a trial of that part.

--- a/crates/celerylead/src/quarantine/ambiguity.rs
+++ b/crates/celerylead/src/quarantine/ambiguity.rs
@@ -25,6 +25,10 @@
 /// Crashes by which a group is narrowed in a term. The platform bounds the
 /// calls with a deadly part that reach runners late.
 const MAX_NARROWING_CRASHES: u32 = 2;
+/// Crashes that narrow a group although each may be due to a part beside it.
+/// Where several parts are deadly, one such crash would blame a part that the
+/// calls of all of them share.
+const MAX_UNCLEAR_CRASHES: u32 = 3;
 /// Age from which a crash tells the parts of a group apart. Other hosts may have
 /// had calls at the runner too, and report them within this time.
 const JOIN_TIME: Duration = Duration::from_millis(500);
@@ -45,6 +49,14 @@
     trial_until: EpochMillis,
 }
 
+/// Crashes of calls with a member of a group.
+#[derive(Clone, Copy, Debug, Default)]
+struct MemberCrashes {
+    all: u32,
+    /// Those that no part beside the group can explain.
+    clear: u32,
+}
+
 impl AmbiguityGroup {
     /// Returns the group of `part` among `members`, whose calls up to `since`
     /// had all of them.
@@ -142,13 +154,13 @@
         members
     }
 
-    /// Takes those parts out of the groups that a crash since their verdict
-    /// didn't have, while it had others of the group.
+    /// Takes those parts out of the groups that crashes since their verdict
+    /// didn't have, while these had others of the group. One crash is enough if
+    /// its calls had no other part that may be the cause.
     pub(super) fn narrow_groups(
         &mut self,
         now: EpochMillis,
     ) -> Vec<LedgerEvent> {
-        let joined_by = now.before(JOIN_TIME);
         let mut narrowed = Vec::new();
         for (part, held) in self.verdicts.iter() {
             let group = &held.group;
@@ -156,38 +168,65 @@
                 continue;
             }
             let members = group.members(*part);
-            let crashes = |member: &PartId| {
-                let ends = self.ends_of(*member, Some(now)).into_iter();
-                let ends = ends.filter(|end| {
-                    group.since < end.sent_at && end.ended_at <= joined_by
-                });
-                ends.count()
+            let counts = self.crashes_since(&members, group.since, now);
+            let most = |count: fn(&MemberCrashes) -> u32| {
+                counts.iter().map(count).max().unwrap_or_default()
             };
-            let counts: Vec<usize> = members.iter().map(crashes).collect();
-            let most = counts.iter().max().copied().unwrap_or_default();
+            let (clear, all) = (most(|c| c.clear), most(|c| c.all));
             let kept: Vec<PartId> = members
                 .iter()
                 .zip(&counts)
-                .filter(|(_, count)| **count == most)
+                .filter(|(_, count)| {
+                    clear <= count.clear
+                        && all < count.all + MAX_UNCLEAR_CRASHES
+                })
                 .map(|(member, _)| *member)
                 .collect();
-            if kept.len() < members.len() {
-                narrowed.push((members, kept));
+            if !kept.is_empty() && kept.len() < members.len() {
+                let least = counts.iter().map(|count| count.all).min();
+                let crashes = all - least.unwrap_or_default();
+                narrowed.push((members, kept, crashes));
             }
         }
         let mut events = Vec::new();
-        for (members, kept) in narrowed {
+        for (members, kept, crashes) in narrowed {
             events.extend(self.narrow(&members, &kept, now));
             for member in &kept {
                 if let Some(held) = self.verdicts.get_mut(member) {
-                    let narrowed = held.group.narrowed.saturating_add(1);
-                    held.group.narrowed = narrowed;
+                    let narrowed = held.group.narrowed;
+                    held.group.narrowed = narrowed.saturating_add(crashes);
                 }
             }
         }
         events
     }
 
+    /// Counts the crashes of calls with each member that were sent after `since`.
+    fn crashes_since(
+        &self,
+        members: &[PartId],
+        since: EpochMillis,
+        now: EpochMillis,
+    ) -> Vec<MemberCrashes> {
+        let joined_by = now.before(JOIN_TIME);
+        let was_sound = |part| self.was_sound(part);
+        let count = |member: &PartId| {
+            let mut count = MemberCrashes::default();
+            for end in self.ends_of(*member, Some(now)) {
+                if end.sent_at <= since || joined_by < end.ended_at {
+                    continue;
+                }
+                let crashes = &self.crashes;
+                let is_clear =
+                    !crashes.has_unknown(end.start, members, was_sound);
+                count.all += 1;
+                count.clear += u32::from(is_clear);
+            }
+            count
+        };
+        members.iter().map(count).collect()
+    }
+
     /// Leaves only the `kept` members in a group.
     pub(super) fn narrow(
         &mut self,
--- a/crates/celerylead/src/quarantine/crash.rs
+++ b/crates/celerylead/src/quarantine/crash.rs
@@ -254,6 +254,25 @@
         ends
     }
 
+    /// Returns whether a crash may also be due to a part beside the `members` of
+    /// a group: one of their calls had another part, not its last one, on which
+    /// no answer is known to have gone on.
+    pub(super) fn has_unknown(
+        &self,
+        start: &RunnerStart,
+        members: &[PartId],
+        was_sound: impl Fn(PartId) -> bool,
+    ) -> bool {
+        let Some(record) = self.records.get(start) else { return false };
+        let mut candidates = record.candidates(&was_sound);
+        candidates.any(|held| {
+            let mut shared = held.parts.shared();
+            members.iter().any(|member| held.parts.contains(*member))
+                && shared
+                    .any(|part| !members.contains(&part) && !was_sound(part))
+        })
+    }
+
     /// Returns the parts of those calls with a part that were sent at `sent_at`
     /// and ended with their runner, without parts that belong to one call alone.
     pub(super) fn shared_parts_with(
--- a/crates/celerylead/src/quarantine/ledger.rs
+++ b/crates/celerylead/src/quarantine/ledger.rs
@@ -514,18 +514,25 @@
         if self.suspects.get(&part).is_none() {
             return Vec::new();
         }
-        let is_explained = |parts: &PromptParts| {
-            parts.iter().any(|other| {
-                let held = self.verdicts.get(&other);
-                other != part && held.is_some_and(|h| !h.group.has(part))
-            })
-        };
+        let is_explained = |parts: &PromptParts| self.explains(part, parts);
         let cleared_at = self.cleared_at(part);
         let was_sound = |part| self.was_sound(part);
         let crashes = &self.crashes;
         crashes.ends_of(part, cleared_at, settled_at, is_explained, was_sound)
     }
 
+    /// Returns whether a verdict explains the end of a call with these parts
+    /// without `part`: the call has all parts of another group.
+    fn explains(&self, part: PartId, parts: &PromptParts) -> bool {
+        parts.iter().any(|other| {
+            let held = self.verdicts.get(&other);
+            other != part
+                && held.is_some_and(|held| {
+                    !held.group.has(part) && held.group.is_whole_in(parts)
+                })
+        })
+    }
+
     pub(super) fn trials(
         &self,
         part: PartId,
